--- /dev/null
+++ b/http/src/main/java/org/apricotdeal/http/LineSplitter.java
@@ -0,0 +1,29 @@
+package org.apricotdeal.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+/** Cuts content that arrives in pieces into lines. */
+final class LineSplitter {
+    private final Consumer<String> onLine;
+    private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
+
+    LineSplitter(Consumer<String> onLine) {
+        this.onLine = onLine;
+    }
+
+    /** Takes the next piece and hands on each line that it completes, without its line end. */
+    void take(ByteBuffer content) {
+        while (content.hasRemaining()) {
+            byte next = content.get();
+            if (next == '\n') {
+                onLine.accept(partial.toString(StandardCharsets.UTF_8).stripTrailing());
+                partial.reset();
+            } else {
+                partial.write(next);
+            }
+        }
+    }
+}
