Add the stand-ins for platform, engines and services, and test the HTTP adapters against them

Cause: the node's adapters and its decisions need outside systems to run against. Change: one process hosts any number of stand-ins from one INI file. Platform: etcd gateway subset with rates, counters, outages (whole or by port), slowness and lost replies; VM list with a lag; weight store. Engine: orders with fencing honoured or ignored, members that check one another, a continuous batch with priorities, prefix cache with late and lossy events, lagging load reports. Service: records each execution. A prompt's answer is a function of prompt and offset, so that callers verify whole answers.

--- /dev/null
+++ b/standins/src/main/java/org/apricotdeal/standins/engine/PrefixCache.java
@@ -0,0 +1,56 @@
+package org.apricotdeal.standins.engine;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.apricotdeal.engine.PromptPrefixes;
+
+/** Prompt prefixes in an engine's limited cache; the one not used for longest makes room. */
+final class PrefixCache {
+    private static final int MAX_BLOCKS = 64;
+
+    private final int capacity;
+    private final CacheEventLog events;
+    private final Map<String, Boolean> prefixes = new LinkedHashMap<>(16, 0.75f, true);
+
+    PrefixCache(int capacity, CacheEventLog events) {
+        this.capacity = capacity;
+        this.events = events;
+    }
+
+    /** Computes a prompt: stores its prefixes and returns the share of it that was not in the cache. */
+    synchronized double compute(String prompt) {
+        List<String> names = PromptPrefixes.of(prompt, MAX_BLOCKS);
+        int cached = 0;
+        while (cached < names.size() && prefixes.get(names.get(cached)) != null) {
+            cached++;
+        }
+        for (String name : names.subList(cached, names.size())) {
+            store(name);
+        }
+        if (prompt.isEmpty()) {
+            return 0;
+        }
+        return 1.0 - (double) cached * PromptPrefixes.BLOCK_CHARS / prompt.length();
+    }
+
+    synchronized double usedShare() {
+        return capacity == 0 ? 0 : (double) prefixes.size() / capacity;
+    }
+
+    private void store(String name) {
+        if (capacity == 0) {
+            return;
+        }
+        if (prefixes.size() >= capacity) {
+            Iterator<String> oldest = prefixes.keySet().iterator();
+            String evicted = oldest.next();
+            oldest.remove();
+            events.add(CacheEventLog.Kind.EVICTED, evicted);
+        }
+        prefixes.put(name, true);
+        events.add(CacheEventLog.Kind.STORED, name);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/apricotdeal/standins/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for the platform: key-value service, VM list and weight store. */
+package org.apricotdeal.standins.platform;
