--- a/kernel/src/main/java/org/apricotdeal/kernel/duty/Duty.java
+++ b/kernel/src/main/java/org/apricotdeal/kernel/duty/Duty.java
@@ -60,6 +60,16 @@
         return disruptor.getRingBuffer().tryPublishEvent((slot, sequence) -> slot.event = event);
     }
 
+    /**
+     * Hands an event to the duty, waiting for room in the ring. For producers that may be slowed down but must not lose an
+     * event; never called from a duty's own thread.
+     *
+     * @param event the event
+     */
+    public void put(E event) {
+        disruptor.getRingBuffer().publishEvent((slot, sequence) -> slot.event = event);
+    }
+
     /**
      * Returns how many events wait.
      *
--- /dev/null
+++ b/node/src/main/java/org/apricotdeal/node/caller/CompletionBody.java
@@ -0,0 +1,55 @@
+package org.apricotdeal.node.caller;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.apricotdeal.kernel.misc.Names;
+import org.apricotdeal.kernel.result.Result;
+
+/**
+ * The body of a completion request.
+ *
+ * @param model name of the upstream
+ * @param prompt the prompt
+ * @param maxTokens most tokens of the answer
+ * @param stream whether the answer is sent token by token
+ */
+record CompletionBody(String model, String prompt, int maxTokens, boolean stream) {
+    private static final int DEFAULT_MAX_TOKENS = 16;
+    private static final ObjectMapper JSON = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
+    static Result<CompletionBody, Failure> parse(byte[] bytes, int mostTokens) {
+        JsonNode root;
+        try {
+            root = JSON.readTree(bytes);
+        } catch (IOException e) {
+            return Checked.badRequest("the body is no JSON");
+        }
+        if (root == null || !root.isObject()) {
+            return Checked.badRequest("the body is no JSON object");
+        }
+        JsonNode model = root.path("model");
+        if (!model.isTextual() || !Names.isValid(model.textValue())) {
+            return Checked.badRequest("model: expected the name of an upstream");
+        }
+        JsonNode prompt = root.path("prompt");
+        if (!prompt.isTextual()) {
+            return Checked.badRequest("prompt: expected a text");
+        }
+        JsonNode maxTokens = root.path("max_tokens");
+        if (!maxTokens.isMissingNode() && !maxTokens.canConvertToInt()) {
+            return Checked.badRequest("max_tokens: expected a whole number");
+        }
+        int tokens = maxTokens.asInt(DEFAULT_MAX_TOKENS);
+        if (tokens < 1 || tokens > mostTokens) {
+            return Checked.badRequest("max_tokens: found " + tokens + ", expected 1 to " + mostTokens);
+        }
+        JsonNode stream = root.path("stream");
+        if (!stream.isMissingNode() && !stream.isBoolean()) {
+            return Checked.badRequest("stream: expected true or false");
+        }
+        return Result.ok(new CompletionBody(model.textValue(), prompt.textValue(), tokens, stream.asBoolean(false)));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotdeal/node/caller/FailureCode.java
@@ -0,0 +1,54 @@
+package org.apricotdeal.node.caller;
+
+import java.util.Locale;
+
+/** Machine-readable reasons for answers of the node itself. */
+public enum FailureCode {
+    /** The request is malformed. */
+    BAD_REQUEST,
+    /** The caller's key is missing or not known. */
+    UNAUTHORISED,
+    /** The caller may not use the class or upstream. */
+    FORBIDDEN,
+    /** There is no such upstream or path. */
+    NOT_FOUND,
+    /** The body exceeds the limit. */
+    TOO_LARGE,
+    /** The body did not arrive in time. */
+    BODY_TIMEOUT,
+    /** A limit of the caller is reached. */
+    LIMIT_REACHED,
+    /** The request cannot be answered by its deadline. */
+    NO_CAPACITY_IN_TIME,
+    /** The queue is full. */
+    QUEUE_FULL,
+    /** No upstream can serve the request. */
+    NO_UPSTREAM,
+    /** The platform is away, and the claim of an idempotency key cannot be recorded. */
+    CLAIM_UNAVAILABLE,
+    /** A request with the same idempotency key is in progress. */
+    IN_PROGRESS,
+    /** A request with the same idempotency key has run, and its answer is no longer kept. */
+    ALREADY_RUN,
+    /** The idempotency key was used for a different request. */
+    KEY_REUSED,
+    /** The node is shutting down. */
+    SHUTTING_DOWN,
+    /** The node does not know the catalogue yet. */
+    NOT_READY,
+    /** The upstream gave no answer. */
+    UPSTREAM_FAILED,
+    /** The upstream gave no answer in time. */
+    UPSTREAM_TIMEOUT,
+    /** The stream broke off and could not be resumed. */
+    STREAM_FAILED;
+
+    /**
+     * Returns the code as written in bodies.
+     *
+     * @return the code in lower case with underscores
+     */
+    public String word() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotdeal/node/caller/FailureWriter.java
@@ -0,0 +1,58 @@
+package org.apricotdeal.node.caller;
+
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Writes failures as JSON answers. */
+public final class FailureWriter {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private FailureWriter() {}
+
+    /**
+     * Writes a failure and completes the exchange.
+     *
+     * @param failure the failure
+     * @param response the response, not committed
+     * @param callback completed when the failure is written
+     */
+    public static void write(Failure failure, Response response, Callback callback) {
+        response.setStatus(failure.status());
+        response.getHeaders().put(Outcome.HEADER, failure.outcome().word());
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        if (failure.retryAfterMillis() > 0) {
+            long seconds = TimeUnit.MILLISECONDS.toSeconds(failure.retryAfterMillis() + 999);
+            response.getHeaders().put(HttpHeader.RETRY_AFTER, Long.toString(seconds));
+        }
+        response.write(true, ByteBuffer.wrap(body(failure)), callback);
+    }
+
+    /**
+     * Renders a failure.
+     *
+     * @param failure the failure
+     * @return JSON in UTF-8
+     */
+    public static byte[] body(Failure failure) {
+        ObjectNode root = JSON.createObjectNode();
+        ObjectNode error = root.putObject("error");
+        error.put("code", failure.code().word());
+        error.put("message", failure.message());
+        error.put("outcome", failure.outcome().word());
+        if (failure.retryAfterMillis() > 0) {
+            error.put("retry_after_ms", failure.retryAfterMillis());
+        }
+        try {
+            return JSON.writeValueAsBytes(root);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("failure cannot be rendered", e);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotdeal/node/caller/Outcome.java
@@ -0,0 +1,29 @@
+package org.apricotdeal.node.caller;
+
+/** What a caller may conclude from an answer about whether its request ran. */
+public enum Outcome {
+    /** The request ran and this is its answer. */
+    ANSWERED("answered"),
+    /** The request certainly did not run; it can be sent again. */
+    NOT_RUN("not-run"),
+    /** The request may have run. */
+    UNKNOWN("unknown");
+
+    /** Name of the header that carries the outcome. */
+    public static final String HEADER = "apricotdeal-outcome";
+
+    private final String word;
+
+    Outcome(String word) {
+        this.word = word;
+    }
+
+    /**
+     * Returns the outcome as written in headers and bodies.
+     *
+     * @return the word
+     */
+    public String word() {
+        return word;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotdeal/node/peer/PeerHandler.java
@@ -0,0 +1,60 @@
+package org.apricotdeal.node.peer;
+
+import java.nio.ByteBuffer;
+import java.util.Optional;
+
+import org.apricotdeal.kernel.result.Result;
+import org.apricotdeal.node.kernel.NodeKernel;
+import org.apricotdeal.wire.PeerCodec;
+import org.apricotdeal.wire.gen.TPeerMessage;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
+import org.eclipse.jetty.util.thread.Invocable;
+
+/** Receives messages of other nodes. */
+public final class PeerHandler extends Handler.Abstract.NonBlocking {
+    private final NodeKernel kernel;
+
+    /**
+     * Creates a handler.
+     *
+     * @param kernel hands messages to the plug-ins
+     */
+    public PeerHandler(NodeKernel kernel) {
+        this.kernel = kernel;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        Content.Source.asByteArrayAsync(
+                request,
+                PeerCodec.MAX_MESSAGE_BYTES,
+                Promise.Invocable.from(Invocable.InvocationType.NON_BLOCKING, (bytes, failure) -> {
+                    if (failure != null) {
+                        callback.failed(failure);
+                    } else {
+                        answer(bytes, response, callback);
+                    }
+                }));
+        return true;
+    }
+
+    private void answer(byte[] bytes, Response response, Callback callback) {
+        switch (PeerCodec.decode(bytes)) {
+            case Result.Err<TPeerMessage, String>(String detail) -> {
+                response.setStatus(400);
+                Content.Sink.write(response, true, detail, callback);
+            }
+            case Result.Ok<TPeerMessage, String>(TPeerMessage message) -> {
+                Optional<TPeerMessage> answer = kernel.handlePeer(message);
+                response.setStatus(answer.isPresent() ? 200 : 204);
+                byte[] body = answer.map(PeerCodec::encode).orElse(new byte[0]);
+                response.write(true, ByteBuffer.wrap(body), callback);
+            }
+        }
+    }
+}
