--- a/node/src/main/java/org/apricotdeal/node/Node.java
+++ b/node/src/main/java/org/apricotdeal/node/Node.java
@@ -4,23 +4,19 @@
 import java.util.List;
 import java.util.ServiceLoader;
 
+import org.apricotdeal.http.HttpClients;
 import org.apricotdeal.kernel.message.Message;
 import org.apricotdeal.node.kernel.InProgress;
 import org.apricotdeal.node.kernel.NodeKernel;
 import org.apricotdeal.node.kernel.NodePlugin;
 import org.apricotdeal.node.settings.NodeSettings;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
-import org.eclipse.jetty.io.ClientConnector;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
  * A running node. Its life: plug-ins register, then start; the ports open; at a graceful stop the node reports not ready,
  * waits for the balancer to notice, serves to the end what is in progress, and closes.
  */
 public final class Node {
-    private static final int CLIENT_THREADS = 32;
-    private static final int MAX_CONNECTIONS_PER_VM = 2_048;
     private static final long DRAIN_POLL_MILLIS = 20;
 
     private final NodeKernel kernel;
@@ -34,39 +30,16 @@
      * @param settings checked settings
      */
     public Node(NodeSettings settings) {
-        client = client();
+        client = HttpClients.start("client", settings.platform().callTimeoutMillis());
         kernel = new NodeKernel(settings, client);
         kernel.offer(InProgress.class, inProgress);
         List<NodePlugin> plugins = new ArrayList<>();
         ServiceLoader.load(NodePlugin.class).forEach(plugins::add);
         plugins.forEach(plugin -> plugin.register(kernel));
-        startClient();
         plugins.forEach(plugin -> plugin.start(kernel));
         server = new NodeServer(kernel);
     }
 
-    private static HttpClient client() {
-        ClientConnector connector = new ClientConnector();
-        connector.setSelectors(2);
-        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
-        QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS);
-        threads.setName("client");
-        client.setExecutor(threads);
-        client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_VM);
-        client.setMaxRequestsQueuedPerDestination(MAX_CONNECTIONS_PER_VM);
-        client.setFollowRedirects(false);
-        client.setUserAgentField(null);
-        return client;
-    }
-
-    private void startClient() {
-        try {
-            client.start();
-        } catch (Exception e) {
-            throw new IllegalStateException("HTTP client cannot start", e);
-        }
-    }
-
     /**
      * Opens the ports.
      *
--- a/node/src/main/java/org/apricotdeal/node/kernel/NodeKernel.java
+++ b/node/src/main/java/org/apricotdeal/node/kernel/NodeKernel.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.Gauge;
@@ -17,9 +16,11 @@
 import org.apricotdeal.kernel.duty.Duty;
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.kernel.time.HybridClock;
+import org.apricotdeal.kernel.time.HybridTime;
 import org.apricotdeal.kernel.time.SystemClock;
 import org.apricotdeal.kernel.timeline.Timeline;
 import org.apricotdeal.node.settings.NodeSettings;
+import org.apricotdeal.wire.gen.TPeerBody;
 import org.apricotdeal.wire.gen.TPeerMessage;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Handler;
@@ -40,8 +41,7 @@
     private final List<Duty<?>> duties = new ArrayList<>();
     private final List<Route> callerRoutes = new ArrayList<>();
     private final List<Route> peerRoutes = new ArrayList<>();
-    private final Map<TPeerMessage._Fields, Function<TPeerMessage, Optional<TPeerMessage>>> peerHandlers =
-            new EnumMap<>(TPeerMessage._Fields.class);
+    private final Map<TPeerBody._Fields, Consumer<TPeerMessage>> peerHandlers = new EnumMap<>(TPeerBody._Fields.class);
     private final List<Supplier<Optional<String>>> readinessChecks = new CopyOnWriteArrayList<>();
     private final Map<Class<?>, Object> services = new HashMap<>();
     private final AtomicBoolean draining = new AtomicBoolean();
@@ -210,21 +210,24 @@
      * Adds the handler of a kind of peer message.
      *
      * @param kind the kind
-     * @param handler takes the message and returns the answer, or nothing; must not block
+     * @param handler takes the message; must not block
      */
-    public void peerHandler(TPeerMessage._Fields kind, Function<TPeerMessage, Optional<TPeerMessage>> handler) {
+    public void peerHandler(TPeerBody._Fields kind, Consumer<TPeerMessage> handler) {
         peerHandlers.put(kind, handler);
     }
 
     /**
-     * Handles a peer message.
+     * Handles a peer message; a kind that no plug-in handles is ignored.
      *
      * @param message the message
-     * @return the answer, or nothing
      */
-    public Optional<TPeerMessage> handlePeer(TPeerMessage message) {
-        var handler = peerHandlers.get(message.getSetField());
-        return handler == null ? Optional.empty() : handler.apply(message);
+    public void handlePeer(TPeerMessage message) {
+        hybridClock.observe(new HybridTime(
+                message.getTime().getWallMillis(), message.getTime().getCounter()));
+        Consumer<TPeerMessage> handler = peerHandlers.get(message.getBody().getSetField());
+        if (handler != null) {
+            handler.accept(message);
+        }
     }
 
     /**
--- a/node/src/main/java/org/apricotdeal/node/peer/PeerHandler.java
+++ b/node/src/main/java/org/apricotdeal/node/peer/PeerHandler.java
@@ -1,8 +1,5 @@
 package org.apricotdeal.node.peer;
 
-import java.nio.ByteBuffer;
-import java.util.Optional;
-
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.node.kernel.NodeKernel;
 import org.apricotdeal.wire.PeerCodec;
@@ -50,10 +47,9 @@
                 Content.Sink.write(response, true, detail, callback);
             }
             case Result.Ok<TPeerMessage, String>(TPeerMessage message) -> {
-                Optional<TPeerMessage> answer = kernel.handlePeer(message);
-                response.setStatus(answer.isPresent() ? 200 : 204);
-                byte[] body = answer.map(PeerCodec::encode).orElse(new byte[0]);
-                response.write(true, ByteBuffer.wrap(body), callback);
+                kernel.handlePeer(message);
+                response.setStatus(204);
+                callback.succeeded();
             }
         }
     }
--- /dev/null
+++ b/node/src/main/java/org/apricotdeal/node/peer/PeerPlugin.java
@@ -0,0 +1,26 @@
+package org.apricotdeal.node.peer;
+
+import org.apricotdeal.node.kernel.NodeEvent;
+import org.apricotdeal.node.kernel.NodeKernel;
+import org.apricotdeal.node.kernel.NodePlugin;
+
+/** Offers the channel between nodes. */
+public final class PeerPlugin implements NodePlugin {
+    @Override
+    public String name() {
+        return "peer";
+    }
+
+    @Override
+    public void register(NodeKernel kernel) {
+        PeerBook book = new PeerBook(kernel.settings().node().id());
+        kernel.offer(PeerBook.class, book);
+        kernel.offer(PeerClient.class, new PeerClient(kernel));
+        kernel.peerRoute(PeerClient.PATH, new PeerHandler(kernel));
+        kernel.subscribe(event -> {
+            if (event instanceof NodeEvent.VmsListed(var vms)) {
+                book.takeList(vms);
+            }
+        });
+    }
+}
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TCatalogue.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TCatalogue.java
@@ -689,14 +689,14 @@
           case 4: // ENTRIES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
-                struct.entries = new java.util.ArrayList<TCatalogueEntry>(_list24.size);
-                @org.apache.thrift.annotation.Nullable TCatalogueEntry _elem25;
-                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
+                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
+                struct.entries = new java.util.ArrayList<TCatalogueEntry>(_list16.size);
+                @org.apache.thrift.annotation.Nullable TCatalogueEntry _elem17;
+                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
                 {
-                  _elem25 = new TCatalogueEntry();
-                  _elem25.read(iprot);
-                  struct.entries.add(_elem25);
+                  _elem17 = new TCatalogueEntry();
+                  _elem17.read(iprot);
+                  struct.entries.add(_elem17);
                 }
                 iprot.readListEnd();
               }
@@ -750,9 +750,9 @@
         oprot.writeFieldBegin(ENTRIES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.entries.size()));
-          for (TCatalogueEntry _iter27 : struct.entries)
+          for (TCatalogueEntry _iter19 : struct.entries)
           {
-            _iter27.write(oprot);
+            _iter19.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -786,9 +786,9 @@
       oprot.writeI64(struct.baseVersion);
       {
         oprot.writeI32(struct.entries.size());
-        for (TCatalogueEntry _iter28 : struct.entries)
+        for (TCatalogueEntry _iter20 : struct.entries)
         {
-          _iter28.write(oprot);
+          _iter20.write(oprot);
         }
       }
       oprot.writeString(struct.digest);
@@ -804,14 +804,14 @@
       struct.baseVersion = iprot.readI64();
       struct.setBaseVersionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.entries = new java.util.ArrayList<TCatalogueEntry>(_list29.size);
-        @org.apache.thrift.annotation.Nullable TCatalogueEntry _elem30;
-        for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+        org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.entries = new java.util.ArrayList<TCatalogueEntry>(_list21.size);
+        @org.apache.thrift.annotation.Nullable TCatalogueEntry _elem22;
+        for (int _i23 = 0; _i23 < _list21.size; ++_i23)
         {
-          _elem30 = new TCatalogueEntry();
-          _elem30.read(iprot);
-          struct.entries.add(_elem30);
+          _elem22 = new TCatalogueEntry();
+          _elem22.read(iprot);
+          struct.entries.add(_elem22);
         }
       }
       struct.setEntriesIsSet(true);
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TTimelineRequest.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TCatalogueVersion.java
@@ -7,22 +7,22 @@
 package org.apricotdeal.wire.gen;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class TTimelineRequest implements org.apache.thrift.TBase<TTimelineRequest, TTimelineRequest._Fields>, java.io.Serializable, Cloneable, Comparable<TTimelineRequest> {
-  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("TTimelineRequest");
+public class TCatalogueVersion implements org.apache.thrift.TBase<TCatalogueVersion, TCatalogueVersion._Fields>, java.io.Serializable, Cloneable, Comparable<TCatalogueVersion> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("TCatalogueVersion");
 
-  private static final org.apache.thrift.protocol.TField AFTER_FIELD_DESC = new org.apache.thrift.protocol.TField("after", org.apache.thrift.protocol.TType.STRUCT, (short)1);
-  private static final org.apache.thrift.protocol.TField MOST_FIELD_DESC = new org.apache.thrift.protocol.TField("most", org.apache.thrift.protocol.TType.I32, (short)2);
+  private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("digest", org.apache.thrift.protocol.TType.STRING, (short)2);
 
-  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TTimelineRequestStandardSchemeFactory();
-  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TTimelineRequestTupleSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TCatalogueVersionStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TCatalogueVersionTupleSchemeFactory();
 
-  public @org.apache.thrift.annotation.Nullable THybridTime after; // required
-  public int most; // required
+  public long version; // required
+  public @org.apache.thrift.annotation.Nullable java.lang.String digest; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    AFTER((short)1, "after"),
-    MOST((short)2, "most");
+    VERSION((short)1, "version"),
+    DIGEST((short)2, "digest");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -38,10 +38,10 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // AFTER
-          return AFTER;
-        case 2: // MOST
-          return MOST;
+        case 1: // VERSION
+          return VERSION;
+        case 2: // DIGEST
+          return DIGEST;
         default:
           return null;
       }
@@ -85,119 +85,119 @@
   }
 
   // isset id assignments
-  private static final int __MOST_ISSET_ID = 0;
+  private static final int __VERSION_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-    tmpMap.put(_Fields.AFTER, new org.apache.thrift.meta_data.FieldMetaData("after", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, THybridTime.class)));
-    tmpMap.put(_Fields.MOST, new org.apache.thrift.meta_data.FieldMetaData("most", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.VERSION, new org.apache.thrift.meta_data.FieldMetaData("version", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.DIGEST, new org.apache.thrift.meta_data.FieldMetaData("digest", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TTimelineRequest.class, metaDataMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TCatalogueVersion.class, metaDataMap);
   }
 
-  public TTimelineRequest() {
+  public TCatalogueVersion() {
   }
 
-  public TTimelineRequest(
-    THybridTime after,
-    int most)
+  public TCatalogueVersion(
+    long version,
+    java.lang.String digest)
   {
     this();
-    this.after = after;
-    this.most = most;
-    setMostIsSet(true);
+    this.version = version;
+    setVersionIsSet(true);
+    this.digest = digest;
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
-  public TTimelineRequest(TTimelineRequest other) {
+  public TCatalogueVersion(TCatalogueVersion other) {
     __isset_bitfield = other.__isset_bitfield;
-    if (other.isSetAfter()) {
-      this.after = new THybridTime(other.after);
+    this.version = other.version;
+    if (other.isSetDigest()) {
+      this.digest = other.digest;
     }
-    this.most = other.most;
   }
 
   @Override
-  public TTimelineRequest deepCopy() {
-    return new TTimelineRequest(this);
+  public TCatalogueVersion deepCopy() {
+    return new TCatalogueVersion(this);
   }
 
   @Override
   public void clear() {
-    this.after = null;
-    setMostIsSet(false);
-    this.most = 0;
+    setVersionIsSet(false);
+    this.version = 0;
+    this.digest = null;
   }
 
-  @org.apache.thrift.annotation.Nullable
-  public THybridTime getAfter() {
-    return this.after;
+  public long getVersion() {
+    return this.version;
   }
 
-  public TTimelineRequest setAfter(@org.apache.thrift.annotation.Nullable THybridTime after) {
-    this.after = after;
+  public TCatalogueVersion setVersion(long version) {
+    this.version = version;
+    setVersionIsSet(true);
     return this;
   }
 
-  public void unsetAfter() {
-    this.after = null;
+  public void unsetVersion() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VERSION_ISSET_ID);
   }
 
-  /** Returns true if field after is set (has been assigned a value) and false otherwise */
-  public boolean isSetAfter() {
-    return this.after != null;
+  /** Returns true if field version is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersion() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VERSION_ISSET_ID);
   }
 
-  public void setAfterIsSet(boolean value) {
-    if (!value) {
-      this.after = null;
-    }
+  public void setVersionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VERSION_ISSET_ID, value);
   }
 
-  public int getMost() {
-    return this.most;
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getDigest() {
+    return this.digest;
   }
 
-  public TTimelineRequest setMost(int most) {
-    this.most = most;
-    setMostIsSet(true);
+  public TCatalogueVersion setDigest(@org.apache.thrift.annotation.Nullable java.lang.String digest) {
+    this.digest = digest;
     return this;
   }
 
-  public void unsetMost() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MOST_ISSET_ID);
+  public void unsetDigest() {
+    this.digest = null;
   }
 
-  /** Returns true if field most is set (has been assigned a value) and false otherwise */
-  public boolean isSetMost() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MOST_ISSET_ID);
+  /** Returns true if field digest is set (has been assigned a value) and false otherwise */
+  public boolean isSetDigest() {
+    return this.digest != null;
   }
 
-  public void setMostIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MOST_ISSET_ID, value);
+  public void setDigestIsSet(boolean value) {
+    if (!value) {
+      this.digest = null;
+    }
   }
 
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
-    case AFTER:
+    case VERSION:
       if (value == null) {
-        unsetAfter();
+        unsetVersion();
       } else {
-        setAfter((THybridTime)value);
+        setVersion((java.lang.Long)value);
       }
       break;
 
-    case MOST:
+    case DIGEST:
       if (value == null) {
-        unsetMost();
+        unsetDigest();
       } else {
-        setMost((java.lang.Integer)value);
+        setDigest((java.lang.String)value);
       }
       break;
 
@@ -208,11 +208,11 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
-    case AFTER:
-      return getAfter();
+    case VERSION:
+      return getVersion();
 
-    case MOST:
-      return getMost();
+    case DIGEST:
+      return getDigest();
 
     }
     throw new java.lang.IllegalStateException();
@@ -226,42 +226,42 @@
     }
 
     switch (field) {
-    case AFTER:
-      return isSetAfter();
-    case MOST:
-      return isSetMost();
+    case VERSION:
+      return isSetVersion();
+    case DIGEST:
+      return isSetDigest();
     }
     throw new java.lang.IllegalStateException();
   }
 
   @Override
   public boolean equals(java.lang.Object that) {
-    if (that instanceof TTimelineRequest)
-      return this.equals((TTimelineRequest)that);
+    if (that instanceof TCatalogueVersion)
+      return this.equals((TCatalogueVersion)that);
     return false;
   }
 
-  public boolean equals(TTimelineRequest that) {
+  public boolean equals(TCatalogueVersion that) {
     if (that == null)
       return false;
     if (this == that)
       return true;
 
-    boolean this_present_after = true && this.isSetAfter();
-    boolean that_present_after = true && that.isSetAfter();
-    if (this_present_after || that_present_after) {
-      if (!(this_present_after && that_present_after))
+    boolean this_present_version = true;
+    boolean that_present_version = true;
+    if (this_present_version || that_present_version) {
+      if (!(this_present_version && that_present_version))
         return false;
-      if (!this.after.equals(that.after))
+      if (this.version != that.version)
         return false;
     }
 
-    boolean this_present_most = true;
-    boolean that_present_most = true;
-    if (this_present_most || that_present_most) {
-      if (!(this_present_most && that_present_most))
+    boolean this_present_digest = true && this.isSetDigest();
+    boolean that_present_digest = true && that.isSetDigest();
+    if (this_present_digest || that_present_digest) {
+      if (!(this_present_digest && that_present_digest))
         return false;
-      if (this.most != that.most)
+      if (!this.digest.equals(that.digest))
         return false;
     }
 
@@ -272,39 +272,39 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + ((isSetAfter()) ? 131071 : 524287);
-    if (isSetAfter())
-      hashCode = hashCode * 8191 + after.hashCode();
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(version);
 
-    hashCode = hashCode * 8191 + most;
+    hashCode = hashCode * 8191 + ((isSetDigest()) ? 131071 : 524287);
+    if (isSetDigest())
+      hashCode = hashCode * 8191 + digest.hashCode();
 
     return hashCode;
   }
 
   @Override
-  public int compareTo(TTimelineRequest other) {
+  public int compareTo(TCatalogueVersion other) {
     if (!getClass().equals(other.getClass())) {
       return getClass().getName().compareTo(other.getClass().getName());
     }
 
     int lastComparison = 0;
 
-    lastComparison = java.lang.Boolean.compare(isSetAfter(), other.isSetAfter());
+    lastComparison = java.lang.Boolean.compare(isSetVersion(), other.isSetVersion());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetAfter()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.after, other.after);
+    if (isSetVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.version, other.version);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetMost(), other.isSetMost());
+    lastComparison = java.lang.Boolean.compare(isSetDigest(), other.isSetDigest());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetMost()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.most, other.most);
+    if (isSetDigest()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.digest, other.digest);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -330,34 +330,31 @@
 
   @Override
   public java.lang.String toString() {
-    java.lang.StringBuilder sb = new java.lang.StringBuilder("TTimelineRequest(");
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("TCatalogueVersion(");
     boolean first = true;
 
-    sb.append("after:");
-    if (this.after == null) {
+    sb.append("version:");
+    sb.append(this.version);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("digest:");
+    if (this.digest == null) {
       sb.append("null");
     } else {
-      sb.append(this.after);
+      sb.append(this.digest);
     }
     first = false;
-    if (!first) sb.append(", ");
-    sb.append("most:");
-    sb.append(this.most);
-    first = false;
     sb.append(")");
     return sb.toString();
   }
 
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
-    if (after == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'after' was not present! Struct: " + toString());
+    // alas, we cannot check 'version' because it's a primitive and you chose the non-beans generator.
+    if (digest == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'digest' was not present! Struct: " + toString());
     }
-    // alas, we cannot check 'most' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
-    if (after != null) {
-      after.validate();
-    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -378,17 +375,17 @@
     }
   }
 
-  private static class TTimelineRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class TCatalogueVersionStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public TTimelineRequestStandardScheme getScheme() {
-      return new TTimelineRequestStandardScheme();
+    public TCatalogueVersionStandardScheme getScheme() {
+      return new TCatalogueVersionStandardScheme();
     }
   }
 
-  private static class TTimelineRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<TTimelineRequest> {
+  private static class TCatalogueVersionStandardScheme extends org.apache.thrift.scheme.StandardScheme<TCatalogueVersion> {
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot, TTimelineRequest struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol iprot, TCatalogueVersion struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TField schemeField;
       iprot.readStructBegin();
       while (true)
@@ -398,19 +395,18 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // AFTER
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
-              struct.after = new THybridTime();
-              struct.after.read(iprot);
-              struct.setAfterIsSet(true);
+          case 1: // VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.version = iprot.readI64();
+              struct.setVersionIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // MOST
-            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.most = iprot.readI32();
-              struct.setMostIsSet(true);
+          case 2: // DIGEST
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.digest = iprot.readString();
+              struct.setDigestIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -423,55 +419,54 @@
       iprot.readStructEnd();
 
       // check for required fields of primitive type, which can't be checked in the validate method
-      if (!struct.isSetMost()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'most' was not found in serialized data! Struct: " + toString());
+      if (!struct.isSetVersion()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'version' was not found in serialized data! Struct: " + toString());
       }
       struct.validate();
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot, TTimelineRequest struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol oprot, TCatalogueVersion struct) throws org.apache.thrift.TException {
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      if (struct.after != null) {
-        oprot.writeFieldBegin(AFTER_FIELD_DESC);
-        struct.after.write(oprot);
+      oprot.writeFieldBegin(VERSION_FIELD_DESC);
+      oprot.writeI64(struct.version);
+      oprot.writeFieldEnd();
+      if (struct.digest != null) {
+        oprot.writeFieldBegin(DIGEST_FIELD_DESC);
+        oprot.writeString(struct.digest);
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(MOST_FIELD_DESC);
-      oprot.writeI32(struct.most);
-      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
 
   }
 
-  private static class TTimelineRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class TCatalogueVersionTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public TTimelineRequestTupleScheme getScheme() {
-      return new TTimelineRequestTupleScheme();
+    public TCatalogueVersionTupleScheme getScheme() {
+      return new TCatalogueVersionTupleScheme();
     }
   }
 
-  private static class TTimelineRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<TTimelineRequest> {
+  private static class TCatalogueVersionTupleScheme extends org.apache.thrift.scheme.TupleScheme<TCatalogueVersion> {
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol prot, TTimelineRequest struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol prot, TCatalogueVersion struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      struct.after.write(oprot);
-      oprot.writeI32(struct.most);
+      oprot.writeI64(struct.version);
+      oprot.writeString(struct.digest);
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol prot, TTimelineRequest struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol prot, TCatalogueVersion struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      struct.after = new THybridTime();
-      struct.after.read(iprot);
-      struct.setAfterIsSet(true);
-      struct.most = iprot.readI32();
-      struct.setMostIsSet(true);
+      struct.version = iprot.readI64();
+      struct.setVersionIsSet(true);
+      struct.digest = iprot.readString();
+      struct.setDigestIsSet(true);
     }
   }
 
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TTimeline.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TDomainLoads.java
@@ -7,19 +7,19 @@
 package org.apricotdeal.wire.gen;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class TTimeline implements org.apache.thrift.TBase<TTimeline, TTimeline._Fields>, java.io.Serializable, Cloneable, Comparable<TTimeline> {
-  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("TTimeline");
+public class TDomainLoads implements org.apache.thrift.TBase<TDomainLoads, TDomainLoads._Fields>, java.io.Serializable, Cloneable, Comparable<TDomainLoads> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("TDomainLoads");
 
-  private static final org.apache.thrift.protocol.TField EVENTS_FIELD_DESC = new org.apache.thrift.protocol.TField("events", org.apache.thrift.protocol.TType.LIST, (short)1);
+  private static final org.apache.thrift.protocol.TField LOADS_FIELD_DESC = new org.apache.thrift.protocol.TField("loads", org.apache.thrift.protocol.TType.LIST, (short)1);
 
-  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TTimelineStandardSchemeFactory();
-  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TTimelineTupleSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TDomainLoadsStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TDomainLoadsTupleSchemeFactory();
 
-  public @org.apache.thrift.annotation.Nullable java.util.List<TTimelineEvent> events; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<TDomainLoad> loads; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    EVENTS((short)1, "events");
+    LOADS((short)1, "loads");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -35,8 +35,8 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // EVENTS
-          return EVENTS;
+        case 1: // LOADS
+          return LOADS;
         default:
           return null;
       }
@@ -83,95 +83,95 @@
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-    tmpMap.put(_Fields.EVENTS, new org.apache.thrift.meta_data.FieldMetaData("events", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+    tmpMap.put(_Fields.LOADS, new org.apache.thrift.meta_data.FieldMetaData("loads", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TTimelineEvent.class))));
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TDomainLoad.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TTimeline.class, metaDataMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TDomainLoads.class, metaDataMap);
   }
 
-  public TTimeline() {
+  public TDomainLoads() {
   }
 
-  public TTimeline(
-    java.util.List<TTimelineEvent> events)
+  public TDomainLoads(
+    java.util.List<TDomainLoad> loads)
   {
     this();
-    this.events = events;
+    this.loads = loads;
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
-  public TTimeline(TTimeline other) {
-    if (other.isSetEvents()) {
-      java.util.List<TTimelineEvent> __this__events = new java.util.ArrayList<TTimelineEvent>(other.events.size());
-      for (TTimelineEvent other_element : other.events) {
-        __this__events.add(new TTimelineEvent(other_element));
+  public TDomainLoads(TDomainLoads other) {
+    if (other.isSetLoads()) {
+      java.util.List<TDomainLoad> __this__loads = new java.util.ArrayList<TDomainLoad>(other.loads.size());
+      for (TDomainLoad other_element : other.loads) {
+        __this__loads.add(new TDomainLoad(other_element));
       }
-      this.events = __this__events;
+      this.loads = __this__loads;
     }
   }
 
   @Override
-  public TTimeline deepCopy() {
-    return new TTimeline(this);
+  public TDomainLoads deepCopy() {
+    return new TDomainLoads(this);
   }
 
   @Override
   public void clear() {
-    this.events = null;
+    this.loads = null;
   }
 
-  public int getEventsSize() {
-    return (this.events == null) ? 0 : this.events.size();
+  public int getLoadsSize() {
+    return (this.loads == null) ? 0 : this.loads.size();
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<TTimelineEvent> getEventsIterator() {
-    return (this.events == null) ? null : this.events.iterator();
+  public java.util.Iterator<TDomainLoad> getLoadsIterator() {
+    return (this.loads == null) ? null : this.loads.iterator();
   }
 
-  public void addToEvents(TTimelineEvent elem) {
-    if (this.events == null) {
-      this.events = new java.util.ArrayList<TTimelineEvent>();
+  public void addToLoads(TDomainLoad elem) {
+    if (this.loads == null) {
+      this.loads = new java.util.ArrayList<TDomainLoad>();
     }
-    this.events.add(elem);
+    this.loads.add(elem);
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.List<TTimelineEvent> getEvents() {
-    return this.events;
+  public java.util.List<TDomainLoad> getLoads() {
+    return this.loads;
   }
 
-  public TTimeline setEvents(@org.apache.thrift.annotation.Nullable java.util.List<TTimelineEvent> events) {
-    this.events = events;
+  public TDomainLoads setLoads(@org.apache.thrift.annotation.Nullable java.util.List<TDomainLoad> loads) {
+    this.loads = loads;
     return this;
   }
 
-  public void unsetEvents() {
-    this.events = null;
+  public void unsetLoads() {
+    this.loads = null;
   }
 
-  /** Returns true if field events is set (has been assigned a value) and false otherwise */
-  public boolean isSetEvents() {
-    return this.events != null;
+  /** Returns true if field loads is set (has been assigned a value) and false otherwise */
+  public boolean isSetLoads() {
+    return this.loads != null;
   }
 
-  public void setEventsIsSet(boolean value) {
+  public void setLoadsIsSet(boolean value) {
     if (!value) {
-      this.events = null;
+      this.loads = null;
     }
   }
 
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
-    case EVENTS:
+    case LOADS:
       if (value == null) {
-        unsetEvents();
+        unsetLoads();
       } else {
-        setEvents((java.util.List<TTimelineEvent>)value);
+        setLoads((java.util.List<TDomainLoad>)value);
       }
       break;
 
@@ -182,8 +182,8 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
-    case EVENTS:
-      return getEvents();
+    case LOADS:
+      return getLoads();
 
     }
     throw new java.lang.IllegalStateException();
@@ -197,31 +197,31 @@
     }
 
     switch (field) {
-    case EVENTS:
-      return isSetEvents();
+    case LOADS:
+      return isSetLoads();
     }
     throw new java.lang.IllegalStateException();
   }
 
   @Override
   public boolean equals(java.lang.Object that) {
-    if (that instanceof TTimeline)
-      return this.equals((TTimeline)that);
+    if (that instanceof TDomainLoads)
+      return this.equals((TDomainLoads)that);
     return false;
   }
 
-  public boolean equals(TTimeline that) {
+  public boolean equals(TDomainLoads that) {
     if (that == null)
       return false;
     if (this == that)
       return true;
 
-    boolean this_present_events = true && this.isSetEvents();
-    boolean that_present_events = true && that.isSetEvents();
-    if (this_present_events || that_present_events) {
-      if (!(this_present_events && that_present_events))
+    boolean this_present_loads = true && this.isSetLoads();
+    boolean that_present_loads = true && that.isSetLoads();
+    if (this_present_loads || that_present_loads) {
+      if (!(this_present_loads && that_present_loads))
         return false;
-      if (!this.events.equals(that.events))
+      if (!this.loads.equals(that.loads))
         return false;
     }
 
@@ -232,27 +232,27 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + ((isSetEvents()) ? 131071 : 524287);
-    if (isSetEvents())
-      hashCode = hashCode * 8191 + events.hashCode();
+    hashCode = hashCode * 8191 + ((isSetLoads()) ? 131071 : 524287);
+    if (isSetLoads())
+      hashCode = hashCode * 8191 + loads.hashCode();
 
     return hashCode;
   }
 
   @Override
-  public int compareTo(TTimeline other) {
+  public int compareTo(TDomainLoads other) {
     if (!getClass().equals(other.getClass())) {
       return getClass().getName().compareTo(other.getClass().getName());
     }
 
     int lastComparison = 0;
 
-    lastComparison = java.lang.Boolean.compare(isSetEvents(), other.isSetEvents());
+    lastComparison = java.lang.Boolean.compare(isSetLoads(), other.isSetLoads());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetEvents()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.events, other.events);
+    if (isSetLoads()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.loads, other.loads);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -278,14 +278,14 @@
 
   @Override
   public java.lang.String toString() {
-    java.lang.StringBuilder sb = new java.lang.StringBuilder("TTimeline(");
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("TDomainLoads(");
     boolean first = true;
 
-    sb.append("events:");
-    if (this.events == null) {
+    sb.append("loads:");
+    if (this.loads == null) {
       sb.append("null");
     } else {
-      sb.append(this.events);
+      sb.append(this.loads);
     }
     first = false;
     sb.append(")");
@@ -294,8 +294,8 @@
 
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
-    if (events == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'events' was not present! Struct: " + toString());
+    if (loads == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'loads' was not present! Struct: " + toString());
     }
     // check for sub-struct validity
   }
@@ -316,17 +316,17 @@
     }
   }
 
-  private static class TTimelineStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class TDomainLoadsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public TTimelineStandardScheme getScheme() {
-      return new TTimelineStandardScheme();
+    public TDomainLoadsStandardScheme getScheme() {
+      return new TDomainLoadsStandardScheme();
     }
   }
 
-  private static class TTimelineStandardScheme extends org.apache.thrift.scheme.StandardScheme<TTimeline> {
+  private static class TDomainLoadsStandardScheme extends org.apache.thrift.scheme.StandardScheme<TDomainLoads> {
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot, TTimeline struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol iprot, TDomainLoads struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TField schemeField;
       iprot.readStructBegin();
       while (true)
@@ -336,21 +336,21 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // EVENTS
+          case 1: // LOADS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
-                struct.events = new java.util.ArrayList<TTimelineEvent>(_list32.size);
-                @org.apache.thrift.annotation.Nullable TTimelineEvent _elem33;
-                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
+                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                struct.loads = new java.util.ArrayList<TDomainLoad>(_list24.size);
+                @org.apache.thrift.annotation.Nullable TDomainLoad _elem25;
+                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
                 {
-                  _elem33 = new TTimelineEvent();
-                  _elem33.read(iprot);
-                  struct.events.add(_elem33);
+                  _elem25 = new TDomainLoad();
+                  _elem25.read(iprot);
+                  struct.loads.add(_elem25);
                 }
                 iprot.readListEnd();
               }
-              struct.setEventsIsSet(true);
+              struct.setLoadsIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -367,17 +367,17 @@
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot, TTimeline struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol oprot, TDomainLoads struct) throws org.apache.thrift.TException {
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      if (struct.events != null) {
-        oprot.writeFieldBegin(EVENTS_FIELD_DESC);
+      if (struct.loads != null) {
+        oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
-          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.events.size()));
-          for (TTimelineEvent _iter35 : struct.events)
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
+          for (TDomainLoad _iter27 : struct.loads)
           {
-            _iter35.write(oprot);
+            _iter27.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -389,42 +389,42 @@
 
   }
 
-  private static class TTimelineTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class TDomainLoadsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public TTimelineTupleScheme getScheme() {
-      return new TTimelineTupleScheme();
+    public TDomainLoadsTupleScheme getScheme() {
+      return new TDomainLoadsTupleScheme();
     }
   }
 
-  private static class TTimelineTupleScheme extends org.apache.thrift.scheme.TupleScheme<TTimeline> {
+  private static class TDomainLoadsTupleScheme extends org.apache.thrift.scheme.TupleScheme<TDomainLoads> {
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol prot, TTimeline struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol prot, TDomainLoads struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        oprot.writeI32(struct.events.size());
-        for (TTimelineEvent _iter36 : struct.events)
+        oprot.writeI32(struct.loads.size());
+        for (TDomainLoad _iter28 : struct.loads)
         {
-          _iter36.write(oprot);
+          _iter28.write(oprot);
         }
       }
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol prot, TTimeline struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol prot, TDomainLoads struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.events = new java.util.ArrayList<TTimelineEvent>(_list37.size);
-        @org.apache.thrift.annotation.Nullable TTimelineEvent _elem38;
-        for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+        org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.loads = new java.util.ArrayList<TDomainLoad>(_list29.size);
+        @org.apache.thrift.annotation.Nullable TDomainLoad _elem30;
+        for (int _i31 = 0; _i31 < _list29.size; ++_i31)
         {
-          _elem38 = new TTimelineEvent();
-          _elem38.read(iprot);
-          struct.events.add(_elem38);
+          _elem30 = new TDomainLoad();
+          _elem30.read(iprot);
+          struct.loads.add(_elem30);
         }
       }
-      struct.setEventsIsSet(true);
+      struct.setLoadsIsSet(true);
     }
   }
 
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/THeartbeat.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/THeartbeat.java
@@ -17,7 +17,6 @@
   private static final org.apache.thrift.protocol.TField CATALOGUE_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("catalogueVersion", org.apache.thrift.protocol.TType.I64, (short)5);
   private static final org.apache.thrift.protocol.TField PLAN_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("planVersion", org.apache.thrift.protocol.TType.I64, (short)6);
   private static final org.apache.thrift.protocol.TField VMS_FIELD_DESC = new org.apache.thrift.protocol.TField("vms", org.apache.thrift.protocol.TType.LIST, (short)7);
-  private static final org.apache.thrift.protocol.TField SHARES_FIELD_DESC = new org.apache.thrift.protocol.TField("shares", org.apache.thrift.protocol.TType.LIST, (short)8);
   private static final org.apache.thrift.protocol.TField NODES_FIELD_DESC = new org.apache.thrift.protocol.TField("nodes", org.apache.thrift.protocol.TType.LIST, (short)9);
   private static final org.apache.thrift.protocol.TField QUEUED_REQUESTS_FIELD_DESC = new org.apache.thrift.protocol.TField("queuedRequests", org.apache.thrift.protocol.TType.I32, (short)10);
   private static final org.apache.thrift.protocol.TField IN_FLIGHT_REQUESTS_FIELD_DESC = new org.apache.thrift.protocol.TField("inFlightRequests", org.apache.thrift.protocol.TType.I32, (short)11);
@@ -35,7 +34,6 @@
   public long catalogueVersion; // required
   public long planVersion; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<TVmView> vms; // required
-  public @org.apache.thrift.annotation.Nullable java.util.List<TShare> shares; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<TNodeView> nodes; // required
   public int queuedRequests; // required
   public int inFlightRequests; // required
@@ -52,7 +50,6 @@
     CATALOGUE_VERSION((short)5, "catalogueVersion"),
     PLAN_VERSION((short)6, "planVersion"),
     VMS((short)7, "vms"),
-    SHARES((short)8, "shares"),
     NODES((short)9, "nodes"),
     QUEUED_REQUESTS((short)10, "queuedRequests"),
     IN_FLIGHT_REQUESTS((short)11, "inFlightRequests"),
@@ -88,8 +85,6 @@
           return PLAN_VERSION;
         case 7: // VMS
           return VMS;
-        case 8: // SHARES
-          return SHARES;
         case 9: // NODES
           return NODES;
         case 10: // QUEUED_REQUESTS
@@ -170,9 +165,6 @@
     tmpMap.put(_Fields.VMS, new org.apache.thrift.meta_data.FieldMetaData("vms", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TVmView.class))));
-    tmpMap.put(_Fields.SHARES, new org.apache.thrift.meta_data.FieldMetaData("shares", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TShare.class))));
     tmpMap.put(_Fields.NODES, new org.apache.thrift.meta_data.FieldMetaData("nodes", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TNodeView.class))));
@@ -201,7 +193,6 @@
     long catalogueVersion,
     long planVersion,
     java.util.List<TVmView> vms,
-    java.util.List<TShare> shares,
     java.util.List<TNodeView> nodes,
     int queuedRequests,
     int inFlightRequests,
@@ -217,7 +208,6 @@
     this.planVersion = planVersion;
     setPlanVersionIsSet(true);
     this.vms = vms;
-    this.shares = shares;
     this.nodes = nodes;
     this.queuedRequests = queuedRequests;
     setQueuedRequestsIsSet(true);
@@ -253,13 +243,6 @@
       }
       this.vms = __this__vms;
     }
-    if (other.isSetShares()) {
-      java.util.List<TShare> __this__shares = new java.util.ArrayList<TShare>(other.shares.size());
-      for (TShare other_element : other.shares) {
-        __this__shares.add(new TShare(other_element));
-      }
-      this.shares = __this__shares;
-    }
     if (other.isSetNodes()) {
       java.util.List<TNodeView> __this__nodes = new java.util.ArrayList<TNodeView>(other.nodes.size());
       for (TNodeView other_element : other.nodes) {
@@ -294,7 +277,6 @@
     setPlanVersionIsSet(false);
     this.planVersion = 0;
     this.vms = null;
-    this.shares = null;
     this.nodes = null;
     setQueuedRequestsIsSet(false);
     this.queuedRequests = 0;
@@ -493,47 +475,6 @@
     }
   }
 
-  public int getSharesSize() {
-    return (this.shares == null) ? 0 : this.shares.size();
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<TShare> getSharesIterator() {
-    return (this.shares == null) ? null : this.shares.iterator();
-  }
-
-  public void addToShares(TShare elem) {
-    if (this.shares == null) {
-      this.shares = new java.util.ArrayList<TShare>();
-    }
-    this.shares.add(elem);
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.List<TShare> getShares() {
-    return this.shares;
-  }
-
-  public THeartbeat setShares(@org.apache.thrift.annotation.Nullable java.util.List<TShare> shares) {
-    this.shares = shares;
-    return this;
-  }
-
-  public void unsetShares() {
-    this.shares = null;
-  }
-
-  /** Returns true if field shares is set (has been assigned a value) and false otherwise */
-  public boolean isSetShares() {
-    return this.shares != null;
-  }
-
-  public void setSharesIsSet(boolean value) {
-    if (!value) {
-      this.shares = null;
-    }
-  }
-
   public int getNodesSize() {
     return (this.nodes == null) ? 0 : this.nodes.size();
   }
@@ -753,14 +694,6 @@
       }
       break;
 
-    case SHARES:
-      if (value == null) {
-        unsetShares();
-      } else {
-        setShares((java.util.List<TShare>)value);
-      }
-      break;
-
     case NODES:
       if (value == null) {
         unsetNodes();
@@ -837,9 +770,6 @@
     case VMS:
       return getVms();
 
-    case SHARES:
-      return getShares();
-
     case NODES:
       return getNodes();
 
@@ -884,8 +814,6 @@
       return isSetPlanVersion();
     case VMS:
       return isSetVms();
-    case SHARES:
-      return isSetShares();
     case NODES:
       return isSetNodes();
     case QUEUED_REQUESTS:
@@ -978,15 +906,6 @@
         return false;
     }
 
-    boolean this_present_shares = true && this.isSetShares();
-    boolean that_present_shares = true && that.isSetShares();
-    if (this_present_shares || that_present_shares) {
-      if (!(this_present_shares && that_present_shares))
-        return false;
-      if (!this.shares.equals(that.shares))
-        return false;
-    }
-
     boolean this_present_nodes = true && this.isSetNodes();
     boolean that_present_nodes = true && that.isSetNodes();
     if (this_present_nodes || that_present_nodes) {
@@ -1072,10 +991,6 @@
     if (isSetVms())
       hashCode = hashCode * 8191 + vms.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetShares()) ? 131071 : 524287);
-    if (isSetShares())
-      hashCode = hashCode * 8191 + shares.hashCode();
-
     hashCode = hashCode * 8191 + ((isSetNodes()) ? 131071 : 524287);
     if (isSetNodes())
       hashCode = hashCode * 8191 + nodes.hashCode();
@@ -1175,16 +1090,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetShares(), other.isSetShares());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetShares()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.shares, other.shares);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     lastComparison = java.lang.Boolean.compare(isSetNodes(), other.isSetNodes());
     if (lastComparison != 0) {
       return lastComparison;
@@ -1317,14 +1222,6 @@
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("shares:");
-    if (this.shares == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.shares);
-    }
-    first = false;
-    if (!first) sb.append(", ");
     sb.append("nodes:");
     if (this.nodes == null) {
       sb.append("null");
@@ -1387,9 +1284,6 @@
     if (vms == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'vms' was not present! Struct: " + toString());
     }
-    if (shares == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'shares' was not present! Struct: " + toString());
-    }
     if (nodes == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'nodes' was not present! Struct: " + toString());
     }
@@ -1508,36 +1402,17 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 8: // SHARES
+          case 9: // NODES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
                 org.apache.thrift.protocol.TList _list3 = iprot.readListBegin();
-                struct.shares = new java.util.ArrayList<TShare>(_list3.size);
-                @org.apache.thrift.annotation.Nullable TShare _elem4;
+                struct.nodes = new java.util.ArrayList<TNodeView>(_list3.size);
+                @org.apache.thrift.annotation.Nullable TNodeView _elem4;
                 for (int _i5 = 0; _i5 < _list3.size; ++_i5)
                 {
-                  _elem4 = new TShare();
+                  _elem4 = new TNodeView();
                   _elem4.read(iprot);
-                  struct.shares.add(_elem4);
-                }
-                iprot.readListEnd();
-              }
-              struct.setSharesIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 9: // NODES
-            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-              {
-                org.apache.thrift.protocol.TList _list6 = iprot.readListBegin();
-                struct.nodes = new java.util.ArrayList<TNodeView>(_list6.size);
-                @org.apache.thrift.annotation.Nullable TNodeView _elem7;
-                for (int _i8 = 0; _i8 < _list6.size; ++_i8)
-                {
-                  _elem7 = new TNodeView();
-                  _elem7.read(iprot);
-                  struct.nodes.add(_elem7);
+                  struct.nodes.add(_elem4);
                 }
                 iprot.readListEnd();
               }
@@ -1647,21 +1522,9 @@
         oprot.writeFieldBegin(VMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.vms.size()));
-          for (TVmView _iter9 : struct.vms)
+          for (TVmView _iter6 : struct.vms)
           {
-            _iter9.write(oprot);
-          }
-          oprot.writeListEnd();
-        }
-        oprot.writeFieldEnd();
-      }
-      if (struct.shares != null) {
-        oprot.writeFieldBegin(SHARES_FIELD_DESC);
-        {
-          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.shares.size()));
-          for (TShare _iter10 : struct.shares)
-          {
-            _iter10.write(oprot);
+            _iter6.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1671,9 +1534,9 @@
         oprot.writeFieldBegin(NODES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.nodes.size()));
-          for (TNodeView _iter11 : struct.nodes)
+          for (TNodeView _iter7 : struct.nodes)
           {
-            _iter11.write(oprot);
+            _iter7.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1728,23 +1591,16 @@
       oprot.writeI64(struct.planVersion);
       {
         oprot.writeI32(struct.vms.size());
-        for (TVmView _iter12 : struct.vms)
-        {
-          _iter12.write(oprot);
-        }
-      }
-      {
-        oprot.writeI32(struct.shares.size());
-        for (TShare _iter13 : struct.shares)
+        for (TVmView _iter8 : struct.vms)
         {
-          _iter13.write(oprot);
+          _iter8.write(oprot);
         }
       }
       {
         oprot.writeI32(struct.nodes.size());
-        for (TNodeView _iter14 : struct.nodes)
+        for (TNodeView _iter9 : struct.nodes)
         {
-          _iter14.write(oprot);
+          _iter9.write(oprot);
         }
       }
       oprot.writeI32(struct.queuedRequests);
@@ -1783,38 +1639,26 @@
       struct.planVersion = iprot.readI64();
       struct.setPlanVersionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list15 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.vms = new java.util.ArrayList<TVmView>(_list15.size);
-        @org.apache.thrift.annotation.Nullable TVmView _elem16;
-        for (int _i17 = 0; _i17 < _list15.size; ++_i17)
+        org.apache.thrift.protocol.TList _list10 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.vms = new java.util.ArrayList<TVmView>(_list10.size);
+        @org.apache.thrift.annotation.Nullable TVmView _elem11;
+        for (int _i12 = 0; _i12 < _list10.size; ++_i12)
         {
-          _elem16 = new TVmView();
-          _elem16.read(iprot);
-          struct.vms.add(_elem16);
+          _elem11 = new TVmView();
+          _elem11.read(iprot);
+          struct.vms.add(_elem11);
         }
       }
       struct.setVmsIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list18 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.shares = new java.util.ArrayList<TShare>(_list18.size);
-        @org.apache.thrift.annotation.Nullable TShare _elem19;
-        for (int _i20 = 0; _i20 < _list18.size; ++_i20)
-        {
-          _elem19 = new TShare();
-          _elem19.read(iprot);
-          struct.shares.add(_elem19);
-        }
-      }
-      struct.setSharesIsSet(true);
-      {
-        org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.nodes = new java.util.ArrayList<TNodeView>(_list21.size);
-        @org.apache.thrift.annotation.Nullable TNodeView _elem22;
-        for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+        org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.nodes = new java.util.ArrayList<TNodeView>(_list13.size);
+        @org.apache.thrift.annotation.Nullable TNodeView _elem14;
+        for (int _i15 = 0; _i15 < _list13.size; ++_i15)
         {
-          _elem22 = new TNodeView();
-          _elem22.read(iprot);
-          struct.nodes.add(_elem22);
+          _elem14 = new TNodeView();
+          _elem14.read(iprot);
+          struct.nodes.add(_elem14);
         }
       }
       struct.setNodesIsSet(true);
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TPeerMessage.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TPeerMessage.java
@@ -7,33 +7,28 @@
 package org.apricotdeal.wire.gen;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class TPeerMessage extends org.apache.thrift.TUnion<TPeerMessage, TPeerMessage._Fields> {
+public class TPeerMessage implements org.apache.thrift.TBase<TPeerMessage, TPeerMessage._Fields>, java.io.Serializable, Cloneable, Comparable<TPeerMessage> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("TPeerMessage");
-  private static final org.apache.thrift.protocol.TField HEARTBEAT_FIELD_DESC = new org.apache.thrift.protocol.TField("heartbeat", org.apache.thrift.protocol.TType.STRUCT, (short)1);
-  private static final org.apache.thrift.protocol.TField CATALOGUE_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("catalogueRequest", org.apache.thrift.protocol.TType.STRUCT, (short)2);
-  private static final org.apache.thrift.protocol.TField CATALOGUE_FIELD_DESC = new org.apache.thrift.protocol.TField("catalogue", org.apache.thrift.protocol.TType.STRUCT, (short)3);
-  private static final org.apache.thrift.protocol.TField PLAN_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("planRequest", org.apache.thrift.protocol.TType.STRUCT, (short)4);
-  private static final org.apache.thrift.protocol.TField PLAN_FIELD_DESC = new org.apache.thrift.protocol.TField("plan", org.apache.thrift.protocol.TType.STRUCT, (short)5);
-  private static final org.apache.thrift.protocol.TField PROMISE_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("promiseRequest", org.apache.thrift.protocol.TType.STRUCT, (short)6);
-  private static final org.apache.thrift.protocol.TField PROMISE_FIELD_DESC = new org.apache.thrift.protocol.TField("promise", org.apache.thrift.protocol.TType.STRUCT, (short)7);
-  private static final org.apache.thrift.protocol.TField SHARE_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("shareRequest", org.apache.thrift.protocol.TType.STRUCT, (short)8);
-  private static final org.apache.thrift.protocol.TField SHARE_GRANT_FIELD_DESC = new org.apache.thrift.protocol.TField("shareGrant", org.apache.thrift.protocol.TType.STRUCT, (short)9);
-  private static final org.apache.thrift.protocol.TField TIMELINE_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("timelineRequest", org.apache.thrift.protocol.TType.STRUCT, (short)10);
-  private static final org.apache.thrift.protocol.TField TIMELINE_FIELD_DESC = new org.apache.thrift.protocol.TField("timeline", org.apache.thrift.protocol.TType.STRUCT, (short)11);
+
+  private static final org.apache.thrift.protocol.TField SENDER_FIELD_DESC = new org.apache.thrift.protocol.TField("sender", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField SENDER_DOMAIN_FIELD_DESC = new org.apache.thrift.protocol.TField("senderDomain", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField TIME_FIELD_DESC = new org.apache.thrift.protocol.TField("time", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField BODY_FIELD_DESC = new org.apache.thrift.protocol.TField("body", org.apache.thrift.protocol.TType.STRUCT, (short)4);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TPeerMessageStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TPeerMessageTupleSchemeFactory();
+
+  public @org.apache.thrift.annotation.Nullable java.lang.String sender; // required
+  public @org.apache.thrift.annotation.Nullable java.lang.String senderDomain; // required
+  public @org.apache.thrift.annotation.Nullable THybridTime time; // required
+  public @org.apache.thrift.annotation.Nullable TPeerBody body; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    HEARTBEAT((short)1, "heartbeat"),
-    CATALOGUE_REQUEST((short)2, "catalogueRequest"),
-    CATALOGUE((short)3, "catalogue"),
-    PLAN_REQUEST((short)4, "planRequest"),
-    PLAN((short)5, "plan"),
-    PROMISE_REQUEST((short)6, "promiseRequest"),
-    PROMISE((short)7, "promise"),
-    SHARE_REQUEST((short)8, "shareRequest"),
-    SHARE_GRANT((short)9, "shareGrant"),
-    TIMELINE_REQUEST((short)10, "timelineRequest"),
-    TIMELINE((short)11, "timeline");
+    SENDER((short)1, "sender"),
+    SENDER_DOMAIN((short)2, "senderDomain"),
+    TIME((short)3, "time"),
+    BODY((short)4, "body");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -49,28 +44,14 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // HEARTBEAT
-          return HEARTBEAT;
-        case 2: // CATALOGUE_REQUEST
-          return CATALOGUE_REQUEST;
-        case 3: // CATALOGUE
-          return CATALOGUE;
-        case 4: // PLAN_REQUEST
-          return PLAN_REQUEST;
-        case 5: // PLAN
-          return PLAN;
-        case 6: // PROMISE_REQUEST
-          return PROMISE_REQUEST;
-        case 7: // PROMISE
-          return PROMISE;
-        case 8: // SHARE_REQUEST
-          return SHARE_REQUEST;
-        case 9: // SHARE_GRANT
-          return SHARE_GRANT;
-        case 10: // TIMELINE_REQUEST
-          return TIMELINE_REQUEST;
-        case 11: // TIMELINE
-          return TIMELINE;
+        case 1: // SENDER
+          return SENDER;
+        case 2: // SENDER_DOMAIN
+          return SENDER_DOMAIN;
+        case 3: // TIME
+          return TIME;
+        case 4: // BODY
+          return BODY;
         default:
           return null;
       }
@@ -113,760 +94,449 @@
     }
   }
 
+  // isset id assignments
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-    tmpMap.put(_Fields.HEARTBEAT, new org.apache.thrift.meta_data.FieldMetaData("heartbeat", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, THeartbeat.class)));
-    tmpMap.put(_Fields.CATALOGUE_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("catalogueRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TCatalogueRequest.class)));
-    tmpMap.put(_Fields.CATALOGUE, new org.apache.thrift.meta_data.FieldMetaData("catalogue", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TCatalogue.class)));
-    tmpMap.put(_Fields.PLAN_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("planRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TPlanRequest.class)));
-    tmpMap.put(_Fields.PLAN, new org.apache.thrift.meta_data.FieldMetaData("plan", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TPlan.class)));
-    tmpMap.put(_Fields.PROMISE_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("promiseRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TPromiseRequest.class)));
-    tmpMap.put(_Fields.PROMISE, new org.apache.thrift.meta_data.FieldMetaData("promise", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TPromise.class)));
-    tmpMap.put(_Fields.SHARE_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("shareRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TShareRequest.class)));
-    tmpMap.put(_Fields.SHARE_GRANT, new org.apache.thrift.meta_data.FieldMetaData("shareGrant", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TShareGrant.class)));
-    tmpMap.put(_Fields.TIMELINE_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("timelineRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TTimelineRequest.class)));
-    tmpMap.put(_Fields.TIMELINE, new org.apache.thrift.meta_data.FieldMetaData("timeline", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TTimeline.class)));
+    tmpMap.put(_Fields.SENDER, new org.apache.thrift.meta_data.FieldMetaData("sender", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.SENDER_DOMAIN, new org.apache.thrift.meta_data.FieldMetaData("senderDomain", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.TIME, new org.apache.thrift.meta_data.FieldMetaData("time", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, THybridTime.class)));
+    tmpMap.put(_Fields.BODY, new org.apache.thrift.meta_data.FieldMetaData("body", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TPeerBody.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TPeerMessage.class, metaDataMap);
   }
 
   public TPeerMessage() {
-    super();
   }
 
-  public TPeerMessage(_Fields setField, java.lang.Object value) {
-    super(setField, value);
+  public TPeerMessage(
+    java.lang.String sender,
+    java.lang.String senderDomain,
+    THybridTime time,
+    TPeerBody body)
+  {
+    this();
+    this.sender = sender;
+    this.senderDomain = senderDomain;
+    this.time = time;
+    this.body = body;
   }
 
+  /**
+   * Performs a deep copy on <i>other</i>.
+   */
   public TPeerMessage(TPeerMessage other) {
-    super(other);
+    if (other.isSetSender()) {
+      this.sender = other.sender;
+    }
+    if (other.isSetSenderDomain()) {
+      this.senderDomain = other.senderDomain;
+    }
+    if (other.isSetTime()) {
+      this.time = new THybridTime(other.time);
+    }
+    if (other.isSetBody()) {
+      this.body = new TPeerBody(other.body);
+    }
   }
+
   @Override
   public TPeerMessage deepCopy() {
     return new TPeerMessage(this);
   }
 
-  public static TPeerMessage heartbeat(THeartbeat value) {
-    TPeerMessage x = new TPeerMessage();
-    x.setHeartbeat(value);
-    return x;
-  }
-
-  public static TPeerMessage catalogueRequest(TCatalogueRequest value) {
-    TPeerMessage x = new TPeerMessage();
-    x.setCatalogueRequest(value);
-    return x;
+  @Override
+  public void clear() {
+    this.sender = null;
+    this.senderDomain = null;
+    this.time = null;
+    this.body = null;
   }
 
-  public static TPeerMessage catalogue(TCatalogue value) {
-    TPeerMessage x = new TPeerMessage();
-    x.setCatalogue(value);
-    return x;
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getSender() {
+    return this.sender;
   }
 
-  public static TPeerMessage planRequest(TPlanRequest value) {
-    TPeerMessage x = new TPeerMessage();
-    x.setPlanRequest(value);
-    return x;
+  public TPeerMessage setSender(@org.apache.thrift.annotation.Nullable java.lang.String sender) {
+    this.sender = sender;
+    return this;
   }
 
-  public static TPeerMessage plan(TPlan value) {
-    TPeerMessage x = new TPeerMessage();
-    x.setPlan(value);
-    return x;
+  public void unsetSender() {
+    this.sender = null;
   }
 
-  public static TPeerMessage promiseRequest(TPromiseRequest value) {
-    TPeerMessage x = new TPeerMessage();
-    x.setPromiseRequest(value);
-    return x;
+  /** Returns true if field sender is set (has been assigned a value) and false otherwise */
+  public boolean isSetSender() {
+    return this.sender != null;
   }
 
-  public static TPeerMessage promise(TPromise value) {
-    TPeerMessage x = new TPeerMessage();
-    x.setPromise(value);
-    return x;
+  public void setSenderIsSet(boolean value) {
+    if (!value) {
+      this.sender = null;
+    }
   }
 
-  public static TPeerMessage shareRequest(TShareRequest value) {
-    TPeerMessage x = new TPeerMessage();
-    x.setShareRequest(value);
-    return x;
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getSenderDomain() {
+    return this.senderDomain;
   }
 
-  public static TPeerMessage shareGrant(TShareGrant value) {
-    TPeerMessage x = new TPeerMessage();
-    x.setShareGrant(value);
-    return x;
+  public TPeerMessage setSenderDomain(@org.apache.thrift.annotation.Nullable java.lang.String senderDomain) {
+    this.senderDomain = senderDomain;
+    return this;
   }
 
-  public static TPeerMessage timelineRequest(TTimelineRequest value) {
-    TPeerMessage x = new TPeerMessage();
-    x.setTimelineRequest(value);
-    return x;
+  public void unsetSenderDomain() {
+    this.senderDomain = null;
   }
 
-  public static TPeerMessage timeline(TTimeline value) {
-    TPeerMessage x = new TPeerMessage();
-    x.setTimeline(value);
-    return x;
+  /** Returns true if field senderDomain is set (has been assigned a value) and false otherwise */
+  public boolean isSetSenderDomain() {
+    return this.senderDomain != null;
   }
 
-
-  @Override
-  protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
-    switch (setField) {
-      case HEARTBEAT:
-        if (value instanceof THeartbeat) {
-          break;
-        }
-        throw new java.lang.ClassCastException("Was expecting value of type THeartbeat for field 'heartbeat', but got " + value.getClass().getSimpleName());
-      case CATALOGUE_REQUEST:
-        if (value instanceof TCatalogueRequest) {
-          break;
-        }
-        throw new java.lang.ClassCastException("Was expecting value of type TCatalogueRequest for field 'catalogueRequest', but got " + value.getClass().getSimpleName());
-      case CATALOGUE:
-        if (value instanceof TCatalogue) {
-          break;
-        }
-        throw new java.lang.ClassCastException("Was expecting value of type TCatalogue for field 'catalogue', but got " + value.getClass().getSimpleName());
-      case PLAN_REQUEST:
-        if (value instanceof TPlanRequest) {
-          break;
-        }
-        throw new java.lang.ClassCastException("Was expecting value of type TPlanRequest for field 'planRequest', but got " + value.getClass().getSimpleName());
-      case PLAN:
-        if (value instanceof TPlan) {
-          break;
-        }
-        throw new java.lang.ClassCastException("Was expecting value of type TPlan for field 'plan', but got " + value.getClass().getSimpleName());
-      case PROMISE_REQUEST:
-        if (value instanceof TPromiseRequest) {
-          break;
-        }
-        throw new java.lang.ClassCastException("Was expecting value of type TPromiseRequest for field 'promiseRequest', but got " + value.getClass().getSimpleName());
-      case PROMISE:
-        if (value instanceof TPromise) {
-          break;
-        }
-        throw new java.lang.ClassCastException("Was expecting value of type TPromise for field 'promise', but got " + value.getClass().getSimpleName());
-      case SHARE_REQUEST:
-        if (value instanceof TShareRequest) {
-          break;
-        }
-        throw new java.lang.ClassCastException("Was expecting value of type TShareRequest for field 'shareRequest', but got " + value.getClass().getSimpleName());
-      case SHARE_GRANT:
-        if (value instanceof TShareGrant) {
-          break;
-        }
-        throw new java.lang.ClassCastException("Was expecting value of type TShareGrant for field 'shareGrant', but got " + value.getClass().getSimpleName());
-      case TIMELINE_REQUEST:
-        if (value instanceof TTimelineRequest) {
-          break;
-        }
-        throw new java.lang.ClassCastException("Was expecting value of type TTimelineRequest for field 'timelineRequest', but got " + value.getClass().getSimpleName());
-      case TIMELINE:
-        if (value instanceof TTimeline) {
-          break;
-        }
-        throw new java.lang.ClassCastException("Was expecting value of type TTimeline for field 'timeline', but got " + value.getClass().getSimpleName());
-      default:
-        throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+  public void setSenderDomainIsSet(boolean value) {
+    if (!value) {
+      this.senderDomain = null;
     }
   }
 
-  @Override
-  protected java.lang.Object standardSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, org.apache.thrift.protocol.TField field) throws org.apache.thrift.TException {
-    _Fields setField = _Fields.findByThriftId(field.id);
-    if (setField != null) {
-      switch (setField) {
-        case HEARTBEAT:
-          if (field.type == HEARTBEAT_FIELD_DESC.type) {
-            THeartbeat heartbeat;
-            heartbeat = new THeartbeat();
-            heartbeat.read(iprot);
-            return heartbeat;
-          } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
-          }
-        case CATALOGUE_REQUEST:
-          if (field.type == CATALOGUE_REQUEST_FIELD_DESC.type) {
-            TCatalogueRequest catalogueRequest;
-            catalogueRequest = new TCatalogueRequest();
-            catalogueRequest.read(iprot);
-            return catalogueRequest;
-          } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
-          }
-        case CATALOGUE:
-          if (field.type == CATALOGUE_FIELD_DESC.type) {
-            TCatalogue catalogue;
-            catalogue = new TCatalogue();
-            catalogue.read(iprot);
-            return catalogue;
-          } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
-          }
-        case PLAN_REQUEST:
-          if (field.type == PLAN_REQUEST_FIELD_DESC.type) {
-            TPlanRequest planRequest;
-            planRequest = new TPlanRequest();
-            planRequest.read(iprot);
-            return planRequest;
-          } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
-          }
-        case PLAN:
-          if (field.type == PLAN_FIELD_DESC.type) {
-            TPlan plan;
-            plan = new TPlan();
-            plan.read(iprot);
-            return plan;
-          } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
-          }
-        case PROMISE_REQUEST:
-          if (field.type == PROMISE_REQUEST_FIELD_DESC.type) {
-            TPromiseRequest promiseRequest;
-            promiseRequest = new TPromiseRequest();
-            promiseRequest.read(iprot);
-            return promiseRequest;
-          } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
-          }
-        case PROMISE:
-          if (field.type == PROMISE_FIELD_DESC.type) {
-            TPromise promise;
-            promise = new TPromise();
-            promise.read(iprot);
-            return promise;
-          } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
-          }
-        case SHARE_REQUEST:
-          if (field.type == SHARE_REQUEST_FIELD_DESC.type) {
-            TShareRequest shareRequest;
-            shareRequest = new TShareRequest();
-            shareRequest.read(iprot);
-            return shareRequest;
-          } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
-          }
-        case SHARE_GRANT:
-          if (field.type == SHARE_GRANT_FIELD_DESC.type) {
-            TShareGrant shareGrant;
-            shareGrant = new TShareGrant();
-            shareGrant.read(iprot);
-            return shareGrant;
-          } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
-          }
-        case TIMELINE_REQUEST:
-          if (field.type == TIMELINE_REQUEST_FIELD_DESC.type) {
-            TTimelineRequest timelineRequest;
-            timelineRequest = new TTimelineRequest();
-            timelineRequest.read(iprot);
-            return timelineRequest;
-          } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
-          }
-        case TIMELINE:
-          if (field.type == TIMELINE_FIELD_DESC.type) {
-            TTimeline timeline;
-            timeline = new TTimeline();
-            timeline.read(iprot);
-            return timeline;
-          } else {
-            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-            return null;
-          }
-        default:
-          throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
-      }
-    } else {
-      org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
-      return null;
-    }
+  @org.apache.thrift.annotation.Nullable
+  public THybridTime getTime() {
+    return this.time;
   }
 
-  @Override
-  protected void standardSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-    switch (setField_) {
-      case HEARTBEAT:
-        THeartbeat heartbeat = (THeartbeat)value_;
-        heartbeat.write(oprot);
-        return;
-      case CATALOGUE_REQUEST:
-        TCatalogueRequest catalogueRequest = (TCatalogueRequest)value_;
-        catalogueRequest.write(oprot);
-        return;
-      case CATALOGUE:
-        TCatalogue catalogue = (TCatalogue)value_;
-        catalogue.write(oprot);
-        return;
-      case PLAN_REQUEST:
-        TPlanRequest planRequest = (TPlanRequest)value_;
-        planRequest.write(oprot);
-        return;
-      case PLAN:
-        TPlan plan = (TPlan)value_;
-        plan.write(oprot);
-        return;
-      case PROMISE_REQUEST:
-        TPromiseRequest promiseRequest = (TPromiseRequest)value_;
-        promiseRequest.write(oprot);
-        return;
-      case PROMISE:
-        TPromise promise = (TPromise)value_;
-        promise.write(oprot);
-        return;
-      case SHARE_REQUEST:
-        TShareRequest shareRequest = (TShareRequest)value_;
-        shareRequest.write(oprot);
-        return;
-      case SHARE_GRANT:
-        TShareGrant shareGrant = (TShareGrant)value_;
-        shareGrant.write(oprot);
-        return;
-      case TIMELINE_REQUEST:
-        TTimelineRequest timelineRequest = (TTimelineRequest)value_;
-        timelineRequest.write(oprot);
-        return;
-      case TIMELINE:
-        TTimeline timeline = (TTimeline)value_;
-        timeline.write(oprot);
-        return;
-      default:
-        throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
-    }
+  public TPeerMessage setTime(@org.apache.thrift.annotation.Nullable THybridTime time) {
+    this.time = time;
+    return this;
   }
 
-  @Override
-  protected java.lang.Object tupleSchemeReadValue(org.apache.thrift.protocol.TProtocol iprot, short fieldID) throws org.apache.thrift.TException {
-    _Fields setField = _Fields.findByThriftId(fieldID);
-    if (setField != null) {
-      switch (setField) {
-        case HEARTBEAT:
-          THeartbeat heartbeat;
-          heartbeat = new THeartbeat();
-          heartbeat.read(iprot);
-          return heartbeat;
-        case CATALOGUE_REQUEST:
-          TCatalogueRequest catalogueRequest;
-          catalogueRequest = new TCatalogueRequest();
-          catalogueRequest.read(iprot);
-          return catalogueRequest;
-        case CATALOGUE:
-          TCatalogue catalogue;
-          catalogue = new TCatalogue();
-          catalogue.read(iprot);
-          return catalogue;
-        case PLAN_REQUEST:
-          TPlanRequest planRequest;
-          planRequest = new TPlanRequest();
-          planRequest.read(iprot);
-          return planRequest;
-        case PLAN:
-          TPlan plan;
-          plan = new TPlan();
-          plan.read(iprot);
-          return plan;
-        case PROMISE_REQUEST:
-          TPromiseRequest promiseRequest;
-          promiseRequest = new TPromiseRequest();
-          promiseRequest.read(iprot);
-          return promiseRequest;
-        case PROMISE:
-          TPromise promise;
-          promise = new TPromise();
-          promise.read(iprot);
-          return promise;
-        case SHARE_REQUEST:
-          TShareRequest shareRequest;
-          shareRequest = new TShareRequest();
-          shareRequest.read(iprot);
-          return shareRequest;
-        case SHARE_GRANT:
-          TShareGrant shareGrant;
-          shareGrant = new TShareGrant();
-          shareGrant.read(iprot);
-          return shareGrant;
-        case TIMELINE_REQUEST:
-          TTimelineRequest timelineRequest;
-          timelineRequest = new TTimelineRequest();
-          timelineRequest.read(iprot);
-          return timelineRequest;
-        case TIMELINE:
-          TTimeline timeline;
-          timeline = new TTimeline();
-          timeline.read(iprot);
-          return timeline;
-        default:
-          throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
-      }
-    } else {
-      throw new org.apache.thrift.protocol.TProtocolException("Couldn't find a field with field id " + fieldID);
-    }
+  public void unsetTime() {
+    this.time = null;
   }
 
-  @Override
-  protected void tupleSchemeWriteValue(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
-    switch (setField_) {
-      case HEARTBEAT:
-        THeartbeat heartbeat = (THeartbeat)value_;
-        heartbeat.write(oprot);
-        return;
-      case CATALOGUE_REQUEST:
-        TCatalogueRequest catalogueRequest = (TCatalogueRequest)value_;
-        catalogueRequest.write(oprot);
-        return;
-      case CATALOGUE:
-        TCatalogue catalogue = (TCatalogue)value_;
-        catalogue.write(oprot);
-        return;
-      case PLAN_REQUEST:
-        TPlanRequest planRequest = (TPlanRequest)value_;
-        planRequest.write(oprot);
-        return;
-      case PLAN:
-        TPlan plan = (TPlan)value_;
-        plan.write(oprot);
-        return;
-      case PROMISE_REQUEST:
-        TPromiseRequest promiseRequest = (TPromiseRequest)value_;
-        promiseRequest.write(oprot);
-        return;
-      case PROMISE:
-        TPromise promise = (TPromise)value_;
-        promise.write(oprot);
-        return;
-      case SHARE_REQUEST:
-        TShareRequest shareRequest = (TShareRequest)value_;
-        shareRequest.write(oprot);
-        return;
-      case SHARE_GRANT:
-        TShareGrant shareGrant = (TShareGrant)value_;
-        shareGrant.write(oprot);
-        return;
-      case TIMELINE_REQUEST:
-        TTimelineRequest timelineRequest = (TTimelineRequest)value_;
-        timelineRequest.write(oprot);
-        return;
-      case TIMELINE:
-        TTimeline timeline = (TTimeline)value_;
-        timeline.write(oprot);
-        return;
-      default:
-        throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
-    }
+  /** Returns true if field time is set (has been assigned a value) and false otherwise */
+  public boolean isSetTime() {
+    return this.time != null;
   }
 
-  @Override
-  protected org.apache.thrift.protocol.TField getFieldDesc(_Fields setField) {
-    switch (setField) {
-      case HEARTBEAT:
-        return HEARTBEAT_FIELD_DESC;
-      case CATALOGUE_REQUEST:
-        return CATALOGUE_REQUEST_FIELD_DESC;
-      case CATALOGUE:
-        return CATALOGUE_FIELD_DESC;
-      case PLAN_REQUEST:
-        return PLAN_REQUEST_FIELD_DESC;
-      case PLAN:
-        return PLAN_FIELD_DESC;
-      case PROMISE_REQUEST:
-        return PROMISE_REQUEST_FIELD_DESC;
-      case PROMISE:
-        return PROMISE_FIELD_DESC;
-      case SHARE_REQUEST:
-        return SHARE_REQUEST_FIELD_DESC;
-      case SHARE_GRANT:
-        return SHARE_GRANT_FIELD_DESC;
-      case TIMELINE_REQUEST:
-        return TIMELINE_REQUEST_FIELD_DESC;
-      case TIMELINE:
-        return TIMELINE_FIELD_DESC;
-      default:
-        throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
+  public void setTimeIsSet(boolean value) {
+    if (!value) {
+      this.time = null;
     }
   }
 
-  @Override
-  protected org.apache.thrift.protocol.TStruct getStructDesc() {
-    return STRUCT_DESC;
-  }
-
-  @Override
-  protected _Fields enumForId(short id) {
-    return _Fields.findByThriftIdOrThrow(id);
-  }
-
   @org.apache.thrift.annotation.Nullable
-  @Override
-  public _Fields fieldForId(int fieldId) {
-    return _Fields.findByThriftId(fieldId);
-  }
-
-
-  public THeartbeat getHeartbeat() {
-    if (getSetField() == _Fields.HEARTBEAT) {
-      return (THeartbeat)getFieldValue();
-    } else {
-      throw new java.lang.RuntimeException("Cannot get field 'heartbeat' because union is currently set to " + getFieldDesc(getSetField()).name);
-    }
+  public TPeerBody getBody() {
+    return this.body;
   }
 
-  public void setHeartbeat(THeartbeat value) {
-    setField_ = _Fields.HEARTBEAT;
-    value_ = java.util.Objects.requireNonNull(value,"_Fields.HEARTBEAT");
+  public TPeerMessage setBody(@org.apache.thrift.annotation.Nullable TPeerBody body) {
+    this.body = body;
+    return this;
   }
 
-  public TCatalogueRequest getCatalogueRequest() {
-    if (getSetField() == _Fields.CATALOGUE_REQUEST) {
-      return (TCatalogueRequest)getFieldValue();
-    } else {
-      throw new java.lang.RuntimeException("Cannot get field 'catalogueRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
-    }
+  public void unsetBody() {
+    this.body = null;
   }
 
-  public void setCatalogueRequest(TCatalogueRequest value) {
-    setField_ = _Fields.CATALOGUE_REQUEST;
-    value_ = java.util.Objects.requireNonNull(value,"_Fields.CATALOGUE_REQUEST");
+  /** Returns true if field body is set (has been assigned a value) and false otherwise */
+  public boolean isSetBody() {
+    return this.body != null;
   }
 
-  public TCatalogue getCatalogue() {
-    if (getSetField() == _Fields.CATALOGUE) {
-      return (TCatalogue)getFieldValue();
-    } else {
-      throw new java.lang.RuntimeException("Cannot get field 'catalogue' because union is currently set to " + getFieldDesc(getSetField()).name);
+  public void setBodyIsSet(boolean value) {
+    if (!value) {
+      this.body = null;
     }
   }
 
-  public void setCatalogue(TCatalogue value) {
-    setField_ = _Fields.CATALOGUE;
-    value_ = java.util.Objects.requireNonNull(value,"_Fields.CATALOGUE");
-  }
-
-  public TPlanRequest getPlanRequest() {
-    if (getSetField() == _Fields.PLAN_REQUEST) {
-      return (TPlanRequest)getFieldValue();
-    } else {
-      throw new java.lang.RuntimeException("Cannot get field 'planRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
-    }
-  }
+  @Override
+  public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+    switch (field) {
+    case SENDER:
+      if (value == null) {
+        unsetSender();
+      } else {
+        setSender((java.lang.String)value);
+      }
+      break;
 
-  public void setPlanRequest(TPlanRequest value) {
-    setField_ = _Fields.PLAN_REQUEST;
-    value_ = java.util.Objects.requireNonNull(value,"_Fields.PLAN_REQUEST");
-  }
+    case SENDER_DOMAIN:
+      if (value == null) {
+        unsetSenderDomain();
+      } else {
+        setSenderDomain((java.lang.String)value);
+      }
+      break;
 
-  public TPlan getPlan() {
-    if (getSetField() == _Fields.PLAN) {
-      return (TPlan)getFieldValue();
-    } else {
-      throw new java.lang.RuntimeException("Cannot get field 'plan' because union is currently set to " + getFieldDesc(getSetField()).name);
-    }
-  }
+    case TIME:
+      if (value == null) {
+        unsetTime();
+      } else {
+        setTime((THybridTime)value);
+      }
+      break;
 
-  public void setPlan(TPlan value) {
-    setField_ = _Fields.PLAN;
-    value_ = java.util.Objects.requireNonNull(value,"_Fields.PLAN");
-  }
+    case BODY:
+      if (value == null) {
+        unsetBody();
+      } else {
+        setBody((TPeerBody)value);
+      }
+      break;
 
-  public TPromiseRequest getPromiseRequest() {
-    if (getSetField() == _Fields.PROMISE_REQUEST) {
-      return (TPromiseRequest)getFieldValue();
-    } else {
-      throw new java.lang.RuntimeException("Cannot get field 'promiseRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
   }
 
-  public void setPromiseRequest(TPromiseRequest value) {
-    setField_ = _Fields.PROMISE_REQUEST;
-    value_ = java.util.Objects.requireNonNull(value,"_Fields.PROMISE_REQUEST");
-  }
-
-  public TPromise getPromise() {
-    if (getSetField() == _Fields.PROMISE) {
-      return (TPromise)getFieldValue();
-    } else {
-      throw new java.lang.RuntimeException("Cannot get field 'promise' because union is currently set to " + getFieldDesc(getSetField()).name);
-    }
-  }
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public java.lang.Object getFieldValue(_Fields field) {
+    switch (field) {
+    case SENDER:
+      return getSender();
 
-  public void setPromise(TPromise value) {
-    setField_ = _Fields.PROMISE;
-    value_ = java.util.Objects.requireNonNull(value,"_Fields.PROMISE");
-  }
+    case SENDER_DOMAIN:
+      return getSenderDomain();
 
-  public TShareRequest getShareRequest() {
-    if (getSetField() == _Fields.SHARE_REQUEST) {
-      return (TShareRequest)getFieldValue();
-    } else {
-      throw new java.lang.RuntimeException("Cannot get field 'shareRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
-    }
-  }
+    case TIME:
+      return getTime();
 
-  public void setShareRequest(TShareRequest value) {
-    setField_ = _Fields.SHARE_REQUEST;
-    value_ = java.util.Objects.requireNonNull(value,"_Fields.SHARE_REQUEST");
-  }
+    case BODY:
+      return getBody();
 
-  public TShareGrant getShareGrant() {
-    if (getSetField() == _Fields.SHARE_GRANT) {
-      return (TShareGrant)getFieldValue();
-    } else {
-      throw new java.lang.RuntimeException("Cannot get field 'shareGrant' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
+    throw new java.lang.IllegalStateException();
   }
 
-  public void setShareGrant(TShareGrant value) {
-    setField_ = _Fields.SHARE_GRANT;
-    value_ = java.util.Objects.requireNonNull(value,"_Fields.SHARE_GRANT");
-  }
-
-  public TTimelineRequest getTimelineRequest() {
-    if (getSetField() == _Fields.TIMELINE_REQUEST) {
-      return (TTimelineRequest)getFieldValue();
-    } else {
-      throw new java.lang.RuntimeException("Cannot get field 'timelineRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
+  /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+  @Override
+  public boolean isSet(_Fields field) {
+    if (field == null) {
+      throw new java.lang.IllegalArgumentException();
     }
-  }
 
-  public void setTimelineRequest(TTimelineRequest value) {
-    setField_ = _Fields.TIMELINE_REQUEST;
-    value_ = java.util.Objects.requireNonNull(value,"_Fields.TIMELINE_REQUEST");
-  }
-
-  public TTimeline getTimeline() {
-    if (getSetField() == _Fields.TIMELINE) {
-      return (TTimeline)getFieldValue();
-    } else {
-      throw new java.lang.RuntimeException("Cannot get field 'timeline' because union is currently set to " + getFieldDesc(getSetField()).name);
+    switch (field) {
+    case SENDER:
+      return isSetSender();
+    case SENDER_DOMAIN:
+      return isSetSenderDomain();
+    case TIME:
+      return isSetTime();
+    case BODY:
+      return isSetBody();
     }
+    throw new java.lang.IllegalStateException();
   }
 
-  public void setTimeline(TTimeline value) {
-    setField_ = _Fields.TIMELINE;
-    value_ = java.util.Objects.requireNonNull(value,"_Fields.TIMELINE");
+  @Override
+  public boolean equals(java.lang.Object that) {
+    if (that instanceof TPeerMessage)
+      return this.equals((TPeerMessage)that);
+    return false;
   }
 
-  public boolean isSetHeartbeat() {
-    return setField_ == _Fields.HEARTBEAT;
-  }
+  public boolean equals(TPeerMessage that) {
+    if (that == null)
+      return false;
+    if (this == that)
+      return true;
+
+    boolean this_present_sender = true && this.isSetSender();
+    boolean that_present_sender = true && that.isSetSender();
+    if (this_present_sender || that_present_sender) {
+      if (!(this_present_sender && that_present_sender))
+        return false;
+      if (!this.sender.equals(that.sender))
+        return false;
+    }
 
+    boolean this_present_senderDomain = true && this.isSetSenderDomain();
+    boolean that_present_senderDomain = true && that.isSetSenderDomain();
+    if (this_present_senderDomain || that_present_senderDomain) {
+      if (!(this_present_senderDomain && that_present_senderDomain))
+        return false;
+      if (!this.senderDomain.equals(that.senderDomain))
+        return false;
+    }
 
-  public boolean isSetCatalogueRequest() {
-    return setField_ == _Fields.CATALOGUE_REQUEST;
-  }
+    boolean this_present_time = true && this.isSetTime();
+    boolean that_present_time = true && that.isSetTime();
+    if (this_present_time || that_present_time) {
+      if (!(this_present_time && that_present_time))
+        return false;
+      if (!this.time.equals(that.time))
+        return false;
+    }
 
+    boolean this_present_body = true && this.isSetBody();
+    boolean that_present_body = true && that.isSetBody();
+    if (this_present_body || that_present_body) {
+      if (!(this_present_body && that_present_body))
+        return false;
+      if (!this.body.equals(that.body))
+        return false;
+    }
 
-  public boolean isSetCatalogue() {
-    return setField_ == _Fields.CATALOGUE;
+    return true;
   }
 
+  @Override
+  public int hashCode() {
+    int hashCode = 1;
 
-  public boolean isSetPlanRequest() {
-    return setField_ == _Fields.PLAN_REQUEST;
-  }
+    hashCode = hashCode * 8191 + ((isSetSender()) ? 131071 : 524287);
+    if (isSetSender())
+      hashCode = hashCode * 8191 + sender.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetSenderDomain()) ? 131071 : 524287);
+    if (isSetSenderDomain())
+      hashCode = hashCode * 8191 + senderDomain.hashCode();
 
-  public boolean isSetPlan() {
-    return setField_ == _Fields.PLAN;
-  }
+    hashCode = hashCode * 8191 + ((isSetTime()) ? 131071 : 524287);
+    if (isSetTime())
+      hashCode = hashCode * 8191 + time.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetBody()) ? 131071 : 524287);
+    if (isSetBody())
+      hashCode = hashCode * 8191 + body.hashCode();
 
-  public boolean isSetPromiseRequest() {
-    return setField_ == _Fields.PROMISE_REQUEST;
+    return hashCode;
   }
 
+  @Override
+  public int compareTo(TPeerMessage other) {
+    if (!getClass().equals(other.getClass())) {
+      return getClass().getName().compareTo(other.getClass().getName());
+    }
 
-  public boolean isSetPromise() {
-    return setField_ == _Fields.PROMISE;
-  }
-
+    int lastComparison = 0;
 
-  public boolean isSetShareRequest() {
-    return setField_ == _Fields.SHARE_REQUEST;
+    lastComparison = java.lang.Boolean.compare(isSetSender(), other.isSetSender());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSender()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sender, other.sender);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSenderDomain(), other.isSetSenderDomain());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSenderDomain()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.senderDomain, other.senderDomain);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTime(), other.isSetTime());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTime()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.time, other.time);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetBody(), other.isSetBody());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBody()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.body, other.body);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    return 0;
   }
 
-
-  public boolean isSetShareGrant() {
-    return setField_ == _Fields.SHARE_GRANT;
+  @org.apache.thrift.annotation.Nullable
+  @Override
+  public _Fields fieldForId(int fieldId) {
+    return _Fields.findByThriftId(fieldId);
   }
 
-
-  public boolean isSetTimelineRequest() {
-    return setField_ == _Fields.TIMELINE_REQUEST;
+  @Override
+  public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+    scheme(iprot).read(iprot, this);
   }
 
-
-  public boolean isSetTimeline() {
-    return setField_ == _Fields.TIMELINE;
+  @Override
+  public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+    scheme(oprot).write(oprot, this);
   }
 
+  @Override
+  public java.lang.String toString() {
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("TPeerMessage(");
+    boolean first = true;
 
-  public boolean equals(java.lang.Object other) {
-    if (other instanceof TPeerMessage) {
-      return equals((TPeerMessage)other);
+    sb.append("sender:");
+    if (this.sender == null) {
+      sb.append("null");
     } else {
-      return false;
+      sb.append(this.sender);
     }
-  }
-
-  public boolean equals(TPeerMessage other) {
-    return other != null && getSetField() == other.getSetField() && getFieldValue().equals(other.getFieldValue());
-  }
-
-  @Override
-  public int compareTo(TPeerMessage other) {
-    int lastComparison = org.apache.thrift.TBaseHelper.compareTo(getSetField(), other.getSetField());
-    if (lastComparison == 0) {
-      return org.apache.thrift.TBaseHelper.compareTo(getFieldValue(), other.getFieldValue());
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("senderDomain:");
+    if (this.senderDomain == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.senderDomain);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("time:");
+    if (this.time == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.time);
     }
-    return lastComparison;
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("body:");
+    if (this.body == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.body);
+    }
+    first = false;
+    sb.append(")");
+    return sb.toString();
   }
 
-
-  @Override
-  public int hashCode() {
-    java.util.List<java.lang.Object> list = new java.util.ArrayList<java.lang.Object>();
-    list.add(this.getClass().getName());
-    org.apache.thrift.TFieldIdEnum setField = getSetField();
-    if (setField != null) {
-      list.add(setField.getThriftFieldId());
-      java.lang.Object value = getFieldValue();
-      if (value instanceof org.apache.thrift.TEnum) {
-        list.add(((org.apache.thrift.TEnum)getFieldValue()).getValue());
-      } else {
-        list.add(value);
-      }
+  public void validate() throws org.apache.thrift.TException {
+    // check for required fields
+    if (sender == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'sender' was not present! Struct: " + toString());
+    }
+    if (senderDomain == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'senderDomain' was not present! Struct: " + toString());
+    }
+    if (time == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'time' was not present! Struct: " + toString());
+    }
+    if (body == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'body' was not present! Struct: " + toString());
+    }
+    // check for sub-struct validity
+    if (time != null) {
+      time.validate();
     }
-    return list.hashCode();
   }
+
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
     try {
       write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
@@ -875,7 +545,6 @@
     }
   }
 
-
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
@@ -884,5 +553,138 @@
     }
   }
 
+  private static class TPeerMessageStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public TPeerMessageStandardScheme getScheme() {
+      return new TPeerMessageStandardScheme();
+    }
+  }
+
+  private static class TPeerMessageStandardScheme extends org.apache.thrift.scheme.StandardScheme<TPeerMessage> {
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot, TPeerMessage struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TField schemeField;
+      iprot.readStructBegin();
+      while (true)
+      {
+        schemeField = iprot.readFieldBegin();
+        if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+          break;
+        }
+        switch (schemeField.id) {
+          case 1: // SENDER
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.sender = iprot.readString();
+              struct.setSenderIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 2: // SENDER_DOMAIN
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.senderDomain = iprot.readString();
+              struct.setSenderDomainIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 3: // TIME
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.time = new THybridTime();
+              struct.time.read(iprot);
+              struct.setTimeIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 4: // BODY
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.body = new TPeerBody();
+              struct.body.read(iprot);
+              struct.setBodyIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          default:
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+        }
+        iprot.readFieldEnd();
+      }
+      iprot.readStructEnd();
+
+      // check for required fields of primitive type, which can't be checked in the validate method
+      struct.validate();
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot, TPeerMessage struct) throws org.apache.thrift.TException {
+      struct.validate();
+
+      oprot.writeStructBegin(STRUCT_DESC);
+      if (struct.sender != null) {
+        oprot.writeFieldBegin(SENDER_FIELD_DESC);
+        oprot.writeString(struct.sender);
+        oprot.writeFieldEnd();
+      }
+      if (struct.senderDomain != null) {
+        oprot.writeFieldBegin(SENDER_DOMAIN_FIELD_DESC);
+        oprot.writeString(struct.senderDomain);
+        oprot.writeFieldEnd();
+      }
+      if (struct.time != null) {
+        oprot.writeFieldBegin(TIME_FIELD_DESC);
+        struct.time.write(oprot);
+        oprot.writeFieldEnd();
+      }
+      if (struct.body != null) {
+        oprot.writeFieldBegin(BODY_FIELD_DESC);
+        struct.body.write(oprot);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldStop();
+      oprot.writeStructEnd();
+    }
+
+  }
+
+  private static class TPeerMessageTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    @Override
+    public TPeerMessageTupleScheme getScheme() {
+      return new TPeerMessageTupleScheme();
+    }
+  }
+
+  private static class TPeerMessageTupleScheme extends org.apache.thrift.scheme.TupleScheme<TPeerMessage> {
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol prot, TPeerMessage struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      oprot.writeString(struct.sender);
+      oprot.writeString(struct.senderDomain);
+      struct.time.write(oprot);
+      struct.body.write(oprot);
+    }
 
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol prot, TPeerMessage struct) throws org.apache.thrift.TException {
+      org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      struct.sender = iprot.readString();
+      struct.setSenderIsSet(true);
+      struct.senderDomain = iprot.readString();
+      struct.setSenderDomainIsSet(true);
+      struct.time = new THybridTime();
+      struct.time.read(iprot);
+      struct.setTimeIsSet(true);
+      struct.body = new TPeerBody();
+      struct.body.read(iprot);
+      struct.setBodyIsSet(true);
+    }
+  }
+
+  private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+    return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+  }
 }
+
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TShareRequest.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TShareAsk.java
@@ -7,24 +7,24 @@
 package org.apricotdeal.wire.gen;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class TShareRequest implements org.apache.thrift.TBase<TShareRequest, TShareRequest._Fields>, java.io.Serializable, Cloneable, Comparable<TShareRequest> {
-  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("TShareRequest");
+public class TShareAsk implements org.apache.thrift.TBase<TShareAsk, TShareAsk._Fields>, java.io.Serializable, Cloneable, Comparable<TShareAsk> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("TShareAsk");
 
   private static final org.apache.thrift.protocol.TField CALLER_FIELD_DESC = new org.apache.thrift.protocol.TField("caller", org.apache.thrift.protocol.TType.STRING, (short)1);
-  private static final org.apache.thrift.protocol.TField WANT_PER_SECOND_FIELD_DESC = new org.apache.thrift.protocol.TField("wantPerSecond", org.apache.thrift.protocol.TType.DOUBLE, (short)2);
+  private static final org.apache.thrift.protocol.TField WANTED_PER_SECOND_FIELD_DESC = new org.apache.thrift.protocol.TField("wantedPerSecond", org.apache.thrift.protocol.TType.DOUBLE, (short)2);
   private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC = new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short)3);
 
-  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TShareRequestStandardSchemeFactory();
-  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TShareRequestTupleSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TShareAskStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TShareAskTupleSchemeFactory();
 
   public @org.apache.thrift.annotation.Nullable java.lang.String caller; // required
-  public double wantPerSecond; // required
+  public double wantedPerSecond; // required
   public long epoch; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     CALLER((short)1, "caller"),
-    WANT_PER_SECOND((short)2, "wantPerSecond"),
+    WANTED_PER_SECOND((short)2, "wantedPerSecond"),
     EPOCH((short)3, "epoch");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
@@ -43,8 +43,8 @@
       switch(fieldId) {
         case 1: // CALLER
           return CALLER;
-        case 2: // WANT_PER_SECOND
-          return WANT_PER_SECOND;
+        case 2: // WANTED_PER_SECOND
+          return WANTED_PER_SECOND;
         case 3: // EPOCH
           return EPOCH;
         default:
@@ -90,7 +90,7 @@
   }
 
   // isset id assignments
-  private static final int __WANTPERSECOND_ISSET_ID = 0;
+  private static final int __WANTEDPERSECOND_ISSET_ID = 0;
   private static final int __EPOCH_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
@@ -98,26 +98,26 @@
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
     tmpMap.put(_Fields.CALLER, new org.apache.thrift.meta_data.FieldMetaData("caller", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.WANT_PER_SECOND, new org.apache.thrift.meta_data.FieldMetaData("wantPerSecond", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+    tmpMap.put(_Fields.WANTED_PER_SECOND, new org.apache.thrift.meta_data.FieldMetaData("wantedPerSecond", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
     tmpMap.put(_Fields.EPOCH, new org.apache.thrift.meta_data.FieldMetaData("epoch", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TShareRequest.class, metaDataMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TShareAsk.class, metaDataMap);
   }
 
-  public TShareRequest() {
+  public TShareAsk() {
   }
 
-  public TShareRequest(
+  public TShareAsk(
     java.lang.String caller,
-    double wantPerSecond,
+    double wantedPerSecond,
     long epoch)
   {
     this();
     this.caller = caller;
-    this.wantPerSecond = wantPerSecond;
-    setWantPerSecondIsSet(true);
+    this.wantedPerSecond = wantedPerSecond;
+    setWantedPerSecondIsSet(true);
     this.epoch = epoch;
     setEpochIsSet(true);
   }
@@ -125,25 +125,25 @@
   /**
    * Performs a deep copy on <i>other</i>.
    */
-  public TShareRequest(TShareRequest other) {
+  public TShareAsk(TShareAsk other) {
     __isset_bitfield = other.__isset_bitfield;
     if (other.isSetCaller()) {
       this.caller = other.caller;
     }
-    this.wantPerSecond = other.wantPerSecond;
+    this.wantedPerSecond = other.wantedPerSecond;
     this.epoch = other.epoch;
   }
 
   @Override
-  public TShareRequest deepCopy() {
-    return new TShareRequest(this);
+  public TShareAsk deepCopy() {
+    return new TShareAsk(this);
   }
 
   @Override
   public void clear() {
     this.caller = null;
-    setWantPerSecondIsSet(false);
-    this.wantPerSecond = 0.0;
+    setWantedPerSecondIsSet(false);
+    this.wantedPerSecond = 0.0;
     setEpochIsSet(false);
     this.epoch = 0;
   }
@@ -153,7 +153,7 @@
     return this.caller;
   }
 
-  public TShareRequest setCaller(@org.apache.thrift.annotation.Nullable java.lang.String caller) {
+  public TShareAsk setCaller(@org.apache.thrift.annotation.Nullable java.lang.String caller) {
     this.caller = caller;
     return this;
   }
@@ -173,34 +173,34 @@
     }
   }
 
-  public double getWantPerSecond() {
-    return this.wantPerSecond;
+  public double getWantedPerSecond() {
+    return this.wantedPerSecond;
   }
 
-  public TShareRequest setWantPerSecond(double wantPerSecond) {
-    this.wantPerSecond = wantPerSecond;
-    setWantPerSecondIsSet(true);
+  public TShareAsk setWantedPerSecond(double wantedPerSecond) {
+    this.wantedPerSecond = wantedPerSecond;
+    setWantedPerSecondIsSet(true);
     return this;
   }
 
-  public void unsetWantPerSecond() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WANTPERSECOND_ISSET_ID);
+  public void unsetWantedPerSecond() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WANTEDPERSECOND_ISSET_ID);
   }
 
-  /** Returns true if field wantPerSecond is set (has been assigned a value) and false otherwise */
-  public boolean isSetWantPerSecond() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WANTPERSECOND_ISSET_ID);
+  /** Returns true if field wantedPerSecond is set (has been assigned a value) and false otherwise */
+  public boolean isSetWantedPerSecond() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WANTEDPERSECOND_ISSET_ID);
   }
 
-  public void setWantPerSecondIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WANTPERSECOND_ISSET_ID, value);
+  public void setWantedPerSecondIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WANTEDPERSECOND_ISSET_ID, value);
   }
 
   public long getEpoch() {
     return this.epoch;
   }
 
-  public TShareRequest setEpoch(long epoch) {
+  public TShareAsk setEpoch(long epoch) {
     this.epoch = epoch;
     setEpochIsSet(true);
     return this;
@@ -230,11 +230,11 @@
       }
       break;
 
-    case WANT_PER_SECOND:
+    case WANTED_PER_SECOND:
       if (value == null) {
-        unsetWantPerSecond();
+        unsetWantedPerSecond();
       } else {
-        setWantPerSecond((java.lang.Double)value);
+        setWantedPerSecond((java.lang.Double)value);
       }
       break;
 
@@ -256,8 +256,8 @@
     case CALLER:
       return getCaller();
 
-    case WANT_PER_SECOND:
-      return getWantPerSecond();
+    case WANTED_PER_SECOND:
+      return getWantedPerSecond();
 
     case EPOCH:
       return getEpoch();
@@ -276,8 +276,8 @@
     switch (field) {
     case CALLER:
       return isSetCaller();
-    case WANT_PER_SECOND:
-      return isSetWantPerSecond();
+    case WANTED_PER_SECOND:
+      return isSetWantedPerSecond();
     case EPOCH:
       return isSetEpoch();
     }
@@ -286,12 +286,12 @@
 
   @Override
   public boolean equals(java.lang.Object that) {
-    if (that instanceof TShareRequest)
-      return this.equals((TShareRequest)that);
+    if (that instanceof TShareAsk)
+      return this.equals((TShareAsk)that);
     return false;
   }
 
-  public boolean equals(TShareRequest that) {
+  public boolean equals(TShareAsk that) {
     if (that == null)
       return false;
     if (this == that)
@@ -306,12 +306,12 @@
         return false;
     }
 
-    boolean this_present_wantPerSecond = true;
-    boolean that_present_wantPerSecond = true;
-    if (this_present_wantPerSecond || that_present_wantPerSecond) {
-      if (!(this_present_wantPerSecond && that_present_wantPerSecond))
+    boolean this_present_wantedPerSecond = true;
+    boolean that_present_wantedPerSecond = true;
+    if (this_present_wantedPerSecond || that_present_wantedPerSecond) {
+      if (!(this_present_wantedPerSecond && that_present_wantedPerSecond))
         return false;
-      if (this.wantPerSecond != that.wantPerSecond)
+      if (this.wantedPerSecond != that.wantedPerSecond)
         return false;
     }
 
@@ -335,7 +335,7 @@
     if (isSetCaller())
       hashCode = hashCode * 8191 + caller.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(wantPerSecond);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(wantedPerSecond);
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(epoch);
 
@@ -343,7 +343,7 @@
   }
 
   @Override
-  public int compareTo(TShareRequest other) {
+  public int compareTo(TShareAsk other) {
     if (!getClass().equals(other.getClass())) {
       return getClass().getName().compareTo(other.getClass().getName());
     }
@@ -360,12 +360,12 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetWantPerSecond(), other.isSetWantPerSecond());
+    lastComparison = java.lang.Boolean.compare(isSetWantedPerSecond(), other.isSetWantedPerSecond());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetWantPerSecond()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.wantPerSecond, other.wantPerSecond);
+    if (isSetWantedPerSecond()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.wantedPerSecond, other.wantedPerSecond);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -401,7 +401,7 @@
 
   @Override
   public java.lang.String toString() {
-    java.lang.StringBuilder sb = new java.lang.StringBuilder("TShareRequest(");
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("TShareAsk(");
     boolean first = true;
 
     sb.append("caller:");
@@ -412,8 +412,8 @@
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("wantPerSecond:");
-    sb.append(this.wantPerSecond);
+    sb.append("wantedPerSecond:");
+    sb.append(this.wantedPerSecond);
     first = false;
     if (!first) sb.append(", ");
     sb.append("epoch:");
@@ -428,7 +428,7 @@
     if (caller == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'caller' was not present! Struct: " + toString());
     }
-    // alas, we cannot check 'wantPerSecond' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'wantedPerSecond' because it's a primitive and you chose the non-beans generator.
     // alas, we cannot check 'epoch' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
@@ -451,17 +451,17 @@
     }
   }
 
-  private static class TShareRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class TShareAskStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public TShareRequestStandardScheme getScheme() {
-      return new TShareRequestStandardScheme();
+    public TShareAskStandardScheme getScheme() {
+      return new TShareAskStandardScheme();
     }
   }
 
-  private static class TShareRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<TShareRequest> {
+  private static class TShareAskStandardScheme extends org.apache.thrift.scheme.StandardScheme<TShareAsk> {
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot, TShareRequest struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol iprot, TShareAsk struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TField schemeField;
       iprot.readStructBegin();
       while (true)
@@ -479,10 +479,10 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // WANT_PER_SECOND
+          case 2: // WANTED_PER_SECOND
             if (schemeField.type == org.apache.thrift.protocol.TType.DOUBLE) {
-              struct.wantPerSecond = iprot.readDouble();
-              struct.setWantPerSecondIsSet(true);
+              struct.wantedPerSecond = iprot.readDouble();
+              struct.setWantedPerSecondIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -503,8 +503,8 @@
       iprot.readStructEnd();
 
       // check for required fields of primitive type, which can't be checked in the validate method
-      if (!struct.isSetWantPerSecond()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'wantPerSecond' was not found in serialized data! Struct: " + toString());
+      if (!struct.isSetWantedPerSecond()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'wantedPerSecond' was not found in serialized data! Struct: " + toString());
       }
       if (!struct.isSetEpoch()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'epoch' was not found in serialized data! Struct: " + toString());
@@ -513,7 +513,7 @@
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot, TShareRequest struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol oprot, TShareAsk struct) throws org.apache.thrift.TException {
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
@@ -522,8 +522,8 @@
         oprot.writeString(struct.caller);
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(WANT_PER_SECOND_FIELD_DESC);
-      oprot.writeDouble(struct.wantPerSecond);
+      oprot.writeFieldBegin(WANTED_PER_SECOND_FIELD_DESC);
+      oprot.writeDouble(struct.wantedPerSecond);
       oprot.writeFieldEnd();
       oprot.writeFieldBegin(EPOCH_FIELD_DESC);
       oprot.writeI64(struct.epoch);
@@ -534,30 +534,30 @@
 
   }
 
-  private static class TShareRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class TShareAskTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public TShareRequestTupleScheme getScheme() {
-      return new TShareRequestTupleScheme();
+    public TShareAskTupleScheme getScheme() {
+      return new TShareAskTupleScheme();
     }
   }
 
-  private static class TShareRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<TShareRequest> {
+  private static class TShareAskTupleScheme extends org.apache.thrift.scheme.TupleScheme<TShareAsk> {
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol prot, TShareRequest struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol prot, TShareAsk struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       oprot.writeString(struct.caller);
-      oprot.writeDouble(struct.wantPerSecond);
+      oprot.writeDouble(struct.wantedPerSecond);
       oprot.writeI64(struct.epoch);
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol prot, TShareRequest struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol prot, TShareAsk struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       struct.caller = iprot.readString();
       struct.setCallerIsSet(true);
-      struct.wantPerSecond = iprot.readDouble();
-      struct.setWantPerSecondIsSet(true);
+      struct.wantedPerSecond = iprot.readDouble();
+      struct.setWantedPerSecondIsSet(true);
       struct.epoch = iprot.readI64();
       struct.setEpochIsSet(true);
     }
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TShare.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TShareReturn.java
@@ -7,28 +7,22 @@
 package org.apricotdeal.wire.gen;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class TShare implements org.apache.thrift.TBase<TShare, TShare._Fields>, java.io.Serializable, Cloneable, Comparable<TShare> {
-  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("TShare");
+public class TShareReturn implements org.apache.thrift.TBase<TShareReturn, TShareReturn._Fields>, java.io.Serializable, Cloneable, Comparable<TShareReturn> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("TShareReturn");
 
   private static final org.apache.thrift.protocol.TField CALLER_FIELD_DESC = new org.apache.thrift.protocol.TField("caller", org.apache.thrift.protocol.TType.STRING, (short)1);
-  private static final org.apache.thrift.protocol.TField DEMAND_PER_SECOND_FIELD_DESC = new org.apache.thrift.protocol.TField("demandPerSecond", org.apache.thrift.protocol.TType.DOUBLE, (short)2);
-  private static final org.apache.thrift.protocol.TField HELD_PER_SECOND_FIELD_DESC = new org.apache.thrift.protocol.TField("heldPerSecond", org.apache.thrift.protocol.TType.DOUBLE, (short)3);
-  private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC = new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC = new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short)2);
 
-  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TShareStandardSchemeFactory();
-  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TShareTupleSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TShareReturnStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TShareReturnTupleSchemeFactory();
 
   public @org.apache.thrift.annotation.Nullable java.lang.String caller; // required
-  public double demandPerSecond; // required
-  public double heldPerSecond; // required
   public long epoch; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     CALLER((short)1, "caller"),
-    DEMAND_PER_SECOND((short)2, "demandPerSecond"),
-    HELD_PER_SECOND((short)3, "heldPerSecond"),
-    EPOCH((short)4, "epoch");
+    EPOCH((short)2, "epoch");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -46,11 +40,7 @@
       switch(fieldId) {
         case 1: // CALLER
           return CALLER;
-        case 2: // DEMAND_PER_SECOND
-          return DEMAND_PER_SECOND;
-        case 3: // HELD_PER_SECOND
-          return HELD_PER_SECOND;
-        case 4: // EPOCH
+        case 2: // EPOCH
           return EPOCH;
         default:
           return null;
@@ -95,40 +85,28 @@
   }
 
   // isset id assignments
-  private static final int __DEMANDPERSECOND_ISSET_ID = 0;
-  private static final int __HELDPERSECOND_ISSET_ID = 1;
-  private static final int __EPOCH_ISSET_ID = 2;
+  private static final int __EPOCH_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
     tmpMap.put(_Fields.CALLER, new org.apache.thrift.meta_data.FieldMetaData("caller", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.DEMAND_PER_SECOND, new org.apache.thrift.meta_data.FieldMetaData("demandPerSecond", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
-    tmpMap.put(_Fields.HELD_PER_SECOND, new org.apache.thrift.meta_data.FieldMetaData("heldPerSecond", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
     tmpMap.put(_Fields.EPOCH, new org.apache.thrift.meta_data.FieldMetaData("epoch", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TShare.class, metaDataMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TShareReturn.class, metaDataMap);
   }
 
-  public TShare() {
+  public TShareReturn() {
   }
 
-  public TShare(
+  public TShareReturn(
     java.lang.String caller,
-    double demandPerSecond,
-    double heldPerSecond,
     long epoch)
   {
     this();
     this.caller = caller;
-    this.demandPerSecond = demandPerSecond;
-    setDemandPerSecondIsSet(true);
-    this.heldPerSecond = heldPerSecond;
-    setHeldPerSecondIsSet(true);
     this.epoch = epoch;
     setEpochIsSet(true);
   }
@@ -136,28 +114,22 @@
   /**
    * Performs a deep copy on <i>other</i>.
    */
-  public TShare(TShare other) {
+  public TShareReturn(TShareReturn other) {
     __isset_bitfield = other.__isset_bitfield;
     if (other.isSetCaller()) {
       this.caller = other.caller;
     }
-    this.demandPerSecond = other.demandPerSecond;
-    this.heldPerSecond = other.heldPerSecond;
     this.epoch = other.epoch;
   }
 
   @Override
-  public TShare deepCopy() {
-    return new TShare(this);
+  public TShareReturn deepCopy() {
+    return new TShareReturn(this);
   }
 
   @Override
   public void clear() {
     this.caller = null;
-    setDemandPerSecondIsSet(false);
-    this.demandPerSecond = 0.0;
-    setHeldPerSecondIsSet(false);
-    this.heldPerSecond = 0.0;
     setEpochIsSet(false);
     this.epoch = 0;
   }
@@ -167,7 +139,7 @@
     return this.caller;
   }
 
-  public TShare setCaller(@org.apache.thrift.annotation.Nullable java.lang.String caller) {
+  public TShareReturn setCaller(@org.apache.thrift.annotation.Nullable java.lang.String caller) {
     this.caller = caller;
     return this;
   }
@@ -187,57 +159,11 @@
     }
   }
 
-  public double getDemandPerSecond() {
-    return this.demandPerSecond;
-  }
-
-  public TShare setDemandPerSecond(double demandPerSecond) {
-    this.demandPerSecond = demandPerSecond;
-    setDemandPerSecondIsSet(true);
-    return this;
-  }
-
-  public void unsetDemandPerSecond() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __DEMANDPERSECOND_ISSET_ID);
-  }
-
-  /** Returns true if field demandPerSecond is set (has been assigned a value) and false otherwise */
-  public boolean isSetDemandPerSecond() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __DEMANDPERSECOND_ISSET_ID);
-  }
-
-  public void setDemandPerSecondIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __DEMANDPERSECOND_ISSET_ID, value);
-  }
-
-  public double getHeldPerSecond() {
-    return this.heldPerSecond;
-  }
-
-  public TShare setHeldPerSecond(double heldPerSecond) {
-    this.heldPerSecond = heldPerSecond;
-    setHeldPerSecondIsSet(true);
-    return this;
-  }
-
-  public void unsetHeldPerSecond() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __HELDPERSECOND_ISSET_ID);
-  }
-
-  /** Returns true if field heldPerSecond is set (has been assigned a value) and false otherwise */
-  public boolean isSetHeldPerSecond() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __HELDPERSECOND_ISSET_ID);
-  }
-
-  public void setHeldPerSecondIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __HELDPERSECOND_ISSET_ID, value);
-  }
-
   public long getEpoch() {
     return this.epoch;
   }
 
-  public TShare setEpoch(long epoch) {
+  public TShareReturn setEpoch(long epoch) {
     this.epoch = epoch;
     setEpochIsSet(true);
     return this;
@@ -267,22 +193,6 @@
       }
       break;
 
-    case DEMAND_PER_SECOND:
-      if (value == null) {
-        unsetDemandPerSecond();
-      } else {
-        setDemandPerSecond((java.lang.Double)value);
-      }
-      break;
-
-    case HELD_PER_SECOND:
-      if (value == null) {
-        unsetHeldPerSecond();
-      } else {
-        setHeldPerSecond((java.lang.Double)value);
-      }
-      break;
-
     case EPOCH:
       if (value == null) {
         unsetEpoch();
@@ -301,12 +211,6 @@
     case CALLER:
       return getCaller();
 
-    case DEMAND_PER_SECOND:
-      return getDemandPerSecond();
-
-    case HELD_PER_SECOND:
-      return getHeldPerSecond();
-
     case EPOCH:
       return getEpoch();
 
@@ -324,10 +228,6 @@
     switch (field) {
     case CALLER:
       return isSetCaller();
-    case DEMAND_PER_SECOND:
-      return isSetDemandPerSecond();
-    case HELD_PER_SECOND:
-      return isSetHeldPerSecond();
     case EPOCH:
       return isSetEpoch();
     }
@@ -336,12 +236,12 @@
 
   @Override
   public boolean equals(java.lang.Object that) {
-    if (that instanceof TShare)
-      return this.equals((TShare)that);
+    if (that instanceof TShareReturn)
+      return this.equals((TShareReturn)that);
     return false;
   }
 
-  public boolean equals(TShare that) {
+  public boolean equals(TShareReturn that) {
     if (that == null)
       return false;
     if (this == that)
@@ -356,24 +256,6 @@
         return false;
     }
 
-    boolean this_present_demandPerSecond = true;
-    boolean that_present_demandPerSecond = true;
-    if (this_present_demandPerSecond || that_present_demandPerSecond) {
-      if (!(this_present_demandPerSecond && that_present_demandPerSecond))
-        return false;
-      if (this.demandPerSecond != that.demandPerSecond)
-        return false;
-    }
-
-    boolean this_present_heldPerSecond = true;
-    boolean that_present_heldPerSecond = true;
-    if (this_present_heldPerSecond || that_present_heldPerSecond) {
-      if (!(this_present_heldPerSecond && that_present_heldPerSecond))
-        return false;
-      if (this.heldPerSecond != that.heldPerSecond)
-        return false;
-    }
-
     boolean this_present_epoch = true;
     boolean that_present_epoch = true;
     if (this_present_epoch || that_present_epoch) {
@@ -394,17 +276,13 @@
     if (isSetCaller())
       hashCode = hashCode * 8191 + caller.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(demandPerSecond);
-
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(heldPerSecond);
-
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(epoch);
 
     return hashCode;
   }
 
   @Override
-  public int compareTo(TShare other) {
+  public int compareTo(TShareReturn other) {
     if (!getClass().equals(other.getClass())) {
       return getClass().getName().compareTo(other.getClass().getName());
     }
@@ -421,26 +299,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetDemandPerSecond(), other.isSetDemandPerSecond());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetDemandPerSecond()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.demandPerSecond, other.demandPerSecond);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
-    lastComparison = java.lang.Boolean.compare(isSetHeldPerSecond(), other.isSetHeldPerSecond());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetHeldPerSecond()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.heldPerSecond, other.heldPerSecond);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     lastComparison = java.lang.Boolean.compare(isSetEpoch(), other.isSetEpoch());
     if (lastComparison != 0) {
       return lastComparison;
@@ -472,7 +330,7 @@
 
   @Override
   public java.lang.String toString() {
-    java.lang.StringBuilder sb = new java.lang.StringBuilder("TShare(");
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("TShareReturn(");
     boolean first = true;
 
     sb.append("caller:");
@@ -483,14 +341,6 @@
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("demandPerSecond:");
-    sb.append(this.demandPerSecond);
-    first = false;
-    if (!first) sb.append(", ");
-    sb.append("heldPerSecond:");
-    sb.append(this.heldPerSecond);
-    first = false;
-    if (!first) sb.append(", ");
     sb.append("epoch:");
     sb.append(this.epoch);
     first = false;
@@ -503,8 +353,6 @@
     if (caller == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'caller' was not present! Struct: " + toString());
     }
-    // alas, we cannot check 'demandPerSecond' because it's a primitive and you chose the non-beans generator.
-    // alas, we cannot check 'heldPerSecond' because it's a primitive and you chose the non-beans generator.
     // alas, we cannot check 'epoch' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
@@ -527,17 +375,17 @@
     }
   }
 
-  private static class TShareStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class TShareReturnStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public TShareStandardScheme getScheme() {
-      return new TShareStandardScheme();
+    public TShareReturnStandardScheme getScheme() {
+      return new TShareReturnStandardScheme();
     }
   }
 
-  private static class TShareStandardScheme extends org.apache.thrift.scheme.StandardScheme<TShare> {
+  private static class TShareReturnStandardScheme extends org.apache.thrift.scheme.StandardScheme<TShareReturn> {
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot, TShare struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol iprot, TShareReturn struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TField schemeField;
       iprot.readStructBegin();
       while (true)
@@ -555,23 +403,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // DEMAND_PER_SECOND
-            if (schemeField.type == org.apache.thrift.protocol.TType.DOUBLE) {
-              struct.demandPerSecond = iprot.readDouble();
-              struct.setDemandPerSecondIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 3: // HELD_PER_SECOND
-            if (schemeField.type == org.apache.thrift.protocol.TType.DOUBLE) {
-              struct.heldPerSecond = iprot.readDouble();
-              struct.setHeldPerSecondIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 4: // EPOCH
+          case 2: // EPOCH
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.epoch = iprot.readI64();
               struct.setEpochIsSet(true);
@@ -587,12 +419,6 @@
       iprot.readStructEnd();
 
       // check for required fields of primitive type, which can't be checked in the validate method
-      if (!struct.isSetDemandPerSecond()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'demandPerSecond' was not found in serialized data! Struct: " + toString());
-      }
-      if (!struct.isSetHeldPerSecond()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'heldPerSecond' was not found in serialized data! Struct: " + toString());
-      }
       if (!struct.isSetEpoch()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'epoch' was not found in serialized data! Struct: " + toString());
       }
@@ -600,7 +426,7 @@
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot, TShare struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol oprot, TShareReturn struct) throws org.apache.thrift.TException {
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
@@ -609,12 +435,6 @@
         oprot.writeString(struct.caller);
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(DEMAND_PER_SECOND_FIELD_DESC);
-      oprot.writeDouble(struct.demandPerSecond);
-      oprot.writeFieldEnd();
-      oprot.writeFieldBegin(HELD_PER_SECOND_FIELD_DESC);
-      oprot.writeDouble(struct.heldPerSecond);
-      oprot.writeFieldEnd();
       oprot.writeFieldBegin(EPOCH_FIELD_DESC);
       oprot.writeI64(struct.epoch);
       oprot.writeFieldEnd();
@@ -624,33 +444,27 @@
 
   }
 
-  private static class TShareTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class TShareReturnTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public TShareTupleScheme getScheme() {
-      return new TShareTupleScheme();
+    public TShareReturnTupleScheme getScheme() {
+      return new TShareReturnTupleScheme();
     }
   }
 
-  private static class TShareTupleScheme extends org.apache.thrift.scheme.TupleScheme<TShare> {
+  private static class TShareReturnTupleScheme extends org.apache.thrift.scheme.TupleScheme<TShareReturn> {
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol prot, TShare struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol prot, TShareReturn struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       oprot.writeString(struct.caller);
-      oprot.writeDouble(struct.demandPerSecond);
-      oprot.writeDouble(struct.heldPerSecond);
       oprot.writeI64(struct.epoch);
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol prot, TShare struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol prot, TShareReturn struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       struct.caller = iprot.readString();
       struct.setCallerIsSet(true);
-      struct.demandPerSecond = iprot.readDouble();
-      struct.setDemandPerSecondIsSet(true);
-      struct.heldPerSecond = iprot.readDouble();
-      struct.setHeldPerSecondIsSet(true);
       struct.epoch = iprot.readI64();
       struct.setEpochIsSet(true);
     }
--- a/wire-gen/src/main/thrift/peer.thrift
+++ b/wire-gen/src/main/thrift/peer.thrift
@@ -19,14 +19,6 @@
   11: optional i64 fence;
 }
 
-// Limits: what a node has used, needs and holds of one caller's share.
-struct TShare {
-  1: required string caller;
-  2: required double demandPerSecond;
-  3: required double heldPerSecond;
-  4: required i64 epoch;
-}
-
 struct TNodeView { 1: required string node; 2: required string failureDomain; 3: required string address; 4: required string bootId; 5: required i32 health; 6: required i64 heartbeat; }
 
 struct THeartbeat {
@@ -37,7 +29,6 @@
   5: required i64 catalogueVersion;
   6: required i64 planVersion;
   7: required list<TVmView> vms;
-  8: required list<TShare> shares;
   9: required list<TNodeView> nodes;
   10: required i32 queuedRequests;
   11: required i32 inFlightRequests;
@@ -63,23 +54,36 @@
 struct TPromiseRequest { 1: required string planner; 2: required i64 planVersion; 3: required i64 forMillis; }
 struct TPromise { 1: required string node; 2: required bool granted; 3: required i64 forMillis; 4: required i64 planVersion; }
 
-struct TShareRequest { 1: required string caller; 2: required double wantPerSecond; 3: required i64 epoch; }
+// Shares of callers' limits: ask, grant or return.
+struct TShareAsk { 1: required string caller; 2: required double wantedPerSecond; 3: required i64 epoch; }
 struct TShareGrant { 1: required string caller; 2: required double grantedPerSecond; 3: required i64 forMillis; 4: required i64 epoch; }
+struct TShareReturn { 1: required string caller; 2: required i64 epoch; }
+
+// Room that a failure domain has for requests of others.
+struct TDomainLoad { 1: required string failureDomain; 2: required string upstream; 3: required i32 freeStreams; }
+struct TDomainLoads { 1: required list<TDomainLoad> loads; }
 
-struct TTimelineRequest { 1: required THybridTime after; 2: required i32 most; }
-struct TTimelineEvent { 1: required THybridTime time; 2: required string process; 3: required i32 code; 4: required string text; 5: required i64 catalogueVersion; 6: required i64 planVersion; }
-struct TTimeline { 1: required list<TTimelineEvent> events; }
+struct TCatalogueVersion { 1: required i64 version; 2: required string digest; }
 
-union TPeerMessage {
+union TPeerBody {
   1: THeartbeat heartbeat;
-  2: TCatalogueRequest catalogueRequest;
-  3: TCatalogue catalogue;
-  4: TPlanRequest planRequest;
-  5: TPlan plan;
-  6: TPromiseRequest promiseRequest;
-  7: TPromise promise;
-  8: TShareRequest shareRequest;
-  9: TShareGrant shareGrant;
-  10: TTimelineRequest timelineRequest;
-  11: TTimeline timeline;
+  2: TCatalogueVersion catalogueVersion;
+  3: TCatalogueRequest catalogueRequest;
+  4: TCatalogue catalogue;
+  5: TPlanRequest planRequest;
+  6: TPlan plan;
+  7: TPromiseRequest promiseRequest;
+  8: TPromise promise;
+  9: TShareAsk shareAsk;
+  10: TShareGrant shareGrant;
+  11: TShareReturn shareReturn;
+  12: TDomainLoads domainLoads;
+}
+
+// What travels: every message names its sender and carries its time.
+struct TPeerMessage {
+  1: required string sender;
+  2: required string senderDomain;
+  3: required THybridTime time;
+  4: required TPeerBody body;
 }
--- a/wire/src/main/java/org/apricotdeal/wire/PeerCodec.java
+++ b/wire/src/main/java/org/apricotdeal/wire/PeerCodec.java
@@ -17,14 +17,14 @@
     /**
      * Encodes a message.
      *
-     * @param message the message, with one field set
+     * @param message the message, with one field of its body set
      * @return its bytes
      */
     public static byte[] encode(TPeerMessage message) {
         try {
             return new TSerializer(new TCompactProtocol.Factory()).serialize(message);
         } catch (TException e) {
-            throw new IllegalArgumentException("message cannot be encoded: " + message.getSetField(), e);
+            throw new IllegalArgumentException("message cannot be encoded: " + message.getBody(), e);
         }
     }
 
@@ -41,7 +41,7 @@
         try {
             TPeerMessage message = new TPeerMessage();
             new TDeserializer(new TCompactProtocol.Factory()).deserialize(message, bytes);
-            return message.isSet() ? Result.ok(message) : Result.err("message has no known kind");
+            return message.getBody().isSet() ? Result.ok(message) : Result.err("message is of no known kind");
         } catch (TException e) {
             return Result.err("message cannot be decoded: " + e.getMessage());
         }
