Plan replicas of a failure domain: lease, plan record, builder, orders, serving view

Cause: replicas span VMs and die with any of them; one planner per failure domain has to decide membership safely. Change: Planner is a pure machine over StoreCall/StoreReply; the plan is one record changed by compare-and-swap, a new planner writes it once before any order, orders carry the version and go out only while the lease is held. ServingView decides from the engines' own states.

--- a/kernel/src/main/java/org/apricotdeal/kernel/message/Message.java
+++ b/kernel/src/main/java/org/apricotdeal/kernel/message/Message.java
@@ -21,6 +21,12 @@
     // 300: membership
 
     // 400: planning
+    PLANNER_ELECTED(401, Severity.INFO, "node %s is the planner of failure domain %s"),
+    PLANNER_YIELDED(402, Severity.WARNING, "node %s is no longer the planner: %s"),
+    PLAN_COMMITTED(403, Severity.INFO, "plan version %s is committed: %s"),
+    PLAN_CONFLICT(404, Severity.WARNING, "plan version %s was not committed: version %s is in force"),
+    PLAN_ADOPTED(405, Severity.INFO, "plan version %s by %s is in force"),
+    ORDER_FAILED(406, Severity.WARNING, "order to %s failed: %s"),
 
     // 500: claims
 
--- /dev/null
+++ b/policy/src/main/java/org/apricotdeal/policy/planning/PlannedReplica.java
@@ -0,0 +1,56 @@
+package org.apricotdeal.policy.planning;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.apricotdeal.engine.EnginePhase;
+import org.apricotdeal.engine.EngineState;
+import org.apricotdeal.kernel.id.ReplicaId;
+import org.apricotdeal.kernel.id.UpstreamId;
+import org.apricotdeal.kernel.id.VmId;
+
+/**
+ * A replica as planned. An id and a generation together never stand for two different lists of members.
+ *
+ * @param id the replica
+ * @param generation grows by one with each change of the members
+ * @param model the model
+ * @param members members by rank; the first serves requests
+ * @param spanning whether the members lie in several fabric domains, which makes the replica slow
+ */
+public record PlannedReplica(
+        ReplicaId id, long generation, UpstreamId model, List<PlannedMember> members, boolean spanning) {
+    /** Copies the list. */
+    public PlannedReplica {
+        members = List.copyOf(members);
+    }
+
+    /**
+     * Returns the members' VMs.
+     *
+     * @return the VMs by rank
+     */
+    public List<VmId> vms() {
+        List<VmId> vms = new ArrayList<>(members.size());
+        for (PlannedMember member : members) {
+            vms.add(member.vm());
+        }
+        return vms;
+    }
+
+    /**
+     * Tells whether an engine's state is that of a member of this replica.
+     *
+     * @param member the member
+     * @param state what its engine reports
+     * @return true where boot id, replica, generation and members are as planned
+     */
+    public boolean isJoined(PlannedMember member, EngineState state) {
+        return state != null
+                && state.phase() == EnginePhase.JOINED
+                && member.bootId().equals(state.bootId())
+                && id.equals(state.replica())
+                && generation == state.generation()
+                && vms().equals(state.members());
+    }
+}
