--- /dev/null
+++ b/catalogue/src/main/java/org/apricotdeal/catalogue/codec/package-info.java
@@ -0,0 +1,2 @@
+/** Catalogues and entries as JSON. */
+package org.apricotdeal.catalogue.codec;
--- /dev/null
+++ b/catalogue/src/main/java/org/apricotdeal/catalogue/diff/package-info.java
@@ -0,0 +1,2 @@
+/** Differences between catalogues. */
+package org.apricotdeal.catalogue.diff;
--- a/kernel/src/main/java/org/apricotdeal/kernel/message/Message.java
+++ b/kernel/src/main/java/org/apricotdeal/kernel/message/Message.java
@@ -17,6 +17,13 @@
     // 200: catalogue
     CATALOGUE_ADOPTED(201, Severity.INFO, "catalogue version %s is in force, learned from %s"),
     CATALOGUE_REFUSED(202, Severity.WARNING, "catalogue version %s refused: version %s is in force"),
+    CATALOGUE_SECTION_UNKNOWN(210, Severity.ERROR, "found section \"%s\", expected %s"),
+    CATALOGUE_VALUE_INVALID(211, Severity.ERROR, "found \"%s\", expected %s"),
+    CATALOGUE_REFERENCE_UNKNOWN(212, Severity.ERROR, "found \"%s\", expected the name of a %s entry; known: %s"),
+    CATALOGUE_VALUE_SHARED(213, Severity.ERROR, "found \"%s\", which %s has too; expected a value of its own"),
+    CATALOGUE_FLOORS_TOO_LARGE(214, Severity.ERROR, "found floors that add up to %s, expected at most %s"),
+    CATALOGUE_CLASS_MISSING(215, Severity.ERROR, "found no class entry, expected at least one"),
+    CATALOGUE_TOO_LARGE(216, Severity.ERROR, "found %s bytes of JSON, expected at most %s"),
 
     // 300: membership
 
--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/proofs/catalogue/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the catalogue: reading, checking, encoding, comparing and changing. */
+package org.apricotdeal.proofs.catalogue;
