Add the dispatcher: admission, routing, limits and retries as one pure state machine

Cause: the node needs one decision point for when and where a request is served. Change: packages policy.admission, policy.routing, policy.limits and policy.retry. Dispatcher takes DispatcherEvent and returns DispatcherAction; requests wait in a queue for each upstream, class and caller, and targets get no more than they decode. Ruled out: queueing in the engines, whose queues know neither classes nor callers. No measurement under load yet.

--- a/kernel/src/main/java/org/apricotdeal/kernel/message/Message.java
+++ b/kernel/src/main/java/org/apricotdeal/kernel/message/Message.java
@@ -25,6 +25,9 @@
     // 500: claims
 
     // 600: admission, routing, limits, retries
+    STRAGGLER_FOUND(
+            601, Severity.WARNING, "target %s is slower than its peers, %s ms between tokens; it gets less work"),
+    STRAGGLER_RECOVERED(602, Severity.INFO, "target %s is as fast as its peers again, %s ms between tokens"),
 
     // 700: platform
     PLATFORM_UNREACHABLE(701, Severity.WARNING, "platform is unreachable: %s"),
--- /dev/null
+++ b/policy/src/main/java/org/apricotdeal/policy/admission/UpstreamBoard.java
@@ -0,0 +1,124 @@
+package org.apricotdeal.policy.admission;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.apricotdeal.catalogue.model.CallerWeighting;
+import org.apricotdeal.catalogue.model.Catalogue;
+import org.apricotdeal.catalogue.model.ClassEntry;
+import org.apricotdeal.catalogue.model.ModelEntry;
+import org.apricotdeal.catalogue.model.ServiceEntry;
+import org.apricotdeal.kernel.id.ClassId;
+import org.apricotdeal.kernel.id.UpstreamId;
+import org.apricotdeal.policy.routing.Target;
+import org.apricotdeal.policy.routing.TargetId;
+import org.apricotdeal.policy.routing.TargetState;
+
+/** All upstreams with their targets and classes, kept in step with the catalogue and with membership. */
+final class UpstreamBoard {
+    private static final double MODEL_MILLIS_PER_TOKEN = 30;
+    private static final double SERVICE_MILLIS_PER_CALL = 50;
+    private static final ClassId SINGLE = new ClassId("all");
+
+    private final AdmissionOptions options;
+    private final Map<UpstreamId, UpstreamState> upstreams = new HashMap<>();
+    private final Map<TargetId, TargetState> targets = new HashMap<>();
+    private List<Target> latest = List.of();
+    private CallerWeighting weighting = CallerWeighting.WEIGHTED;
+
+    UpstreamBoard(AdmissionOptions options) {
+        this.options = options;
+    }
+
+    /** Takes a catalogue; upstreams and classes that it no longer names stay until their requests have ended. */
+    void catalogueChanged(Catalogue catalogue) {
+        weighting = catalogue.policy().callerWeighting();
+        for (ModelEntry model : catalogue.all(ModelEntry.class)) {
+            upstreams.computeIfAbsent(model.id(), id -> new UpstreamState(id, MODEL_MILLIS_PER_TOKEN));
+        }
+        for (ServiceEntry service : catalogue.all(ServiceEntry.class)) {
+            upstreams.computeIfAbsent(service.id(), id -> new UpstreamState(id, SERVICE_MILLIS_PER_CALL));
+        }
+        for (UpstreamState upstream : upstreams.values()) {
+            changeClasses(upstream, catalogue.all(ClassEntry.class));
+        }
+        assignTargets();
+    }
+
+    private void changeClasses(UpstreamState upstream, List<ClassEntry> entries) {
+        if (!options.classes()) {
+            int maxQueued = entries.stream().mapToInt(ClassEntry::maxQueued).sum();
+            changeClass(upstream, new ClassEntry(SINGLE, "none", 0, 1, 0, 0, false, maxQueued));
+            return;
+        }
+        for (ClassEntry entry : entries) {
+            changeClass(upstream, entry);
+        }
+    }
+
+    private void changeClass(UpstreamState upstream, ClassEntry entry) {
+        ClassState state = upstream.classById.get(entry.id());
+        if (state == null) {
+            upstream.addClass(new ClassState(entry, new ClassQueue(newFairness())));
+            return;
+        }
+        state.entry = entry;
+        upstream.sortClasses();
+    }
+
+    private CallerFairness newFairness() {
+        if (!options.callerFairness()) {
+            return new ArrivalOrder();
+        }
+        return switch (weighting) {
+            case WEIGHTED -> new WeightedFairness();
+            case SMALL_FIRST -> new SmallFirstFairness();
+        };
+    }
+
+    /** Takes all targets; those that are missing get no new work. */
+    void capacityChanged(List<Target> changed) {
+        latest = changed;
+        assignTargets();
+        targets.values().removeIf(state -> state.inFlight() == 0 && !latest.contains(state.target()));
+    }
+
+    private void assignTargets() {
+        for (UpstreamState upstream : upstreams.values()) {
+            upstream.targets.clear();
+        }
+        for (Target target : latest) {
+            TargetState state = targets.computeIfAbsent(target.id(), id -> new TargetState(target));
+            state.change(target);
+            UpstreamState upstream = upstreams.get(target.upstream());
+            if (upstream != null) {
+                upstream.targets.add(state);
+            }
+        }
+    }
+
+    /** Returns an upstream, or null where the catalogue names none of that id. */
+    UpstreamState find(UpstreamId id) {
+        return upstreams.get(id);
+    }
+
+    /** Returns the state of a target, or null where it is unknown. */
+    TargetState target(TargetId id) {
+        return targets.get(id);
+    }
+
+    /** Returns a class at an upstream, or null where the catalogue names none of that id. */
+    ClassState classOf(UpstreamState upstream, ClassId id) {
+        return upstream.classById.get(options.classes() ? id : SINGLE);
+    }
+
+    Collection<UpstreamState> all() {
+        return upstreams.values();
+    }
+
+    boolean isSmallFirst() {
+        return weighting == CallerWeighting.SMALL_FIRST;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/apricotdeal/policy/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Bounds on retries. */
+package org.apricotdeal.policy.retry;
--- /dev/null
+++ b/policy/src/main/java/org/apricotdeal/policy/routing/PrefixHash.java
@@ -0,0 +1,34 @@
+package org.apricotdeal.policy.routing;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+
+/** Hashes of prompt prefixes and of targets; equal on all nodes and in all runs. */
+public final class PrefixHash {
+    private static final long MIX_FIRST = 0xbf58476d1ce4e5b9L;
+    private static final long MIX_SECOND = 0x94d049bb133111ebL;
+
+    private PrefixHash() {}
+
+    /**
+     * Hashes a text.
+     *
+     * @param text a prompt's prefix or a name
+     * @return 64-bit hash
+     */
+    public static long of(String text) {
+        return Hashing.komihash5_0().hashCharsToLong(text);
+    }
+
+    /**
+     * Mixes the bits of a value, so that sums of hashes can serve as hashes.
+     *
+     * @param value the value
+     * @return the mixed value (the finaliser of SplitMix64)
+     */
+    public static long mix(long value) {
+        long mixed = value;
+        mixed = (mixed ^ (mixed >>> 30)) * MIX_FIRST;
+        mixed = (mixed ^ (mixed >>> 27)) * MIX_SECOND;
+        return mixed ^ (mixed >>> 31);
+    }
+}
