--- a/kernel/src/main/java/org/apricotdeal/kernel/message/Message.java
+++ b/kernel/src/main/java/org/apricotdeal/kernel/message/Message.java
@@ -17,14 +17,30 @@
     // 200: catalogue
     CATALOGUE_ADOPTED(201, Severity.INFO, "catalogue version %s is in force, learned from %s"),
     CATALOGUE_REFUSED(202, Severity.WARNING, "catalogue version %s refused: version %s is in force"),
+    CATALOGUE_SECTION_UNKNOWN(210, Severity.ERROR, "found section \"%s\", expected %s"),
+    CATALOGUE_VALUE_INVALID(211, Severity.ERROR, "found \"%s\", expected %s"),
+    CATALOGUE_REFERENCE_UNKNOWN(212, Severity.ERROR, "found \"%s\", expected the name of a %s entry; known: %s"),
+    CATALOGUE_VALUE_SHARED(213, Severity.ERROR, "found \"%s\", which %s has too; expected a value of its own"),
+    CATALOGUE_FLOORS_TOO_LARGE(214, Severity.ERROR, "found floors that add up to %s, expected at most %s"),
+    CATALOGUE_CLASS_MISSING(215, Severity.ERROR, "found no class entry, expected at least one"),
+    CATALOGUE_TOO_LARGE(216, Severity.ERROR, "found %s bytes of JSON, expected at most %s"),
 
     // 300: membership
 
     // 400: planning
+    PLANNER_ELECTED(401, Severity.INFO, "node %s is the planner of failure domain %s"),
+    PLANNER_YIELDED(402, Severity.WARNING, "node %s is no longer the planner: %s"),
+    PLAN_COMMITTED(403, Severity.INFO, "plan version %s is committed: %s"),
+    PLAN_CONFLICT(404, Severity.WARNING, "plan version %s was not committed: version %s is in force"),
+    PLAN_ADOPTED(405, Severity.INFO, "plan version %s by %s is in force"),
+    ORDER_FAILED(406, Severity.WARNING, "order to %s failed: %s"),
 
     // 500: claims
 
     // 600: admission, routing, limits, retries
+    STRAGGLER_FOUND(
+            601, Severity.WARNING, "target %s is slower than its peers, %s ms between tokens; it gets less work"),
+    STRAGGLER_RECOVERED(602, Severity.INFO, "target %s is as fast as its peers again, %s ms between tokens"),
 
     // 700: platform
     PLATFORM_UNREACHABLE(701, Severity.WARNING, "platform is unreachable: %s"),
