Test services, VM list, cache events and settings; read an engine's cache events over HTTP

Cause: what the adapters promise of silent, refused and closing connections was not shown, and the node had no way to read cache events. Faults are set over connections of their own: a control call on the pooled connection under test had closed it and so hid the fault (found as a failure of silentConnectionIsUnknownOnceAndThenAvoided).

--- a/http/src/main/java/org/apricotdeal/http/EngineJson.java
+++ b/http/src/main/java/org/apricotdeal/http/EngineJson.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.apricotdeal.engine.CacheEvent;
 import org.apricotdeal.engine.CompletionRequest;
 import org.apricotdeal.engine.EngineLoad;
 import org.apricotdeal.engine.EnginePhase;
@@ -151,6 +152,17 @@
         return json;
     }
 
+    static List<CacheEvent> readCacheEvents(String text) throws JsonProcessingException {
+        List<CacheEvent> events = new ArrayList<>();
+        for (JsonNode event : MAPPER.readTree(text).path("events")) {
+            events.add(new CacheEvent(
+                    event.path("sequence").asLong(),
+                    event.path("kind").asText().equals("stored"),
+                    event.path("prefix").asText()));
+        }
+        return events;
+    }
+
     private static ArrayNode names(List<VmId> vms) {
         ArrayNode names = MAPPER.createArrayNode();
         vms.forEach(vm -> names.add(vm.value()));
--- a/http/src/main/java/org/apricotdeal/http/HttpEngineClient.java
+++ b/http/src/main/java/org/apricotdeal/http/HttpEngineClient.java
@@ -1,15 +1,19 @@
 package org.apricotdeal.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.apricotdeal.engine.CacheEvent;
+import org.apricotdeal.engine.CacheEventReader;
 import org.apricotdeal.engine.CompletionRequest;
 import org.apricotdeal.engine.EngineClient;
 import org.apricotdeal.engine.EngineState;
@@ -30,7 +34,13 @@
  * has gone silent can neither hide a live engine nor delay an order. Every attempt at a stream has its own name at the
  * engine, so that cancelling an attempt that went silent can't hit the attempt that replaces it.
  */
-public final class HttpEngineClient implements EngineClient {
+public final class HttpEngineClient implements EngineClient, CacheEventReader {
+    /**
+     * Milliseconds without a byte after which a cancelled stream's connection counts as silent: later streams to the same
+     * address open new connections.
+     */
+    public static final long SILENCE_MILLIS = 250;
+
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int CLIENT_NAME_CHARS = 8;
 
@@ -49,25 +59,47 @@
 
     @Override
     public CompletableFuture<Result<EngineState, String>> state(String address, long timeoutMillis) {
-        CompletableFuture<Result<EngineState, String>> state = new CompletableFuture<>();
+        return read(
+                () -> destinations.singleUse(address, "probe").path("/engine/state"),
+                timeoutMillis,
+                EngineJson::readState);
+    }
+
+    @Override
+    public CompletableFuture<Result<List<CacheEvent>, String>> cacheEvents(
+            String address, long after, long timeoutMillis) {
+        return read(
+                () -> destinations.pooled(address).path("/engine/cache-events").param("after", Long.toString(after)),
+                timeoutMillis,
+                EngineJson::readCacheEvents);
+    }
+
+    /** Reads an answer's body. */
+    private interface BodyReader<T> {
+        T read(String body) throws JsonProcessingException;
+    }
+
+    private static <T> CompletableFuture<Result<T, String>> read(
+            Supplier<Request> builder, long timeoutMillis, BodyReader<T> reader) {
+        CompletableFuture<Result<T, String>> answer = new CompletableFuture<>();
         Request request;
         try {
-            request = destinations.singleUse(address, "probe");
+            request = builder.get();
         } catch (IllegalArgumentException e) {
-            state.complete(Result.err(e.getMessage()));
-            return state;
+            answer.complete(Result.err(e.getMessage()));
+            return answer;
         }
-        request.path("/engine/state").timeout(timeoutMillis, TimeUnit.MILLISECONDS);
-        request.send(new BufferingResponseListener() {
+        request.timeout(timeoutMillis, TimeUnit.MILLISECONDS).send(new BufferingResponseListener() {
             @Override
             public void onComplete(org.eclipse.jetty.client.Result result) {
-                state.complete(readState(result, getContentAsString()));
+                answer.complete(readAnswer(result, getContentAsString(), reader));
             }
         });
-        return state;
+        return answer;
     }
 
-    private static Result<EngineState, String> readState(org.eclipse.jetty.client.Result result, String body) {
+    private static <T> Result<T, String> readAnswer(
+            org.eclipse.jetty.client.Result result, String body, BodyReader<T> reader) {
         if (result.isFailed()) {
             return Result.err(Failures.describe(result.getFailure()));
         }
@@ -75,9 +107,9 @@
             return Result.err("status " + result.getResponse().getStatus());
         }
         try {
-            return Result.ok(EngineJson.readState(body));
+            return Result.ok(reader.read(body));
         } catch (JsonProcessingException | IllegalArgumentException e) {
-            return Result.err("not a valid state: " + e.getMessage());
+            return Result.err("not a valid answer: " + e.getMessage());
         }
     }
 
--- a/http/src/main/java/org/apricotdeal/http/TokenStream.java
+++ b/http/src/main/java/org/apricotdeal/http/TokenStream.java
@@ -23,9 +23,6 @@
     /** Longest time to tell an engine that an attempt is cancelled. */
     static final long CANCEL_TIMEOUT_MILLIS = 2_000;
 
-    /** A connection without a byte for this long is not used again after its stream was cancelled. */
-    private static final long SILENCE_MILLIS = 250;
-
     private static final int MAX_REFUSAL_BYTES = 2_048;
     private static final String DATA_PREFIX = "data:";
     private static final String END_MARK = "[DONE]";
@@ -62,7 +59,7 @@
     }
 
     boolean wasSilent() {
-        return System.nanoTime() - lastByteNanos >= TimeUnit.MILLISECONDS.toNanos(SILENCE_MILLIS);
+        return System.nanoTime() - lastByteNanos >= TimeUnit.MILLISECONDS.toNanos(HttpEngineClient.SILENCE_MILLIS);
     }
 
     @Override
--- a/proofs/src/test/java/org/apricotdeal/proofs/http/HttpEngineClientTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/http/HttpEngineClientTest.java
@@ -2,12 +2,16 @@
 
 import java.util.List;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
+import org.apricotdeal.engine.CacheEvent;
 import org.apricotdeal.engine.CompletionRequest;
 import org.apricotdeal.engine.EnginePhase;
 import org.apricotdeal.engine.EngineState;
 import org.apricotdeal.engine.Order;
 import org.apricotdeal.engine.OrderOutcome;
+import org.apricotdeal.engine.PromptPrefixes;
 import org.apricotdeal.engine.StreamFailure;
 import org.apricotdeal.engine.StreamHandle;
 import org.apricotdeal.http.HttpEngineClient;
@@ -47,6 +51,8 @@
                 loadMillis = 20
                 maxRunning = 2
                 credential = engine-secret
+                cacheEventLossShare = 0
+                cacheEventLagMillis = 20
                 failureDomain = at-east-a
 
                 [vm q1]
@@ -150,6 +156,7 @@
         RecordedStream cancelled = new RecordedStream();
         StreamHandle handle = engines.stream(standins.address("q1"), request("r1", 1_000_000, List.of()), cancelled);
         cancelled.awaitTokens(2);
+        StandinFixture.await("the report of the load", () -> state("q1").load().running() == 1);
         handle.cancel();
         StandinFixture.await("the free place", () -> state("q1").load().running() == 0);
         assertTrue(cancelled.isOpen());
@@ -184,17 +191,50 @@
     @Test
     public void silentConnectionSaysNothingWhileNewOnesWork() {
         formReplica(1);
+        List<RecordedStream> pooled = List.of(
+                stream(request("p1", 3, List.of())),
+                stream(request("p2", 3, List.of())),
+                stream(request("p3", 3, List.of())),
+                stream(request("p4", 3, List.of())));
+        pooled.forEach(stream -> stream.awaitFinished("length"));
         RecordedStream silent = new RecordedStream();
         StreamHandle handle = engines.stream(standins.address("q1"), request("r1", 1_000_000, List.of()), silent);
         silent.awaitTokens(1);
         standins.faults("q1", "{\"silent\": true}");
-        RecordedStream fresh = new RecordedStream();
+        assertEquals(state("q1").phase(), EnginePhase.JOINED);
+        RecordedStream moved = new RecordedStream();
+        StreamHandle stuck = engines.stream(standins.address("q1"), request("r1", 4, List.of()), moved);
+        awaitSilence();
+        stuck.cancel();
         handle.cancel();
-        StandinFixture.await("a stream on a new connection", () -> {
-            RecordedStream attempt = stream(request("r1", 4, List.of()));
-            return attempt.awaitEnd() instanceof RecordedStream.Finished;
-        });
-        assertEquals(fresh.text(), "");
+        RecordedStream fresh = stream(request("r1", 4, List.of()));
+        fresh.awaitFinished("length");
+        assertEquals(fresh.text(), ExpectedAnswer.text(PROMPT, 4));
+        StandinFixture.await("the silent streams' end", () -> state("q1").load().running() == 0);
+        assertTrue(silent.isOpen());
+    }
+
+    @Test
+    public void cacheEventsTellWhichPrefixesAnEngineHolds() {
+        formReplica(1);
+        String prompt = "p".repeat(3 * PromptPrefixes.BLOCK_CHARS);
+        RecordedStream stream = new RecordedStream();
+        StreamHandle unused = engines.stream(
+                standins.address("q1"),
+                new CompletionRequest(new RequestId("r1"), MODEL, prompt, 1, 0, List.of()),
+                stream);
+        stream.awaitFinished("length");
+        StandinFixture.await("the events", () -> cacheEvents(0).size() == 3);
+        assertEquals(cacheEvents(0).stream().map(CacheEvent::prefix).toList(), PromptPrefixes.of(prompt, 3));
+        assertEquals(cacheEvents(2).size(), 1);
+    }
+
+    private List<CacheEvent> cacheEvents(long after) {
+        return switch (engines.cacheEvents(standins.address("q1"), after, TIMEOUT_MILLIS)
+                .join()) {
+            case Result.Ok<List<CacheEvent>, String>(List<CacheEvent> events) -> events;
+            case Result.Err<List<CacheEvent>, String>(String detail) -> throw new AssertionError(detail);
+        };
     }
 
     @Test
@@ -233,6 +273,11 @@
         StandinFixture.await("the late order", () -> state("q1").fence() == 3);
     }
 
+    /** Waits until the adapter takes a connection without a byte for a silent one. */
+    private static void awaitSilence() {
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(HttpEngineClient.SILENCE_MILLIS + 50));
+    }
+
     private void formReplica(long fence) {
         for (VmId vm : MEMBERS) {
             load(vm.value(), fence);
--- a/proofs/src/test/java/org/apricotdeal/proofs/standins/StandinFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/standins/StandinFixture.java
@@ -40,6 +40,7 @@
 
     private final Map<String, Integer> ports = new HashMap<>();
     private final HttpClient client = HttpClients.start("test-client", CONNECT_TIMEOUT_MILLIS);
+    private final HttpClient control = HttpClients.start("test-control", CONNECT_TIMEOUT_MILLIS);
     private final StandinFleet fleet;
 
     private StandinFixture(String ini) {
@@ -94,7 +95,7 @@
     }
 
     /**
-     * Returns the shared client.
+     * Returns the client for the adapters under test; faults are set over connections of another one.
      *
      * @return the started client
      */
@@ -139,7 +140,7 @@
      */
     public void post(String name, String path, String json) {
         try {
-            ContentResponse response = client.newRequest("http://" + address(name) + path)
+            ContentResponse response = control.newRequest("http://" + address(name) + path)
                     .method("POST")
                     .headers(headers -> headers.put("connection", "close"))
                     .body(new BytesRequestContent("application/json", json.getBytes(StandardCharsets.UTF_8)))
@@ -151,20 +152,34 @@
     }
 
     /**
-     * Reads JSON from a stand-in.
+     * Reads JSON from a stand-in; reads again where its connection is closed under the call.
      *
      * @param name name of the stand-in's port
      * @param path path and query
      * @return the JSON
      */
     public JsonNode get(String name, String path) {
+        ContentResponse[] response = new ContentResponse[1];
+        await("an answer to " + path, () -> {
+            response[0] = tryGet(name, path);
+            return response[0] != null;
+        });
+        assertEquals(response[0].getStatus(), 200, response[0].getContentAsString());
         try {
-            ContentResponse response = client.newRequest("http://" + address(name) + path)
+            return MAPPER.readTree(response[0].getContentAsString());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private ContentResponse tryGet(String name, String path) {
+        try {
+            return control.newRequest("http://" + address(name) + path)
                     .headers(headers -> headers.put("connection", "close"))
                     .send();
-            assertEquals(response.getStatus(), 200, response.getContentAsString());
-            return MAPPER.readTree(response.getContentAsString());
-        } catch (InterruptedException | TimeoutException | ExecutionException | IOException e) {
+        } catch (ExecutionException e) {
+            return null;
+        } catch (InterruptedException | TimeoutException e) {
             throw new AssertionError(e);
         }
     }
@@ -197,5 +212,6 @@
     public void close() {
         fleet.close();
         HttpClients.stop(client);
+        HttpClients.stop(control);
     }
 }
--- a/standins/src/main/java/org/apricotdeal/standins/engine/CacheEventLog.java
+++ b/standins/src/main/java/org/apricotdeal/standins/engine/CacheEventLog.java
@@ -11,7 +11,7 @@
 import org.apricotdeal.kernel.time.Clock;
 
 /** Cache events as an engine publishes them: late, with some lost, and only the newest kept. */
-final class CacheEventLog {
+public final class CacheEventLog {
     private static final int CAPACITY = 4_096;
 
     private final Clock clock;
@@ -22,21 +22,37 @@
     private long nextSequence = 1;
 
     /** What happened to a prefix. */
-    enum Kind {
+    public enum Kind {
+        /** It is in the cache now. */
         STORED,
+        /** It has made room for another. */
         EVICTED
     }
 
     private record Event(long sequence, Kind kind, String prefix, long publishedAtMillis) {}
 
-    CacheEventLog(Clock clock, long lagMillis, double lossShare, long seed) {
+    /**
+     * Creates an empty log.
+     *
+     * @param clock tells the time
+     * @param lagMillis delay until an event is published
+     * @param lossShare share of events that are never published, from 0 to 1
+     * @param seed seed of the choice of lost events
+     */
+    public CacheEventLog(Clock clock, long lagMillis, double lossShare, long seed) {
         this.clock = clock;
         this.lagMillis = lagMillis;
         this.lossShare = lossShare;
         this.random = new Random(seed);
     }
 
-    synchronized void add(Kind kind, String prefix) {
+    /**
+     * Takes an event, which gets the next sequence number whether it will be published or not.
+     *
+     * @param kind what happened
+     * @param prefix the prefix
+     */
+    public synchronized void add(Kind kind, String prefix) {
         long sequence = nextSequence++;
         if (random.nextDouble() < lossShare) {
             return;
@@ -47,8 +63,13 @@
         }
     }
 
-    /** Returns the published events after a sequence number. */
-    synchronized ObjectNode json(long after) {
+    /**
+     * Returns the published events after a sequence number.
+     *
+     * @param after the number
+     * @return the events as JSON, see docs/PROTOCOLS.md
+     */
+    public synchronized ObjectNode json(long after) {
         ObjectNode json = JsonNodeFactory.instance.objectNode();
         ArrayNode published = json.putArray("events");
         long nowMillis = clock.monotonicMillis();
--- a/standins/src/main/java/org/apricotdeal/standins/engine/PrefixCache.java
+++ b/standins/src/main/java/org/apricotdeal/standins/engine/PrefixCache.java
@@ -8,20 +8,31 @@
 import org.apricotdeal.engine.PromptPrefixes;
 
 /** Prompt prefixes in an engine's limited cache; the one not used for longest makes room. */
-final class PrefixCache {
+public final class PrefixCache {
     private static final int MAX_BLOCKS = 64;
 
     private final int capacity;
     private final CacheEventLog events;
     private final Map<String, Boolean> prefixes = new LinkedHashMap<>(16, 0.75f, true);
 
-    PrefixCache(int capacity, CacheEventLog events) {
+    /**
+     * Creates an empty cache.
+     *
+     * @param capacity prefixes that fit
+     * @param events takes what is stored and evicted
+     */
+    public PrefixCache(int capacity, CacheEventLog events) {
         this.capacity = capacity;
         this.events = events;
     }
 
-    /** Computes a prompt: stores its prefixes and returns the share of it that was not in the cache. */
-    synchronized double compute(String prompt) {
+    /**
+     * Computes a prompt and stores its prefixes.
+     *
+     * @param prompt the prompt
+     * @return the share of the prompt that was not in the cache, from 0 to 1
+     */
+    public synchronized double compute(String prompt) {
         List<String> names = PromptPrefixes.of(prompt, MAX_BLOCKS);
         int cached = 0;
         while (cached < names.size() && prefixes.get(names.get(cached)) != null) {
@@ -36,7 +47,12 @@
         return 1.0 - (double) cached * PromptPrefixes.BLOCK_CHARS / prompt.length();
     }
 
-    synchronized double usedShare() {
+    /**
+     * Tells how full the cache is.
+     *
+     * @return the used share, from 0 to 1
+     */
+    public synchronized double usedShare() {
         return capacity == 0 ? 0 : (double) prefixes.size() / capacity;
     }
 
--- a/standins/src/main/java/org/apricotdeal/standins/platform/VmRegistry.java
+++ b/standins/src/main/java/org/apricotdeal/standins/platform/VmRegistry.java
@@ -13,7 +13,7 @@
 import org.apricotdeal.platform.VmState;
 
 /** The platform's VMs; what the list shows lags behind. */
-final class VmRegistry {
+public final class VmRegistry {
     private final Clock clock;
     private final long lagMillis;
     private final Map<VmId, Vm> known = new TreeMap<>();
@@ -23,7 +23,15 @@
     /** A change that the list shows from a time on; without a VM it is a removal. */
     private record Change(long showsAtMillis, VmId id, Vm vm) {}
 
-    VmRegistry(Clock clock, long lagMillis, List<Vm> vms, List<VmId> absent) {
+    /**
+     * Creates a registry.
+     *
+     * @param clock tells the time
+     * @param lagMillis delay until a change shows in the list
+     * @param vms all VMs that the platform knows
+     * @param absent those of them that the list does not show at first
+     */
+    public VmRegistry(Clock clock, long lagMillis, List<Vm> vms, List<VmId> absent) {
         this.clock = clock;
         this.lagMillis = lagMillis;
         for (Vm vm : vms) {
@@ -34,7 +42,12 @@
         }
     }
 
-    synchronized List<Vm> shown() {
+    /**
+     * Returns the list as it shows now.
+     *
+     * @return the VMs by id
+     */
+    public synchronized List<Vm> shown() {
         while (!changes.isEmpty() && changes.peekFirst().showsAtMillis() <= clock.monotonicMillis()) {
             Change change = changes.removeFirst();
             if (change.vm() == null) {
@@ -46,8 +59,14 @@
         return new ArrayList<>(shown.values());
     }
 
-    /** Changes a VM's state; false where the platform knows no such VM. */
-    synchronized boolean state(VmId id, VmState state) {
+    /**
+     * Changes a VM's state.
+     *
+     * @param id the VM
+     * @param state its new state
+     * @return false where the platform knows no such VM
+     */
+    public synchronized boolean state(VmId id, VmState state) {
         Vm vm = known.get(id);
         if (vm == null) {
             return false;
@@ -59,8 +78,13 @@
         return true;
     }
 
-    /** Takes a VM off the list; false where the platform knows no such VM. */
-    synchronized boolean remove(VmId id) {
+    /**
+     * Takes a VM off the list.
+     *
+     * @param id the VM
+     * @return false where the platform knows no such VM
+     */
+    public synchronized boolean remove(VmId id) {
         if (!known.containsKey(id)) {
             return false;
         }
