Wire the decisions into the node: catalogue, fleet, planning, claims, dispatch, streams, calls

Cause: the policy packages had no owner that carries out their actions. Ruled out: blocking hand-over between the dispatcher and the requests in progress, since two duties that wait for each other's full ring never go on; decisions come as notices that never wait instead.

--- a/kernel/src/main/java/org/apricotdeal/kernel/timeline/Timeline.java
+++ b/kernel/src/main/java/org/apricotdeal/kernel/timeline/Timeline.java
@@ -64,9 +64,18 @@
      * @param message what happened
      * @param arguments values for the message's template
      */
-    public synchronized void record(Message message, Object... arguments) {
+    public void record(Message message, Object... arguments) {
+        recordText(message, message.format(arguments));
+    }
+
+    /**
+     * Records an event whose text is filled in.
+     *
+     * @param message what happened
+     * @param text the message's text
+     */
+    public synchronized void recordText(Message message, String text) {
         HybridTime time = clock.next();
-        String text = message.format(arguments);
         events.addLast(new TimelineEvent(time, process, message, text, catalogueVersion, planVersion));
         if (events.size() > capacity) {
             events.removeFirst();
--- a/node/src/main/java/org/apricotdeal/node/caller/AnswerWriter.java
+++ b/node/src/main/java/org/apricotdeal/node/caller/AnswerWriter.java
@@ -15,14 +15,14 @@
  * Writes one completion to its caller, token by token or as a whole. Tokens that arrive while a write is in progress are
  * joined into the next one, so that a slow caller costs memory for its own answer only and never blocks a thread.
  */
-final class AnswerWriter {
+public final class AnswerWriter {
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final RequestId id;
     private final boolean stream;
     private final Response response;
     private final Callback exchange;
-    private final Runnable onCallerGone;
+    private volatile Runnable onCallerGone = () -> {};
     private final StringBuilder pending = new StringBuilder();
     private final StringBuilder whole = new StringBuilder();
     private int tokens;
@@ -31,15 +31,29 @@
     private boolean last;
     private boolean closed;
 
-    AnswerWriter(RequestId id, boolean stream, Response response, Callback exchange, Runnable onCallerGone) {
+    AnswerWriter(RequestId id, boolean stream, Response response, Callback exchange) {
         this.id = id;
         this.stream = stream;
         this.response = response;
         this.exchange = exchange;
-        this.onCallerGone = onCallerGone;
     }
 
-    synchronized void token(int offset, String text) {
+    /**
+     * Sets what happens when the caller has gone.
+     *
+     * @param action must not block
+     */
+    public void onCallerGone(Runnable action) {
+        onCallerGone = action;
+    }
+
+    /**
+     * Writes a token.
+     *
+     * @param offset its offset in the whole answer, from 0
+     * @param text its text
+     */
+    public synchronized void token(int offset, String text) {
         tokens++;
         if (!stream) {
             whole.append(text);
@@ -49,7 +63,12 @@
         flush();
     }
 
-    synchronized void finished(String reason) {
+    /**
+     * Ends the answer.
+     *
+     * @param reason why the engine ended it
+     */
+    public synchronized void finished(String reason) {
         if (stream) {
             pending.append("data: ").append(chunk(tokens, "", reason)).append("\n\n");
             pending.append("data: [DONE]\n\n");
@@ -64,8 +83,12 @@
         response.write(true, ByteBuffer.wrap(body), exchange);
     }
 
-    /** Ends the exchange with a failure; a stream that has begun gets it as its last event. */
-    synchronized void failed(Failure failure) {
+    /**
+     * Ends the exchange with a failure; a stream that has begun gets it as its last event.
+     *
+     * @param failure the failure
+     */
+    public synchronized void failed(Failure failure) {
         if (closed || last) {
             return;
         }
--- /dev/null
+++ b/node/src/main/java/org/apricotdeal/node/caller/CallWriter.java
@@ -0,0 +1,62 @@
+package org.apricotdeal.node.caller;
+
+import java.nio.ByteBuffer;
+import java.util.Map;
+
+import org.apricotdeal.engine.ServiceOutcome;
+import org.apricotdeal.policy.claims.ClaimAnswer;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Writes the answer of one call to a plain service to its caller. */
+public final class CallWriter {
+    /** Header that marks an answer recorded for an earlier request with the same idempotency key. */
+    public static final String REPLAYED_HEADER = "apricotdeal-replayed";
+
+    private final Response response;
+    private final Callback exchange;
+
+    CallWriter(Response response, Callback exchange) {
+        this.response = response;
+        this.exchange = exchange;
+    }
+
+    /**
+     * Passes an answer on, whole.
+     *
+     * @param answer the service's answer
+     */
+    public void answered(ServiceOutcome.Answered answer) {
+        response.setStatus(answer.status());
+        for (Map.Entry<String, String> header : answer.headers().entrySet()) {
+            response.getHeaders().put(header.getKey(), header.getValue());
+        }
+        response.getHeaders().put(Outcome.HEADER, Outcome.ANSWERED.word());
+        response.write(true, ByteBuffer.wrap(answer.body()), exchange);
+    }
+
+    /**
+     * Writes the recorded answer of an earlier request.
+     *
+     * @param answer the recorded answer
+     */
+    public void replayed(ClaimAnswer answer) {
+        response.setStatus(answer.status());
+        if (!answer.contentType().isEmpty()) {
+            response.getHeaders().put(HttpHeader.CONTENT_TYPE, answer.contentType());
+        }
+        response.getHeaders().put(REPLAYED_HEADER, "true");
+        response.getHeaders().put(Outcome.HEADER, Outcome.ANSWERED.word());
+        response.write(true, ByteBuffer.wrap(answer.body()), exchange);
+    }
+
+    /**
+     * Writes a failure.
+     *
+     * @param failure the failure
+     */
+    public void failed(Failure failure) {
+        FailureWriter.write(failure, response, exchange);
+    }
+}
--- a/node/src/main/java/org/apricotdeal/node/caller/CompletionBody.java
+++ b/node/src/main/java/org/apricotdeal/node/caller/CompletionBody.java
@@ -16,7 +16,7 @@
  * @param maxTokens most tokens of the answer
  * @param stream whether the answer is sent token by token
  */
-record CompletionBody(String model, String prompt, int maxTokens, boolean stream) {
+public record CompletionBody(String model, String prompt, int maxTokens, boolean stream) {
     private static final int DEFAULT_MAX_TOKENS = 16;
     private static final ObjectMapper JSON = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
--- /dev/null
+++ b/node/src/main/java/org/apricotdeal/node/caller/CompletionHandler.java
@@ -0,0 +1,112 @@
+package org.apricotdeal.node.caller;
+
+import org.apricotdeal.catalogue.model.ClassEntry;
+import org.apricotdeal.catalogue.model.ModelEntry;
+import org.apricotdeal.kernel.id.UpstreamId;
+import org.apricotdeal.kernel.result.Result;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Takes completion requests. */
+final class CompletionHandler extends Handler.Abstract.NonBlocking {
+    private final Gate gate;
+    private final boolean forwarded;
+
+    CompletionHandler(Gate gate, boolean forwarded) {
+        this.gate = gate;
+        this.forwarded = forwarded;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        if (!request.getMethod().equals("POST")) {
+            FailureWriter.write(Failure.notRun(405, FailureCode.BAD_REQUEST, "expected POST"), response, callback);
+            return true;
+        }
+        switch (gate.admit(request)) {
+            case Result.Err<Gate.Admitted, Failure>(Failure failure) ->
+                FailureWriter.write(failure, response, callback);
+            case Result.Ok<Gate.Admitted, Failure>(Gate.Admitted admitted) ->
+                gate.readBody(request, body -> takeBody(admitted, body, request, response, callback));
+        }
+        return true;
+    }
+
+    private void takeBody(
+            Gate.Admitted admitted,
+            Result<byte[], Failure> body,
+            Request request,
+            Response response,
+            Callback callback) {
+        switch (check(admitted, body, request)) {
+            case Result.Err<CheckedCompletion, Failure>(Failure failure) -> refuse(failure, response, callback);
+            case Result.Ok<CheckedCompletion, Failure>(CheckedCompletion checked) -> {
+                AnswerWriter writer = new AnswerWriter(admitted.id(), checked.body().stream(), response, callback);
+                if (!gate.intake().takeCompletion(checked.context(), checked.body(), writer)) {
+                    refuse(gate.overloaded(), response, callback);
+                }
+            }
+        }
+    }
+
+    private void refuse(Failure failure, Response response, Callback callback) {
+        gate.leave();
+        FailureWriter.write(failure, response, callback);
+    }
+
+    /** A request that has passed all checks. */
+    private record CheckedCompletion(RequestContext context, CompletionBody body) {}
+
+    private Result<CheckedCompletion, Failure> check(
+            Gate.Admitted admitted, Result<byte[], Failure> bytes, Request request) {
+        if (bytes instanceof Result.Err<byte[], Failure>(Failure failure)) {
+            return Result.err(failure);
+        }
+        byte[] json = ((Result.Ok<byte[], Failure>) bytes).value();
+        return switch (CompletionBody.parse(json, gate.bounds().maxTokens())) {
+            case Result.Err<CompletionBody, Failure>(Failure failure) -> Result.err(failure);
+            case Result.Ok<CompletionBody, Failure>(CompletionBody body) -> checkRights(admitted, body, request);
+        };
+    }
+
+    private Result<CheckedCompletion, Failure> checkRights(
+            Gate.Admitted admitted, CompletionBody body, Request request) {
+        UpstreamId upstream = new UpstreamId(body.model());
+        if (admitted.catalogue().find("model " + upstream, ModelEntry.class).isEmpty()) {
+            return Checked.notFound("model " + upstream + " is not in the catalogue");
+        }
+        if (!admitted.caller().upstreams().contains(upstream)) {
+            return Checked.forbidden("caller " + admitted.caller().id() + " may not use " + upstream);
+        }
+        var classResult = RequestContext.workClass(
+                request.getHeaders(),
+                admitted.catalogue(),
+                admitted.caller(),
+                admitted.caller().classes().getFirst());
+        return switch (classResult) {
+            case Result.Err<ClassEntry, Failure>(Failure failure) -> Result.err(failure);
+            case Result.Ok<ClassEntry, Failure>(ClassEntry workClass) ->
+                withDeadline(admitted, body, workClass, request);
+        };
+    }
+
+    private Result<CheckedCompletion, Failure> withDeadline(
+            Gate.Admitted admitted, CompletionBody body, ClassEntry workClass, Request request) {
+        return switch (RequestContext.deadlineMillis(request.getHeaders(), workClass)) {
+            case Result.Err<Long, Failure>(Failure failure) -> Result.err(failure);
+            case Result.Ok<Long, Failure>(Long deadlineMillis) ->
+                Result.ok(new CheckedCompletion(
+                        new RequestContext(
+                                admitted.id(),
+                                admitted.caller(),
+                                workClass,
+                                new UpstreamId(body.model()),
+                                admitted.receivedAtMillis(),
+                                admitted.receivedAtMillis() + deadlineMillis,
+                                forwarded),
+                        body));
+        };
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotdeal/node/dispatch/DispatchPlugin.java
@@ -0,0 +1,232 @@
+package org.apricotdeal.node.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+import com.codahale.metrics.MetricRegistry;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.apricotdeal.engine.EngineLoad;
+import org.apricotdeal.kernel.duty.Duty;
+import org.apricotdeal.kernel.id.CallerId;
+import org.apricotdeal.kernel.id.NodeId;
+import org.apricotdeal.kernel.id.RequestId;
+import org.apricotdeal.node.fleet.Route;
+import org.apricotdeal.node.fleet.RouteTable;
+import org.apricotdeal.node.kernel.NodeEvent;
+import org.apricotdeal.node.kernel.NodeKernel;
+import org.apricotdeal.node.kernel.NodePlugin;
+import org.apricotdeal.node.peer.PeerBook;
+import org.apricotdeal.node.peer.PeerClient;
+import org.apricotdeal.policy.admission.AdmissionOptions;
+import org.apricotdeal.policy.admission.Arrival;
+import org.apricotdeal.policy.admission.Dispatcher;
+import org.apricotdeal.policy.admission.DispatcherAction;
+import org.apricotdeal.policy.admission.DispatcherEvent;
+import org.apricotdeal.policy.admission.FinishOutcome;
+import org.apricotdeal.policy.limits.ShareLedger;
+import org.apricotdeal.policy.limits.ShareMessage;
+import org.apricotdeal.policy.membership.VmReport;
+import org.apricotdeal.policy.routing.AffinityRouter;
+import org.apricotdeal.policy.routing.Target;
+import org.apricotdeal.wire.gen.TPeerBody;
+import org.apricotdeal.wire.gen.TPeerMessage;
+import org.apricotdeal.wire.gen.TShareAsk;
+import org.apricotdeal.wire.gen.TShareGrant;
+import org.apricotdeal.wire.gen.TShareReturn;
+
+/** Runs the dispatcher on a duty of its own and hands its decisions to the requests. */
+public final class DispatchPlugin implements NodePlugin, Dispatching {
+    private static final int RING_SLOTS = 65_536;
+    private static final long TICK_MILLIS = 10;
+
+    private final Map<RequestId, DispatchListener> listeners = new HashMap<>();
+    private NodeKernel kernel;
+    private MetricRegistry metrics;
+    private Dispatcher dispatcher;
+    private Duty<Input> duty;
+    private PeerBook peers;
+    private PeerClient peerClient;
+    private volatile RouteTable table = RouteTable.EMPTY;
+
+    /** What the duty takes: an event of the dispatcher, with the listener where it is an arrival. */
+    private record Input(DispatcherEvent event, DispatchListener listener) {}
+
+    @Override
+    public String name() {
+        return "dispatch";
+    }
+
+    @Override
+    public void register(NodeKernel withKernel) {
+        kernel = withKernel;
+        metrics = kernel.metrics();
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+        ShareLedger ledger =
+                new ShareLedger(kernel.settings().node().id(), kernel.clock().wallMillis());
+        dispatcher = new Dispatcher(new AffinityRouter(random), ledger, random, AdmissionOptions.DEFAULT);
+        kernel.offer(Dispatching.class, this);
+        kernel.peerHandler(TPeerBody._Fields.SHARE_ASK, this::takeShare);
+        kernel.peerHandler(TPeerBody._Fields.SHARE_GRANT, this::takeShare);
+        kernel.peerHandler(TPeerBody._Fields.SHARE_RETURN, this::takeShare);
+    }
+
+    @Override
+    public void start(NodeKernel withKernel) {
+        peers = kernel.require(PeerBook.class);
+        peerClient = kernel.require(PeerClient.class);
+        duty = kernel.duty("dispatch", RING_SLOTS, TICK_MILLIS, this::take, () -> step(new DispatcherEvent.Tick()));
+        kernel.subscribe(this::subscribe);
+    }
+
+    private void subscribe(NodeEvent event) {
+        switch (event) {
+            case NodeEvent.CatalogueAdopted(var catalogue) -> put(new DispatcherEvent.CatalogueChanged(catalogue));
+            case NodeEvent.RoutesChanged(RouteTable changed) -> putTargets(changed);
+            case NodeEvent.VmsListed listed -> put(new DispatcherEvent.NodesChanged(allNodes()));
+            case NodeEvent.VmReported(VmReport report) -> putLoad(report);
+            default -> {}
+        }
+    }
+
+    private void putTargets(RouteTable changed) {
+        List<Target> targets = new ArrayList<>();
+        for (Route route : changed.routes().values()) {
+            targets.add(route.target());
+        }
+        table = changed;
+        put(new DispatcherEvent.CapacityChanged(targets));
+    }
+
+    private void putLoad(VmReport report) {
+        Optional<Route> route = report.state() == null ? Optional.empty() : table.find(report.vm());
+        if (route.isPresent()) {
+            EngineLoad load = report.state().load();
+            long ageMillis = load.ageMillis() + report.ageMillis(kernel.clock().monotonicMillis());
+            put(new DispatcherEvent.LoadReported(route.get().target().id(), load.running(), load.waiting(), ageMillis));
+        }
+    }
+
+    private List<NodeId> allNodes() {
+        List<NodeId> nodes = new ArrayList<>();
+        nodes.add(kernel.settings().node().id());
+        for (PeerBook.Peer peer : peers.all()) {
+            nodes.add(peer.node());
+        }
+        return nodes;
+    }
+
+    private void put(DispatcherEvent event) {
+        duty.put(new Input(event, null));
+    }
+
+    @Override
+    public boolean arrive(Arrival arrival, DispatchListener listener) {
+        return duty.offer(new Input(new DispatcherEvent.Arrived(arrival), listener));
+    }
+
+    @Override
+    public void progress(RequestId request, int tokens) {
+        duty.offer(new Input(new DispatcherEvent.Progress(request, tokens), null));
+    }
+
+    @Override
+    public void finished(RequestId request, FinishOutcome outcome) {
+        put(new DispatcherEvent.Finished(request, outcome));
+    }
+
+    @Override
+    public void cancelled(RequestId request) {
+        put(new DispatcherEvent.Cancelled(request));
+    }
+
+    private void take(Input input) {
+        switch (input.event()) {
+            case DispatcherEvent.Arrived(Arrival arrival) -> listeners.put(arrival.id(), input.listener());
+            case DispatcherEvent.Cancelled(RequestId request) -> listeners.remove(request);
+            case DispatcherEvent.Finished(RequestId request, FinishOutcome outcome) -> {
+                if (outcome == FinishOutcome.COMPLETED || outcome == FinishOutcome.FAILED) {
+                    listeners.remove(request);
+                }
+            }
+            default -> {}
+        }
+        step(input.event());
+    }
+
+    private void step(DispatcherEvent event) {
+        for (DispatcherAction action : dispatcher.step(kernel.clock().monotonicMillis(), event)) {
+            carryOut(action);
+        }
+    }
+
+    private void carryOut(DispatcherAction action) {
+        switch (action) {
+            case DispatcherAction.Dispatch(var request, var target, int attempt) -> {
+                metrics.counter("dispatch.dispatched").inc();
+                Optional.ofNullable(listeners.get(request)).ifPresent(listener -> listener.dispatched(target));
+            }
+            case DispatcherAction.Refuse(var request, var reason, long retryAfterMillis) -> {
+                metrics.counter("dispatch.refused." + reason.name().toLowerCase(Locale.ROOT))
+                        .inc();
+                Optional.ofNullable(listeners.remove(request))
+                        .ifPresent(listener -> listener.refused(reason, retryAfterMillis));
+            }
+            case DispatcherAction.GiveUp(var request, var reason, boolean mayHaveRun) -> {
+                metrics.counter("dispatch.gave-up").inc();
+                Optional.ofNullable(listeners.remove(request))
+                        .ifPresent(listener -> listener.gaveUp(reason, mayHaveRun));
+            }
+            case DispatcherAction.Preempt(var request, var target) -> {
+                metrics.counter("dispatch.preempted").inc();
+                Optional.ofNullable(listeners.get(request)).ifPresent(DispatchListener::preempted);
+            }
+            case DispatcherAction.Forward(var request, var failureDomain) -> {
+                metrics.counter("dispatch.forwarded").inc();
+                Optional.ofNullable(listeners.get(request)).ifPresent(listener -> listener.forwarded(failureDomain));
+            }
+            case DispatcherAction.SendShare(NodeId to, ShareMessage message) ->
+                peers.find(to).ifPresent(peer -> peerClient.send(peer.address(), toWire(message)));
+            case DispatcherAction.Note(var message, String text) ->
+                kernel.timeline().recordText(message, text);
+        }
+    }
+
+    private static TPeerBody toWire(ShareMessage message) {
+        return switch (message) {
+            case ShareMessage.Ask(CallerId caller, double wanted, long epoch) ->
+                TPeerBody.shareAsk(new TShareAsk(caller.value(), wanted, epoch));
+            case ShareMessage.Grant(CallerId caller, double granted, long forMillis, long epoch) ->
+                TPeerBody.shareGrant(new TShareGrant(caller.value(), granted, forMillis, epoch));
+            case ShareMessage.Return(CallerId caller, long epoch) ->
+                TPeerBody.shareReturn(new TShareReturn(caller.value(), epoch));
+        };
+    }
+
+    private void takeShare(TPeerMessage message) {
+        TPeerBody body = message.getBody();
+        ShareMessage share =
+                switch (body.getSetField()) {
+                    case SHARE_ASK ->
+                        new ShareMessage.Ask(
+                                new CallerId(body.getShareAsk().getCaller()),
+                                body.getShareAsk().getWantedPerSecond(),
+                                body.getShareAsk().getEpoch());
+                    case SHARE_GRANT ->
+                        new ShareMessage.Grant(
+                                new CallerId(body.getShareGrant().getCaller()),
+                                body.getShareGrant().getGrantedPerSecond(),
+                                body.getShareGrant().getForMillis(),
+                                body.getShareGrant().getEpoch());
+                    default ->
+                        new ShareMessage.Return(
+                                new CallerId(body.getShareReturn().getCaller()),
+                                body.getShareReturn().getEpoch());
+                };
+        put(new DispatcherEvent.ShareReceived(new NodeId(message.getSender()), share));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotdeal/node/fleet/FleetEvent.java
@@ -0,0 +1,27 @@
+package org.apricotdeal.node.fleet;
+
+import java.util.List;
+
+import org.apricotdeal.catalogue.model.Catalogue;
+import org.apricotdeal.engine.EngineState;
+import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.platform.Vm;
+import org.apricotdeal.policy.planning.Plan;
+
+/** What the fleet duty is told. */
+sealed interface FleetEvent {
+    /** The VM list was read. */
+    record Listed(List<Vm> vms) implements FleetEvent {}
+
+    /** A catalogue version came into force. */
+    record CatalogueAdopted(Catalogue catalogue) implements FleetEvent {}
+
+    /** A newer plan is known. */
+    record PlanAdopted(Plan plan) implements FleetEvent {}
+
+    /** A VM answered a probe; the state is null for a plain service. */
+    record Answered(VmId vm, long sentAtMillis, EngineState state) implements FleetEvent {}
+
+    /** A VM did not answer a probe. */
+    record Silent(VmId vm) implements FleetEvent {}
+}
--- a/node/src/main/java/org/apricotdeal/node/kernel/NodeEvent.java
+++ b/node/src/main/java/org/apricotdeal/node/kernel/NodeEvent.java
@@ -1,12 +1,12 @@
 package org.apricotdeal.node.kernel;
 
 import java.util.List;
-import java.util.Map;
 
 import org.apricotdeal.catalogue.model.Catalogue;
-import org.apricotdeal.engine.EngineState;
-import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.node.fleet.RouteTable;
 import org.apricotdeal.platform.Vm;
+import org.apricotdeal.policy.membership.VmReport;
+import org.apricotdeal.policy.planning.Plan;
 
 /** A change that several duties of a node take note of. */
 public sealed interface NodeEvent {
@@ -25,22 +25,26 @@
     record VmsListed(List<Vm> vms) implements NodeEvent {}
 
     /**
-     * What is known of the upstream VMs' engines changed.
+     * Something new is known of an upstream VM.
      *
-     * @param engines what is known, by VM
+     * @param report the newest report
      */
-    record EnginesProbed(Map<VmId, ProbedVm> engines) implements NodeEvent {}
+    record VmReported(VmReport report) implements NodeEvent {}
 
-    /** The node begins to stop: no new work is taken. */
-    record Draining() implements NodeEvent {}
+    /**
+     * A newer plan of the failure domain is known.
+     *
+     * @param plan the plan
+     */
+    record PlanAdopted(Plan plan) implements NodeEvent {}
 
     /**
-     * What is known of one upstream VM.
+     * The targets that requests can go to have changed.
      *
-     * @param vm the VM as listed
-     * @param state its engine's last report; null for a plain service
-     * @param alive whether it counts as alive
-     * @param seenAtMillis monotonic time of the last sign of life
+     * @param table the targets
      */
-    record ProbedVm(Vm vm, EngineState state, boolean alive, long seenAtMillis) {}
+    record RoutesChanged(RouteTable table) implements NodeEvent {}
+
+    /** The node begins to stop: no new work is taken. */
+    record Draining() implements NodeEvent {}
 }
--- /dev/null
+++ b/node/src/main/java/org/apricotdeal/node/live/LivePlugin.java
@@ -0,0 +1,92 @@
+package org.apricotdeal.node.live;
+
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.apricotdeal.catalogue.model.ServiceEntry;
+import org.apricotdeal.engine.EngineClient;
+import org.apricotdeal.http.HttpServiceClient;
+import org.apricotdeal.node.caller.AnswerWriter;
+import org.apricotdeal.node.caller.CallBody;
+import org.apricotdeal.node.caller.CallWriter;
+import org.apricotdeal.node.caller.CompletionBody;
+import org.apricotdeal.node.caller.RequestContext;
+import org.apricotdeal.node.caller.WorkIntake;
+import org.apricotdeal.node.claims.Claims;
+import org.apricotdeal.node.dispatch.Dispatching;
+import org.apricotdeal.node.fleet.RouteTable;
+import org.apricotdeal.node.kernel.NodeEvent;
+import org.apricotdeal.node.kernel.NodeKernel;
+import org.apricotdeal.node.kernel.NodePlugin;
+import org.apricotdeal.policy.admission.Arrival;
+import org.apricotdeal.policy.call.CallPolicy;
+import org.apricotdeal.policy.routing.PrefixHash;
+
+/** Takes checked requests and carries them through. */
+public final class LivePlugin implements NodePlugin, WorkIntake {
+    private static final int PREFIX_CHARS = 256;
+    private static final int CHARS_PER_TOKEN = 4;
+
+    private final AtomicReference<RouteTable> routes = new AtomicReference<>(RouteTable.EMPTY);
+    private LiveDuty streams;
+    private LiveDuty calls;
+    private LiveServices services;
+    private Claims claims;
+    private Dispatching dispatching;
+
+    @Override
+    public String name() {
+        return "live";
+    }
+
+    @Override
+    public void register(NodeKernel kernel) {
+        kernel.offer(WorkIntake.class, this);
+    }
+
+    @Override
+    public void start(NodeKernel kernel) {
+        streams = new LiveDuty("streams", kernel);
+        calls = new LiveDuty("calls", kernel);
+        claims = kernel.require(Claims.class);
+        dispatching = kernel.require(Dispatching.class);
+        services = new LiveServices(
+                kernel,
+                dispatching,
+                kernel.require(EngineClient.class),
+                new HttpServiceClient(kernel.httpClient()),
+                routes);
+        kernel.subscribe(event -> {
+            if (event instanceof NodeEvent.RoutesChanged(RouteTable table)) {
+                routes.set(table);
+            }
+        });
+    }
+
+    @Override
+    public boolean takeCompletion(RequestContext context, CompletionBody body, AnswerWriter writer) {
+        LiveStream stream = new LiveStream(streams, services, context, body, writer);
+        writer.onCallerGone(() -> streams.notice(stream, new LiveEvent.CallerGone()));
+        String prompt = body.prompt();
+        String prefix = prompt.substring(0, Math.min(PREFIX_CHARS, prompt.length()));
+        Arrival arrival = arrival(context)
+                .prompt(PrefixHash.of(prefix), prompt.length() / CHARS_PER_TOKEN)
+                .estimatedTokens(body.maxTokens())
+                .resumable(true)
+                .build();
+        return dispatching.arrive(arrival, stream);
+    }
+
+    @Override
+    public boolean takeCall(RequestContext context, CallBody body, ServiceEntry service, CallWriter writer) {
+        LiveCall call = new LiveCall(calls, services, claims, context, body, service, writer);
+        boolean repeatable = CallPolicy.isRepeatable(body.method(), body.path(), service);
+        return dispatching.arrive(arrival(context).resumable(repeatable).build(), call);
+    }
+
+    private static Arrival.Builder arrival(RequestContext context) {
+        return Arrival.builder(context.id(), context.caller().id())
+                .asks(context.workClass().id(), context.upstream())
+                .deadlineMillis(context.deadlineAtMillis() - context.receivedAtMillis())
+                .hops(context.forwarded() ? 1 : 0);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotdeal/node/live/LiveRequest.java
@@ -0,0 +1,57 @@
+package org.apricotdeal.node.live;
+
+import org.apricotdeal.kernel.id.FailureDomainId;
+import org.apricotdeal.node.dispatch.DispatchListener;
+import org.apricotdeal.policy.admission.RefusalReason;
+import org.apricotdeal.policy.routing.TargetId;
+
+/** A request in progress. All its events are taken on the thread of its duty, one at a time. */
+abstract class LiveRequest implements DispatchListener {
+    private final LiveDuty duty;
+    private boolean ended;
+
+    LiveRequest(LiveDuty duty) {
+        this.duty = duty;
+    }
+
+    /** Takes an event; not called any more once the request has ended. */
+    abstract void take(LiveEvent event);
+
+    final boolean hasEnded() {
+        return ended;
+    }
+
+    /** Ends the request; its duty forgets it. */
+    final void end() {
+        ended = true;
+    }
+
+    final LiveDuty duty() {
+        return duty;
+    }
+
+    @Override
+    public void dispatched(TargetId target) {
+        duty.notice(this, new LiveEvent.Dispatched(target));
+    }
+
+    @Override
+    public void refused(RefusalReason reason, long retryAfterMillis) {
+        duty.notice(this, new LiveEvent.Refused(reason, retryAfterMillis));
+    }
+
+    @Override
+    public void gaveUp(RefusalReason reason, boolean mayHaveRun) {
+        duty.notice(this, new LiveEvent.GaveUp(reason, mayHaveRun));
+    }
+
+    @Override
+    public void preempted() {
+        duty.notice(this, new LiveEvent.Preempted());
+    }
+
+    @Override
+    public void forwarded(FailureDomainId failureDomain) {
+        duty.notice(this, new LiveEvent.Forwarded(failureDomain));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotdeal/node/live/LiveServices.java
@@ -0,0 +1,30 @@
+package org.apricotdeal.node.live;
+
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.apricotdeal.engine.EngineClient;
+import org.apricotdeal.engine.ServiceClient;
+import org.apricotdeal.node.dispatch.Dispatching;
+import org.apricotdeal.node.fleet.RouteTable;
+import org.apricotdeal.node.kernel.NodeKernel;
+import org.apricotdeal.node.settings.NodeSettings;
+
+/** What requests in progress use of the node. */
+record LiveServices(
+        NodeKernel kernel,
+        Dispatching dispatching,
+        EngineClient engines,
+        ServiceClient services,
+        AtomicReference<RouteTable> routes) {
+    long nowMillis() {
+        return kernel.clock().monotonicMillis();
+    }
+
+    NodeSettings settings() {
+        return kernel.settings();
+    }
+
+    RouteTable table() {
+        return routes.get();
+    }
+}
