--- a/policy/src/main/java/org/apricotdeal/policy/claims/ShardWriter.java
+++ b/policy/src/main/java/org/apricotdeal/policy/claims/ShardWriter.java
@@ -282,6 +282,10 @@
             emitGrant(nowMillis, claiming, actions);
             return;
         }
+        if (pending.get(existing.claimId()) instanceof PendingChange.Settling settling) {
+            decideSettling(claiming, settling, actions);
+            return;
+        }
         if (runningSeenAtMillis.size() > view.shard().claims().size()) {
             runningSeenAtMillis.clear();
         }
@@ -291,6 +295,19 @@
         refuse(claiming, isOver && !runsHere ? ClaimRefusal.OUTCOME_UNKNOWN : ClaimRefusal.IN_PROGRESS, actions);
     }
 
+    /** Decides a repeat of a request that has ended on this node, while the journal does not show it yet. */
+    private void decideSettling(
+            PendingChange.Claiming claiming, PendingChange.Settling settling, List<ClaimAction> actions) {
+        if (settling.answer() == null) {
+            refuse(claiming, ClaimRefusal.OUTCOME_UNKNOWN, actions);
+        } else if (settling.answer().body().length > settings.maxAnswerBytes()) {
+            refuse(claiming, ClaimRefusal.ALREADY_RUN, actions);
+        } else {
+            tally.replayed++;
+            actions.add(new ClaimAction.Replay(claiming.request().requestId(), settling.answer()));
+        }
+    }
+
     /** Tells whether a claim may not be written or granted any more, since earlier claims may have been dropped. */
     private boolean isLate(PendingChange.Claiming claiming, long nowMillis) {
         return fault != ClaimFault.CLAIM_LATE_COPY && nowMillis - claiming.receivedAtMillis() > settings.holdMillis();
--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/proofs/node/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of whole nodes against stand-ins. */
+package org.apricotdeal.proofs.node;
--- a/standins/src/main/java/org/apricotdeal/standins/service/ServiceStandin.java
+++ b/standins/src/main/java/org/apricotdeal/standins/service/ServiceStandin.java
@@ -57,6 +57,10 @@
             exchange.leaveSilent();
             return;
         }
+        if (call.equals("GET /healthz")) {
+            exchange.reply(200, JsonNodeFactory.instance.objectNode());
+            return;
+        }
         byte[] body = exchange.body();
         if (faults.drawDiesBeforeRun()) {
             exchange.cutOff();
