--- a/policy/src/main/java/org/apricotdeal/policy/claims/ShardWriter.java
+++ b/policy/src/main/java/org/apricotdeal/policy/claims/ShardWriter.java
@@ -217,7 +217,7 @@
     }
 
     private void grant(long nowMillis, PendingChange.Claiming claiming, List<ClaimAction> actions) {
-        if (isLate(claiming, nowMillis)) {
+        if (isLate(claiming, nowMillis) && fault != ClaimFault.GRANT_AFTER_REFUSAL) {
             refuseLate(claiming, actions);
             return;
         }
@@ -258,11 +258,15 @@
             refuse(claiming, ClaimRefusal.KEY_REUSED, actions);
             return;
         }
-        switch (existing.state()) {
-            case ANSWERED -> replay(claiming, existing, actions);
-            case UNKNOWN -> refuse(claiming, ClaimRefusal.OUTCOME_UNKNOWN, actions);
-            case RUNNING -> decideRunning(nowMillis, claiming, existing, actions);
+        if (existing.state() == ClaimState.ANSWERED) {
+            replay(claiming, existing, actions);
+            return;
+        }
+        if (existing.state() == ClaimState.UNKNOWN) {
+            refuse(claiming, ClaimRefusal.OUTCOME_UNKNOWN, actions);
+            return;
         }
+        decideRunning(nowMillis, claiming, existing, actions);
     }
 
     private void replay(PendingChange.Claiming claiming, Claim existing, List<ClaimAction> actions) {
@@ -354,6 +358,10 @@
         return claims ? settings.minSwapIntervalMillis() : settings.minSwapIntervalMillis() * SETTLE_ONLY_INTERVALS;
     }
 
+    /**
+     * Sends a swap with all pending changes. Where the shard is full it may carry none and only begin a generation, or a
+     * full shard would never lose a claim again.
+     */
     private void swap(long nowMillis, List<ClaimAction> actions) {
         boolean beginGeneration = view.generationIsOver(nowMillis) || fault == ClaimFault.ADVANCE_WITHOUT_WAITING;
         ShardEdit edit = new ShardEdit(settings, view.shard(), beginGeneration);
@@ -362,7 +370,7 @@
             giveUp(claiming);
             refuse(claiming, ClaimRefusal.JOURNAL_FULL, actions);
         }
-        if (pending.isEmpty()) {
+        if (pending.isEmpty() && !beginGeneration) {
             return;
         }
         List<PendingChange.Claiming> sent = new ArrayList<>(edit.added());
--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/proofs/claims/JournalBench.java
@@ -0,0 +1,158 @@
+package org.apricotdeal.proofs.claims;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.apache.commons.rng.simple.RandomSource;
+import org.apricotdeal.kernel.id.CallerId;
+import org.apricotdeal.kernel.id.RequestId;
+import org.apricotdeal.kernel.id.UpstreamId;
+import org.apricotdeal.platform.PlatformError;
+import org.apricotdeal.platform.Versioned;
+import org.apricotdeal.platform.call.StoreCall;
+import org.apricotdeal.platform.call.StoreReply;
+import org.apricotdeal.policy.claims.ClaimAction;
+import org.apricotdeal.policy.claims.ClaimAnswer;
+import org.apricotdeal.policy.claims.ClaimEvent;
+import org.apricotdeal.policy.claims.ClaimFault;
+import org.apricotdeal.policy.claims.ClaimJournal;
+import org.apricotdeal.policy.claims.ClaimSettings;
+
+/** Journals of several nodes on one store whose calls a test carries out, delays or loses one by one. */
+final class JournalBench {
+    static final long RETENTION_MILLIS = 10_000;
+    static final long TIMEOUT_MILLIS = 1_000;
+    static final ClaimSettings SETTINGS = new ClaimSettings(1, 2_000, 1_000, 0, 10, 16, 10_000);
+
+    private final Map<String, Versioned> values = new HashMap<>();
+    private final Map<String, ClaimJournal> journals = new HashMap<>();
+    private final List<Sent> open = new ArrayList<>();
+    private final List<ClaimAction> decisions = new ArrayList<>();
+    private long nowMillis;
+    private long revision;
+
+    /** A call that a node has sent and that has not reached the store. */
+    record Sent(String node, StoreCall call) {}
+
+    void start(String node, String bootId) {
+        start(node, bootId, SETTINGS, ClaimFault.NONE);
+    }
+
+    void start(String node, String bootId, ClaimSettings settings, ClaimFault fault) {
+        journals.put(
+                node,
+                new ClaimJournal(settings, node + "." + bootId, RandomSource.XO_RO_SHI_RO_128_PP.create(1), fault));
+    }
+
+    void passMillis(long millis) {
+        nowMillis += millis;
+    }
+
+    void request(String node, String requestId, String key, String hash) {
+        tell(
+                node,
+                new ClaimEvent.Request(
+                        new RequestId(requestId),
+                        new UpstreamId("order-desk"),
+                        new CallerId("guild"),
+                        key,
+                        hash,
+                        RETENTION_MILLIS,
+                        TIMEOUT_MILLIS));
+    }
+
+    void complete(String node, String requestId, String body) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        tell(node, new ClaimEvent.Completed(new RequestId(requestId), new ClaimAnswer(200, "text/plain", bytes)));
+    }
+
+    void tell(String node, ClaimEvent event) {
+        for (ClaimAction action : journals.get(node).step(nowMillis, event)) {
+            if (action instanceof ClaimAction.Store(StoreCall call)) {
+                open.add(new Sent(node, call));
+            } else {
+                decisions.add(action);
+            }
+        }
+    }
+
+    /** Takes the oldest call that is on its way. */
+    Sent next() {
+        return open.removeFirst();
+    }
+
+    boolean hasOpenCalls() {
+        return !open.isEmpty();
+    }
+
+    /** Carries out calls until none is on its way. */
+    void settle() {
+        while (!open.isEmpty()) {
+            Sent sent = next();
+            reply(sent, execute(sent.call()));
+        }
+    }
+
+    /** Ticks a node and carries out calls until none is on its way. */
+    void tickAndSettle(String node) {
+        tell(node, new ClaimEvent.Tick());
+        settle();
+    }
+
+    void reply(Sent sent, StoreReply reply) {
+        tell(sent.node(), new ClaimEvent.Reply(reply));
+    }
+
+    void loseReply(Sent sent) {
+        reply(sent, new StoreReply.Failed(sent.call().callId(), new PlatformError.Unknown("no reply")));
+    }
+
+    StoreReply execute(StoreCall call) {
+        return switch (call) {
+            case StoreCall.Get get -> new StoreReply.Value(get.callId(), Optional.ofNullable(values.get(get.key())));
+            case StoreCall.Swap swap -> swap(swap);
+            default -> throw new IllegalArgumentException("unexpected " + call);
+        };
+    }
+
+    private StoreReply swap(StoreCall.Swap swap) {
+        Versioned current = values.get(swap.key());
+        long currentRevision = current == null ? 0 : current.revision();
+        if (currentRevision != swap.expectedRevision()) {
+            return new StoreReply.Conflict(swap.callId(), Optional.ofNullable(current));
+        }
+        revision++;
+        values.put(swap.key(), new Versioned(swap.key(), revision, swap.value()));
+        return new StoreReply.Swapped(swap.callId(), revision);
+    }
+
+    /** Returns the decision on a request, as text; empty where there is none yet. */
+    String decision(String requestId) {
+        String found = "";
+        for (ClaimAction action : decisions) {
+            found = switch (action) {
+                case ClaimAction.Granted granted
+                when granted.requestId().value().equals(requestId) -> found + "granted";
+                case ClaimAction.Refused refused
+                when refused.requestId().value().equals(requestId) -> found + refused.reason();
+                case ClaimAction.Replay replay
+                when replay.requestId().value().equals(requestId) ->
+                    found + "replay " + new String(replay.answer().body(), StandardCharsets.UTF_8);
+                default -> found;
+            };
+        }
+        return found;
+    }
+
+    long writes() {
+        return revision;
+    }
+
+    boolean journalHolds(String text) {
+        return values.values().stream().anyMatch(v -> new String(v.value(), StandardCharsets.UTF_8).contains(text));
+    }
+}
