--- a/policy/src/main/java/org/apricotdeal/policy/planning/Fleet.java
+++ b/policy/src/main/java/org/apricotdeal/policy/planning/Fleet.java
@@ -65,9 +65,15 @@
         return found == null ? null : found.fabricDomain();
     }
 
-    /** A member is lost when its VM has failed, its engine has restarted, or it did not load its weights in time. */
+    /**
+     * A member is lost when its VM has failed, its engine has restarted, it did not load its weights in time, or it leaves
+     * and nothing runs on it any more.
+     */
     boolean isLost(PlannedMember member) {
         VmReport report = reports.get(member.vm());
+        if (isLeaving(member.vm()) && emptied.contains(member.vm())) {
+            return true;
+        }
         if (unfit.contains(member.vm())) {
             return true;
         }
@@ -86,10 +92,6 @@
         return found == null || found.state() == VmState.LEAVING;
     }
 
-    boolean isEmptied(VmId vm) {
-        return emptied.contains(vm);
-    }
-
     boolean isStraggler(VmId vm) {
         VmReport report = reports.get(vm);
         return report != null && report.straggler();
--- a/policy/src/main/java/org/apricotdeal/policy/planning/OrderSequencer.java
+++ b/policy/src/main/java/org/apricotdeal/policy/planning/OrderSequencer.java
@@ -30,9 +30,12 @@
  * rate-limited; and the members of a replica join once every one of them is idle with the weights, or joined already.
  * At most one order to a VM is under way, and a report counts only if it was made after the last order.
  *
- * <p>Engines that ignore fencing numbers get an order only if the right to send lasts longer than the order can take, and
- * a further order to the same VM waits until no copy of the one before can still arrive. A planner that has just taken
- * over sends them nothing for that long either.
+ * <p>A join must never meet an engine that a late order has made a member of another replica in the meantime. Engines that
+ * honour fencing numbers are therefore released first even where they are idle: once an engine reports this plan's version
+ * as its fencing number and is idle, no older join can take effect any more. Engines that ignore fencing numbers get an
+ * order only if the right to send lasts longer than the order can take; a further order to the same VM waits until no copy
+ * of the one before can still arrive, and goes by a report made after that. A planner that has just taken over waits as
+ * long before its first order to them.
  */
 final class OrderSequencer {
     private static final int MAX_CONCURRENT_LOADS = 8;
@@ -73,7 +76,8 @@
             track.pendingOrderId = 0;
             switch (outcome) {
                 case OrderOutcome.Taken(EngineState state) -> {
-                    return Optional.of(new VmReport(state.vm(), Health.ALIVE, state, track.reportsFromMillis, false));
+                    track.reportsFromMillis = Math.max(nowMillis, track.lastSentMillis + delay(track, models));
+                    return Optional.of(new VmReport(state.vm(), Health.ALIVE, state, nowMillis, false));
                 }
                 case OrderOutcome.Fenced fenced -> track.nextOrderMillis = nowMillis + RETRY_MILLIS;
                 case OrderOutcome.Refused refused -> track.nextOrderMillis = nowMillis + RETRY_MILLIS;
@@ -139,6 +143,7 @@
     /** Lets the members join once every one of them is ready. */
     private void joinMembers(Round round, PlannedReplica replica) {
         List<VmId> toJoin = new ArrayList<>();
+        List<VmId> toFence = new ArrayList<>();
         for (PlannedMember member : replica.members()) {
             EngineState state = currentState(round, member.vm());
             if (state == null || round.fleet().isLost(member)) {
@@ -151,7 +156,12 @@
             if (stray || !round.fleet().isWarm(member.vm(), replica.model())) {
                 return;
             }
-            toJoin.add(member.vm());
+            boolean honours = round.model().orderCheck() == OrderCheck.HONOURS_FENCING;
+            (honours && state.fence() < round.fence() ? toFence : toJoin).add(member.vm());
+        }
+        toFence.forEach(vm -> send(round, new Order.Release(vm, round.fence())));
+        if (!toFence.isEmpty()) {
+            return;
         }
         for (VmId vm : toJoin) {
             send(
@@ -231,6 +241,9 @@
         if (track != null && (track.pendingOrderId != 0 || report.observedMillis() < track.reportsFromMillis)) {
             return null;
         }
+        if (report.observedMillis() < round.authority().sinceMillis() + delay(round.model())) {
+            return null;
+        }
         return report.state();
     }
 
--- a/policy/src/main/java/org/apricotdeal/policy/planning/PlanBuilder.java
+++ b/policy/src/main/java/org/apricotdeal/policy/planning/PlanBuilder.java
@@ -24,9 +24,12 @@
  * those replicas. New replicas are formed within a fabric domain after that. Only what is then still wanted is completed
  * across fabric domains; such a replica is slow, but better than none, and regroups when one fabric domain can hold it.
  *
+ * <p>A leaving member counts as lost once nothing runs any more that its release would cut off: its replica takes no new
+ * work from the moment that it is seen to leave, so nothing is gained by waiting longer.
+ *
  * <p>Changes that nothing forces wait for a spare that holds the weights, so that the replica is down for the orders only:
- * the replacement of leaving members, the demotion of stragglers, and regrouping. The latter two are done one at a time,
- * and only while every replica of the model is settled.
+ * the demotion of stragglers, and regrouping. They are done one at a time, and only while every replica of the model is
+ * settled.
  *
  * <p>Traded away: merging two broken replicas at once would bring one of them back sooner than waiting for cold spares,
  * at the price of the other's weights being loaded later.
@@ -72,7 +75,6 @@
         repairByMerging(replicas);
         formReplicas(model, replicas);
         spanFabricDomains(model, replicas);
-        replaceLeaving(replicas);
         if (isSettled(model)) {
             boolean regrouped = regroupOne(replicas);
             if (!regrouped) {
@@ -248,20 +250,6 @@
         fill(replica, sparesOfAll(replica.model()), RepairStep.SPAN);
     }
 
-    /** Replaces leaving members by warm spares of their fabric domain once nothing runs that would be cut off. */
-    private void replaceLeaving(List<ReplicaDraft> replicas) {
-        for (ReplicaDraft replica : replicas) {
-            if (replica.isBroken()) {
-                continue;
-            }
-            for (VmId vm : replica.survivors()) {
-                if (fleet.isLeaving(vm) && fleet.isEmptied(vm)) {
-                    replaceBySpare(replica, vm, RepairStep.REPLACE_LEAVING);
-                }
-            }
-        }
-    }
-
     private boolean isSettled(ModelEntry model) {
         for (PlannedReplica replica : previous.replicas()) {
             if (replica.model().equals(model.id()) && !fleet.isSettled(replica)) {
@@ -292,14 +280,14 @@
     private void demoteOneStraggler(List<ReplicaDraft> replicas) {
         for (ReplicaDraft replica : replicas) {
             for (VmId vm : replica.survivors()) {
-                if (fleet.isStraggler(vm) && replaceBySpare(replica, vm, RepairStep.DEMOTE_STRAGGLER)) {
+                if (fleet.isStraggler(vm) && replaceBySpare(replica, vm)) {
                     return;
                 }
             }
         }
     }
 
-    private boolean replaceBySpare(ReplicaDraft replica, VmId vm, RepairStep step) {
+    private boolean replaceBySpare(ReplicaDraft replica, VmId vm) {
         FabricDomainId fabric = fleet.fabricDomain(vm);
         if (fabric == null) {
             return false;
@@ -307,7 +295,7 @@
         for (VmId spare : spares(replica.model(), fabric, true)) {
             if (!fleet.isStraggler(spare)) {
                 replica.vacate(vm);
-                fill(replica, List.of(spare), step);
+                fill(replica, List.of(spare), RepairStep.DEMOTE_STRAGGLER);
                 release(vm, replica.model());
                 return true;
             }
--- a/policy/src/main/java/org/apricotdeal/policy/planning/Planner.java
+++ b/policy/src/main/java/org/apricotdeal/policy/planning/Planner.java
@@ -52,6 +52,7 @@
     private static final long PLANNER_READ_MILLIS = 10_000;
     private static final long SPARES_COMMIT_MILLIS = 5_000;
     private static final long LEAVING_WAIT_MILLIS = 15_000;
+    private static final long UNLISTED_WAIT_MILLIS = 3_000;
     private static final long UNFIT_MILLIS = 60_000;
 
     private final NodeId node;
@@ -227,7 +228,6 @@
 
     private void recordChanged(long nowMillis, PlanRecord.Change change, List<PlannerAction> actions) {
         switch (change) {
-            case FOREIGN, NONE -> {}
             case READ -> {
                 adoptCommitted(actions);
                 if (role instanceof Role.TakingOver) {
@@ -259,6 +259,7 @@
                     yieldRole(nowMillis, "another planner has written the plan", actions);
                 }
             }
+            default -> {}
         }
     }
 
@@ -371,7 +372,8 @@
     private Fleet fleet(long nowMillis) {
         Set<VmId> emptied = new HashSet<>();
         leavingSinceMillis.forEach((vm, sinceMillis) -> {
-            if (nowMillis - sinceMillis >= LEAVING_WAIT_MILLIS || isDrained(vm)) {
+            long waitMillis = listed.containsKey(vm) ? LEAVING_WAIT_MILLIS : UNLISTED_WAIT_MILLIS;
+            if (nowMillis - sinceMillis >= waitMillis || isDrained(vm)) {
                 emptied.add(vm);
             }
         });
@@ -399,14 +401,28 @@
                 listed.put(vm.id(), vm);
             }
         }
-        for (Vm vm : listed.values()) {
-            if (vm.state() == VmState.LEAVING) {
-                leavingSinceMillis.putIfAbsent(vm.id(), nowMillis);
+        Set<VmId> known = new HashSet<>(listed.keySet());
+        known.addAll(reports.keySet());
+        for (VmId vm : known) {
+            Vm found = listed.get(vm);
+            if (found == null || found.state() == VmState.LEAVING) {
+                leavingSinceMillis.putIfAbsent(vm, nowMillis);
             } else {
-                leavingSinceMillis.remove(vm.id());
+                leavingSinceMillis.remove(vm);
             }
         }
-        leavingSinceMillis.keySet().removeIf(vm -> !listed.containsKey(vm));
+        forgetUnlisted();
+    }
+
+    /** Forgets VMs that are listed no longer, once they are no members any more. */
+    private void forgetUnlisted() {
+        Set<VmId> members = new HashSet<>();
+        if (record.committed() != null) {
+            record.committed().replicas().forEach(replica -> members.addAll(replica.vms()));
+        }
+        reports.keySet().removeIf(vm -> !listed.containsKey(vm) && !members.contains(vm));
+        leavingSinceMillis.keySet().removeIf(vm -> !listed.containsKey(vm) && !members.contains(vm));
+        loadingSinceMillis.keySet().removeIf(vm -> !listed.containsKey(vm));
     }
 
     private void takeReport(long nowMillis, VmReport report) {
--- a/policy/src/main/java/org/apricotdeal/policy/planning/RepairStep.java
+++ b/policy/src/main/java/org/apricotdeal/policy/planning/RepairStep.java
@@ -12,8 +12,6 @@
     FORM,
     /** Lost members were replaced by VMs of other fabric domains, or the replica is new and spans fabric domains. */
     SPAN,
-    /** Leaving members were replaced before their VMs were taken away. */
-    REPLACE_LEAVING,
     /** A straggler was replaced and became a spare. */
     DEMOTE_STRAGGLER,
     /** A replica that spanned fabric domains moved into one. */
