--- a/lab/src/main/java/org/apricotdeal/lab/soak/Trace.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/Trace.java
@@ -11,11 +11,17 @@
 /** Keeps the last lines of what happened in a run, to be printed where a check fails. */
 public final class Trace {
     private static final int KEPT_LINES = 20_000;
+    private static final int PRINTED_LINES = 400;
 
     private final Scheduler scheduler;
     private final Deque<Line> lines = new ArrayDeque<>();
 
-    private record Line(long atMicros, String subject, String text) {}
+    private record Line(long atMicros, String subject, String text) {
+        @Override
+        public String toString() {
+            return String.format(Locale.ROOT, "%12.3f ms  %s %s", atMicros / 1e3, subject, text);
+        }
+    }
 
     /**
      * Creates an empty trace.
@@ -50,10 +56,19 @@
         List<String> found = new ArrayList<>();
         for (Line line : lines) {
             if (line.subject().isEmpty() || line.subject().equals(subject)) {
-                found.add(String.format(
-                        Locale.ROOT, "%12.3f ms  %s %s", line.atMicros() / 1e3, line.subject(), line.text()));
+                found.add(line.toString());
             }
         }
-        return List.copyOf(found.subList(Math.max(0, found.size() - most), found.size()));
+        return newest(found, most);
+    }
+
+    /** Returns the newest lines, whatever they concern. */
+    @Override
+    public String toString() {
+        return String.join("\n", newest(lines.stream().map(Line::toString).toList(), PRINTED_LINES));
+    }
+
+    private static List<String> newest(List<String> all, int most) {
+        return List.copyOf(all.subList(Math.max(0, all.size() - most), all.size()));
     }
 }
