--- /dev/null
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments on virtual time: simulated callers, nodes that run the real dispatcher, and replicas with caches. */
+package org.apricotdeal.lab.experiment;
