Read prompts of more urgent classes first in the simulated engine

The engines honour priorities, and orders carry them; the fake did not. This mends the model of the engine, not the system.

--- a/lab/src/main/java/org/apricotdeal/lab/experiment/CallerRequest.java
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/CallerRequest.java
@@ -1,5 +1,7 @@
 package org.apricotdeal.lab.experiment;
 
+import org.apricotdeal.catalogue.model.ClassEntry;
+
 /** One request as its caller sees it, over all its retries. */
 final class CallerRequest {
     final long number;
@@ -11,6 +13,7 @@
     final long prefixHash;
     final long deadlineMicros;
     final boolean flooding;
+    final int priority;
     int asked;
     long firstTokenMicros = -1;
     long finishedMicros = -1;
@@ -19,7 +22,8 @@
     long generated;
     long generatedLate;
 
-    CallerRequest(long number, CallerSpec caller, LoadSpec load, Sample sample, long deadlineMicros, boolean flooding) {
+    CallerRequest(
+            long number, CallerSpec caller, LoadSpec load, Sample sample, ClassEntry classEntry, boolean flooding) {
         this.number = number;
         this.caller = caller;
         this.load = load;
@@ -27,7 +31,8 @@
         this.outputTokens = sample.outputTokens();
         this.estimatedTokens = sample.estimatedTokens();
         this.prefixHash = sample.prefixHash();
-        this.deadlineMicros = deadlineMicros;
+        this.deadlineMicros = sample.askedMicros() + classEntry.deadlineMillis() * 1_000;
+        this.priority = classEntry.priority();
         this.flooding = flooding;
     }
 
--- a/lab/src/main/java/org/apricotdeal/lab/experiment/ResultTable.java
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/ResultTable.java
@@ -6,9 +6,13 @@
 import java.util.function.ToDoubleFunction;
 
 import org.apricotdeal.catalogue.model.ClassEntry;
+import org.apricotdeal.policy.admission.RefusalReason;
 
 /** One row for each variant: means over the seeds, and the worst seed where it matters. */
 final class ResultTable {
+    private static final List<RefusalReason> SHOWN_REASONS =
+            List.of(RefusalReason.PREDICTED_LATE, RefusalReason.EXPIRED, RefusalReason.QUEUE_FULL);
+
     private final List<ClassEntry> classes;
     private final List<String> columns = new ArrayList<>();
     private final List<List<String>> rows = new ArrayList<>();
@@ -22,6 +26,10 @@
         }
         columns.add(classes.getFirst().id() + " worst %");
         columns.add(classes.getFirst().id() + " failed");
+        for (RefusalReason reason : SHOWN_REASONS) {
+            columns.add(classes.getFirst().id() + " "
+                    + reason.name().toLowerCase(Locale.ROOT).replace('_', '-'));
+        }
         columns.add(classes.getFirst().id() + " p95 ms");
         columns.add("interval p95 ms");
         columns.add("floor kept %");
@@ -49,6 +57,9 @@
                 .min()
                 .orElse(0)));
         row.add(number(mean(results, r -> (double) r.byClass().get(urgent).failed()), 1));
+        for (RefusalReason reason : SHOWN_REASONS) {
+            row.add(number(mean(results, r -> (double) r.counters().refusals(urgent.id(), reason)), 1));
+        }
         row.add(number(mean(results, r -> r.firstTokenP95Millis(urgent)), 0));
         row.add(number(mean(results, RunResult::intervalP95Millis), 1));
         row.add(percent(
@@ -84,13 +95,13 @@
     String text() {
         StringBuilder text = new StringBuilder();
         for (int column = 0; column < columns.size(); column++) {
-            text.append(String.format(Locale.ROOT, "| %-18s |", columns.get(column)));
+            text.append(String.format(Locale.ROOT, "| %-22s |", columns.get(column)));
             for (List<String> row : rows) {
                 text.append(String.format(Locale.ROOT, " %16s |", row.get(column)));
             }
             text.append(System.lineSeparator());
             if (column == 0) {
-                text.append("| --- |").append(" --- |".repeat(rows.size())).append(System.lineSeparator());
+                text.append("| --- |").append(" ---: |".repeat(rows.size())).append(System.lineSeparator());
             }
         }
         return text.toString();
--- a/lab/src/main/java/org/apricotdeal/lab/experiment/SimCallers.java
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/SimCallers.java
@@ -153,7 +153,7 @@
                 caller,
                 stream.load,
                 new CallerRequest.Sample(nowMicros, length, estimate, drawPrefix(stream)),
-                nowMicros + stream.classEntry.deadlineMillis() * 1_000,
+                stream.classEntry,
                 stream.flooding);
         requests.add(request);
         send(request);
--- a/lab/src/main/java/org/apricotdeal/lab/experiment/SimCounters.java
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/SimCounters.java
@@ -1,12 +1,15 @@
 package org.apricotdeal.lab.experiment;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 
 import org.HdrHistogram.Histogram;
 import org.apricotdeal.kernel.id.CallerId;
 import org.apricotdeal.kernel.id.ClassId;
 import org.apricotdeal.kernel.id.UpstreamId;
+import org.apricotdeal.policy.admission.RefusalReason;
 
 /** What is counted while an experiment runs. */
 final class SimCounters {
@@ -14,6 +17,8 @@
     final long toMicros;
     final Map<ClassSlot, Double> slotMillis = new HashMap<>();
     final Map<CallerId, Double> callerSlotMillis = new HashMap<>();
+    private final Map<ClassRefusal, Long> refusals =
+            new TreeMap<>(Comparator.comparing(ClassRefusal::classId).thenComparing(ClassRefusal::reason));
     final Histogram intervalMicros = new Histogram(60_000_000L, 3);
     long generated;
     long prefixLookups;
@@ -23,6 +28,9 @@
     long shareMessages;
     int maxWaiting;
 
+    /** A class's refusals for one reason. */
+    private record ClassRefusal(ClassId classId, RefusalReason reason) {}
+
     /** A class at an upstream. */
     record ClassSlot(UpstreamId upstream, ClassId classId) {}
 
@@ -31,6 +39,14 @@
         this.toMicros = toMicros;
     }
 
+    void refused(ClassId classId, RefusalReason reason) {
+        refusals.merge(new ClassRefusal(classId, reason), 1L, Long::sum);
+    }
+
+    long refusals(ClassId classId, RefusalReason reason) {
+        return refusals.getOrDefault(new ClassRefusal(classId, reason), 0L);
+    }
+
     void prefixLookup(boolean hit) {
         prefixLookups++;
         if (hit) {
--- a/lab/src/main/java/org/apricotdeal/lab/experiment/SimNode.java
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/SimNode.java
@@ -180,8 +180,11 @@
                 counters.preemptions++;
                 leaveTarget(request);
             }
-            case DispatcherAction.Refuse(RequestId request, var reason, long retryAfterMillis) ->
+            case DispatcherAction.Refuse(RequestId request, var reason, long retryAfterMillis) -> {
+                Held entry = held.get(request);
+                counters.refused(entry.request.load.classId(), reason);
                 end(request, FinishOutcome.REFUSED_ELSEWHERE);
+            }
             case DispatcherAction.GiveUp(RequestId request, var reason, boolean mayHaveRun) ->
                 end(request, FinishOutcome.FAILED);
             case DispatcherAction.Forward(RequestId request, FailureDomainId to) -> forward(request, to);
--- a/lab/src/main/java/org/apricotdeal/lab/experiment/SimReplica.java
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/SimReplica.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -16,7 +17,7 @@
 /**
  * A model replica that batches continuously. Each step adds a token to every stream whose prompt has been read; its time
  * grows with the number of streams and with the prompt tokens read in it. Prompts are read in chunks; a prefix in the
- * cache is not read again. The cache holds a bounded number of prefixes and evicts the least recently used.
+ * cache is not read again, and prompts of more urgent classes are read first. The cache holds a bounded number of prefixes and evicts the least recently used.
  */
 final class SimReplica implements SimTarget {
     private static final long STEP_BASE_MICROS = 16_000;
@@ -116,7 +117,14 @@
 
     private void scheduleStep() {
         int budget = CHUNK_TOKENS;
+        List<Stream> reading = new ArrayList<>();
         for (Stream stream : running.values()) {
+            if (stream.promptLeft > 0) {
+                reading.add(stream);
+            }
+        }
+        reading.sort(Comparator.comparingInt(stream -> stream.request.priority));
+        for (Stream stream : reading) {
             int read = Math.min(budget, stream.promptLeft);
             stream.promptLeft -= read;
             budget -= read;
