Count slots held by preemptible work as open when predicting the wait

Ruled out: too strict a budget; the refused requests' class held less than its part. What is left expires at nodes whose burst exceeds their part.

--- a/policy/src/main/java/org/apricotdeal/policy/admission/WaitPredictor.java
+++ b/policy/src/main/java/org/apricotdeal/policy/admission/WaitPredictor.java
@@ -6,7 +6,8 @@
  * <p>The class's part of the upstream's slots is what classes of higher priority leave, less what lower ones keep as their
  * floor, and at least its own floor. Ahead of the request stands the smaller of two backlogs: all that waits in its class,
  * and its own caller's backlog scaled up by the caller's part of the class; the second is what makes a small caller's
- * prediction short while a large one floods. The backlog, and the rest of what runs now, drain at the speed of the class's
+ * prediction short while a large one floods. What the class can take over at once, since a preemptible class holds slots
+ * that are the class's part, does not count. The backlog, and the rest of what runs now, drain at the speed of the class's
  * slots. The prediction is cheap, a sum over the classes, and errs within a single answer's length; the alternative, a
  * simulated run of the whole queue, costs time in proportion to the backlog just when that is longest.
  */
@@ -33,8 +34,13 @@
         }
         double part = classSlots(upstream, target, slots);
         double ahead = Math.min(target.queue.waitingCost(), scaledBacklog(target, queue, small));
+        double open = part - target.running.size();
+        double served = open * meanWaitingCost(target);
+        if (open >= 1 && ahead < served && canPreempt(upstream, target)) {
+            return 0;
+        }
         double untilTurnover = meanRunningCost(target) / part;
-        return (ahead / part + untilTurnover) * upstream.millisPerUnit();
+        return (Math.max(0, ahead - Math.max(0, served)) / part + untilTurnover) * upstream.millisPerUnit();
     }
 
     private static double scaledBacklog(ClassState target, CallerQueue queue, boolean small) {
@@ -75,6 +81,15 @@
         return Math.max(1, Math.max(target.floorSlots(slots), slots - above - below));
     }
 
+    private static double meanWaitingCost(ClassState target) {
+        return target.queue.isEmpty() ? 1 : target.queue.waitingCost() / target.queue.size();
+    }
+
+    private static boolean canPreempt(UpstreamState upstream, ClassState target) {
+        ClassState least = upstream.classes.getLast();
+        return least.entry.preemptible() && least.entry.priority() > target.entry.priority();
+    }
+
     private static double meanRunningCost(ClassState target) {
         int counted = 0;
         double sum = 0;
