--- a/lab/src/main/java/org/apricotdeal/lab/experiment/SimCluster.java
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/SimCluster.java
@@ -8,6 +8,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.apricotdeal.catalogue.model.ClassEntry;
 import org.apricotdeal.catalogue.model.ModelEntry;
 import org.apricotdeal.catalogue.model.ServiceEntry;
 import org.apricotdeal.kernel.id.FailureDomainId;
@@ -199,15 +200,19 @@
         }
     }
 
-    /** Returns a node's free streams, divided between the nodes that may forward to it. */
+    /** Returns a node's open streams, divided between the nodes that may forward to it. */
     private List<DomainLoad> loadsOf(SimNode node) {
         long others = nodes.stream()
                 .filter(other -> !other.failureDomain().equals(node.failureDomain()))
                 .count();
         List<DomainLoad> loads = new ArrayList<>();
         for (UpstreamId upstream : slotsByUpstream().keySet()) {
-            int free = (int) Math.ceilDiv(node.dispatcher().freeStreams(upstream), Math.max(1, others));
-            loads.add(new DomainLoad(node.failureDomain(), upstream, free, scheduler.monotonicMillis()));
+            for (ClassEntry entry : plan.catalogue().all(ClassEntry.class)) {
+                int open = node.dispatcher().openStreams(upstream, entry.id());
+                int each = (int) Math.ceilDiv(open, Math.max(1, others));
+                loads.add(
+                        new DomainLoad(node.failureDomain(), upstream, entry.id(), each, scheduler.monotonicMillis()));
+            }
         }
         return loads;
     }
--- a/lab/src/main/java/org/apricotdeal/lab/experiment/SimNode.java
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/SimNode.java
@@ -55,7 +55,7 @@
     /** The number of tokens of a stream, and whether they are all. */
     record TokenCount(RequestId id, int tokens, boolean whole) {}
 
-    /** A node's report of free streams. */
+    /** A node's report of open streams. */
     private record DomainReport(List<DomainLoad> loads) {}
 
     /** A request at this node. */
@@ -314,13 +314,13 @@
         scheduler.after(delayMillis, () -> step(new DispatcherEvent.CacheReported(targetId, prefixHash, true)));
     }
 
-    /** Takes another domain's report of free streams. */
+    /** Takes another domain's report of open streams. */
     void domainReported(String from, List<DomainLoad> loads) {
         reports.put(from, new DomainReport(loads));
         Map<String, DomainLoad> sums = new HashMap<>();
         for (DomainReport report : reports.values()) {
             for (DomainLoad load : report.loads()) {
-                sums.merge(load.failureDomain() + " " + load.upstream(), load, SimNode::add);
+                sums.merge(load.failureDomain() + " " + load.upstream() + " " + load.classId(), load, SimNode::add);
             }
         }
         step(new DispatcherEvent.DomainsReported(new ArrayList<>(sums.values())));
@@ -330,7 +330,8 @@
         return new DomainLoad(
                 one.failureDomain(),
                 one.upstream(),
-                one.freeStreams() + other.freeStreams(),
+                one.classId(),
+                one.openStreams() + other.openStreams(),
                 Math.max(one.takenMillis(), other.takenMillis()));
     }
 }
--- a/policy/src/main/java/org/apricotdeal/policy/admission/Dispatcher.java
+++ b/policy/src/main/java/org/apricotdeal/policy/admission/Dispatcher.java
@@ -12,6 +12,7 @@
 import org.apricotdeal.catalogue.model.ClassEntry;
 import org.apricotdeal.kernel.duty.Machine;
 import org.apricotdeal.kernel.id.CallerId;
+import org.apricotdeal.kernel.id.ClassId;
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.RequestId;
 import org.apricotdeal.kernel.id.UpstreamId;
@@ -143,14 +144,17 @@
     }
 
     /**
-     * Returns how many further requests could start at once, for reports to other failure domains.
+     * Returns how many further requests of a class could start soon, for reports to other failure domains: the class's
+     * part of the slots, free or to be made free for it, less what it runs and what waits.
      *
-     * @param id the upstream
-     * @return free slots less waiting requests, 0 where none is free
+     * @param upstreamId the upstream
+     * @param classId the class
+     * @return number of requests, 0 where the class has no room
      */
-    public int freeStreams(UpstreamId id) {
-        UpstreamState upstream = board.find(id);
-        return upstream == null ? 0 : upstream.freeSlots();
+    public int openStreams(UpstreamId upstreamId, ClassId classId) {
+        UpstreamState upstream = board.find(upstreamId);
+        ClassState state = upstream == null ? null : board.classOf(upstream, classId);
+        return state == null ? 0 : WaitPredictor.openSlots(upstream, state);
     }
 
     private void changeCatalogue(Catalogue changed) {
@@ -268,7 +272,7 @@
         if (request.arrival.hops() > 0) {
             return false;
         }
-        Optional<FailureDomainId> domain = spill.choose(nowMillis, request.upstream.id);
+        Optional<FailureDomainId> domain = spill.choose(nowMillis, request.upstream.id, request.arrival.classId());
         if (domain.isEmpty()) {
             return false;
         }
--- a/policy/src/main/java/org/apricotdeal/policy/admission/DomainLoad.java
+++ b/policy/src/main/java/org/apricotdeal/policy/admission/DomainLoad.java
@@ -1,14 +1,17 @@
 package org.apricotdeal.policy.admission;
 
+import org.apricotdeal.kernel.id.ClassId;
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.UpstreamId;
 
 /**
- * What another failure domain reports of one upstream.
+ * What another failure domain reports of one class at one upstream.
  *
  * @param failureDomain the failure domain
  * @param upstream the upstream
- * @param freeStreams further requests that its nodes could start at once, over all of them
+ * @param classId the class
+ * @param openStreams further requests of the class that its nodes could start soon, see {@link Dispatcher#openStreams}
  * @param takenMillis monotonic time at this node that the report describes
  */
-public record DomainLoad(FailureDomainId failureDomain, UpstreamId upstream, int freeStreams, long takenMillis) {}
+public record DomainLoad(
+        FailureDomainId failureDomain, UpstreamId upstream, ClassId classId, int openStreams, long takenMillis) {}
--- a/policy/src/main/java/org/apricotdeal/policy/admission/SpillChooser.java
+++ b/policy/src/main/java/org/apricotdeal/policy/admission/SpillChooser.java
@@ -5,11 +5,12 @@
 import java.util.Optional;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.apricotdeal.kernel.id.ClassId;
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.UpstreamId;
 
 /**
- * Chooses the failure domain that a request is forwarded to: the one with more free streams of two drawn at random, less
+ * Chooses the failure domain that a request is forwarded to: the one with more open streams of two drawn at random, less
  * what this node has forwarded there since the report, so that a lagging report draws no more than it promised.
  */
 final class SpillChooser {
@@ -29,7 +30,7 @@
         }
 
         private int left() {
-            return load.freeStreams() - forwarded;
+            return load.openStreams() - forwarded;
         }
     }
 
@@ -45,10 +46,11 @@
         options = changed;
     }
 
-    Optional<FailureDomainId> choose(long nowMillis, UpstreamId upstream) {
+    Optional<FailureDomainId> choose(long nowMillis, UpstreamId upstream, ClassId classId) {
         List<Option> open = new ArrayList<>();
         for (Option option : options) {
             if (option.load.upstream().equals(upstream)
+                    && option.load.classId().equals(classId)
                     && option.left() > 0
                     && nowMillis - option.load.takenMillis() <= MAX_AGE_MILLIS) {
                 open.add(option);
--- a/policy/src/main/java/org/apricotdeal/policy/admission/WaitPredictor.java
+++ b/policy/src/main/java/org/apricotdeal/policy/admission/WaitPredictor.java
@@ -81,6 +81,16 @@
         return Math.max(1, Math.max(target.floorSlots(slots), slots - above - below));
     }
 
+    /** Returns how many further requests of a class could start soon. */
+    static int openSlots(UpstreamState upstream, ClassState target) {
+        int slots = upstream.slots();
+        if (slots == 0) {
+            return 0;
+        }
+        double part = Math.min(slots, classSlots(upstream, target, slots));
+        return (int) Math.max(0, part - target.running.size() - target.queue.size());
+    }
+
     private static double meanWaitingCost(ClassState target) {
         return target.queue.isEmpty() ? 1 : target.queue.waitingCost() / target.queue.size();
     }
--- a/proofs/src/test/java/org/apricotdeal/proofs/admission/DispatcherTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/admission/DispatcherTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.apricotdeal.catalogue.model.CallerWeighting;
+import org.apricotdeal.kernel.id.ClassId;
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.RequestId;
 import org.apricotdeal.policy.admission.AdmissionOptions;
@@ -94,14 +95,14 @@
         Sessions session = Sessions.standard(0, 0);
         FailureDomainId other = new FailureDomainId("b");
         session.send(new DispatcherEvent.DomainsReported(
-                List.of(new DomainLoad(other, Sessions.MODEL, 1, session.nowMillis))));
+                List.of(new DomainLoad(other, Sessions.MODEL, new ClassId("urgent"), 1, session.nowMillis))));
         List<DispatcherAction> forwarded = session.send(new DispatcherEvent.Arrived(
                 Sessions.arrival("f1", "small", "urgent").hops(1).build()));
         assertEquals(Sessions.only(forwarded, Refuse.class).getFirst().reason(), RefusalReason.NO_CAPACITY);
         List<DispatcherAction> own = session.arrive("q1", "small", "urgent");
         assertEquals(Sessions.only(own, Forward.class).getFirst().failureDomain(), other);
         List<DispatcherAction> next = session.arrive("q2", "small", "urgent");
-        assertTrue(Sessions.only(next, Forward.class).isEmpty(), "the report's one free stream is used up: " + next);
+        assertTrue(Sessions.only(next, Forward.class).isEmpty(), "the report's one open stream is used up: " + next);
     }
 
     @Test
