Forward requests to another failure domain by way of its nodes, once

Cause: the dispatcher's decision to spill had no owner. A forwarded stream is one more attempt of the stream's state machine, with the other node in a replica's place, so that a node lost in mid-stream is treated as a replica lost. Ruled out: passing the other node's bytes through, which would lose the answer's wholeness with that node. Forwarding itself has no test yet.

--- a/http/src/main/java/org/apricotdeal/http/HttpEngineClient.java
+++ b/http/src/main/java/org/apricotdeal/http/HttpEngineClient.java
@@ -1,6 +1,7 @@
 package org.apricotdeal.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -133,6 +134,34 @@
 
     @Override
     public StreamHandle stream(String address, CompletionRequest request, TokenListener listener) {
+        return open(address, "", Map.of(), request, listener);
+    }
+
+    /**
+     * Starts a token stream at another node, which serves it in its own failure domain.
+     *
+     * @param address host and port of the node's peer port
+     * @param pathPrefix prefix of the paths of forwarded requests
+     * @param headers headers that name caller, class and deadline
+     * @param request the request
+     * @param listener takes tokens and the end of the stream
+     * @return handle to cancel the stream
+     */
+    public StreamHandle forward(
+            String address,
+            String pathPrefix,
+            Map<String, String> headers,
+            CompletionRequest request,
+            TokenListener listener) {
+        return open(address, pathPrefix, headers, request, listener);
+    }
+
+    private StreamHandle open(
+            String address,
+            String pathPrefix,
+            Map<String, String> headers,
+            CompletionRequest request,
+            TokenListener listener) {
         String attemptId = request.id().value() + ":" + clientName + "-" + attempts.incrementAndGet();
         Request outgoing;
         try {
@@ -142,8 +171,9 @@
             return () -> {};
         }
         outgoing.method("POST")
-                .path("/v1/completions")
+                .path(pathPrefix + "/v1/completions")
                 .idleTimeout(0, TimeUnit.MILLISECONDS)
+                .headers(fields -> headers.forEach(fields::put))
                 .body(json(EngineJson.write(request, attemptId)));
         TokenStream stream = new TokenStream(outgoing, attemptId, listener);
         stream.send();
--- a/node/src/main/java/org/apricotdeal/node/caller/AnswerWriter.java
+++ b/node/src/main/java/org/apricotdeal/node/caller/AnswerWriter.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.apricotdeal.kernel.id.RequestId;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -16,9 +15,10 @@
  * joined into the next one, so that a slow caller costs memory for its own answer only and never blocks a thread.
  */
 public final class AnswerWriter {
+    private static final int NO_OFFSET = -1;
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    private final RequestId id;
+    private final String id;
     private final boolean stream;
     private final Response response;
     private final Callback exchange;
@@ -31,7 +31,7 @@
     private boolean last;
     private boolean closed;
 
-    AnswerWriter(RequestId id, boolean stream, Response response, Callback exchange) {
+    AnswerWriter(String id, boolean stream, Response response, Callback exchange) {
         this.id = id;
         this.stream = stream;
         this.response = response;
@@ -70,7 +70,7 @@
      */
     public synchronized void finished(String reason) {
         if (stream) {
-            pending.append("data: ").append(chunk(tokens, "", reason)).append("\n\n");
+            pending.append("data: ").append(chunk(NO_OFFSET, "", reason)).append("\n\n");
             pending.append("data: [DONE]\n\n");
             last = true;
             flush();
@@ -136,19 +136,21 @@
 
     private String chunk(int offset, String text, String finishReason) {
         ObjectNode root = JSON.createObjectNode();
-        root.put("id", id.value());
+        root.put("id", id);
         root.put("object", "text_completion");
         ObjectNode choice = root.putArray("choices").addObject();
         choice.put("index", 0);
         choice.put("text", text);
         choice.put("finish_reason", finishReason);
-        root.put("offset", offset);
+        if (offset != NO_OFFSET) {
+            root.put("offset", offset);
+        }
         return render(root);
     }
 
     private byte[] wholeBody(String reason) {
         ObjectNode root = JSON.createObjectNode();
-        root.put("id", id.value());
+        root.put("id", id);
         root.put("object", "text_completion");
         ObjectNode choice = root.putArray("choices").addObject();
         choice.put("index", 0);
--- a/node/src/main/java/org/apricotdeal/node/caller/CallHandler.java
+++ b/node/src/main/java/org/apricotdeal/node/caller/CallHandler.java
@@ -38,7 +38,7 @@
             "x-request-id",
             RequestContext.CLASS_HEADER,
             RequestContext.DEADLINE_HEADER,
-            RequestContext.HOPS_HEADER);
+            RequestContext.CALLER_HEADER);
 
     private final Gate gate;
     private final String prefix;
@@ -55,7 +55,7 @@
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
-        switch (gate.admit(request)) {
+        switch (gate.admit(request, forwarded)) {
             case Result.Err<Gate.Admitted, Failure>(Failure failure) ->
                 FailureWriter.write(failure, response, callback);
             case Result.Ok<Gate.Admitted, Failure>(Gate.Admitted admitted) ->
--- a/node/src/main/java/org/apricotdeal/node/caller/CallWriter.java
+++ b/node/src/main/java/org/apricotdeal/node/caller/CallWriter.java
@@ -28,12 +28,26 @@
      * @param answer the service's answer
      */
     public void answered(ServiceOutcome.Answered answer) {
+        copy(answer);
+        response.getHeaders().put(Outcome.HEADER, Outcome.ANSWERED.word());
+        response.write(true, ByteBuffer.wrap(answer.body()), exchange);
+    }
+
+    /**
+     * Passes on the answer of another node, which has named the outcome.
+     *
+     * @param answer the node's answer
+     */
+    public void forwarded(ServiceOutcome.Answered answer) {
+        copy(answer);
+        response.write(true, ByteBuffer.wrap(answer.body()), exchange);
+    }
+
+    private void copy(ServiceOutcome.Answered answer) {
         response.setStatus(answer.status());
         for (Map.Entry<String, String> header : answer.headers().entrySet()) {
             response.getHeaders().put(header.getKey(), header.getValue());
         }
-        response.getHeaders().put(Outcome.HEADER, Outcome.ANSWERED.word());
-        response.write(true, ByteBuffer.wrap(answer.body()), exchange);
     }
 
     /**
--- a/node/src/main/java/org/apricotdeal/node/caller/CompletionBody.java
+++ b/node/src/main/java/org/apricotdeal/node/caller/CompletionBody.java
@@ -15,8 +15,9 @@
  * @param prompt the prompt
  * @param maxTokens most tokens of the answer
  * @param stream whether the answer is sent token by token
+ * @param requestId id given by the node that forwarded the request; empty from callers
  */
-public record CompletionBody(String model, String prompt, int maxTokens, boolean stream) {
+public record CompletionBody(String model, String prompt, int maxTokens, boolean stream, String requestId) {
     private static final int DEFAULT_MAX_TOKENS = 16;
     private static final ObjectMapper JSON = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
@@ -50,6 +51,11 @@
         if (!stream.isMissingNode() && !stream.isBoolean()) {
             return Checked.badRequest("stream: expected true or false");
         }
-        return Result.ok(new CompletionBody(model.textValue(), prompt.textValue(), tokens, stream.asBoolean(false)));
+        return Result.ok(new CompletionBody(
+                model.textValue(),
+                prompt.textValue(),
+                tokens,
+                stream.asBoolean(false),
+                root.path("request_id").asText("")));
     }
 }
--- a/node/src/main/java/org/apricotdeal/node/caller/CompletionHandler.java
+++ b/node/src/main/java/org/apricotdeal/node/caller/CompletionHandler.java
@@ -25,7 +25,7 @@
             FailureWriter.write(Failure.notRun(405, FailureCode.BAD_REQUEST, "expected POST"), response, callback);
             return true;
         }
-        switch (gate.admit(request)) {
+        switch (gate.admit(request, forwarded)) {
             case Result.Err<Gate.Admitted, Failure>(Failure failure) ->
                 FailureWriter.write(failure, response, callback);
             case Result.Ok<Gate.Admitted, Failure>(Gate.Admitted admitted) ->
@@ -43,7 +43,9 @@
         switch (check(admitted, body, request)) {
             case Result.Err<CheckedCompletion, Failure>(Failure failure) -> refuse(failure, response, callback);
             case Result.Ok<CheckedCompletion, Failure>(CheckedCompletion checked) -> {
-                AnswerWriter writer = new AnswerWriter(admitted.id(), checked.body().stream(), response, callback);
+                CompletionBody completion = checked.body();
+                String id = forwarded ? completion.requestId() : admitted.id().value();
+                AnswerWriter writer = new AnswerWriter(id, completion.stream(), response, callback);
                 if (!gate.intake().takeCompletion(checked.context(), checked.body(), writer)) {
                     refuse(gate.overloaded(), response, callback);
                 }
--- a/node/src/main/java/org/apricotdeal/node/caller/Gate.java
+++ b/node/src/main/java/org/apricotdeal/node/caller/Gate.java
@@ -54,7 +54,7 @@
     }
 
     /** Admits a request; each admitted request has to be ended by {@link #leave()} or by the intake. */
-    Result<Admitted, Failure> admit(Request request) {
+    Result<Admitted, Failure> admit(Request request, boolean forwarded) {
         if (inProgress.count() >= bounds().maxRequestsInProgress()) {
             return refuse(Failure.retryLater(503, FailureCode.QUEUE_FULL, "the node holds too many requests", 1_000));
         }
@@ -63,7 +63,10 @@
         if (known.isEmpty() || index == null) {
             return refuse(Failure.retryLater(503, FailureCode.NOT_READY, "the catalogue is not known yet", 1_000));
         }
-        Optional<CallerEntry> caller = index.find(request.getHeaders().get(HttpHeader.AUTHORIZATION));
+        Optional<CallerEntry> caller = forwarded
+                ? known.get()
+                        .find("caller " + request.getHeaders().get(RequestContext.CALLER_HEADER), CallerEntry.class)
+                : index.find(request.getHeaders().get(HttpHeader.AUTHORIZATION));
         if (caller.isEmpty()) {
             return refuse(
                     Failure.notRun(401, FailureCode.UNAUTHORISED, "authorization: expected Bearer and a caller's key"));
--- a/node/src/main/java/org/apricotdeal/node/caller/RequestContext.java
+++ b/node/src/main/java/org/apricotdeal/node/caller/RequestContext.java
@@ -1,5 +1,6 @@
 package org.apricotdeal.node.caller;
 
+import java.util.Map;
 import java.util.Optional;
 
 import org.apricotdeal.catalogue.model.CallerEntry;
@@ -31,11 +32,26 @@
         long receivedAtMillis,
         long deadlineAtMillis,
         boolean forwarded) {
+    /** Header that names the caller of a request that another node forwards. */
+    static final String CALLER_HEADER = "apricotdeal-caller";
+
     static final String CLASS_HEADER = "apricotdeal-class";
     static final String DEADLINE_HEADER = "apricotdeal-deadline-ms";
-    static final String HOPS_HEADER = "apricotdeal-hops";
     private static final long MAX_DEADLINE_MILLIS = 86_400_000;
 
+    /**
+     * Returns the headers with which the request is forwarded.
+     *
+     * @param nowMillis monotonic time
+     * @return caller, class and what is left of the deadline
+     */
+    public Map<String, String> forwardHeaders(long nowMillis) {
+        return Map.of(
+                CALLER_HEADER, caller.id().value(),
+                CLASS_HEADER, workClass.id().value(),
+                DEADLINE_HEADER, Long.toString(Math.max(1, deadlineAtMillis - nowMillis)));
+    }
+
     static Result<ClassEntry, Failure> workClass(
             HttpFields headers, Catalogue catalogue, CallerEntry caller, ClassId fallback) {
         String named = headers.get(CLASS_HEADER);
--- a/node/src/main/java/org/apricotdeal/node/live/LiveCall.java
+++ b/node/src/main/java/org/apricotdeal/node/live/LiveCall.java
@@ -8,6 +8,7 @@
 import org.apricotdeal.catalogue.model.ServiceEntry;
 import org.apricotdeal.engine.ServiceOutcome;
 import org.apricotdeal.engine.ServiceRequest;
+import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.node.caller.CallBody;
 import org.apricotdeal.node.caller.CallWriter;
@@ -87,8 +88,8 @@
                     step(new CallEvent.Tick());
                 }
             }
-            case LiveEvent.Forwarded forwarded ->
-                services.dispatching().finished(context.id(), FinishOutcome.REFUSED_ELSEWHERE);
+            case LiveEvent.Forwarded(FailureDomainId failureDomain) -> forward(failureDomain);
+            case LiveEvent.ForwardOutcome(ServiceOutcome outcome) -> takeForwardOutcome(outcome);
             case LiveEvent.Preempted preempted -> {}
             case LiveEvent.OfStream ofStream -> {}
         }
@@ -117,6 +118,34 @@
         claims.claim(request, decision -> duty().notice(this, new LiveEvent.Claimed(decision)));
     }
 
+    /** Hands the call to a node of another failure domain, once; that node claims the idempotency key. */
+    private void forward(FailureDomainId failureDomain) {
+        Optional<Route> route = services.forwarding().route(context.upstream(), failureDomain);
+        if (route.isEmpty()) {
+            services.dispatching().finished(context.id(), FinishOutcome.REFUSED_ELSEWHERE);
+            return;
+        }
+        var unused = services.forwarding()
+                .call(services.services(), route.get(), context, body)
+                .thenAccept(outcome -> duty().put(this, new LiveEvent.ForwardOutcome(outcome)));
+    }
+
+    private void takeForwardOutcome(ServiceOutcome outcome) {
+        switch (outcome) {
+            case ServiceOutcome.NotSent notSent ->
+                services.dispatching().finished(context.id(), FinishOutcome.REFUSED_ELSEWHERE);
+            case ServiceOutcome.Answered answered
+            when Forwarding.isNotRun(answered) ->
+                services.dispatching().finished(context.id(), FinishOutcome.REFUSED_ELSEWHERE);
+            case ServiceOutcome.Answered answered -> {
+                services.dispatching().finished(context.id(), FinishOutcome.COMPLETED);
+                writer.forwarded(answered);
+                end();
+            }
+            case ServiceOutcome.Unknown unknown -> outcomeUnknown();
+        }
+    }
+
     private void takeClaim(ClaimAction decision) {
         claiming = false;
         switch (decision) {
--- a/node/src/main/java/org/apricotdeal/node/live/LiveEvent.java
+++ b/node/src/main/java/org/apricotdeal/node/live/LiveEvent.java
@@ -30,6 +30,9 @@
     /** An attempt at a plain service ended. */
     record Outcome(int attempt, ServiceOutcome outcome) implements LiveEvent {}
 
+    /** A forwarded call ended. */
+    record ForwardOutcome(ServiceOutcome outcome) implements LiveEvent {}
+
     /** The claims journal has decided on the request. */
     record Claimed(ClaimAction decision) implements LiveEvent {}
 
--- a/node/src/main/java/org/apricotdeal/node/live/LivePlugin.java
+++ b/node/src/main/java/org/apricotdeal/node/live/LivePlugin.java
@@ -54,6 +54,7 @@
                 dispatching,
                 kernel.require(EngineClient.class),
                 new HttpServiceClient(kernel.httpClient()),
+                new Forwarding(kernel),
                 routes);
         kernel.subscribe(event -> {
             if (event instanceof NodeEvent.RoutesChanged(RouteTable table)) {
--- a/node/src/main/java/org/apricotdeal/node/live/LiveServices.java
+++ b/node/src/main/java/org/apricotdeal/node/live/LiveServices.java
@@ -15,6 +15,7 @@
         Dispatching dispatching,
         EngineClient engines,
         ServiceClient services,
+        Forwarding forwarding,
         AtomicReference<RouteTable> routes) {
     long nowMillis() {
         return kernel.clock().monotonicMillis();
--- a/node/src/main/java/org/apricotdeal/node/live/LiveStream.java
+++ b/node/src/main/java/org/apricotdeal/node/live/LiveStream.java
@@ -12,6 +12,7 @@
 import org.apricotdeal.engine.StreamFailure;
 import org.apricotdeal.engine.StreamHandle;
 import org.apricotdeal.engine.TokenListener;
+import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.ReplicaId;
 import org.apricotdeal.kernel.id.RequestId;
 import org.apricotdeal.kernel.result.Result;
@@ -39,6 +40,7 @@
 final class LiveStream extends LiveRequest {
     private static final long PROBE_MILLIS = 500;
     private static final int MAX_ATTEMPTS = 6;
+    private static final long EXCLUDE_MILLIS = 5_000;
     private static final int MAX_EARLY_TOKENS = 64;
     private static final int PROGRESS_TOKENS = 8;
 
@@ -68,6 +70,7 @@
                 PROBE_MILLIS,
                 context.deadlineAtMillis(),
                 MAX_ATTEMPTS,
+                EXCLUDE_MILLIS,
                 MAX_EARLY_TOKENS);
         this.machine = new TokenStreamMachine(policy, RetryPermit.UNLIMITED);
     }
@@ -90,9 +93,9 @@
                     step(new StreamEvent.Tick());
                 }
             }
-            case LiveEvent.Forwarded forwarded ->
-                services.dispatching().finished(context.id(), FinishOutcome.REFUSED_ELSEWHERE);
+            case LiveEvent.Forwarded(FailureDomainId failureDomain) -> takeForward(failureDomain);
             case LiveEvent.Outcome outcome -> {}
+            case LiveEvent.ForwardOutcome outcome -> {}
             case LiveEvent.Claimed claimed -> {}
         }
     }
@@ -103,7 +106,21 @@
             services.dispatching().finished(context.id(), FinishOutcome.NOT_STARTED);
             return;
         }
-        granted = route.get();
+        useGrant(route.get());
+    }
+
+    /** Another failure domain serves the stream by way of one of its nodes, as if that node were a replica. */
+    private void takeForward(FailureDomainId failureDomain) {
+        Optional<Route> route = services.forwarding().route(context.upstream(), failureDomain);
+        if (route.isEmpty()) {
+            services.dispatching().finished(context.id(), FinishOutcome.REFUSED_ELSEWHERE);
+            return;
+        }
+        useGrant(route.get());
+    }
+
+    private void useGrant(Route route) {
+        granted = route;
         if (!started) {
             started = true;
             step(new StreamEvent.Start());
@@ -160,9 +177,15 @@
         if (granted != null) {
             chooseGranted();
         } else {
-            FinishOutcome outcome = lastNotStarted ? FinishOutcome.NOT_STARTED : FinishOutcome.BROKEN;
-            services.dispatching().finished(context.id(), outcome);
+            services.dispatching().finished(context.id(), attemptOutcome());
+        }
+    }
+
+    private FinishOutcome attemptOutcome() {
+        if (!lastNotStarted) {
+            return FinishOutcome.BROKEN;
         }
+        return Forwarding.isForward(current) ? FinishOutcome.REFUSED_ELSEWHERE : FinishOutcome.NOT_STARTED;
     }
 
     private void chooseGranted() {
@@ -186,6 +209,10 @@
     }
 
     private void probe(int attempt, ReplicaId replica) {
+        if (Forwarding.isForward(current)) {
+            step(new StreamEvent.Probed(attempt, false));
+            return;
+        }
         var unused = services.engines().state(current.address(), PROBE_MILLIS).thenAccept(result -> duty().put(
                         this, probed(attempt, replica, result)));
     }
