--- a/lab/src/main/java/org/apricotdeal/lab/sim/SimStore.java
+++ b/lab/src/main/java/org/apricotdeal/lab/sim/SimStore.java
@@ -20,6 +20,7 @@
     public static final String ACTOR = "platform";
 
     private static final long CALL_TIMEOUT_MILLIS = 1_000;
+    private static final long WATCH_CHECK_MILLIS = 10;
 
     private final Scheduler scheduler;
     private final Network network;
@@ -126,6 +127,41 @@
         scheduler.after(CALL_TIMEOUT_MILLIS, () -> fail(from, call, once));
     }
 
+    /**
+     * Waits for a change of a key. No reply comes while the service is away; the caller sets its own timeout.
+     *
+     * @param from name of the calling actor
+     * @param key the key
+     * @param afterRevision changes up to this revision are known already; 0 to read the key at once
+     * @param waitMillis longest time to wait
+     * @param onReply takes the newest value after that revision, or nothing where there was none in time
+     */
+    public void awaitChange(
+            String from, String key, long afterRevision, long waitMillis, Consumer<Optional<Versioned>> onReply) {
+        network.send(from, ACTOR, () -> {
+            if (!away) {
+                calls++;
+                long untilMillis = scheduler.monotonicMillis() + waitMillis;
+                checkChange(from, key, afterRevision, untilMillis, onReply);
+            }
+        });
+    }
+
+    private void checkChange(
+            String from, String key, long afterRevision, long untilMillis, Consumer<Optional<Versioned>> onReply) {
+        if (away) {
+            return;
+        }
+        Optional<Versioned> found = peek(key).filter(value -> value.revision() > afterRevision);
+        if (found.isEmpty() && scheduler.monotonicMillis() < untilMillis && afterRevision > 0) {
+            scheduler.after(WATCH_CHECK_MILLIS, () -> checkChange(from, key, afterRevision, untilMillis, onReply));
+            return;
+        }
+        if (scheduler.random().nextDouble() >= lostReplyShare) {
+            scheduler.after(extraDelayMillis, () -> network.send(ACTOR, from, () -> onReply.accept(found)));
+        }
+    }
+
     private void fail(String from, StoreCall call, Consumer<StoreReply> once) {
         if (network.isStopped(from)) {
             return;
--- a/lab/src/main/java/org/apricotdeal/lab/soak/BookingNode.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/BookingNode.java
@@ -34,6 +34,7 @@
     private static final CallerId CALLER = new CallerId("guild");
     private static final UpstreamId UPSTREAM = new UpstreamId("order-desk");
     private static final int MAX_ATTEMPTS = 3;
+    private static final long PAUSE_CHECK_MILLIS = 20;
 
     private final String name;
     private final BookingWorld world;
@@ -121,7 +122,7 @@
             return;
         }
         if (world.network().isPaused(name)) {
-            world.scheduler().after(5, () -> runNow(of, task));
+            world.scheduler().after(PAUSE_CHECK_MILLIS, () -> runNow(of, task));
             return;
         }
         task.run();
--- a/policy/src/main/java/org/apricotdeal/policy/spread/CatalogueChange.java
+++ b/policy/src/main/java/org/apricotdeal/policy/spread/CatalogueChange.java
@@ -14,11 +14,17 @@
  * @param version the version that the changes lead to
  * @param changeId id of the change that made that version
  * @param baseVersion the version that they apply to; 0 where the entries are the whole catalogue
+ * @param platformRevision the platform's revision of that version, so that the receiver need not read it; 0 where unknown
  * @param entries changed entries by key; nothing where the entry was deleted
  * @param digest digest of the catalogue that they lead to, see {@link CatalogueDigest}
  */
 public record CatalogueChange(
-        long version, String changeId, long baseVersion, Map<String, Optional<Entry>> entries, String digest) {
+        long version,
+        String changeId,
+        long baseVersion,
+        long platformRevision,
+        Map<String, Optional<Entry>> entries,
+        String digest) {
     /** Freezes the entries. */
     public CatalogueChange {
         entries = Collections.unmodifiableMap(new TreeMap<>(entries));
@@ -37,10 +43,11 @@
      * Makes a change that carries a whole catalogue.
      *
      * @param catalogue the catalogue
+     * @param platformRevision the platform's revision of it; 0 where unknown
      * @return the change
      */
-    public static CatalogueChange whole(Catalogue catalogue) {
-        return between(Catalogue.EMPTY, catalogue);
+    public static CatalogueChange whole(Catalogue catalogue, long platformRevision) {
+        return between(Catalogue.EMPTY, catalogue, platformRevision);
     }
 
     /**
@@ -48,9 +55,10 @@
      *
      * @param from the earlier version
      * @param to the later version
+     * @param platformRevision the platform's revision of the later version; 0 where unknown
      * @return the change
      */
-    public static CatalogueChange between(Catalogue from, Catalogue to) {
+    public static CatalogueChange between(Catalogue from, Catalogue to, long platformRevision) {
         Map<String, Optional<Entry>> changed = new TreeMap<>();
         for (Map.Entry<String, Entry> entry : to.entries().entrySet()) {
             if (!entry.getValue().equals(from.entries().get(entry.getKey()))) {
@@ -62,7 +70,8 @@
                 changed.put(key, Optional.empty());
             }
         }
-        return new CatalogueChange(to.version(), to.changeId(), from.version(), changed, CatalogueDigest.of(to));
+        return new CatalogueChange(
+                to.version(), to.changeId(), from.version(), platformRevision, changed, CatalogueDigest.of(to));
     }
 
     /**
--- a/policy/src/main/java/org/apricotdeal/policy/spread/CatalogueHistory.java
+++ b/policy/src/main/java/org/apricotdeal/policy/spread/CatalogueHistory.java
@@ -22,13 +22,13 @@
     }
 
     /** Makes the change from a version to the newest one, whole where that version was never in force here. */
-    CatalogueChange since(long haveVersion) {
+    CatalogueChange since(long haveVersion, long platformRevision) {
         Catalogue newest = versions.getLast();
         for (Catalogue catalogue : versions) {
             if (catalogue.version() == haveVersion) {
-                return CatalogueChange.between(catalogue, newest);
+                return CatalogueChange.between(catalogue, newest, platformRevision);
             }
         }
-        return CatalogueChange.whole(newest);
+        return CatalogueChange.whole(newest, platformRevision);
     }
 }
--- a/policy/src/main/java/org/apricotdeal/policy/spread/CatalogueSpread.java
+++ b/policy/src/main/java/org/apricotdeal/policy/spread/CatalogueSpread.java
@@ -23,13 +23,16 @@
  * renewed every few seconds, so a connection that has silently died costs no more than that. A watcher that learns a
  * version tells all nodes of its failure domain, which ask it for the changed entries. Heartbeats carry versions too: a
  * node that hears of a higher one from anybody asks for it, which mends lost messages and serves failure domains that are
- * cut off from the platform but not from others. A node that hears from no watcher for long reads the platform itself.
+ * cut off from the platform but not from others. The other nodes of a failure domain together call the platform at a
+ * fixed low rate, in case its watchers cannot; so the calls grow with failure domains, not with nodes.
  *
  * <p>A version is adopted only if it is higher than the one in force. A node that has none takes the platform's; while
  * the platform is away it collects its peers' versions for a moment and takes the highest; without either it says that it
  * is not ready.
  */
 public final class CatalogueSpread implements Machine<SpreadEvent, SpreadAction> {
+    private static final long POLL_WAIT_MILLIS = 50;
+
     private final SpreadSettings settings;
     private final NodeId self;
     private final FailureDomainId failureDomain;
@@ -42,11 +45,11 @@
     private Catalogue current;
     private String digest = "";
     private long platformRevision;
+    private long currentRevision;
     private long lastCallId;
     private PlatformCall platformCall;
     private PeerCall peerCall;
     private long nextCallAtMillis;
-    private long heardAtMillis;
     private boolean platformFailed;
     private long collectingSinceMillis;
     private boolean wantsWhole;
@@ -91,12 +94,12 @@
         List<SpreadAction> actions = new ArrayList<>();
         switch (event) {
             case SpreadEvent.PeersChanged(Set<PeerRef> peers) -> peersChanged(peers);
-            case SpreadEvent.PlatformCatalogue reply -> platformAnswered(nowMillis, reply, actions);
+            case SpreadEvent.PlatformCatalogue reply -> platformAnswered(reply, actions);
             case SpreadEvent.PlatformFailed(long callId) -> platformFailed(nowMillis, callId);
-            case SpreadEvent.PeerVersion told -> peerTold(nowMillis, told, actions);
+            case SpreadEvent.PeerVersion told -> peerTold(told, actions);
             case SpreadEvent.PeerAsks(NodeId peer, long haveVersion) -> {
                 if (current != null && current.version() > haveVersion) {
-                    actions.add(new SpreadAction.SendCatalogue(peer, history.since(haveVersion)));
+                    actions.add(new SpreadAction.SendCatalogue(peer, history.since(haveVersion, currentRevision)));
                 }
             }
             case SpreadEvent.PeerCatalogue(NodeId peer, CatalogueChange change) -> peerSent(peer, change, actions);
@@ -147,15 +150,14 @@
                 .noneMatch(p -> p.node().equals(peer)));
     }
 
-    private void platformAnswered(long nowMillis, SpreadEvent.PlatformCatalogue reply, List<SpreadAction> actions) {
+    private void platformAnswered(SpreadEvent.PlatformCatalogue reply, List<SpreadAction> actions) {
         if (platformCall == null || platformCall.callId() != reply.callId()) {
             return;
         }
         platformCall = null;
         platformFailed = false;
-        heardAtMillis = nowMillis;
         platformRevision = Math.max(platformRevision, reply.revision());
-        reply.catalogue().ifPresent(catalogue -> adopt(catalogue, "platform", actions));
+        reply.catalogue().ifPresent(catalogue -> adopt(catalogue, reply.revision(), "platform", actions));
     }
 
     private void platformFailed(long nowMillis, long callId) {
@@ -173,11 +175,8 @@
         nextCallAtMillis = nowMillis + settings.retryMillis() + random.nextLong(settings.retryMillis() + 1);
     }
 
-    private void peerTold(long nowMillis, SpreadEvent.PeerVersion told, List<SpreadAction> actions) {
+    private void peerTold(SpreadEvent.PeerVersion told, List<SpreadAction> actions) {
         peerVersions.put(told.peer(), new Known(told.version(), told.digest()));
-        if (watchers.contains(told.peer())) {
-            heardAtMillis = nowMillis;
-        }
         if (current != null && told.version() == version() && !told.digest().equals(digest)) {
             actions.add(new SpreadAction.Diverged(told.peer(), told.version()));
         }
@@ -193,14 +192,14 @@
         boolean fits = change.isWhole() || change.baseVersion() == version();
         Catalogue next = change.applyTo(current == null ? Catalogue.EMPTY : current);
         boolean intact = fits && CatalogueDigest.of(next).equals(change.digest());
-        if (!intact && fault != SpreadFault.IGNORE_BASE) {
+        if (!intact && fault != SpreadFault.IGNORE_DIGEST) {
             wantsWhole = true;
             return;
         }
-        adopt(next, peer.value(), actions);
+        adopt(next, change.platformRevision(), peer.value(), actions);
     }
 
-    private void adopt(Catalogue catalogue, String source, List<SpreadAction> actions) {
+    private void adopt(Catalogue catalogue, long revision, String source, List<SpreadAction> actions) {
         long before = version();
         if (catalogue.version() <= before && fault != SpreadFault.ADOPT_OLDER) {
             return;
@@ -211,6 +210,8 @@
                 () -> "version " + catalogue.version() + " would follow " + before + " on " + self);
         current = current == null ? catalogue : sharingUnchanged(current, catalogue);
         digest = CatalogueDigest.of(current);
+        currentRevision = revision;
+        platformRevision = Math.max(platformRevision, revision);
         wantsWhole = false;
         history.add(current);
         actions.add(new SpreadAction.Adopt(current, source));
@@ -247,20 +248,31 @@
     }
 
     private void askPlatform(long nowMillis, List<SpreadAction> actions) {
-        boolean unheard = nowMillis - heardAtMillis >= settings.unheardMillis();
-        boolean needed = isWatcher() || current == null || unheard;
-        if (platformCall != null || nowMillis < nextCallAtMillis || !needed) {
+        if (platformCall != null || nowMillis < nextCallAtMillis) {
             return;
         }
-        long waitMillis = isWatcher() && platformRevision > 0 ? settings.watchMillis() : 0;
+        long waitMillis = platformRevision == 0 ? 0 : isWatcher() ? settings.watchMillis() : POLL_WAIT_MILLIS;
         lastCallId++;
         platformCall = new PlatformCall(lastCallId, nowMillis + waitMillis + settings.callTimeoutMillis());
-        if (waitMillis == 0) {
-            nextCallAtMillis = nowMillis + settings.retryMillis();
-        }
+        nextCallAtMillis = nowMillis + pauseAfterCallMillis();
         actions.add(new SpreadAction.AskPlatform(lastCallId, platformRevision, waitMillis));
     }
 
+    /** A watcher renews its call at once; the other nodes of a failure domain share a fixed rate of calls. */
+    private long pauseAfterCallMillis() {
+        if (current == null) {
+            return settings.retryMillis();
+        }
+        if (isWatcher()) {
+            return 0;
+        }
+        long others = live.stream()
+                .filter(peer -> peer.failureDomain().equals(failureDomain))
+                .count();
+        long periodMillis = Math.max(settings.minPollMillis(), settings.domainPollMillis() * others);
+        return periodMillis / 2 + random.nextLong(periodMillis);
+    }
+
     /** Asks the peer with the highest version above this node's own; equals are chosen among at random. */
     private void askPeer(long nowMillis, List<SpreadAction> actions) {
         if (peerCall != null || fault == SpreadFault.NO_PEERS || !mayLearnFromPeers(nowMillis)) {
@@ -293,7 +305,7 @@
             return;
         }
         if (fault == SpreadFault.GUESS && platformFailed) {
-            adopt(new Catalogue(1, "guess", Map.of()), "guess", actions);
+            adopt(new Catalogue(1, "guess", Map.of()), 0, "guess", actions);
             return;
         }
         String reason = platformFailed ? "platform is away and no peer has a catalogue" : "no catalogue was read yet";
--- a/policy/src/main/java/org/apricotdeal/policy/spread/SpreadFault.java
+++ b/policy/src/main/java/org/apricotdeal/policy/spread/SpreadFault.java
@@ -9,7 +9,7 @@
     /** Never tells peers and never asks them. */
     NO_PEERS,
     /** Applies changes to whatever version is in force, without looking at the digest. */
-    IGNORE_BASE,
+    IGNORE_DIGEST,
     /** Serves with an empty catalogue where none can be learned. */
     GUESS
 }
--- a/policy/src/main/java/org/apricotdeal/policy/spread/SpreadSettings.java
+++ b/policy/src/main/java/org/apricotdeal/policy/spread/SpreadSettings.java
@@ -7,7 +7,9 @@
  * @param watchMillis longest time of one waiting call; a change that a silent connection has lost is found by the next
  * @param callTimeoutMillis time beyond a call's own waiting time after which it counts as failed
  * @param retryMillis time before a failed call to the platform is repeated
- * @param unheardMillis time without word from any watcher after which another node reads the platform itself
+ * @param domainPollMillis time between two short calls to the platform by nodes of one failure domain that are no
+ *     watchers; each of them calls the less often the more they are
+ * @param minPollMillis shortest time between two such calls of one node
  * @param settleMillis time for which a node without a catalogue collects peers' versions while the platform is away
  * @param peerTimeoutMillis time after which a peer that was asked for entries is taken for gone
  * @param keptVersions versions whose changes a node keeps, to send peers only what has changed
@@ -17,10 +19,12 @@
         long watchMillis,
         long callTimeoutMillis,
         long retryMillis,
-        long unheardMillis,
+        long domainPollMillis,
+        long minPollMillis,
         long settleMillis,
         long peerTimeoutMillis,
         int keptVersions) {
     /** The settings of a node. */
-    public static final SpreadSettings DEFAULT = new SpreadSettings(2, 5_000, 2_000, 1_000, 30_000, 2_000, 1_000, 64);
+    public static final SpreadSettings DEFAULT =
+            new SpreadSettings(2, 5_000, 2_000, 1_000, 1_000, 5_000, 2_000, 1_000, 64);
 }
