--- a/node/src/main/java/org/apricotdeal/node/catalogue/CatalogueMessages.java
+++ b/node/src/main/java/org/apricotdeal/node/catalogue/CatalogueMessages.java
@@ -28,7 +28,13 @@
             }
             entries.add(entry);
         }
-        return new TCatalogue(change.version(), change.changeId(), change.baseVersion(), entries, change.digest());
+        return new TCatalogue(
+                change.version(),
+                change.changeId(),
+                change.baseVersion(),
+                entries,
+                change.digest(),
+                change.platformRevision());
     }
 
     static Result<CatalogueChange, String> fromWire(TCatalogue message) {
@@ -46,6 +52,11 @@
             }
         }
         return Result.ok(new CatalogueChange(
-                message.getVersion(), message.getChangeId(), message.getBaseVersion(), entries, message.getDigest()));
+                message.getVersion(),
+                message.getChangeId(),
+                message.getBaseVersion(),
+                message.getPlatformRevision(),
+                entries,
+                message.getDigest()));
     }
 }
