--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TCatalogue.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TCatalogue.java
@@ -15,6 +15,7 @@
   private static final org.apache.thrift.protocol.TField BASE_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("baseVersion", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField ENTRIES_FIELD_DESC = new org.apache.thrift.protocol.TField("entries", org.apache.thrift.protocol.TType.LIST, (short)4);
   private static final org.apache.thrift.protocol.TField DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("digest", org.apache.thrift.protocol.TType.STRING, (short)5);
+  private static final org.apache.thrift.protocol.TField PLATFORM_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("platformRevision", org.apache.thrift.protocol.TType.I64, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TCatalogueStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TCatalogueTupleSchemeFactory();
@@ -24,6 +25,7 @@
   public long baseVersion; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<TCatalogueEntry> entries; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String digest; // required
+  public long platformRevision; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -31,7 +33,8 @@
     CHANGE_ID((short)2, "changeId"),
     BASE_VERSION((short)3, "baseVersion"),
     ENTRIES((short)4, "entries"),
-    DIGEST((short)5, "digest");
+    DIGEST((short)5, "digest"),
+    PLATFORM_REVISION((short)6, "platformRevision");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -57,6 +60,8 @@
           return ENTRIES;
         case 5: // DIGEST
           return DIGEST;
+        case 6: // PLATFORM_REVISION
+          return PLATFORM_REVISION;
         default:
           return null;
       }
@@ -102,6 +107,7 @@
   // isset id assignments
   private static final int __VERSION_ISSET_ID = 0;
   private static final int __BASEVERSION_ISSET_ID = 1;
+  private static final int __PLATFORMREVISION_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -117,6 +123,8 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TCatalogueEntry.class))));
     tmpMap.put(_Fields.DIGEST, new org.apache.thrift.meta_data.FieldMetaData("digest", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.PLATFORM_REVISION, new org.apache.thrift.meta_data.FieldMetaData("platformRevision", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TCatalogue.class, metaDataMap);
   }
@@ -129,7 +137,8 @@
     java.lang.String changeId,
     long baseVersion,
     java.util.List<TCatalogueEntry> entries,
-    java.lang.String digest)
+    java.lang.String digest,
+    long platformRevision)
   {
     this();
     this.version = version;
@@ -139,6 +148,8 @@
     setBaseVersionIsSet(true);
     this.entries = entries;
     this.digest = digest;
+    this.platformRevision = platformRevision;
+    setPlatformRevisionIsSet(true);
   }
 
   /**
@@ -161,6 +172,7 @@
     if (other.isSetDigest()) {
       this.digest = other.digest;
     }
+    this.platformRevision = other.platformRevision;
   }
 
   @Override
@@ -177,6 +189,8 @@
     this.baseVersion = 0;
     this.entries = null;
     this.digest = null;
+    setPlatformRevisionIsSet(false);
+    this.platformRevision = 0;
   }
 
   public long getVersion() {
@@ -316,6 +330,29 @@
     }
   }
 
+  public long getPlatformRevision() {
+    return this.platformRevision;
+  }
+
+  public TCatalogue setPlatformRevision(long platformRevision) {
+    this.platformRevision = platformRevision;
+    setPlatformRevisionIsSet(true);
+    return this;
+  }
+
+  public void unsetPlatformRevision() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PLATFORMREVISION_ISSET_ID);
+  }
+
+  /** Returns true if field platformRevision is set (has been assigned a value) and false otherwise */
+  public boolean isSetPlatformRevision() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PLATFORMREVISION_ISSET_ID);
+  }
+
+  public void setPlatformRevisionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PLATFORMREVISION_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -359,6 +396,14 @@
       }
       break;
 
+    case PLATFORM_REVISION:
+      if (value == null) {
+        unsetPlatformRevision();
+      } else {
+        setPlatformRevision((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -381,6 +426,9 @@
     case DIGEST:
       return getDigest();
 
+    case PLATFORM_REVISION:
+      return getPlatformRevision();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -403,6 +451,8 @@
       return isSetEntries();
     case DIGEST:
       return isSetDigest();
+    case PLATFORM_REVISION:
+      return isSetPlatformRevision();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -465,6 +515,15 @@
         return false;
     }
 
+    boolean this_present_platformRevision = true;
+    boolean that_present_platformRevision = true;
+    if (this_present_platformRevision || that_present_platformRevision) {
+      if (!(this_present_platformRevision && that_present_platformRevision))
+        return false;
+      if (this.platformRevision != that.platformRevision)
+        return false;
+    }
+
     return true;
   }
 
@@ -488,6 +547,8 @@
     if (isSetDigest())
       hashCode = hashCode * 8191 + digest.hashCode();
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(platformRevision);
+
     return hashCode;
   }
 
@@ -549,6 +610,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetPlatformRevision(), other.isSetPlatformRevision());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPlatformRevision()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.platformRevision, other.platformRevision);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -604,6 +675,10 @@
       sb.append(this.digest);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("platformRevision:");
+    sb.append(this.platformRevision);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -621,6 +696,7 @@
     if (digest == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'digest' was not present! Struct: " + toString());
     }
+    // alas, we cannot check 'platformRevision' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -713,6 +789,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // PLATFORM_REVISION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.platformRevision = iprot.readI64();
+              struct.setPlatformRevisionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -727,6 +811,9 @@
       if (!struct.isSetBaseVersion()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'baseVersion' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetPlatformRevision()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'platformRevision' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -763,6 +850,9 @@
         oprot.writeString(struct.digest);
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(PLATFORM_REVISION_FIELD_DESC);
+      oprot.writeI64(struct.platformRevision);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -792,6 +882,7 @@
         }
       }
       oprot.writeString(struct.digest);
+      oprot.writeI64(struct.platformRevision);
     }
 
     @Override
@@ -817,6 +908,8 @@
       struct.setEntriesIsSet(true);
       struct.digest = iprot.readString();
       struct.setDigestIsSet(true);
+      struct.platformRevision = iprot.readI64();
+      struct.setPlatformRevisionIsSet(true);
     }
   }
 
