Forward what waits too long, pause targets that fail, lend limits between nodes

Cause 2: a lost replica fails attempts faster than a live one serves them and drew request after request until the retry budget was spent. Change: CircuitBreaker for each target. Cause 3: limits over nodes. Also: the floor is measured against the slots that were not lost.

--- a/lab/src/main/java/org/apricotdeal/lab/experiment/RunResult.java
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/RunResult.java
@@ -110,7 +110,8 @@
 
     private double floorKept(ClassEntry entry, UpstreamId upstream) {
         double windowMillis = (counters.toMicros - counters.fromMicros) / 1_000.0;
-        double capacityMillis = slots.get(upstream) * windowMillis;
+        double capacityMillis =
+                slots.get(upstream) * windowMillis - counters.lostSlotMillis.getOrDefault(upstream, 0.0);
         double got = counters.slotMillis.getOrDefault(new SimCounters.ClassSlot(upstream, entry.id()), 0.0);
         long askedCount = 0;
         long unserved = 0;
--- a/lab/src/main/java/org/apricotdeal/lab/experiment/SimCluster.java
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/SimCluster.java
@@ -51,6 +51,7 @@
         private final FailureDomainId failureDomain;
         private final int streams;
         private boolean listed = true;
+        private long lostMicros;
 
         private Placed(SimTarget target, UpstreamId upstream, FailureDomainId failureDomain, int streams) {
             this.target = target;
@@ -245,6 +246,7 @@
 
     private void lose(Placed placed) {
         placed.target.setLost(true);
+        placed.lostMicros = scheduler.nowMicros();
         scheduler.after(BREAK_SEEN_MILLIS, () -> nodes.forEach(node -> node.targetLost(placed.target)));
         scheduler.after(DETECT_MILLIS, () -> {
             placed.listed = false;
@@ -254,6 +256,7 @@
 
     private void restore(Placed placed) {
         placed.target.setLost(false);
+        counters.lost(placed.upstream, placed.streams, placed.lostMicros, scheduler.nowMicros());
         placed.listed = true;
         nodes.forEach(this::tellCapacity);
     }
--- a/lab/src/main/java/org/apricotdeal/lab/experiment/SimCounters.java
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/SimCounters.java
@@ -16,6 +16,7 @@
     final long fromMicros;
     final long toMicros;
     final Map<ClassSlot, Double> slotMillis = new HashMap<>();
+    final Map<UpstreamId, Double> lostSlotMillis = new HashMap<>();
     final Map<CallerId, Double> callerSlotMillis = new HashMap<>();
     private final Map<ClassRefusal, Long> refusals =
             new TreeMap<>(Comparator.comparing(ClassRefusal::classId).thenComparing(ClassRefusal::reason));
@@ -54,6 +55,14 @@
         }
     }
 
+    /** Counts the part of a target's loss that lies within the measured time. */
+    void lost(UpstreamId upstream, int slots, long startMicros, long endMicros) {
+        long overlapMicros = Math.min(endMicros, toMicros) - Math.max(startMicros, fromMicros);
+        if (overlapMicros > 0) {
+            lostSlotMillis.merge(upstream, slots * (overlapMicros / 1_000.0), Double::sum);
+        }
+    }
+
     /** Counts the part of a hold of a slot that lies within the measured time. */
     void held(CallerRequest request, long startMicros, long endMicros) {
         long overlapMicros = Math.min(endMicros, toMicros) - Math.max(startMicros, fromMicros);
--- a/lab/src/main/java/org/apricotdeal/lab/experiment/SimNode.java
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/SimNode.java
@@ -22,6 +22,7 @@
 /** A node that runs the real dispatcher and carries out its actions on the simulated network. */
 final class SimNode {
     private static final long CONNECT_FAILURE_MILLIS = 20;
+    private static final long BREAK_SEEN_MILLIS = 500;
 
     private final NodeId id;
     private final FailureDomainId failureDomain;
@@ -110,6 +111,11 @@
             }
             if (lost.origin == this) {
                 fleet.failed(lost.request);
+            } else {
+                RequestId request = idOf(lost);
+                scheduler.after(
+                        BREAK_SEEN_MILLIS,
+                        () -> lost.origin.step(new DispatcherEvent.Finished(request, FinishOutcome.BROKEN)));
             }
         }
         held.clear();
@@ -261,6 +267,9 @@
             if (entry.request.load.promptTokens() > 0) {
                 step(new DispatcherEvent.Progress(count.id(), count.tokens()));
             }
+            if (entry.origin != this) {
+                network.send(name(), entry.origin.name(), () -> entry.origin.forwardProgress(count));
+            }
             if (count.whole()) {
                 entry.request.finishedMicros = nowMicros;
                 releaseHold(entry);
@@ -281,6 +290,14 @@
         network.send(name(), peer.name(), () -> peer.arrive(request, entry.request, this, 1));
     }
 
+    private void forwardProgress(TokenCount count) {
+        Held entry = held.get(count.id());
+        if (entry != null && entry.target == null && count.tokens() > entry.tokens) {
+            entry.tokens = count.tokens();
+            step(new DispatcherEvent.Progress(count.id(), count.tokens()));
+        }
+    }
+
     private void forwardEnded(RequestId request, FinishOutcome outcome) {
         step(new DispatcherEvent.Finished(request, outcome));
         if (outcome == FinishOutcome.COMPLETED || outcome == FinishOutcome.FAILED) {
--- a/lab/src/main/java/org/apricotdeal/lab/experiment/SimReplica.java
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/SimReplica.java
@@ -16,8 +16,9 @@
 
 /**
  * A model replica that batches continuously. Each step adds a token to every stream whose prompt has been read; its time
- * grows with the number of streams and with the prompt tokens read in it. Prompts are read in chunks; a prefix in the
- * cache is not read again, and prompts of more urgent classes are read first. The cache holds a bounded number of prefixes and evicts the least recently used.
+ * grows with the number of streams and with the prompt tokens read in it. Prompts are read in chunks, those of more urgent
+ * classes first; a prefix in the cache is not read again. The cache holds a bounded number of prefixes and evicts the
+ * least recently used.
  */
 final class SimReplica implements SimTarget {
     private static final long STEP_BASE_MICROS = 16_000;
--- a/policy/src/main/java/org/apricotdeal/policy/admission/Dispatcher.java
+++ b/policy/src/main/java/org/apricotdeal/policy/admission/Dispatcher.java
@@ -52,7 +52,6 @@
  */
 public final class Dispatcher implements Machine<DispatcherEvent, DispatcherAction> {
     private static final int MAX_ATTEMPTS = 8;
-    private static final double OVERRUN_SHARE = 0.25;
     private static final long SHARE_WAIT_MILLIS = 60;
     private static final int MAX_AWAITING_SHARE = 64;
     private static final long COMPARE_PERIOD_MILLIS = 250;
@@ -66,6 +65,7 @@
     private final UpstreamBoard board;
     private final SpillChooser spill;
     private final OutputEstimator estimator = new OutputEstimator();
+    private final Settlement settlement = new Settlement(estimator);
     private final RetryBudget retryBudget;
     private final Map<RequestId, RequestState> requests = new HashMap<>();
     private final List<RequestState> awaitingShare = new ArrayList<>();
@@ -245,11 +245,11 @@
         double waitMillis =
                 WaitPredictor.predictMillis(upstream, request.classState, request.callerQueue, board.isSmallFirst());
         double budgetMillis = Math.max(0, request.latestStartMillis() - nowMillis);
-        boolean late = options.earlyRefusal() ? waitMillis > budgetMillis : upstream.slots() == 0;
+        boolean late = options.earlyRefusal() ? waitMillis > budgetMillis : upstream.plannedSlots() == 0;
         if (late && forward(request)) {
             return;
         }
-        if (upstream.slots() == 0) {
+        if (upstream.plannedSlots() == 0) {
             refuse(request, RefusalReason.NO_CAPACITY, MAX_RETRY_AFTER_MILLIS);
         } else if (late) {
             refuse(request, RefusalReason.PREDICTED_LATE, (long) (waitMillis - budgetMillis));
@@ -387,7 +387,7 @@
                 victim.arrival.id(), victim.target.target().id()));
         victim.preemptions++;
         victim.mayHaveRun = true;
-        release(victim);
+        settlement.released(nowMillis, victim);
         requeue(victim);
         return true;
     }
@@ -396,26 +396,13 @@
 
     private void progress(RequestId id, int tokens) {
         RequestState request = requests.get(id);
-        if (request == null || request.phase != RequestState.Phase.RUNNING || tokens <= request.tokens) {
+        if (request == null || tokens <= request.tokens) {
             return;
         }
-        long passedMillis = nowMillis - request.lastProgressMillis;
-        if (request.tokens == request.tokensAtDispatch) {
-            request.upstream.observeFirstToken((double) passedMillis);
-        } else {
-            request.target.observeInterval((double) passedMillis / (tokens - request.tokens));
-        }
-        request.tokens = tokens;
-        request.lastProgressMillis = nowMillis;
-        chargeOverrun(request);
-    }
-
-    /** Charges a stream that runs on past its estimate while it runs, not only at its end. */
-    private void chargeOverrun(RequestState request) {
-        double overrun = request.usedCost() - request.charged;
-        if (overrun > OVERRUN_SHARE * request.charged) {
-            request.classState.queue.charge(nowMillis, request.callerQueue, overrun);
-            request.charged += overrun;
+        if (request.phase == RequestState.Phase.FORWARDED) {
+            request.tokens = tokens;
+        } else if (request.phase == RequestState.Phase.RUNNING) {
+            settlement.progressed(nowMillis, request, tokens);
         }
     }
 
@@ -431,18 +418,22 @@
         if (request.phase != RequestState.Phase.RUNNING) {
             return;
         }
-        release(request);
+        settlement.released(nowMillis, request);
         switch (outcome) {
             case COMPLETED -> {
-                observe(request);
+                settlement.completed(nowMillis, request);
                 forget(request);
             }
             case FAILED, REFUSED_ELSEWHERE -> forget(request);
             case BROKEN -> {
+                request.target.failed(nowMillis);
                 request.mayHaveRun = true;
                 retry(request, request.arrival.resumable());
             }
-            case NOT_STARTED -> retry(request, true);
+            case NOT_STARTED -> {
+                request.target.failed(nowMillis);
+                retry(request, true);
+            }
             default -> throw new IllegalStateException("outcome " + outcome);
         }
         serve(request.upstream);
@@ -453,26 +444,19 @@
             refuse(request, RefusalReason.PREDICTED_LATE, MIN_RETRY_AFTER_MILLIS);
             return;
         }
+        if (outcome == FinishOutcome.BROKEN) {
+            takeBack(request);
+            return;
+        }
         forget(request);
     }
 
-    /** Takes a running request off its target and class, and charges what it used. */
-    private void release(RequestState request) {
-        request.target.released(nowMillis);
-        request.classState.running.remove(request);
-        request.classState.queue.charge(nowMillis, request.callerQueue, request.usedCost() - request.charged);
-        request.phase = RequestState.Phase.ENDED;
-    }
-
-    private void observe(RequestState request) {
-        long holdMillis = nowMillis - request.dispatchedMillis;
-        double used = request.usedCost();
-        request.upstream.observeHold((double) holdMillis, used);
-        if (request.tokens == 0) {
-            request.target.observeInterval(holdMillis / used);
-            return;
-        }
-        estimator.observe(request.arrival, request.tokens);
+    /** Goes on with a request in the own failure domain whose forwarding broke off; it may have run there. */
+    private void takeBack(RequestState request) {
+        request.mayHaveRun = true;
+        request.attempts++;
+        retry(request, request.arrival.resumable());
+        serve(request.upstream);
     }
 
     private void retry(RequestState request, boolean repeatable) {
@@ -500,7 +484,7 @@
         switch (request.phase) {
             case QUEUED -> request.classState.queue.remove(request.callerQueue, request);
             case AWAITING_SHARE -> awaitingShare.remove(request);
-            case RUNNING -> release(request);
+            case RUNNING -> settlement.released(nowMillis, request);
             default -> {}
         }
         forget(request);
@@ -516,12 +500,13 @@
         admitAwaitingShare();
         boolean compare = nowMillis - comparedMillis >= COMPARE_PERIOD_MILLIS;
         for (UpstreamState upstream : board.all()) {
+            upstream.reopenTargets(nowMillis);
             if (compare && options.stragglers()) {
                 compareTargets(upstream);
             }
-            expireHeads(upstream);
             serve(upstream);
             makeRoom(upstream);
+            leaveHeads(upstream);
         }
         if (compare) {
             comparedMillis = nowMillis;
@@ -537,19 +522,32 @@
         }
     }
 
-    private void expireHeads(UpstreamState upstream) {
+    /** Takes requests off the heads of the queues that have expired, or that another failure domain can start sooner. */
+    private void leaveHeads(UpstreamState upstream) {
         for (ClassState state : upstream.classes) {
             for (CallerQueue queue : state.queue.active()) {
                 RequestState head = queue.waiting.peekFirst();
-                while (head != null && isExpired(head)) {
-                    state.queue.remove(queue, head);
-                    end(head, RefusalReason.EXPIRED);
+                while (head != null && leaves(head)) {
                     head = queue.waiting.peekFirst();
                 }
             }
         }
     }
 
+    private boolean leaves(RequestState head) {
+        if (isExpired(head)) {
+            head.classState.queue.remove(head.callerQueue, head);
+            end(head, RefusalReason.EXPIRED);
+            return true;
+        }
+        long halfMillis = (head.arrivedMillis + head.latestStartMillis()) / 2;
+        if (head.attempts > 0 || nowMillis < halfMillis || !forward(head)) {
+            return false;
+        }
+        head.classState.queue.remove(head.callerQueue, head);
+        return true;
+    }
+
     private void takeLoad(DispatcherEvent.LoadReported report) {
         TargetState target = board.target(report.target());
         if (target != null) {
--- a/policy/src/main/java/org/apricotdeal/policy/admission/FinishOutcome.java
+++ b/policy/src/main/java/org/apricotdeal/policy/admission/FinishOutcome.java
@@ -6,7 +6,10 @@
     COMPLETED,
     /** The upstream answered with a failure that a repetition would not change, or whose outcome is unknown. */
     FAILED,
-    /** The stream broke off; what was generated so far is kept, and the request can be resumed where it is resumable. */
+    /**
+     * The stream, or the forwarding to another failure domain, broke off; what was generated so far is kept, and the
+     * request can be resumed where it is resumable.
+     */
     BROKEN,
     /** The upstream certainly did nothing: no connection, or a refusal before any work. */
     NOT_STARTED,
--- a/policy/src/main/java/org/apricotdeal/policy/admission/UpstreamState.java
+++ b/policy/src/main/java/org/apricotdeal/policy/admission/UpstreamState.java
@@ -53,6 +53,19 @@
         return sum;
     }
 
+    /** Returns the slots to plan with: those in use now or, where all targets are paused after failures, those after. */
+    int plannedSlots() {
+        int now = slots();
+        if (now > 0) {
+            return now;
+        }
+        int sum = 0;
+        for (TargetState target : targets) {
+            sum += target.plannedSlots();
+        }
+        return sum;
+    }
+
     int freeSlots() {
         int sum = 0;
         for (TargetState target : targets) {
@@ -61,6 +74,13 @@
         return sum;
     }
 
+    /** Lets targets be tried again whose pause after a failure has passed. */
+    void reopenTargets(long nowMillis) {
+        for (TargetState target : targets) {
+            target.reopenIfDue(nowMillis);
+        }
+    }
+
     boolean hasWaiting() {
         for (ClassState state : classes) {
             if (state.waits()) {
--- a/policy/src/main/java/org/apricotdeal/policy/admission/WaitPredictor.java
+++ b/policy/src/main/java/org/apricotdeal/policy/admission/WaitPredictor.java
@@ -24,7 +24,7 @@
      * @return milliseconds; infinite where the upstream has no slots
      */
     static double predictMillis(UpstreamState upstream, ClassState target, CallerQueue queue, boolean small) {
-        int slots = upstream.slots();
+        int slots = upstream.plannedSlots();
         if (slots == 0) {
             return Double.POSITIVE_INFINITY;
         }
--- a/policy/src/main/java/org/apricotdeal/policy/limits/ShareLedger.java
+++ b/policy/src/main/java/org/apricotdeal/policy/limits/ShareLedger.java
@@ -7,6 +7,7 @@
 
 import org.apricotdeal.kernel.id.CallerId;
 import org.apricotdeal.kernel.id.NodeId;
+import org.apricotdeal.kernel.misc.Invariants;
 
 /**
  * Holds callers' limits over all nodes, without a coordinator: a node's share of every caller's limits is an equal part of
@@ -43,8 +44,11 @@
     private static final long RENEW_MILLIS = 600;
     private static final long DENIED_PAUSE_MILLIS = 500;
     private static final int ASKED_AT_ONCE = 2;
+    private static final int MAX_DENIALS = 8;
+    private static final long NEVER = -1;
     private static final double SPARE_MARGIN = 1.1;
     private static final double MIN_GRANT = 0.001;
+    private static final double EPSILON = 1e-9;
     private static final double RETURN_BELOW = 0.8;
 
     private final NodeId self;
@@ -52,7 +56,7 @@
     private List<NodeId> peers = List.of();
     private double ownPart;
     private double risingPart;
-    private long risesMillis;
+    private long risesMillis = NEVER;
     private long nextEpoch;
 
     /**
@@ -77,6 +81,7 @@
         private double demand;
         private long pausedUntilMillis;
         private int nextPeer;
+        private int denials;
     }
 
     /**
@@ -103,7 +108,7 @@
         double changed = 1.0 / (peers.size() + 1);
         if (changed <= ownPart) {
             ownPart = changed;
-            risesMillis = 0;
+            risesMillis = NEVER;
             return;
         }
         risingPart = changed;
@@ -198,6 +203,11 @@
             return new ShareMessage.Grant(ask.caller(), 0, 0, ask.epoch());
         }
         shares.lent.add(new Loan(from, ask.epoch(), part, nowMillis + TERM_MILLIS + LENDER_MARGIN_MILLIS));
+        double lent = sum(shares.lent, nowMillis);
+        Invariants.check(
+                lent <= ownPart + EPSILON,
+                "limit-held",
+                () -> "caller " + ask.caller() + ": lent " + lent + " of " + ownPart);
         return new ShareMessage.Grant(ask.caller(), part, TERM_MILLIS, ask.epoch());
     }
 
@@ -206,10 +216,15 @@
             if (question.peer().equals(from) && question.epoch() == grant.epoch()) {
                 shares.open.remove(question);
                 long untilMillis = question.askedMillis() + grant.forMillis();
-                if (grant.granted() <= 0) {
-                    shares.pausedUntilMillis = nowMillis + DENIED_PAUSE_MILLIS;
-                } else if (untilMillis > nowMillis) {
+                if (grant.granted() > 0 && untilMillis > nowMillis) {
                     shares.borrowed.add(new Loan(from, grant.epoch(), grant.granted(), untilMillis));
+                    shares.denials = 0;
+                } else {
+                    shares.denials++;
+                }
+                if (shares.denials >= Math.min(MAX_DENIALS, peers.size())) {
+                    shares.pausedUntilMillis = nowMillis + DENIED_PAUSE_MILLIS;
+                    shares.denials = 0;
                 }
                 return;
             }
@@ -241,7 +256,7 @@
             NodeId peer = peers.get(Math.floorMod(shares.nextPeer++, peers.size()));
             long epoch = nextEpoch++;
             shares.open.add(new Question(peer, epoch, nowMillis));
-            outgoing.add(new Outgoing(peer, new ShareMessage.Ask(caller, missing / asked, epoch)));
+            outgoing.add(new Outgoing(peer, new ShareMessage.Ask(caller, missing, epoch)));
         }
     }
 
@@ -266,9 +281,9 @@
     }
 
     private void settleRise(long nowMillis) {
-        if (risesMillis > 0 && nowMillis >= risesMillis) {
+        if (risesMillis != NEVER && nowMillis >= risesMillis) {
             ownPart = risingPart;
-            risesMillis = 0;
+            risesMillis = NEVER;
         }
     }
 
--- a/policy/src/main/java/org/apricotdeal/policy/routing/TargetState.java
+++ b/policy/src/main/java/org/apricotdeal/policy/routing/TargetState.java
@@ -11,6 +11,7 @@
 public final class TargetState {
     private static final double INTERVAL_WEIGHT = 0.1;
 
+    private final CircuitBreaker breaker = new CircuitBreaker();
     private final InFlightHistory history = new InFlightHistory();
     private final long hash;
     private Target target;
@@ -69,6 +70,29 @@
         history.record(nowMillis, inFlight);
     }
 
+    /**
+     * Counts an attempt that the target failed.
+     *
+     * @param nowMillis monotonic time
+     */
+    public void failed(long nowMillis) {
+        breaker.failed(nowMillis);
+    }
+
+    /** Counts a token or an answer. */
+    public void succeeded() {
+        breaker.succeeded();
+    }
+
+    /**
+     * Lets the target be tried again where the pause after a failure has passed.
+     *
+     * @param nowMillis monotonic time
+     */
+    public void reopenIfDue(long nowMillis) {
+        breaker.reopenIfDue(nowMillis, inFlight);
+    }
+
     /**
      * Takes a load report.
      *
@@ -121,11 +145,20 @@
 
     /**
      * Returns how many own requests the target may have now: less than its part where it is slower than its peers, but
-     * one at the least, so that its recovery is seen; none while it is leaving.
+     * one at the least, so that its recovery is seen; none while it is leaving, and none or one after failed attempts.
      *
      * @return number of requests
      */
     public int slots() {
+        return breaker.allowed(plannedSlots());
+    }
+
+    /**
+     * Returns how many own requests the target may have once a pause after failed attempts is over.
+     *
+     * @return number of requests
+     */
+    public int plannedSlots() {
         if (target.health() == TargetHealth.LEAVING || target.maxStreams() == 0) {
             return 0;
         }
