--- a/kernel/src/main/java/org/apricotdeal/kernel/message/Message.java
+++ b/kernel/src/main/java/org/apricotdeal/kernel/message/Message.java
@@ -24,6 +24,9 @@
     CATALOGUE_FLOORS_TOO_LARGE(214, Severity.ERROR, "found floors that add up to %s, expected at most %s"),
     CATALOGUE_CLASS_MISSING(215, Severity.ERROR, "found no class entry, expected at least one"),
     CATALOGUE_TOO_LARGE(216, Severity.ERROR, "found %s bytes of JSON, expected at most %s"),
+    CATALOGUE_UNREADABLE(217, Severity.ERROR, "the stored catalogue cannot be read: %s"),
+    CATALOGUE_CHANGE_ID_REUSED(218, Severity.ERROR, "change id %s was accepted as version %s with other contents"),
+    CATALOGUE_DELETE_ABSENT(219, Severity.ERROR, "found no such entry to delete in version %s"),
 
     // 300: membership
 
