--- a/node/src/main/java/org/apricotdeal/node/dispatch/DispatchPlugin.java
+++ b/node/src/main/java/org/apricotdeal/node/dispatch/DispatchPlugin.java
@@ -10,9 +10,11 @@
 import com.codahale.metrics.MetricRegistry;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.apricotdeal.catalogue.model.Catalogue;
 import org.apricotdeal.engine.EngineLoad;
 import org.apricotdeal.kernel.duty.Duty;
 import org.apricotdeal.kernel.id.CallerId;
+import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.NodeId;
 import org.apricotdeal.kernel.id.RequestId;
 import org.apricotdeal.node.fleet.Route;
@@ -33,6 +35,7 @@
 import org.apricotdeal.policy.membership.VmReport;
 import org.apricotdeal.policy.routing.AffinityRouter;
 import org.apricotdeal.policy.routing.Target;
+import org.apricotdeal.wire.gen.TDomainLoads;
 import org.apricotdeal.wire.gen.TPeerBody;
 import org.apricotdeal.wire.gen.TPeerMessage;
 import org.apricotdeal.wire.gen.TShareAsk;
@@ -51,10 +54,18 @@
     private Duty<Input> duty;
     private PeerBook peers;
     private PeerClient peerClient;
+    private DomainReports domainReports;
+    private Catalogue catalogue = Catalogue.EMPTY;
     private volatile RouteTable table = RouteTable.EMPTY;
 
-    /** What the duty takes: an event of the dispatcher, with the listener where it is an arrival. */
-    private record Input(DispatcherEvent event, DispatchListener listener) {}
+    /** What the duty takes. */
+    private sealed interface Input {
+        /** An event of the dispatcher, with the listener where it is an arrival. */
+        record Decide(DispatcherEvent event, DispatchListener listener) implements Input {}
+
+        /** A report of another failure domain. */
+        record Report(NodeId sender, FailureDomainId domain, TDomainLoads loads) implements Input {}
+    }
 
     @Override
     public String name() {
@@ -73,13 +84,16 @@
         kernel.peerHandler(TPeerBody._Fields.SHARE_ASK, this::takeShare);
         kernel.peerHandler(TPeerBody._Fields.SHARE_GRANT, this::takeShare);
         kernel.peerHandler(TPeerBody._Fields.SHARE_RETURN, this::takeShare);
+        kernel.peerHandler(TPeerBody._Fields.DOMAIN_LOADS, this::takeDomainLoads);
     }
 
     @Override
     public void start(NodeKernel withKernel) {
         peers = kernel.require(PeerBook.class);
         peerClient = kernel.require(PeerClient.class);
-        duty = kernel.duty("dispatch", RING_SLOTS, TICK_MILLIS, this::take, () -> step(new DispatcherEvent.Tick()));
+        domainReports = new DomainReports(
+                kernel.settings().node().failureDomain(), peers, peerClient, RandomSource.XO_RO_SHI_RO_128_PP.create());
+        duty = kernel.duty("dispatch", RING_SLOTS, TICK_MILLIS, this::take, this::tick);
         kernel.subscribe(this::subscribe);
     }
 
@@ -121,17 +135,17 @@
     }
 
     private void put(DispatcherEvent event) {
-        duty.put(new Input(event, null));
+        duty.put(new Input.Decide(event, null));
     }
 
     @Override
     public boolean arrive(Arrival arrival, DispatchListener listener) {
-        return duty.offer(new Input(new DispatcherEvent.Arrived(arrival), listener));
+        return duty.offer(new Input.Decide(new DispatcherEvent.Arrived(arrival), listener));
     }
 
     @Override
     public void progress(RequestId request, int tokens) {
-        duty.offer(new Input(new DispatcherEvent.Progress(request, tokens), null));
+        duty.offer(new Input.Decide(new DispatcherEvent.Progress(request, tokens), null));
     }
 
     @Override
@@ -145,7 +159,23 @@
     }
 
     private void take(Input input) {
+        switch (input) {
+            case Input.Decide decide -> decide(decide);
+            case Input.Report(NodeId sender, FailureDomainId domain, TDomainLoads loads) -> {
+                long nowMillis = kernel.clock().monotonicMillis();
+                step(new DispatcherEvent.DomainsReported(domainReports.take(nowMillis, sender, domain, loads)));
+            }
+        }
+    }
+
+    private void tick() {
+        domainReports.tick(kernel.clock().monotonicMillis(), catalogue, dispatcher);
+        step(new DispatcherEvent.Tick());
+    }
+
+    private void decide(Input.Decide input) {
         switch (input.event()) {
+            case DispatcherEvent.CatalogueChanged(Catalogue changed) -> catalogue = changed;
             case DispatcherEvent.Arrived(Arrival arrival) -> listeners.put(arrival.id(), input.listener());
             case DispatcherEvent.Cancelled(RequestId request) -> listeners.remove(request);
             case DispatcherEvent.Finished(RequestId request, FinishOutcome outcome) -> {
@@ -207,6 +237,13 @@
         };
     }
 
+    private void takeDomainLoads(TPeerMessage message) {
+        duty.offer(new Input.Report(
+                new NodeId(message.getSender()),
+                new FailureDomainId(message.getSenderDomain()),
+                message.getBody().getDomainLoads()));
+    }
+
     private void takeShare(TPeerMessage message) {
         TPeerBody body = message.getBody();
         ShareMessage share =
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TDomainLoad.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TDomainLoad.java
@@ -10,22 +10,22 @@
 public class TDomainLoad implements org.apache.thrift.TBase<TDomainLoad, TDomainLoad._Fields>, java.io.Serializable, Cloneable, Comparable<TDomainLoad> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("TDomainLoad");
 
-  private static final org.apache.thrift.protocol.TField FAILURE_DOMAIN_FIELD_DESC = new org.apache.thrift.protocol.TField("failureDomain", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField CLASS_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("classId", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField UPSTREAM_FIELD_DESC = new org.apache.thrift.protocol.TField("upstream", org.apache.thrift.protocol.TType.STRING, (short)2);
-  private static final org.apache.thrift.protocol.TField FREE_STREAMS_FIELD_DESC = new org.apache.thrift.protocol.TField("freeStreams", org.apache.thrift.protocol.TType.I32, (short)3);
+  private static final org.apache.thrift.protocol.TField OPEN_STREAMS_FIELD_DESC = new org.apache.thrift.protocol.TField("openStreams", org.apache.thrift.protocol.TType.I32, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TDomainLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TDomainLoadTupleSchemeFactory();
 
-  public @org.apache.thrift.annotation.Nullable java.lang.String failureDomain; // required
+  public @org.apache.thrift.annotation.Nullable java.lang.String classId; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String upstream; // required
-  public int freeStreams; // required
+  public int openStreams; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    FAILURE_DOMAIN((short)1, "failureDomain"),
+    CLASS_ID((short)1, "classId"),
     UPSTREAM((short)2, "upstream"),
-    FREE_STREAMS((short)3, "freeStreams");
+    OPEN_STREAMS((short)3, "openStreams");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -41,12 +41,12 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // FAILURE_DOMAIN
-          return FAILURE_DOMAIN;
+        case 1: // CLASS_ID
+          return CLASS_ID;
         case 2: // UPSTREAM
           return UPSTREAM;
-        case 3: // FREE_STREAMS
-          return FREE_STREAMS;
+        case 3: // OPEN_STREAMS
+          return OPEN_STREAMS;
         default:
           return null;
       }
@@ -90,16 +90,16 @@
   }
 
   // isset id assignments
-  private static final int __FREESTREAMS_ISSET_ID = 0;
+  private static final int __OPENSTREAMS_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-    tmpMap.put(_Fields.FAILURE_DOMAIN, new org.apache.thrift.meta_data.FieldMetaData("failureDomain", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+    tmpMap.put(_Fields.CLASS_ID, new org.apache.thrift.meta_data.FieldMetaData("classId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.UPSTREAM, new org.apache.thrift.meta_data.FieldMetaData("upstream", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.FREE_STREAMS, new org.apache.thrift.meta_data.FieldMetaData("freeStreams", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+    tmpMap.put(_Fields.OPEN_STREAMS, new org.apache.thrift.meta_data.FieldMetaData("openStreams", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TDomainLoad.class, metaDataMap);
@@ -109,15 +109,15 @@
   }
 
   public TDomainLoad(
-    java.lang.String failureDomain,
+    java.lang.String classId,
     java.lang.String upstream,
-    int freeStreams)
+    int openStreams)
   {
     this();
-    this.failureDomain = failureDomain;
+    this.classId = classId;
     this.upstream = upstream;
-    this.freeStreams = freeStreams;
-    setFreeStreamsIsSet(true);
+    this.openStreams = openStreams;
+    setOpenStreamsIsSet(true);
   }
 
   /**
@@ -125,13 +125,13 @@
    */
   public TDomainLoad(TDomainLoad other) {
     __isset_bitfield = other.__isset_bitfield;
-    if (other.isSetFailureDomain()) {
-      this.failureDomain = other.failureDomain;
+    if (other.isSetClassId()) {
+      this.classId = other.classId;
     }
     if (other.isSetUpstream()) {
       this.upstream = other.upstream;
     }
-    this.freeStreams = other.freeStreams;
+    this.openStreams = other.openStreams;
   }
 
   @Override
@@ -141,34 +141,34 @@
 
   @Override
   public void clear() {
-    this.failureDomain = null;
+    this.classId = null;
     this.upstream = null;
-    setFreeStreamsIsSet(false);
-    this.freeStreams = 0;
+    setOpenStreamsIsSet(false);
+    this.openStreams = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.lang.String getFailureDomain() {
-    return this.failureDomain;
+  public java.lang.String getClassId() {
+    return this.classId;
   }
 
-  public TDomainLoad setFailureDomain(@org.apache.thrift.annotation.Nullable java.lang.String failureDomain) {
-    this.failureDomain = failureDomain;
+  public TDomainLoad setClassId(@org.apache.thrift.annotation.Nullable java.lang.String classId) {
+    this.classId = classId;
     return this;
   }
 
-  public void unsetFailureDomain() {
-    this.failureDomain = null;
+  public void unsetClassId() {
+    this.classId = null;
   }
 
-  /** Returns true if field failureDomain is set (has been assigned a value) and false otherwise */
-  public boolean isSetFailureDomain() {
-    return this.failureDomain != null;
+  /** Returns true if field classId is set (has been assigned a value) and false otherwise */
+  public boolean isSetClassId() {
+    return this.classId != null;
   }
 
-  public void setFailureDomainIsSet(boolean value) {
+  public void setClassIdIsSet(boolean value) {
     if (!value) {
-      this.failureDomain = null;
+      this.classId = null;
     }
   }
 
@@ -197,37 +197,37 @@
     }
   }
 
-  public int getFreeStreams() {
-    return this.freeStreams;
+  public int getOpenStreams() {
+    return this.openStreams;
   }
 
-  public TDomainLoad setFreeStreams(int freeStreams) {
-    this.freeStreams = freeStreams;
-    setFreeStreamsIsSet(true);
+  public TDomainLoad setOpenStreams(int openStreams) {
+    this.openStreams = openStreams;
+    setOpenStreamsIsSet(true);
     return this;
   }
 
-  public void unsetFreeStreams() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __FREESTREAMS_ISSET_ID);
+  public void unsetOpenStreams() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __OPENSTREAMS_ISSET_ID);
   }
 
-  /** Returns true if field freeStreams is set (has been assigned a value) and false otherwise */
-  public boolean isSetFreeStreams() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __FREESTREAMS_ISSET_ID);
+  /** Returns true if field openStreams is set (has been assigned a value) and false otherwise */
+  public boolean isSetOpenStreams() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __OPENSTREAMS_ISSET_ID);
   }
 
-  public void setFreeStreamsIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FREESTREAMS_ISSET_ID, value);
+  public void setOpenStreamsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __OPENSTREAMS_ISSET_ID, value);
   }
 
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
-    case FAILURE_DOMAIN:
+    case CLASS_ID:
       if (value == null) {
-        unsetFailureDomain();
+        unsetClassId();
       } else {
-        setFailureDomain((java.lang.String)value);
+        setClassId((java.lang.String)value);
       }
       break;
 
@@ -239,11 +239,11 @@
       }
       break;
 
-    case FREE_STREAMS:
+    case OPEN_STREAMS:
       if (value == null) {
-        unsetFreeStreams();
+        unsetOpenStreams();
       } else {
-        setFreeStreams((java.lang.Integer)value);
+        setOpenStreams((java.lang.Integer)value);
       }
       break;
 
@@ -254,14 +254,14 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
-    case FAILURE_DOMAIN:
-      return getFailureDomain();
+    case CLASS_ID:
+      return getClassId();
 
     case UPSTREAM:
       return getUpstream();
 
-    case FREE_STREAMS:
-      return getFreeStreams();
+    case OPEN_STREAMS:
+      return getOpenStreams();
 
     }
     throw new java.lang.IllegalStateException();
@@ -275,12 +275,12 @@
     }
 
     switch (field) {
-    case FAILURE_DOMAIN:
-      return isSetFailureDomain();
+    case CLASS_ID:
+      return isSetClassId();
     case UPSTREAM:
       return isSetUpstream();
-    case FREE_STREAMS:
-      return isSetFreeStreams();
+    case OPEN_STREAMS:
+      return isSetOpenStreams();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -298,12 +298,12 @@
     if (this == that)
       return true;
 
-    boolean this_present_failureDomain = true && this.isSetFailureDomain();
-    boolean that_present_failureDomain = true && that.isSetFailureDomain();
-    if (this_present_failureDomain || that_present_failureDomain) {
-      if (!(this_present_failureDomain && that_present_failureDomain))
+    boolean this_present_classId = true && this.isSetClassId();
+    boolean that_present_classId = true && that.isSetClassId();
+    if (this_present_classId || that_present_classId) {
+      if (!(this_present_classId && that_present_classId))
         return false;
-      if (!this.failureDomain.equals(that.failureDomain))
+      if (!this.classId.equals(that.classId))
         return false;
     }
 
@@ -316,12 +316,12 @@
         return false;
     }
 
-    boolean this_present_freeStreams = true;
-    boolean that_present_freeStreams = true;
-    if (this_present_freeStreams || that_present_freeStreams) {
-      if (!(this_present_freeStreams && that_present_freeStreams))
+    boolean this_present_openStreams = true;
+    boolean that_present_openStreams = true;
+    if (this_present_openStreams || that_present_openStreams) {
+      if (!(this_present_openStreams && that_present_openStreams))
         return false;
-      if (this.freeStreams != that.freeStreams)
+      if (this.openStreams != that.openStreams)
         return false;
     }
 
@@ -332,15 +332,15 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + ((isSetFailureDomain()) ? 131071 : 524287);
-    if (isSetFailureDomain())
-      hashCode = hashCode * 8191 + failureDomain.hashCode();
+    hashCode = hashCode * 8191 + ((isSetClassId()) ? 131071 : 524287);
+    if (isSetClassId())
+      hashCode = hashCode * 8191 + classId.hashCode();
 
     hashCode = hashCode * 8191 + ((isSetUpstream()) ? 131071 : 524287);
     if (isSetUpstream())
       hashCode = hashCode * 8191 + upstream.hashCode();
 
-    hashCode = hashCode * 8191 + freeStreams;
+    hashCode = hashCode * 8191 + openStreams;
 
     return hashCode;
   }
@@ -353,12 +353,12 @@
 
     int lastComparison = 0;
 
-    lastComparison = java.lang.Boolean.compare(isSetFailureDomain(), other.isSetFailureDomain());
+    lastComparison = java.lang.Boolean.compare(isSetClassId(), other.isSetClassId());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetFailureDomain()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.failureDomain, other.failureDomain);
+    if (isSetClassId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.classId, other.classId);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -373,12 +373,12 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetFreeStreams(), other.isSetFreeStreams());
+    lastComparison = java.lang.Boolean.compare(isSetOpenStreams(), other.isSetOpenStreams());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetFreeStreams()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.freeStreams, other.freeStreams);
+    if (isSetOpenStreams()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.openStreams, other.openStreams);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -407,11 +407,11 @@
     java.lang.StringBuilder sb = new java.lang.StringBuilder("TDomainLoad(");
     boolean first = true;
 
-    sb.append("failureDomain:");
-    if (this.failureDomain == null) {
+    sb.append("classId:");
+    if (this.classId == null) {
       sb.append("null");
     } else {
-      sb.append(this.failureDomain);
+      sb.append(this.classId);
     }
     first = false;
     if (!first) sb.append(", ");
@@ -423,8 +423,8 @@
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("freeStreams:");
-    sb.append(this.freeStreams);
+    sb.append("openStreams:");
+    sb.append(this.openStreams);
     first = false;
     sb.append(")");
     return sb.toString();
@@ -432,13 +432,13 @@
 
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
-    if (failureDomain == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'failureDomain' was not present! Struct: " + toString());
+    if (classId == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'classId' was not present! Struct: " + toString());
     }
     if (upstream == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'upstream' was not present! Struct: " + toString());
     }
-    // alas, we cannot check 'freeStreams' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'openStreams' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -480,10 +480,10 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // FAILURE_DOMAIN
+          case 1: // CLASS_ID
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.failureDomain = iprot.readString();
-              struct.setFailureDomainIsSet(true);
+              struct.classId = iprot.readString();
+              struct.setClassIdIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -496,10 +496,10 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // FREE_STREAMS
+          case 3: // OPEN_STREAMS
             if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.freeStreams = iprot.readI32();
-              struct.setFreeStreamsIsSet(true);
+              struct.openStreams = iprot.readI32();
+              struct.setOpenStreamsIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -512,8 +512,8 @@
       iprot.readStructEnd();
 
       // check for required fields of primitive type, which can't be checked in the validate method
-      if (!struct.isSetFreeStreams()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'freeStreams' was not found in serialized data! Struct: " + toString());
+      if (!struct.isSetOpenStreams()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'openStreams' was not found in serialized data! Struct: " + toString());
       }
       struct.validate();
     }
@@ -523,9 +523,9 @@
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      if (struct.failureDomain != null) {
-        oprot.writeFieldBegin(FAILURE_DOMAIN_FIELD_DESC);
-        oprot.writeString(struct.failureDomain);
+      if (struct.classId != null) {
+        oprot.writeFieldBegin(CLASS_ID_FIELD_DESC);
+        oprot.writeString(struct.classId);
         oprot.writeFieldEnd();
       }
       if (struct.upstream != null) {
@@ -533,8 +533,8 @@
         oprot.writeString(struct.upstream);
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(FREE_STREAMS_FIELD_DESC);
-      oprot.writeI32(struct.freeStreams);
+      oprot.writeFieldBegin(OPEN_STREAMS_FIELD_DESC);
+      oprot.writeI32(struct.openStreams);
       oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
@@ -554,20 +554,20 @@
     @Override
     public void write(org.apache.thrift.protocol.TProtocol prot, TDomainLoad struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      oprot.writeString(struct.failureDomain);
+      oprot.writeString(struct.classId);
       oprot.writeString(struct.upstream);
-      oprot.writeI32(struct.freeStreams);
+      oprot.writeI32(struct.openStreams);
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, TDomainLoad struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      struct.failureDomain = iprot.readString();
-      struct.setFailureDomainIsSet(true);
+      struct.classId = iprot.readString();
+      struct.setClassIdIsSet(true);
       struct.upstream = iprot.readString();
       struct.setUpstreamIsSet(true);
-      struct.freeStreams = iprot.readI32();
-      struct.setFreeStreamsIsSet(true);
+      struct.openStreams = iprot.readI32();
+      struct.setOpenStreamsIsSet(true);
     }
   }
 
--- a/wire-gen/src/main/thrift/peer.thrift
+++ b/wire-gen/src/main/thrift/peer.thrift
@@ -45,6 +45,7 @@
   3: required i64 baseVersion;                 // 0: entries are the whole catalogue
   4: required list<TCatalogueEntry> entries;
   5: required string digest;
+  6: required i64 platformRevision;            // 0 where unknown
 }
 
 struct TPlanRequest { 1: required i64 haveVersion; }
@@ -60,7 +61,7 @@
 struct TShareReturn { 1: required string caller; 2: required i64 epoch; }
 
 // Room that a failure domain has for requests of others.
-struct TDomainLoad { 1: required string failureDomain; 2: required string upstream; 3: required i32 freeStreams; }
+struct TDomainLoad { 1: required string classId; 2: required string upstream; 3: required i32 openStreams; }
 struct TDomainLoads { 1: required list<TDomainLoad> loads; }
 
 struct TCatalogueVersion { 1: required i64 version; 2: required string digest; }
