--- a/proofs/src/test/java/org/apricotdeal/proofs/http/HttpEngineClientTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/http/HttpEngineClientTest.java
@@ -162,6 +162,19 @@
         assertTrue(cancelled.isOpen());
     }
 
+    @Test
+    public void cancellingOneAttemptLeavesTheOtherOfTheSameRequestAlone() {
+        formReplica(1);
+        RecordedStream abandoned = new RecordedStream();
+        StreamHandle handle = engines.stream(standins.address("q1"), request("r1", 1_000_000, List.of()), abandoned);
+        abandoned.awaitTokens(1);
+        RecordedStream replacement = stream(request("r1", 100, List.of()));
+        replacement.awaitTokens(1);
+        handle.cancel();
+        replacement.awaitFinished("length");
+        assertEquals(replacement.text(), ExpectedAnswer.text(PROMPT, 100));
+    }
+
     @Test
     public void releaseCutsStreams() {
         formReplica(1);
