Find out who lives by few probers a VM and heartbeats that tell changes only

Cause: with every node probing every VM, probes grow with nodes times VMs; and a node that was paused, or that trusts a late message, holds dead members for live or live ones for dead. Change: Membership: three probers a VM by rendezvous hashing among the live nodes, news told until acknowledged, ages bounded by an echo of the receiver's own clock, state replaced only by what was certainly later, own gaps not counted as others' silence, two delegates a failure domain towards the others. The randomised run of planning uses it, with node clocks of different origin and one to three probers a VM. Ruled out: counting a heartbeat's content from its receipt: deliberate fault TRUST_RECEIPT_TIME is caught by replica-whole.

--- a/kernel/src/main/java/org/apricotdeal/kernel/message/Message.java
+++ b/kernel/src/main/java/org/apricotdeal/kernel/message/Message.java
@@ -19,6 +19,9 @@
     CATALOGUE_REFUSED(202, Severity.WARNING, "catalogue version %s refused: version %s is in force"),
 
     // 300: membership
+    VM_HEALTH(301, Severity.INFO, "VM %s is %s"),
+    NODE_HEALTH(302, Severity.INFO, "node %s is %s"),
+    NODE_RESUMED(303, Severity.WARNING, "node %s was not running for %s ms"),
 
     // 400: planning
     PLANNER_ELECTED(401, Severity.INFO, "node %s is the planner of failure domain %s"),
--- a/lab/src/main/java/org/apricotdeal/lab/soak/PlanningNode.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/PlanningNode.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
 
 import org.apricotdeal.catalogue.model.PolicyEntry;
 import org.apricotdeal.engine.EngineState;
@@ -14,46 +13,44 @@
 import org.apricotdeal.kernel.id.UpstreamId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.platform.Vm;
-import org.apricotdeal.policy.membership.Health;
+import org.apricotdeal.policy.membership.Heartbeat;
+import org.apricotdeal.policy.membership.Membership;
+import org.apricotdeal.policy.membership.MembershipAction;
+import org.apricotdeal.policy.membership.MembershipEvent;
+import org.apricotdeal.policy.membership.PeerNode;
 import org.apricotdeal.policy.membership.VmReport;
 import org.apricotdeal.policy.planning.Plan;
 import org.apricotdeal.policy.planning.Planner;
 import org.apricotdeal.policy.planning.PlannerAction;
 import org.apricotdeal.policy.planning.PlannerEvent;
-import org.apricotdeal.policy.planning.PlannerFault;
 import org.apricotdeal.policy.planning.ServableReplica;
 import org.apricotdeal.policy.planning.ServingView;
 
 /** One node of a planning run: probes the VMs, runs the planner, and decides what is servable. */
 final class PlanningNode {
     static final long TICK_MILLIS = 100;
-    static final long PROBE_MILLIS = 500;
     static final long LIST_MILLIS = 1_000;
     static final long GOSSIP_MILLIS = 1_000;
 
     private static final PolicyEntry POLICY = PolicyEntry.DEFAULT;
-    private static final long OWN_GAP_MILLIS = 400;
+    private static final int MAX_CLOCK_OFFSET_MILLIS = 1_000_000;
     private static final long ORDER_TIMEOUT_MILLIS = 1_000;
 
     private final PlanningWorld world;
     private final NodeId id;
-    private final Set<PlannerFault> faults;
     private Planner planner;
+    private Membership membership;
     private ServingView serving;
-    private Map<VmId, EngineState> states;
-    private Map<VmId, Long> observedMillis;
     private Map<VmId, VmReport> reports;
     private Map<VmId, Vm> listed;
     private Plan plan;
     private List<ServableReplica> servable = List.of();
     private long life;
-    private long watchingSinceMillis;
-    private long lastTickMillis;
+    private long clockOffsetMillis;
 
-    PlanningNode(PlanningWorld world, NodeId id, Set<PlannerFault> faults) {
+    PlanningNode(PlanningWorld world, NodeId id) {
         this.world = world;
         this.id = id;
-        this.faults = faults;
         start();
     }
 
@@ -76,16 +73,24 @@
     /** Starts the node anew: it knows nothing. */
     void start() {
         life++;
-        planner = new Planner(id, PlanningShape.FAILURE_DOMAIN, faults);
-        serving = new ServingView(POLICY.failMillis(), faults);
-        states = new HashMap<>();
-        observedMillis = new HashMap<>();
+        planner = new Planner(id, PlanningShape.FAILURE_DOMAIN, world.faults().planner());
+        serving = new ServingView(POLICY.failMillis(), world.faults().planner());
         reports = new HashMap<>();
         listed = Map.of();
         plan = null;
         servable = List.of();
-        watchingSinceMillis = nowMillis();
-        lastTickMillis = nowMillis();
+        clockOffsetMillis = world.scheduler().random().nextInt(MAX_CLOCK_OFFSET_MILLIS);
+        membership = new Membership(
+                id,
+                PlanningShape.FAILURE_DOMAIN,
+                id + "-" + life,
+                world.probersPerVm(),
+                world.faults().membership());
+        List<PeerNode> peers = new ArrayList<>();
+        for (NodeId peer : world.shape().nodes()) {
+            peers.add(new PeerNode(peer, PlanningShape.FAILURE_DOMAIN));
+        }
+        step(new MembershipEvent.PeersListed(peers));
         step(new PlannerEvent.CatalogueChanged(world.shape().models()));
         step(new PlannerEvent.NodesSeen(world.shape().nodes()));
     }
@@ -95,26 +100,12 @@
     }
 
     void tick() {
-        if (nowMillis() - lastTickMillis > OWN_GAP_MILLIS) {
-            watchingSinceMillis = nowMillis();
-        }
-        lastTickMillis = nowMillis();
-        judgeHealth();
+        step(new MembershipEvent.Tick());
         step(new PlannerEvent.Tick());
         servable = plan == null ? List.of() : serving.servable(nowMillis(), plan, listed, reports);
         world.checks().servable(id, servable, POLICY.failMillis());
     }
 
-    void probeAll() {
-        for (VmId vm : listed.keySet()) {
-            long sentMillis = nowMillis();
-            whileAlive(() -> world.network().send(actor(), vm.value(), () -> {
-                EngineState state = world.engine(vm).state();
-                world.network().send(vm.value(), actor(), ifSameLife(() -> heard(state, sentMillis)));
-            }));
-        }
-    }
-
     void readList() {
         world.readList(actor(), list -> ifSameLife(() -> takeList(list)));
     }
@@ -137,41 +128,35 @@
         }
         listed = next;
         reports.keySet().retainAll(next.keySet());
+        step(new MembershipEvent.VmsListed(List.copyOf(next.keySet())));
         step(new PlannerEvent.VmsListed(list));
     }
 
-    private void heard(EngineState state, long sentMillis) {
-        VmId vm = state.vm();
-        if (sentMillis < observedMillis.getOrDefault(vm, 0L)) {
-            return;
-        }
-        observedMillis.put(vm, sentMillis);
-        states.put(vm, state);
-        report(vm);
-    }
-
-    private void judgeHealth() {
-        for (VmId vm : listed.keySet()) {
-            VmReport former = reports.get(vm);
-            if (former == null || former.health() != health(vm)) {
-                report(vm);
+    private void step(MembershipEvent event) {
+        for (MembershipAction action : membership.step(nowMillis(), event)) {
+            switch (action) {
+                case MembershipAction.Probe(VmId vm) -> probe(vm);
+                case MembershipAction.SendHeartbeat(NodeId to, Heartbeat heartbeat) ->
+                    world.network().send(actor(), to.value(), () -> world.node(to)
+                            .step(new MembershipEvent.HeartbeatReceived(heartbeat)));
+                case MembershipAction.ReportVm(VmReport report) -> {
+                    reports.put(report.vm(), report);
+                    step(new PlannerEvent.VmReported(report));
+                }
+                case MembershipAction.RecordEvent(var message, var arguments) ->
+                    world.trace().add(actor(), message.format(arguments.toArray()));
+                case MembershipAction.ReportNode report -> {}
             }
         }
     }
 
-    private void report(VmId vm) {
-        VmReport report = new VmReport(vm, health(vm), states.get(vm), observedMillis.getOrDefault(vm, 0L), false);
-        reports.put(vm, report);
-        step(new PlannerEvent.VmReported(report));
-    }
-
-    private Health health(VmId vm) {
-        long heardMillis = Math.max(observedMillis.getOrDefault(vm, 0L), watchingSinceMillis);
-        long silentMillis = nowMillis() - heardMillis;
-        if (silentMillis >= POLICY.failMillis()) {
-            return Health.FAILED;
-        }
-        return silentMillis >= POLICY.suspectMillis() ? Health.SUSPECT : Health.ALIVE;
+    private void probe(VmId vm) {
+        long sentMillis = nowMillis();
+        world.network().send(actor(), vm.value(), () -> {
+            EngineState state = world.engine(vm).state();
+            Runnable answer = ifSameLife(() -> step(new MembershipEvent.ProbeAnswered(vm, sentMillis, state)));
+            world.network().send(vm.value(), actor(), answer);
+        });
     }
 
     private void step(PlannerEvent event) {
@@ -238,13 +223,7 @@
         };
     }
 
-    private void whileAlive(Runnable body) {
-        if (isRunning()) {
-            body.run();
-        }
-    }
-
     private long nowMillis() {
-        return world.scheduler().monotonicMillis();
+        return world.scheduler().monotonicMillis() + clockOffsetMillis;
     }
 }
--- a/lab/src/main/java/org/apricotdeal/lab/soak/PlanningRun.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/PlanningRun.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 
 import org.apricotdeal.catalogue.model.ModelEntry;
@@ -13,7 +12,6 @@
 import org.apricotdeal.lab.sim.SimEngine;
 import org.apricotdeal.platform.Vm;
 import org.apricotdeal.platform.VmState;
-import org.apricotdeal.policy.planning.PlannerFault;
 import org.apricotdeal.policy.planning.ServableReplica;
 
 /**
@@ -40,9 +38,9 @@
      * Prepares a run.
      *
      * @param seed seed of all that happens
-     * @param faults deliberate faults of the planner; none but to check the checks
+     * @param faults deliberate faults of the code under test; none but to check the checks
      */
-    public PlanningRun(long seed, Set<PlannerFault> faults) {
+    public PlanningRun(long seed, PlanningMutations faults) {
         this.seed = seed;
         this.world = new PlanningWorld(seed, faults);
         this.faultSource = new PlanningFaultSource(world);
--- a/lab/src/main/java/org/apricotdeal/lab/soak/PlanningSoak.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/PlanningSoak.java
@@ -1,6 +1,5 @@
 package org.apricotdeal.lab.soak;
 
-import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -32,7 +31,7 @@
         PlanningFigures sum = PlanningFigures.NONE;
         int failed = 0;
         for (long seed = first; seed <= last; seed++) {
-            PlanningRun run = new PlanningRun(seed, Set.of());
+            PlanningRun run = new PlanningRun(seed, PlanningMutations.NONE);
             try {
                 sum = sum.plus(run.run());
             } catch (InvariantViolation e) {
--- a/lab/src/main/java/org/apricotdeal/lab/soak/PlanningWorld.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/PlanningWorld.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -20,7 +19,7 @@
 import org.apricotdeal.lab.sim.SimEngine;
 import org.apricotdeal.lab.sim.SimStore;
 import org.apricotdeal.platform.Vm;
-import org.apricotdeal.policy.planning.PlannerFault;
+import org.apricotdeal.policy.membership.Membership;
 
 /** Everything that a planning run consists of: virtual clock, network, store, VM list, engines and nodes. */
 final class PlanningWorld {
@@ -37,23 +36,27 @@
     private final Trace trace;
     private final PlanningShape shape;
     private final PlanningChecks checks;
+    private final PlanningMutations faults;
+    private final int probersPerVm;
     private final Map<VmId, Vm> trueList = new TreeMap<>();
     private final Map<VmId, SimEngine> engines = new TreeMap<>();
     private final Map<NodeId, PlanningNode> nodes = new TreeMap<>();
     private List<Vm> publishedList;
     private boolean platformAway;
 
-    PlanningWorld(long seed, Set<PlannerFault> faults) {
+    PlanningWorld(long seed, PlanningMutations faults) {
+        this.faults = faults;
         scheduler = new Scheduler(seed);
         network = new Network(scheduler, 200, 3_000);
         store = new SimStore(scheduler, network);
         trace = new Trace(scheduler);
         shape = PlanningShape.draw(scheduler.random());
+        probersPerVm = 1 + scheduler.random().nextInt(Membership.PROBERS_PER_VM);
         checks = new PlanningChecks(this);
         shape.vms().forEach(this::addVm);
         publishedList = List.copyOf(trueList.values());
         for (NodeId id : shape.nodes()) {
-            nodes.put(id, new PlanningNode(this, id, faults));
+            nodes.put(id, new PlanningNode(this, id));
         }
         nodes.values().forEach(this::scheduleNode);
     }
@@ -82,6 +85,18 @@
         return checks;
     }
 
+    PlanningMutations faults() {
+        return faults;
+    }
+
+    int probersPerVm() {
+        return probersPerVm;
+    }
+
+    PlanningNode node(NodeId id) {
+        return nodes.get(id);
+    }
+
     SimEngine engine(VmId vm) {
         return engines.get(vm);
     }
@@ -179,7 +194,6 @@
 
     private void scheduleNode(PlanningNode node) {
         repeat(node, PlanningNode.TICK_MILLIS, node::tick);
-        repeat(node, PlanningNode.PROBE_MILLIS, node::probeAll);
         repeat(node, PlanningNode.LIST_MILLIS, node::readList);
         repeat(node, PlanningNode.GOSSIP_MILLIS, node::gossip);
     }
--- a/proofs/src/test/java/org/apricotdeal/proofs/planning/PlanningRunTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/planning/PlanningRunTest.java
@@ -1,11 +1,10 @@
 package org.apricotdeal.proofs.planning;
 
-import java.util.EnumSet;
-import java.util.Set;
-
 import org.apricotdeal.kernel.misc.InvariantViolation;
 import org.apricotdeal.lab.soak.PlanningFigures;
+import org.apricotdeal.lab.soak.PlanningMutations;
 import org.apricotdeal.lab.soak.PlanningRun;
+import org.apricotdeal.policy.membership.MembershipFault;
 import org.apricotdeal.policy.planning.PlannerFault;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -23,7 +22,7 @@
     public void invariantsHoldOverFixedSeeds() {
         PlanningFigures sum = PlanningFigures.NONE;
         for (long seed = FIRST_SEED; seed <= LAST_SEED; seed++) {
-            PlanningRun run = new PlanningRun(seed, Set.of());
+            PlanningRun run = new PlanningRun(seed, PlanningMutations.NONE);
             try {
                 sum = sum.plus(run.run());
             } catch (InvariantViolation e) {
@@ -38,21 +37,22 @@
     @DataProvider
     public Object[][] deliberateFaults() {
         return new Object[][] {
-            {PlannerFault.ORDER_BEFORE_COMMIT, "order-after-commit"},
-            {PlannerFault.JOIN_WITHOUT_RELEASE, "vm-in-one-replica"},
-            {PlannerFault.SHARE_MEMBER, "vm-in-one-replica"},
-            {PlannerFault.ADOPT_OLDER_PLAN, "plan-version-monotonic"},
-            {PlannerFault.IGNORE_LOST_MEMBER, "replica-whole"},
-            {PlannerFault.SKIP_REPAIR, "repair-converges"},
-            {PlannerFault.IGNORE_LEASE, "order-under-lease"},
+            {PlanningMutations.of(PlannerFault.ORDER_BEFORE_COMMIT), "order-after-commit"},
+            {PlanningMutations.of(PlannerFault.JOIN_WITHOUT_RELEASE), "vm-in-one-replica"},
+            {PlanningMutations.of(PlannerFault.SHARE_MEMBER), "vm-in-one-replica"},
+            {PlanningMutations.of(PlannerFault.ADOPT_OLDER_PLAN), "plan-version-monotonic"},
+            {PlanningMutations.of(PlannerFault.IGNORE_LOST_MEMBER), "replica-whole"},
+            {PlanningMutations.of(PlannerFault.SKIP_REPAIR), "repair-converges"},
+            {PlanningMutations.of(MembershipFault.TRUST_RECEIPT_TIME), "replica-whole"},
+            {PlanningMutations.of(PlannerFault.IGNORE_LEASE), "order-under-lease"},
         };
     }
 
     @Test(dataProvider = "deliberateFaults")
-    public void deliberateFaultIsCaught(PlannerFault fault, String invariant) {
+    public void deliberateFaultIsCaught(PlanningMutations fault, String invariant) {
         for (long seed = FIRST_SEED; seed <= MOST_SEEDS_TO_CATCH; seed++) {
             try {
-                new PlanningRun(seed, EnumSet.of(fault)).run();
+                new PlanningRun(seed, fault).run();
             } catch (InvariantViolation e) {
                 if (e.invariant().equals(invariant)) {
                     return;
