--- a/kernel/src/main/java/org/apricotdeal/kernel/message/Message.java
+++ b/kernel/src/main/java/org/apricotdeal/kernel/message/Message.java
@@ -17,6 +17,16 @@
     // 200: catalogue
     CATALOGUE_ADOPTED(201, Severity.INFO, "catalogue version %s is in force, learned from %s"),
     CATALOGUE_REFUSED(202, Severity.WARNING, "catalogue version %s refused: version %s is in force"),
+    CATALOGUE_SECTION_UNKNOWN(210, Severity.ERROR, "found section \"%s\", expected %s"),
+    CATALOGUE_VALUE_INVALID(211, Severity.ERROR, "found \"%s\", expected %s"),
+    CATALOGUE_REFERENCE_UNKNOWN(212, Severity.ERROR, "found \"%s\", expected the name of a %s entry; known: %s"),
+    CATALOGUE_VALUE_SHARED(213, Severity.ERROR, "found \"%s\", which %s has too; expected a value of its own"),
+    CATALOGUE_FLOORS_TOO_LARGE(214, Severity.ERROR, "found floors that add up to %s, expected at most %s"),
+    CATALOGUE_CLASS_MISSING(215, Severity.ERROR, "found no class entry, expected at least one"),
+    CATALOGUE_TOO_LARGE(216, Severity.ERROR, "found %s bytes of JSON, expected at most %s"),
+    CATALOGUE_UNREADABLE(217, Severity.ERROR, "the stored catalogue cannot be read: %s"),
+    CATALOGUE_CHANGE_ID_REUSED(218, Severity.ERROR, "change id %s was accepted as version %s with other contents"),
+    CATALOGUE_DELETE_ABSENT(219, Severity.ERROR, "found no such entry to delete in version %s"),
 
     // 300: membership
     VM_HEALTH(301, Severity.INFO, "VM %s is %s"),
@@ -34,6 +44,9 @@
     // 500: claims
 
     // 600: admission, routing, limits, retries
+    STRAGGLER_FOUND(
+            601, Severity.WARNING, "target %s is slower than its peers, %s ms between tokens; it gets less work"),
+    STRAGGLER_RECOVERED(602, Severity.INFO, "target %s is as fast as its peers again, %s ms between tokens"),
 
     // 700: platform
     PLATFORM_UNREACHABLE(701, Severity.WARNING, "platform is unreachable: %s"),
--- a/lab/src/main/java/org/apricotdeal/lab/soak/package-info.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/package-info.java
@@ -1,2 +1,2 @@
-/** Randomised runs on virtual time, with invariants asserted throughout; each run is a function of its seed. */
+/** Randomised runs of the decisions on the virtual clock, with faults, and the checks that they must pass. */
 package org.apricotdeal.lab.soak;
