--- a/lab/src/main/java/org/apricotdeal/lab/experiment/SimReplica.java
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/SimReplica.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -141,7 +140,7 @@
     }
 
     private void step() {
-        Map<SimNode, List<SimNode.TokenCount>> progress = new HashMap<>();
+        Map<SimNode, List<SimNode.TokenCount>> progress = new LinkedHashMap<>();
         long nowMicros = scheduler.nowMicros();
         for (Iterator<Stream> streams = running.values().iterator(); streams.hasNext(); ) {
             Stream stream = streams.next();
--- a/lab/src/main/java/org/apricotdeal/lab/measure/DecisionBench.java
+++ b/lab/src/main/java/org/apricotdeal/lab/measure/DecisionBench.java
@@ -38,8 +38,8 @@
 
 /**
  * Measures processor time and allocation of the dispatcher for each request: its arrival, its dispatch, one report of
- * progress and its end, with all slots taken and a backlog in every class. Prints a table over the numbers of targets and
- * callers. Times are medians over rounds on an otherwise idle thread.
+ * progress and its end, with all slots taken and a backlog in every class; then of ticks and of further reports of
+ * progress by themselves. Prints a table over the numbers of targets and callers. Times are medians over rounds.
  */
 public final class DecisionBench {
     private static final int[] TARGETS = {20, 60, 110, 330};
@@ -86,8 +86,9 @@
      */
     public static void main(String[] args) {
         PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
-        out.println("| targets | callers | µs for each request | bytes for each request | µs for each tick |");
-        out.println("| ---: | ---: | ---: | ---: | ---: |");
+        out.println(
+                "| targets | callers | µs for each request | bytes for each request | µs for each tick | ns for each progress |");
+        out.println("| ---: | ---: | ---: | ---: | ---: | ---: |");
         for (int targets : TARGETS) {
             for (int callers : CALLERS) {
                 out.println(new DecisionBench(targets, callers).measure(targets, callers));
@@ -112,12 +113,13 @@
         }
         return String.format(
                 Locale.ROOT,
-                "| %d | %d | %.2f | %.0f | %.1f |",
+                "| %d | %d | %.2f | %.0f | %.1f | %.0f |",
                 targets,
                 callerCount,
                 median(micros),
                 median(bytes),
-                median(tickMicros));
+                median(tickMicros),
+                measureProgress());
     }
 
     private double measureTicks() {
@@ -130,6 +132,21 @@
         return (System.nanoTime() - startNanos) / 1_000.0 / ticks;
     }
 
+    private double measureProgress() {
+        RequestId request = running.getFirst();
+        double[] nanos = new double[ROUNDS];
+        int tokens = 1;
+        for (int round = 0; round < ROUNDS; round++) {
+            long startNanos = System.nanoTime();
+            for (int i = 0; i < ROUND_REQUESTS; i++) {
+                nowMicros += 100;
+                step(new DispatcherEvent.Progress(request, tokens++));
+            }
+            nanos[round] = (double) (System.nanoTime() - startNanos) / ROUND_REQUESTS;
+        }
+        return median(nanos);
+    }
+
     private void run(int requests) {
         for (int i = 0; i < requests; i++) {
             nowMicros += 100;
--- a/proofs/src/test/java/org/apricotdeal/proofs/admission/DispatcherTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/admission/DispatcherTest.java
@@ -42,14 +42,17 @@
     @Test
     public void classBelowItsFloorGoesBeforeMoreUrgentOne() {
         Sessions session = Sessions.standard(1, 4);
-        for (int i = 0; i < 4; i++) {
-            session.arrive("u" + i, "large", "urgent");
+        for (int i = 0; i < 5; i++) {
+            session.send(new DispatcherEvent.Arrived(Sessions.arrival("u" + i, "large", "urgent")
+                    .estimatedTokens(10)
+                    .build()));
         }
         session.arrive("o0", "small", "overnight");
-        session.send(new DispatcherEvent.Arrived(
-                Sessions.arrival("u9", "large", "urgent").estimatedTokens(1).build()));
+        assertEquals(session.dispatcher.waiting(), 2);
         List<DispatcherAction> actions = session.send(new Finished(new RequestId("u0"), FinishOutcome.COMPLETED));
         assertEquals(Sessions.only(actions, Dispatch.class).getFirst().request(), new RequestId("o0"));
+        List<DispatcherAction> next = session.send(new Finished(new RequestId("u1"), FinishOutcome.COMPLETED));
+        assertEquals(Sessions.only(next, Dispatch.class).getFirst().request(), new RequestId("u4"));
     }
 
     @Test
