--- a/policy/src/main/java/org/apricotdeal/policy/limits/CallerLimits.java
+++ b/policy/src/main/java/org/apricotdeal/policy/limits/CallerLimits.java
@@ -13,6 +13,11 @@
 public final class CallerLimits {
     private static final long DEMAND_PERIOD_MILLIS = 100;
 
+    /** Where a share is used up before the demand is measured, this many times the share is asked for. */
+    private static final double SHORTAGE_FACTOR = 2.0;
+
+    private static final double MIN_ASKED_PART = 0.1;
+
     private final ShareLedger ledger;
     private final Map<CallerId, Limited> callers = new HashMap<>();
     private long demandMillis;
@@ -91,7 +96,9 @@
         limited.demand.asked(tokens, limited.limiter.inFlight() + 1);
         LimitVerdict verdict = check(nowMillis, caller);
         if (verdict instanceof LimitVerdict.Exceeded) {
-            outgoing.addAll(reportDemand(nowMillis, limited));
+            double share = ledger.share(nowMillis, caller);
+            double needed = Math.min(1, Math.max(MIN_ASKED_PART, SHORTAGE_FACTOR * share));
+            outgoing.addAll(ledger.demand(nowMillis, caller, Math.max(needed, demandPart(nowMillis, limited))));
         }
         return verdict;
     }
@@ -187,8 +194,11 @@
     }
 
     private List<ShareLedger.Outgoing> reportDemand(long nowMillis, Limited limited) {
-        double part = limited.demand.part(nowMillis, limited.entry, limited.limiter.inFlight());
-        return ledger.demand(nowMillis, limited.entry.id(), part);
+        return ledger.demand(nowMillis, limited.entry.id(), demandPart(nowMillis, limited));
+    }
+
+    private static double demandPart(long nowMillis, Limited limited) {
+        return limited.demand.part(nowMillis, limited.entry, limited.limiter.inFlight());
     }
 
     private void refresh(long nowMillis, Limited limited) {
--- a/proofs/src/test/java/org/apricotdeal/proofs/admission/Sessions.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/admission/Sessions.java
@@ -63,11 +63,16 @@
         entries.add(caller("small", 1, 1_000_000));
         entries.add(caller("large", 1, 1_000_000));
         entries.add(caller("limited", 1, 100));
+        entries.add(caller("narrow", 1, 1_000_000, 4));
         entries.add(new PolicyEntry("ops", weighting, 0.1, 1_000, 3_000, 2.0));
         return entries;
     }
 
     static CallerEntry caller(String name, double weight, double tokensPerSecond) {
+        return caller(name, weight, tokensPerSecond, 100_000);
+    }
+
+    static CallerEntry caller(String name, double weight, double tokensPerSecond, int maxInFlight) {
         return new CallerEntry(
                 new CallerId(name),
                 "ops",
@@ -77,7 +82,7 @@
                 List.of(MODEL),
                 tokensPerSecond,
                 1_000_000,
-                100_000);
+                maxInFlight);
     }
 
     static List<Target> targets(int count, int streams) {
