--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/proofs/tool/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the operators' tool. */
+package org.apricotdeal.proofs.tool;
--- /dev/null
+++ b/tool/src/main/java/org/apricotdeal/tool/catalogue/package-info.java
@@ -0,0 +1,2 @@
+/** Commands on the catalogue. */
+package org.apricotdeal.tool.catalogue;
--- /dev/null
+++ b/tool/src/main/java/org/apricotdeal/tool/lab/package-info.java
@@ -0,0 +1,2 @@
+/** Commands that run the stand-ins, experiments, randomised runs and load. */
+package org.apricotdeal.tool.lab;
