--- a/standins/src/main/java/org/apricotdeal/standins/platform/WeightStore.java
+++ b/standins/src/main/java/org/apricotdeal/standins/platform/WeightStore.java
@@ -6,18 +6,30 @@
 import org.apricotdeal.kernel.time.Clock;
 
 /** The weight store's rate limit: a bounded number of loads at a time, each held for as long as it takes. */
-final class WeightStore {
+public final class WeightStore {
     private final Clock clock;
     private final int concurrentLoads;
     private final Map<String, Long> endsAtMillisByVm = new HashMap<>();
 
-    WeightStore(Clock clock, int concurrentLoads) {
+    /**
+     * Creates a store that serves nobody yet.
+     *
+     * @param clock tells the time
+     * @param concurrentLoads loads at the same time
+     */
+    public WeightStore(Clock clock, int concurrentLoads) {
         this.clock = clock;
         this.concurrentLoads = concurrentLoads;
     }
 
-    /** Begins a load; false where too many run already. A VM that asks again replaces its own load. */
-    synchronized boolean begin(String vm, long loadMillis) {
+    /**
+     * Begins a load. A VM that asks again replaces its own load.
+     *
+     * @param vm the VM
+     * @param loadMillis time that the load takes
+     * @return false where too many run already
+     */
+    public synchronized boolean begin(String vm, long loadMillis) {
         long nowMillis = clock.monotonicMillis();
         endsAtMillisByVm.remove(vm);
         endsAtMillisByVm.values().removeIf(endsAt -> endsAt <= nowMillis);
