Mute the waiting streams of silent connections too

Cause: an engine stand-in sent its sign of waiting on connections that had gone silent, which no such connection does.

--- a/standins/src/main/java/org/apricotdeal/standins/engine/DecodeBatch.java
+++ b/standins/src/main/java/org/apricotdeal/standins/engine/DecodeBatch.java
@@ -27,7 +27,7 @@
     private boolean isStepping;
     private boolean isClosed;
     private long nextStepNanos;
-    private long nextWaitingSignNanos;
+    private long nextWaitingSignNanos = System.nanoTime();
 
     DecodeBatch(EngineSettings settings, UpstreamFaults faults, PrefixCache cache, StandinThreads threads) {
         this.settings = settings;
@@ -120,9 +120,7 @@
             if (!stream.isReady(nowNanos)) {
                 continue;
             }
-            if (faults.isSilent(stream.writer().exchange())) {
-                stream.writer().mute();
-            }
+            muteWhereSilent(stream);
             if (stream.isFinished()) {
                 stream.sendNothing();
                 continue;
@@ -162,10 +160,19 @@
             return;
         }
         nextWaitingSignNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(WAITING_SIGN_MILLIS);
-        waiting.forEach(DecodeStream::sendWaiting);
+        for (DecodeStream stream : waiting) {
+            muteWhereSilent(stream);
+            stream.sendWaiting();
+        }
         waiting.removeIf(stream -> !stream.writer().isOpen());
     }
 
+    private void muteWhereSilent(DecodeStream stream) {
+        if (faults.isSilent(stream.writer().exchange())) {
+            stream.writer().mute();
+        }
+    }
+
     private long scaledNanos(long millis) {
         return (long) (TimeUnit.MILLISECONDS.toNanos(millis) * faults.slowFactor());
     }
