--- a/lab/src/main/java/org/apricotdeal/lab/soak/PlanningRun.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/PlanningRun.java
@@ -19,13 +19,16 @@
  * fleet has a bounded time until every replica that the VMs allow serves again on every node.
  */
 public final class PlanningRun {
+    /** Command that repeats a run; the seed follows. */
+    public static final String COMMAND =
+            "java -cp tool/target/apricotdeal-tool-0.1.0-all.jar org.apricotdeal.lab.soak.PlanningSoak --seeds ";
+
     private static final long FORM_MILLIS = 40_000;
     private static final long FAULT_MILLIS = 90_000;
     private static final long CONVERGE_MILLIS = 90_000;
     private static final long SAMPLE_MILLIS = 100;
     private static final long POLL_MILLIS = 500;
 
-    private final long seed;
     private final PlanningWorld world;
     private final PlanningFaultSource faultSource;
     private boolean measuring;
@@ -41,7 +44,6 @@
      * @param faults deliberate faults of the code under test; none but to check the checks
      */
     public PlanningRun(long seed, PlanningMutations faults) {
-        this.seed = seed;
         this.world = new PlanningWorld(seed, faults);
         this.faultSource = new PlanningFaultSource(world);
     }
@@ -50,7 +52,7 @@
      * Runs to the end.
      *
      * @return what was measured
-     * @throws InvariantViolation where an invariant does not hold; its trace is then in {@link #trace()}
+     * @throws InvariantViolation where an invariant does not hold; its trace is then in {@link #traceLines()}
      */
     public PlanningFigures run() {
         world.scheduler().every(SAMPLE_MILLIS, this::sample);
@@ -76,13 +78,12 @@
     }
 
     /**
-     * Returns what happened last.
+     * Returns what happened last, of planning, faults and membership.
      *
-     * @return the seed and the last lines of the trace
+     * @return the last lines of the trace
      */
-    public String trace() {
-        return "seed " + seed + ", replay by: ./apricotdeal lab planning-soak --seeds " + seed + "-" + seed + "\n"
-                + world.trace();
+    public List<String> traceLines() {
+        return List.of(world.trace().toString().split("\n", -1));
     }
 
     private long converge(long fromMillis) {
--- a/policy/src/main/java/org/apricotdeal/policy/membership/Heartbeat.java
+++ b/policy/src/main/java/org/apricotdeal/policy/membership/Heartbeat.java
@@ -17,6 +17,8 @@
  *     one was made after that moment of the receiver's clock
  * @param ackIncarnation highest incarnation of the receiver's news that the sender has taken in
  * @param oldestAliveMillis greatest age of the sender's observations of VMs that it holds for alive
+ * @param afterIncarnation the news hold everything after this incarnation; a receiver that has not taken in all up to it,
+ *     because it has restarted, leaves them
  * @param news news of VMs with incarnations that the receiver has not acknowledged
  */
 public record Heartbeat(
@@ -28,6 +30,7 @@
         long echoMillis,
         long ackIncarnation,
         long oldestAliveMillis,
+        long afterIncarnation,
         List<VmNews> news) {
     /** Copies the list. */
     public Heartbeat {
--- a/policy/src/main/java/org/apricotdeal/policy/membership/Membership.java
+++ b/policy/src/main/java/org/apricotdeal/policy/membership/Membership.java
@@ -347,6 +347,7 @@
                 peer.echoMillis(),
                 peer.appliedIncarnation(),
                 oldestAliveMillis(nowMillis),
+                peer.ackedIncarnation(),
                 news);
     }
 
--- a/policy/src/main/java/org/apricotdeal/policy/membership/PeerState.java
+++ b/policy/src/main/java/org/apricotdeal/policy/membership/PeerState.java
@@ -57,7 +57,9 @@
 
     /** Lower bound, on this node's clock, of the peer's observations of VMs that it holds for alive. */
     long observedMillis() {
-        return wasHeard() && isEchoOfThisLife(last) ? last.echoMillis() - last.oldestAliveMillis() : 0;
+        return wasHeard() && isEchoOfThisLife(last) && last.afterIncarnation() <= appliedIncarnation
+                ? last.echoMillis() - last.oldestAliveMillis()
+                : 0;
     }
 
     boolean wasHeard() {
@@ -87,6 +89,9 @@
         ackedIncarnation = isEchoOfThisLife(heartbeat) ? heartbeat.ackIncarnation() : 0;
         last = heartbeat;
         receivedMillis = nowMillis;
+        if (heartbeat.afterIncarnation() > appliedIncarnation) {
+            return true;
+        }
         for (VmNews item : heartbeat.news()) {
             if (item.incarnation() <= appliedIncarnation) {
                 continue;
--- a/proofs/src/test/java/org/apricotdeal/proofs/membership/MembershipFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/membership/MembershipFleet.java
@@ -42,6 +42,8 @@
     private final Map<NodeId, Map<VmId, VmReport>> reports = new HashMap<>();
     private final Map<NodeId, Set<Health>> verdicts = new HashMap<>();
     private final Map<VmId, Integer> boots = new TreeMap<>();
+    private final List<PeerNode> peers = new ArrayList<>();
+    private final Set<MembershipFault> faults;
     private long probes;
     private long heartbeats;
     private long heartbeatBytes;
@@ -50,17 +52,14 @@
         for (int i = 0; i < vmCount; i++) {
             boots.put(new VmId("at-east-1-vm-" + (100 + i)), 1);
         }
-        List<PeerNode> peers = new ArrayList<>();
+        this.faults = Set.of(faults);
         for (int i = 0; i < nodeCount; i++) {
             NodeId id = new NodeId("at-east-1-entry-" + (10 + i));
-            nodes.put(id, new Membership(id, DOMAIN, "boot-" + i, Membership.PROBERS_PER_VM, Set.of(faults)));
-            reports.put(id, new HashMap<>());
-            verdicts.put(id, new HashSet<>());
             peers.add(new PeerNode(id, DOMAIN));
+            nodes.put(id, new Membership(id, DOMAIN, "boot-1", Membership.PROBERS_PER_VM, this.faults));
         }
         for (NodeId id : nodes.keySet()) {
-            step(id, new MembershipEvent.PeersListed(peers));
-            step(id, new MembershipEvent.VmsListed(List.copyOf(boots.keySet())));
+            start(id, "boot-1");
             scheduler.after(
                     scheduler.random().nextLong(TICK_MILLIS),
                     () -> scheduler.every(TICK_MILLIS, () -> {
@@ -71,6 +70,19 @@
         }
     }
 
+    private void start(NodeId id, String bootId) {
+        nodes.put(id, new Membership(id, DOMAIN, bootId, Membership.PROBERS_PER_VM, faults));
+        reports.put(id, new HashMap<>());
+        verdicts.put(id, new HashSet<>());
+        step(id, new MembershipEvent.PeersListed(peers));
+        step(id, new MembershipEvent.VmsListed(vms()));
+    }
+
+    /** Restarts a node: it knows nothing. */
+    void restart(NodeId id) {
+        start(id, "boot-2");
+    }
+
     Network network() {
         return network;
     }
@@ -184,7 +196,7 @@
                 + text(heartbeat.failureDomain().value())
                 + text(heartbeat.bootId())
                 + text(heartbeat.echoBootId())
-                + 4 * (FIELD_BYTES + NUMBER_BYTES)
+                + 5 * (FIELD_BYTES + NUMBER_BYTES)
                 + FIELD_BYTES
                 + 1;
         for (VmNews news : heartbeat.news()) {
--- a/proofs/src/test/java/org/apricotdeal/proofs/membership/MembershipTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/membership/MembershipTest.java
@@ -82,6 +82,23 @@
         }
     }
 
+    @Test
+    public void restartedNodeLearnsAllAgain() {
+        MembershipFleet fleet = new MembershipFleet(12, 48);
+        fleet.run(SETTLE_MILLIS);
+        NodeId node = fleet.nodes().getFirst();
+        fleet.nodes().forEach(peer -> fleet.network().cut(node.value(), peer.value(), true));
+        fleet.restart(node);
+        fleet.vms().subList(0, 3).forEach(fleet::restart);
+        fleet.run(2_000);
+        fleet.network().healAll();
+        fleet.run(SETTLE_MILLIS);
+        for (VmId vm : fleet.vms()) {
+            VmReport report = fleet.report(node, vm);
+            assertTrue(report != null && report.health() == Health.ALIVE, vm + " is " + report);
+        }
+    }
+
     @Test
     public void pausedNodeHoldsNobodyForFailedWhenItWakes() {
         assertEquals(verdictsAfterPause(), Set.of(Health.ALIVE));
--- a/proofs/src/test/java/org/apricotdeal/proofs/planning/PlanningRunTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/planning/PlanningRunTest.java
@@ -4,6 +4,7 @@
 import org.apricotdeal.lab.soak.PlanningFigures;
 import org.apricotdeal.lab.soak.PlanningMutations;
 import org.apricotdeal.lab.soak.PlanningRun;
+import org.apricotdeal.lab.soak.RunFailure;
 import org.apricotdeal.policy.membership.MembershipFault;
 import org.apricotdeal.policy.planning.PlannerFault;
 import org.testng.annotations.DataProvider;
@@ -26,8 +27,7 @@
             try {
                 sum = sum.plus(run.run());
             } catch (InvariantViolation e) {
-                System.out.println(run.trace());
-                fail("seed " + seed + ": " + e.getMessage(), e);
+                throw new RunFailure(seed, e, run.traceLines(), PlanningRun.COMMAND + seed);
             }
         }
         System.out.println("planning: " + sum);
