Put changes of weights and weighting in force while callers wait

Cause: a class kept the callers' order and weights of the catalogue it began with as long as requests waited: after the change {small=25, heavy=75}, expected 50 each; weight 9 to 1 gave {small=25, heavy=75}, expected 90. An accepted change has to be in force. Change: ClassQueue.changeFairness, and weights taken at the caller's next request.

--- a/policy/src/main/java/org/apricotdeal/policy/admission/ClassQueue.java
+++ b/policy/src/main/java/org/apricotdeal/policy/admission/ClassQueue.java
@@ -17,7 +17,7 @@
     private static final Comparator<CallerQueue> ORDER =
             Comparator.<CallerQueue>comparingDouble(q -> q.orderedRank).thenComparing(q -> q.caller);
 
-    private final CallerFairness fairness;
+    private CallerFairness fairness;
     private final Map<CallerId, CallerQueue> queues = new HashMap<>();
     private final TreeSet<CallerQueue> order = new TreeSet<>(ORDER);
     private int size;
@@ -30,12 +30,26 @@
 
     CallerQueue queueOf(CallerId caller, double weight) {
         CallerQueue queue = queues.computeIfAbsent(caller, c -> new CallerQueue(c, weight));
-        if (queue.weight != weight && queue.waiting.isEmpty()) {
+        if (queue.weight != weight) {
+            activeWeight += queue.waiting.isEmpty() ? 0 : weight - queue.weight;
             queue.weight = weight;
         }
         return queue;
     }
 
+    /** Changes how the callers are ordered; all begin anew with nothing used. */
+    void changeFairness(CallerFairness changed) {
+        List<CallerQueue> waiting = active();
+        order.clear();
+        fairness = changed;
+        for (CallerQueue queue : queues.values()) {
+            queue.rank = CallerQueue.UNUSED_RANK;
+        }
+        for (CallerQueue queue : waiting) {
+            insert(queue);
+        }
+    }
+
     void addLast(CallerQueue queue, RequestState request) {
         add(queue, request, false);
     }
--- a/policy/src/main/java/org/apricotdeal/policy/admission/UpstreamBoard.java
+++ b/policy/src/main/java/org/apricotdeal/policy/admission/UpstreamBoard.java
@@ -34,7 +34,7 @@
 
     /** Takes a catalogue; upstreams and classes that it no longer names stay until their requests have ended. */
     void catalogueChanged(Catalogue catalogue) {
-        weighting = catalogue.policy().callerWeighting();
+        changeWeighting(catalogue.policy().callerWeighting());
         for (ModelEntry model : catalogue.all(ModelEntry.class)) {
             upstreams.computeIfAbsent(model.id(), id -> new UpstreamState(id, MODEL_MILLIS_PER_TOKEN));
         }
@@ -47,6 +47,18 @@
         assignTargets();
     }
 
+    private void changeWeighting(CallerWeighting changed) {
+        if (changed == weighting) {
+            return;
+        }
+        weighting = changed;
+        for (UpstreamState upstream : upstreams.values()) {
+            for (ClassState state : upstream.classes) {
+                state.queue.changeFairness(newFairness());
+            }
+        }
+    }
+
     private void changeClasses(UpstreamState upstream, List<ClassEntry> entries) {
         if (!options.classes()) {
             int maxQueued = entries.stream().mapToInt(ClassEntry::maxQueued).sum();
--- a/proofs/src/test/java/org/apricotdeal/proofs/admission/DispatcherTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/admission/DispatcherTest.java
@@ -200,4 +200,18 @@
         List<DispatcherAction> after = session.tickAt(session.nowMillis + 20);
         assertEquals(Sessions.only(after, Dispatch.class).size(), 1, "all slots after a success: " + after);
     }
+
+    @Test
+    public void smallCallerIsNotRefusedForTheBacklogOfALargeOne() {
+        Sessions session = Sessions.standard(1, 40);
+        List<DispatcherAction> actions = List.of();
+        for (int i = 0; i < 200; i++) {
+            actions = session.arrive("l" + i, "large", "urgent");
+        }
+        assertEquals(Sessions.only(actions, Refuse.class).getFirst().reason(), RefusalReason.PREDICTED_LATE);
+        List<DispatcherAction> small = session.arrive("s0", "small", "urgent");
+        assertTrue(small.isEmpty(), "it waits: " + small);
+        List<DispatcherAction> next = session.send(new Finished(new RequestId("l0"), FinishOutcome.COMPLETED));
+        assertEquals(Sessions.only(next, Dispatch.class).getFirst().request(), new RequestId("s0"));
+    }
 }
