--- a/http/src/main/java/org/apricotdeal/http/LineSplitter.java
+++ b/http/src/main/java/org/apricotdeal/http/LineSplitter.java
@@ -6,16 +6,25 @@
 import java.util.function.Consumer;
 
 /** Cuts content that arrives in pieces into lines. */
-final class LineSplitter {
+public final class LineSplitter {
     private final Consumer<String> onLine;
     private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
 
-    LineSplitter(Consumer<String> onLine) {
+    /**
+     * Creates a splitter.
+     *
+     * @param onLine takes each line without its line end
+     */
+    public LineSplitter(Consumer<String> onLine) {
         this.onLine = onLine;
     }
 
-    /** Takes the next piece and hands on each line that it completes, without its line end. */
-    void take(ByteBuffer content) {
+    /**
+     * Takes the next piece and hands on each line that it completes.
+     *
+     * @param content the piece, in UTF-8
+     */
+    public void take(ByteBuffer content) {
         while (content.hasRemaining()) {
             byte next = content.get();
             if (next == '\n') {
--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/proofs/load/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the load tool. */
+package org.apricotdeal.proofs.load;
