--- a/kernel/src/main/java/org/apricotdeal/kernel/settings/IniFile.java
+++ b/kernel/src/main/java/org/apricotdeal/kernel/settings/IniFile.java
@@ -63,13 +63,24 @@
         LineIndex lines = LineIndex.of(text);
         List<IniSection> sections = new ArrayList<>();
         for (String sectionName : ini.getSections()) {
-            if (sectionName != null) {
+            if (sectionName == null) {
+                reportOutsideSections(name, ini.getSection(null), lines, findings);
+            } else {
                 sections.add(section(name, sectionName, ini.getSection(sectionName), lines, findings));
             }
         }
         return new IniFile(name, sections);
     }
 
+    private static void reportOutsideSections(
+            String file, SubnodeConfiguration body, LineIndex lines, Findings findings) {
+        for (Iterator<String> keys = body.getKeys(); keys.hasNext(); ) {
+            String key = keys.next().replace("..", ".");
+            findings.add(
+                    Message.SETTING_UNKNOWN, new Place(file, lines.lineOf("", key), 0, key), "none outside sections");
+        }
+    }
+
     private static IniSection section(
             String file, String sectionName, SubnodeConfiguration body, LineIndex lines, Findings findings) {
         Map<String, IniValue> values = new LinkedHashMap<>();
