--- a/lab/src/main/java/org/apricotdeal/lab/experiment/SimReplica.java
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/SimReplica.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -16,9 +15,9 @@
 
 /**
  * A model replica that batches continuously. Each step adds a token to every stream whose prompt has been read; its time
- * grows with the number of streams and with the prompt tokens read in it. Prompts are read in chunks; a prefix in the
- * cache is not read again, and prompts of more urgent classes are read first. The cache holds a bounded number of prefixes
- * and evicts the least recently used.
+ * grows with the number of streams and with the prompt tokens read in it. Prompts are read in chunks, those of more urgent
+ * classes first; a prefix in the cache is not read again. The cache holds a bounded number of prefixes and evicts the
+ * least recently used.
  */
 final class SimReplica implements SimTarget {
     private static final long STEP_BASE_MICROS = 16_000;
@@ -141,7 +140,7 @@
     }
 
     private void step() {
-        Map<SimNode, List<SimNode.TokenCount>> progress = new HashMap<>();
+        Map<SimNode, List<SimNode.TokenCount>> progress = new LinkedHashMap<>();
         long nowMicros = scheduler.nowMicros();
         for (Iterator<Stream> streams = running.values().iterator(); streams.hasNext(); ) {
             Stream stream = streams.next();
