--- a/catalogue/src/main/java/org/apricotdeal/catalogue/change/ChangeRules.java
+++ b/catalogue/src/main/java/org/apricotdeal/catalogue/change/ChangeRules.java
@@ -28,7 +28,8 @@
  *   <li>Was the change accepted already? A retry after a lost reply finds its own id among the recent changes, even where
  *       others have changed the catalogue since. An id that was used for other contents is refused, so that an operator
  *       is not told "accepted" about a change that never was.
- *   <li>Is it based on the version in force? If not, the entries touched since are known from the recent changes. Where
+ *   <li>Is it based on the version in force? If not, and the version in force has all that it asks for, nothing is lost.
+ *       Otherwise the entries touched since are known from the recent changes. Where
  *       both sides touched an entry, the later operator has lost and sees both versions of it. Where they touched
  *       different entries, the change may be carried over, but only if the operator has asked for that: two changes that
  *       are fine on their own can be wrong together, and the tool cannot know.
@@ -64,6 +65,9 @@
             return new ChangeVerdict.BaseUnknown(change.baseVersion(), version);
         }
         if (change.baseVersion() < version) {
+            if (othersDidIt(current.catalogue(), change, touched.get())) {
+                return new ChangeVerdict.NothingToDo(version);
+            }
             List<EntryDifference> differing = differing(current.catalogue(), change, touched.get());
             if (!mayRebase || !differing.isEmpty()) {
                 return new ChangeVerdict.Outdated(change.baseVersion(), version, touched.get(), differing);
@@ -72,6 +76,16 @@
         return applyTo(current, change, places);
     }
 
+    /** Tells whether the catalogue in force has all that an outdated change asks for. */
+    private static boolean othersDidIt(Catalogue current, CatalogueChange change, Set<String> touched) {
+        for (String key : change.deletes()) {
+            if (!touched.contains(key)) {
+                return false;
+            }
+        }
+        return differing(current, change, change.keys()).isEmpty();
+    }
+
     private static ChangeVerdict recognise(
             StoredCatalogue current, CatalogueChange change, AcceptedChange accepted, EntryPlaces places) {
         Set<String> changedLater = current.keysTouchedAfter(accepted.version())
--- a/proofs/src/test/java/org/apricotdeal/proofs/catalogue/CatalogueChangeTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/catalogue/CatalogueChangeTest.java
@@ -74,6 +74,18 @@
         assertEquals(verdict, new ChangeVerdict.NothingToDo(2));
     }
 
+    @Test
+    public void deletionThatOthersMadeIsNoLossButAnUnknownNameIs() {
+        StoredCatalogue second = accept(
+                first(), CatalogueChange.builder("a", 1).delete("caller moser").build());
+        CatalogueChange same =
+                CatalogueChange.builder("b", 1).delete("caller moser").build();
+        assertEquals(ChangeRules.decide(second, same, false, PLACES), new ChangeVerdict.NothingToDo(2));
+        CatalogueChange other =
+                CatalogueChange.builder("c", 1).delete("caller mosr").build();
+        assertTrue(ChangeRules.decide(second, other, true, PLACES) instanceof ChangeVerdict.Invalid);
+    }
+
     @Test
     public void retryIsRecognisedAfterAnotherChange() {
         StoredCatalogue third = accept(accept(first(), weight("a", 1, "alpenbau", 2)), weight("b", 2, "alpenbau", 5));
--- a/proofs/src/test/java/org/apricotdeal/proofs/node/ToolOnNodeTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/node/ToolOnNodeTest.java
@@ -52,14 +52,22 @@
             Output applied = run(environment, "catalogue", "apply", file.toString(), "--platform", platform);
             assertEquals(applied.code(), 0, applied.text());
             assertTrue(applied.text().startsWith("accepted: version 2"), applied.text());
-            StandinFixture.await("version 2 is in force", () -> run(environment, "status", "--node", node)
-                    .text()
-                    .contains("catalogueVersion=2"));
+            StandinFixture.await(
+                    "version 2 is in force",
+                    () -> run(environment, "status", "--node", node).text().contains("catalogueVersion=2"));
             assertTrue(run(environment, "callers", "--node", node).text().contains("maxInFlight=150"));
             Output again = run(environment, "catalogue", "apply", file.toString(), "--platform", platform);
             assertEquals(again.code(), 0, again.text());
             Output late = run(
-                    environment, "catalogue", "apply", "--delete", "caller alpenbau", "--base", "1", "--platform", platform);
+                    environment,
+                    "catalogue",
+                    "apply",
+                    "--delete",
+                    "caller alpenbau",
+                    "--base",
+                    "1",
+                    "--platform",
+                    platform);
             assertEquals(late.code(), 75, late.text());
             Output timeline = run(environment, "timeline", "--node", node);
             assertEquals(timeline.code(), 0, timeline.text());
