--- a/policy/src/main/java/org/apricotdeal/policy/limits/ShareLedger.java
+++ b/policy/src/main/java/org/apricotdeal/policy/limits/ShareLedger.java
@@ -54,6 +54,7 @@
     private final NodeId self;
     private final Map<CallerId, CallerShares> callers = new HashMap<>();
     private List<NodeId> peers = List.of();
+    private boolean isStarted;
     private double ownPart;
     private double risingPart;
     private long risesMillis = NEVER;
@@ -103,8 +104,14 @@
      * @param nodes all registered nodes, this one too
      */
     public void nodesChanged(long nowMillis, List<NodeId> nodes) {
-        peers = nodes.stream().filter(node -> !node.equals(self)).sorted().toList();
         settleRise(nowMillis);
+        List<NodeId> others =
+                nodes.stream().filter(node -> !node.equals(self)).sorted().toList();
+        if (isStarted && others.equals(peers)) {
+            return;
+        }
+        isStarted = true;
+        peers = others;
         double changed = 1.0 / (peers.size() + 1);
         if (changed <= ownPart) {
             ownPart = changed;
--- a/proofs/src/test/java/org/apricotdeal/proofs/limits/ShareLedgerTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/limits/ShareLedgerTest.java
@@ -149,6 +149,17 @@
         assertEquals(fleet.share(1) + fleet.share(2) + fleet.share(3), 0.75, EPSILON);
     }
 
+    @Test
+    public void sameNodesToldAgainDoNotPutOffTheShare() {
+        NodeId self = new NodeId("node-0");
+        List<NodeId> nodes = List.of(self, new NodeId("node-1"));
+        ShareLedger ledger = new ShareLedger(self, 1);
+        for (long nowMillis = 0; nowMillis <= 20_000; nowMillis += 1_000) {
+            ledger.nodesChanged(nowMillis, nodes);
+        }
+        assertEquals(ledger.share(20_000, new CallerId("any")), 0.5, EPSILON);
+    }
+
     @Test
     public void joiningNodeHoldsBackUntilTheOthersKnowIt() {
         NodeId first = new NodeId("node-0");
