Refuse late copies from the moment they were received, share writes with outcomes, and measure

A copy that waited in the node's ring until the first claim's retention had ended counted as new and would have run again. Found when the run's check of its checks no longer found CLAIM_LATE_COPY: pauses never hit between receipt and stamp. Change: ClaimEvent.Request carries receivedAtMillis; the run lets 1 in 50 requests wait in the ring for up to 16 s. Outcomes wait up to settleWaitMillis (500 ms) for claims whose write they can share.

--- a/lab/src/main/java/org/apricotdeal/lab/soak/BookingNode.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/BookingNode.java
@@ -153,18 +153,25 @@
         world.checks().received(requestId, request, now());
         Call call = new Call(requestId, request, onAnswer);
         calls.put(requestId, call);
+        long receivedAtMillis = now();
+        later(world.ringDelayMillis(), () -> begin(call, receivedAtMillis));
+    }
+
+    private void begin(Call call, long receivedAtMillis) {
+        BookingRequest request = call.request;
         if (request.key() == null) {
             startCall(call);
             return;
         }
         tellJournal(new ClaimEvent.Request(
-                new RequestId(requestId),
+                new RequestId(call.requestId),
                 UPSTREAM,
                 CALLER,
                 request.key(),
                 request.payload(),
                 world.retentionMillis(),
-                BookingWorld.CALL_TIMEOUT_MILLIS));
+                BookingWorld.CALL_TIMEOUT_MILLIS,
+                receivedAtMillis));
     }
 
     private long now() {
--- a/lab/src/main/java/org/apricotdeal/lab/soak/BookingWorld.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/BookingWorld.java
@@ -13,7 +13,7 @@
     /** Timeout of a call at the service. */
     static final long CALL_TIMEOUT_MILLIS = 900;
 
-    private static final ClaimSettings SETTINGS = new ClaimSettings(3, 1_500, 1_300, 10, 50, 64, 60_000);
+    private static final ClaimSettings SETTINGS = new ClaimSettings(3, 1_000, 1_300, 10, 50, 50, 64, 60_000);
     private static final long RETENTION_MILLIS = 3_000;
     private static final long LONGEST_PAUSE_MILLIS = 16_000;
     private static final long MIN_DELAY_MICROS = 200;
@@ -83,6 +83,12 @@
         return pauses ? scheduler.random().nextLong(LONGEST_PAUSE_MILLIS) : 0;
     }
 
+    /** Returns for how long a request waits in the node's ring before the journal takes it: mostly not at all. */
+    long ringDelayMillis() {
+        boolean waits = deathShare > 0 && scheduler.random().nextInt(50) == 0;
+        return waits ? scheduler.random().nextLong(LONGEST_PAUSE_MILLIS) : 0;
+    }
+
     boolean diesNow() {
         return scheduler.random().nextDouble() < deathShare;
     }
--- a/lab/src/main/java/org/apricotdeal/lab/soak/SpreadNode.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/SpreadNode.java
@@ -29,6 +29,7 @@
     private final SpreadWorld world;
     private CatalogueSpread spread;
     private int incarnation;
+    private Set<PeerRef> knownLive;
     private long inForceVersion;
     private long highestVersion;
     private long sentBytes;
@@ -68,6 +69,7 @@
     void boot() {
         incarnation++;
         inForceVersion = 0;
+        knownLive = null;
         long seed = world.scheduler().random().nextLong();
         spread = new CatalogueSpread(
                 world.settings(), self, RandomSource.XO_RO_SHI_RO_128_PP.create(seed), world.fault());
@@ -110,7 +112,11 @@
 
     /** Tells a few nodes of the own failure domain the version, and as a watcher one of each other failure domain. */
     private void heartbeat(int of) {
-        tell(new SpreadEvent.PeersChanged(world.liveNodes()));
+        Set<PeerRef> live = world.liveNodes();
+        if (live != knownLive) {
+            knownLive = live;
+            tell(new SpreadEvent.PeersChanged(live));
+        }
         List<SpreadNode> own = world.nodesOf(self.failureDomain());
         for (int i = 0; i < Math.min(HEARTBEAT_FANOUT, own.size() - 1); i++) {
             tellVersion(world.random(own));
--- a/lab/src/main/java/org/apricotdeal/lab/soak/SpreadWorld.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/SpreadWorld.java
@@ -54,6 +54,8 @@
     private long lastCallId;
     private long changes;
     private double damageShare;
+    private Set<PeerRef> liveNodes;
+    private long liveNodesUntilMillis;
     private int restartReverts;
 
     SpreadWorld(long seed, int nodeCount, int domainCount, SpreadSettings settings, SpreadFault fault) {
@@ -117,14 +119,22 @@
         return of.get(scheduler.random().nextInt(of.size()));
     }
 
+    /** Returns the nodes that are up, as seen at most a second ago; the same object while nothing was looked at again. */
     Set<PeerRef> liveNodes() {
+        if (liveNodes != null && scheduler.monotonicMillis() < liveNodesUntilMillis) {
+            return liveNodes;
+        }
         Set<PeerRef> live = new HashSet<>();
         for (SpreadNode node : nodes.values()) {
             if (!network.isStopped(node.name())) {
                 live.add(node.self());
             }
         }
-        return live;
+        liveNodesUntilMillis = scheduler.monotonicMillis() + 1_000;
+        if (!live.equals(liveNodes)) {
+            liveNodes = live;
+        }
+        return liveNodes;
     }
 
     Catalogue catalogue(String name) {
--- a/policy/src/main/java/org/apricotdeal/policy/claims/ClaimEvent.java
+++ b/policy/src/main/java/org/apricotdeal/policy/claims/ClaimEvent.java
@@ -17,6 +17,7 @@
      * @param requestHash hash of method, path and body
      * @param retentionMillis time for which the key stays claimed
      * @param timeoutMillis timeout of the call at the upstream
+     * @param receivedAtMillis monotonic time at which the node received the request, before it waited in any ring
      */
     record Request(
             RequestId requestId,
@@ -25,7 +26,8 @@
             String key,
             String requestHash,
             long retentionMillis,
-            long timeoutMillis)
+            long timeoutMillis,
+            long receivedAtMillis)
             implements ClaimEvent {}
 
     /**
--- a/policy/src/main/java/org/apricotdeal/policy/claims/ClaimJournal.java
+++ b/policy/src/main/java/org/apricotdeal/policy/claims/ClaimJournal.java
@@ -137,7 +137,7 @@
         active.add(shard);
         shard.request(
                 nowMillis,
-                new PendingChange.Claiming(request, key, claimId, nowMillis, PendingChange.NEVER_SENT),
+                new PendingChange.Claiming(request, key, claimId, request.receivedAtMillis(), PendingChange.NEVER_SENT),
                 actions);
     }
 
--- a/policy/src/main/java/org/apricotdeal/policy/claims/ClaimSettings.java
+++ b/policy/src/main/java/org/apricotdeal/policy/claims/ClaimSettings.java
@@ -7,6 +7,7 @@
  * @param slotMillis length of a generation, for shards that this node is the first to write
  * @param holdMillis longest time that a request waits for its claim, and that a granted claim waits for its dispatch
  * @param minSwapIntervalMillis shortest time between two writes of a shard by one node; later claims share the next one
+ * @param settleWaitMillis time for which an outcome waits for claims whose write it can share
  * @param retryMillis time before a call to the platform that failed is repeated
  * @param maxAnswerBytes largest answer that is kept for repeated requests
  * @param maxShardBytes largest encoded shard
@@ -16,11 +17,12 @@
         long slotMillis,
         long holdMillis,
         long minSwapIntervalMillis,
+        long settleWaitMillis,
         long retryMillis,
         int maxAnswerBytes,
         int maxShardBytes) {
     /** The settings of a node. */
-    public static final ClaimSettings DEFAULT = new ClaimSettings(64, 60_000, 2_000, 20, 100, 4_096, 900_000);
+    public static final ClaimSettings DEFAULT = new ClaimSettings(64, 60_000, 2_000, 20, 500, 100, 4_096, 900_000);
 
     /**
      * Returns for how many generations a claim has to stay. A claim written just before its generation ends loses nearly
--- a/policy/src/main/java/org/apricotdeal/policy/claims/ShardWriter.java
+++ b/policy/src/main/java/org/apricotdeal/policy/claims/ShardWriter.java
@@ -40,7 +40,6 @@
  * So neither wrong clocks nor late requests reopen a key before its retention ends; the cost is that claims stay longer.
  */
 final class ShardWriter {
-    private static final int SETTLE_ONLY_INTERVALS = 5;
     private static final long IN_PROGRESS_RETRY_MILLIS = 1_000;
     private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
 
@@ -59,6 +58,7 @@
     private boolean mustRead;
     private boolean unreadable;
     private long lastSwapAtMillis = NEVER_MILLIS;
+    private long settlingSinceMillis;
     private long nextCallAtMillis = NEVER_MILLIS;
 
     ShardWriter(
@@ -86,6 +86,10 @@
                 return;
             }
         }
+        if (isLate(claiming, nowMillis)) {
+            refuseLate(claiming, actions);
+            return;
+        }
         pending.put(claiming.claimId(), claiming);
         reconcile(nowMillis, actions);
         callPlatform(nowMillis, actions);
@@ -100,6 +104,9 @@
 
     void settle(long nowMillis, PendingChange change, List<ClaimAction> actions) {
         ownGranted.remove(change.claimId());
+        if (pending.isEmpty()) {
+            settlingSinceMillis = nowMillis;
+        }
         pending.put(change.claimId(), change);
         reconcile(nowMillis, actions);
         callPlatform(nowMillis, actions);
@@ -338,7 +345,7 @@
             actions.add(new ClaimAction.Store(inFlight));
             return;
         }
-        if (nowMillis - lastSwapAtMillis >= swapIntervalMillis()) {
+        if (swapIsDue(nowMillis)) {
             swap(nowMillis, actions);
         }
     }
@@ -354,9 +361,10 @@
     }
 
     /** Lets outcomes wait a little for claims to share their swap with. */
-    private long swapIntervalMillis() {
+    private boolean swapIsDue(long nowMillis) {
         boolean claims = pending.values().stream().anyMatch(PendingChange.Claiming.class::isInstance);
-        return claims ? settings.minSwapIntervalMillis() : settings.minSwapIntervalMillis() * SETTLE_ONLY_INTERVALS;
+        boolean waited = claims || nowMillis - settlingSinceMillis >= settings.settleWaitMillis();
+        return waited && nowMillis - lastSwapAtMillis >= settings.minSwapIntervalMillis();
     }
 
     /**
--- a/proofs/src/test/java/org/apricotdeal/proofs/claims/ClaimJournalTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/claims/ClaimJournalTest.java
@@ -172,10 +172,26 @@
         assertEquals(bench.decision("r1"), "PLATFORM_AWAY");
     }
 
+    @Test
+    public void refusesCopyThatWaitedInARingUntilTheFirstClaimWasDropped() {
+        ClaimSettings roomy = new ClaimSettings(1, 2_000, 1_000, 0, 0, 10, 16, 900_000);
+        bench.start("n1", "b1", roomy, ClaimFault.NONE);
+        bench.start("n2", "b1", roomy, ClaimFault.NONE);
+        bench.passMillis(1);
+        run("n1", "r1", "key", "booked");
+        for (int i = 0; i < 200; i++) {
+            bench.passMillis(100);
+            run("n1", "x" + i, "x" + i, "booked");
+        }
+        bench.requestReceivedAt(1, "n2", "late", "key", "hash");
+        bench.settle();
+        assertEquals(bench.decision("late"), "PLATFORM_AWAY");
+    }
+
     @Test
     public void refusesAsNotRunWhenTheShardIsFull() {
         bench = new JournalBench();
-        bench.start("n1", "b1", new ClaimSettings(1, 2_000, 1_000, 0, 10, 16, 1_000), ClaimFault.NONE);
+        bench.start("n1", "b1", new ClaimSettings(1, 2_000, 1_000, 0, 0, 10, 16, 1_000), ClaimFault.NONE);
         for (int i = 0; i < 4; i++) {
             bench.request("n1", "r" + i, "key" + i, "hash");
             bench.settle();
@@ -187,7 +203,7 @@
     @Test
     public void writesAllWaitingClaimsWithOneSwap() {
         bench = new JournalBench();
-        bench.start("n1", "b1", new ClaimSettings(1, 2_000, 1_000, 0, 10, 16, 900_000), ClaimFault.NONE);
+        bench.start("n1", "b1", new ClaimSettings(1, 2_000, 1_000, 0, 0, 10, 16, 900_000), ClaimFault.NONE);
         for (int i = 0; i < 500; i++) {
             bench.request("n1", "r" + i, "key" + i, "hash");
         }
--- a/proofs/src/test/java/org/apricotdeal/proofs/claims/JournalBench.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/claims/JournalBench.java
@@ -26,7 +26,7 @@
 final class JournalBench {
     static final long RETENTION_MILLIS = 10_000;
     static final long TIMEOUT_MILLIS = 1_000;
-    static final ClaimSettings SETTINGS = new ClaimSettings(1, 2_000, 1_000, 0, 10, 16, 10_000);
+    static final ClaimSettings SETTINGS = new ClaimSettings(1, 2_000, 1_000, 0, 0, 10, 16, 10_000);
 
     private final Map<String, Versioned> values = new HashMap<>();
     private final Map<String, ClaimJournal> journals = new HashMap<>();
@@ -53,6 +53,10 @@
     }
 
     void request(String node, String requestId, String key, String hash) {
+        requestReceivedAt(nowMillis, node, requestId, key, hash);
+    }
+
+    void requestReceivedAt(long receivedAtMillis, String node, String requestId, String key, String hash) {
         tell(
                 node,
                 new ClaimEvent.Request(
@@ -62,7 +66,8 @@
                         key,
                         hash,
                         RETENTION_MILLIS,
-                        TIMEOUT_MILLIS));
+                        TIMEOUT_MILLIS,
+                        receivedAtMillis));
     }
 
     void complete(String node, String requestId, String body) {
