Simplify how a VM that does not load in time is found

Cause: the condition named the model twice. Change: only the model of the VM's own upstream counts, as before in effect.

--- a/policy/src/main/java/org/apricotdeal/policy/planning/Planner.java
+++ b/policy/src/main/java/org/apricotdeal/policy/planning/Planner.java
@@ -470,13 +470,11 @@
             loadingSinceMillis.put(state.vm(), nowMillis);
         }
         long sinceMillis = loadingSinceMillis.getOrDefault(state.vm(), nowMillis);
+        Vm vm = listed.get(state.vm());
         for (ModelEntry model : models) {
-            if (model.id().equals(state.loadedModel()) || listed.containsKey(state.vm())) {
-                boolean own = listed.containsKey(state.vm())
-                        && listed.get(state.vm()).upstream().equals(model.id());
-                if (own && nowMillis - sinceMillis > model.loadTimeoutMillis()) {
-                    unfitUntilMillis.put(state.vm(), nowMillis + UNFIT_MILLIS);
-                }
+            boolean own = vm != null && vm.upstream().equals(model.id());
+            if (own && nowMillis - sinceMillis > model.loadTimeoutMillis()) {
+                unfitUntilMillis.put(state.vm(), nowMillis + UNFIT_MILLIS);
             }
         }
     }
