--- a/node/src/main/java/org/apricotdeal/node/catalogue/CataloguePlugin.java
+++ b/node/src/main/java/org/apricotdeal/node/catalogue/CataloguePlugin.java
@@ -35,6 +35,7 @@
 
     private final CatalogueRef current = new CatalogueRef();
     private volatile String notReadyReason = "the catalogue is not known yet";
+    private volatile Set<NodeId> failedNodes = Set.of();
     private NodeKernel kernel;
     private CatalogueSpread spread;
     private Duty<SpreadEvent> duty;
@@ -70,7 +71,10 @@
         duty = kernel.duty("catalogue", RING_SLOTS, TICK_MILLIS, this::step, () -> step(new SpreadEvent.Tick()));
         reads = kernel.duty("store-catalogue", RING_SLOTS, TICK_MILLIS, ask -> duty.offer(reader.read(ask)), () -> {});
         kernel.subscribe(event -> {
-            if (event instanceof NodeEvent.VmsListed) {
+            if (event instanceof NodeEvent.FailedNodes(Set<NodeId> failed)) {
+                failedNodes = failed;
+            }
+            if (event instanceof NodeEvent.VmsListed || event instanceof NodeEvent.FailedNodes) {
                 duty.offer(new SpreadEvent.PeersChanged(livePeers()));
             }
         });
@@ -81,7 +85,9 @@
         var node = kernel.settings().node();
         live.add(new PeerRef(node.id(), node.failureDomain()));
         for (PeerBook.Peer peer : peers.all()) {
-            live.add(new PeerRef(peer.node(), peer.failureDomain()));
+            if (!failedNodes.contains(peer.node())) {
+                live.add(new PeerRef(peer.node(), peer.failureDomain()));
+            }
         }
         return live;
     }
--- a/node/src/main/java/org/apricotdeal/node/dispatch/DispatchPlugin.java
+++ b/node/src/main/java/org/apricotdeal/node/dispatch/DispatchPlugin.java
@@ -17,6 +17,7 @@
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.NodeId;
 import org.apricotdeal.kernel.id.RequestId;
+import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.node.fleet.Route;
 import org.apricotdeal.node.fleet.RouteTable;
 import org.apricotdeal.node.kernel.NodeEvent;
@@ -32,7 +33,6 @@
 import org.apricotdeal.policy.admission.FinishOutcome;
 import org.apricotdeal.policy.limits.ShareLedger;
 import org.apricotdeal.policy.limits.ShareMessage;
-import org.apricotdeal.policy.membership.VmReport;
 import org.apricotdeal.policy.routing.AffinityRouter;
 import org.apricotdeal.policy.routing.Target;
 import org.apricotdeal.wire.gen.TDomainLoads;
@@ -56,6 +56,7 @@
     private PeerClient peerClient;
     private DomainReports domainReports;
     private Catalogue catalogue = Catalogue.EMPTY;
+    private volatile long sharesFromMillis = Long.MAX_VALUE;
     private volatile RouteTable table = RouteTable.EMPTY;
 
     /** What the duty takes. */
@@ -81,6 +82,7 @@
                 new ShareLedger(kernel.settings().node().id(), kernel.clock().wallMillis());
         dispatcher = new Dispatcher(new AffinityRouter(random), ledger, random, AdmissionOptions.DEFAULT);
         kernel.offer(Dispatching.class, this);
+        kernel.readinessCheck(this::notReadyReason);
         kernel.peerHandler(TPeerBody._Fields.SHARE_ASK, this::takeShare);
         kernel.peerHandler(TPeerBody._Fields.SHARE_GRANT, this::takeShare);
         kernel.peerHandler(TPeerBody._Fields.SHARE_RETURN, this::takeShare);
@@ -101,8 +103,8 @@
         switch (event) {
             case NodeEvent.CatalogueAdopted(var catalogue) -> put(new DispatcherEvent.CatalogueChanged(catalogue));
             case NodeEvent.RoutesChanged(RouteTable changed) -> putTargets(changed);
-            case NodeEvent.VmsListed listed -> put(new DispatcherEvent.NodesChanged(allNodes()));
-            case NodeEvent.VmReported(VmReport report) -> putLoad(report);
+            case NodeEvent.VmsListed listed -> putNodes();
+            case NodeEvent.LoadProbed(VmId vm, EngineLoad load, long sentAtMillis) -> putLoad(vm, load, sentAtMillis);
             default -> {}
         }
     }
@@ -116,11 +118,26 @@
         put(new DispatcherEvent.CapacityChanged(targets));
     }
 
-    private void putLoad(VmReport report) {
-        Optional<Route> route = report.state() == null ? Optional.empty() : table.find(report.vm());
+    /** A node's own part of the callers' limits comes into force a hold time after it knows the others. */
+    private void putNodes() {
+        List<NodeId> nodes = allNodes();
+        if (sharesFromMillis == Long.MAX_VALUE) {
+            long holdMillis = nodes.size() == 1 ? 0 : ShareLedger.HOLD_MILLIS;
+            sharesFromMillis = kernel.clock().monotonicMillis() + holdMillis;
+        }
+        put(new DispatcherEvent.NodesChanged(nodes));
+    }
+
+    private Optional<String> notReadyReason() {
+        return kernel.clock().monotonicMillis() < sharesFromMillis
+                ? Optional.of("the node's part of the callers' limits is not in force yet")
+                : Optional.empty();
+    }
+
+    private void putLoad(VmId vm, EngineLoad load, long sentAtMillis) {
+        Optional<Route> route = table.find(vm);
         if (route.isPresent()) {
-            EngineLoad load = report.state().load();
-            long ageMillis = load.ageMillis() + report.ageMillis(kernel.clock().monotonicMillis());
+            long ageMillis = load.ageMillis() + kernel.clock().monotonicMillis() - sentAtMillis;
             put(new DispatcherEvent.LoadReported(route.get().target().id(), load.running(), load.waiting(), ageMillis));
         }
     }
--- a/node/src/main/java/org/apricotdeal/node/fleet/FleetEvent.java
+++ b/node/src/main/java/org/apricotdeal/node/fleet/FleetEvent.java
@@ -6,6 +6,7 @@
 import org.apricotdeal.engine.EngineState;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.platform.Vm;
+import org.apricotdeal.policy.membership.Heartbeat;
 import org.apricotdeal.policy.planning.Plan;
 
 /** What the fleet duty is told. */
@@ -22,6 +23,6 @@
     /** A VM answered a probe; the state is null for a plain service. */
     record Answered(VmId vm, long sentAtMillis, EngineState state) implements FleetEvent {}
 
-    /** A VM did not answer a probe. */
-    record Silent(VmId vm) implements FleetEvent {}
+    /** A heartbeat arrived. */
+    record Heard(Heartbeat heartbeat) implements FleetEvent {}
 }
--- a/node/src/main/java/org/apricotdeal/node/fleet/FleetPlugin.java
+++ b/node/src/main/java/org/apricotdeal/node/fleet/FleetPlugin.java
@@ -2,41 +2,55 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.apricotdeal.catalogue.model.Catalogue;
 import org.apricotdeal.catalogue.model.ModelEntry;
-import org.apricotdeal.catalogue.model.PolicyEntry;
 import org.apricotdeal.engine.EngineClient;
 import org.apricotdeal.engine.EngineState;
 import org.apricotdeal.http.HttpEngineClient;
 import org.apricotdeal.kernel.duty.Duty;
 import org.apricotdeal.kernel.id.NodeId;
 import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.kernel.message.Message;
 import org.apricotdeal.node.kernel.NodeEvent;
 import org.apricotdeal.node.kernel.NodeKernel;
 import org.apricotdeal.node.kernel.NodePlugin;
 import org.apricotdeal.node.peer.PeerBook;
+import org.apricotdeal.node.peer.PeerClient;
+import org.apricotdeal.node.settings.NodeSettings;
 import org.apricotdeal.platform.Vm;
 import org.apricotdeal.policy.membership.Health;
+import org.apricotdeal.policy.membership.Heartbeat;
+import org.apricotdeal.policy.membership.Membership;
+import org.apricotdeal.policy.membership.MembershipAction;
+import org.apricotdeal.policy.membership.MembershipEvent;
+import org.apricotdeal.policy.membership.PeerNode;
 import org.apricotdeal.policy.membership.VmReport;
 import org.apricotdeal.policy.planning.Plan;
+import org.apricotdeal.wire.gen.TPeerBody;
+import org.apricotdeal.wire.gen.TPeerMessage;
 
-/** Probes the VMs of the node's failure domain and keeps the table of targets up to date. */
+/** Runs the membership of the node's failure domain and keeps the table of targets up to date. */
 public final class FleetPlugin implements NodePlugin {
     private static final int RING_SLOTS = 4_096;
     private static final long TICK_MILLIS = 50;
 
     private final Map<VmId, Vm> listed = new TreeMap<>();
     private final Map<VmId, VmReport> reports = new HashMap<>();
+    private final Set<NodeId> failedNodes = new HashSet<>();
     private Catalogue catalogue = Catalogue.EMPTY;
     private Plan plan;
     private RouteTable table = RouteTable.EMPTY;
-    private long nextProbeMillis;
     private NodeKernel kernel;
+    private NodeSettings.Node self;
+    private Membership membership;
     private PeerBook peers;
+    private PeerClient peerClient;
     private VmProber prober;
     private RouteBuilder builder;
     private Duty<FleetEvent> duty;
@@ -49,13 +63,17 @@
     @Override
     public void register(NodeKernel withKernel) {
         kernel = withKernel;
+        self = kernel.settings().node();
+        membership = new Membership(self.id(), self.failureDomain(), kernel.bootId());
+        builder = new RouteBuilder(self.id());
         kernel.offer(EngineClient.class, new HttpEngineClient(kernel.httpClient()));
+        kernel.peerHandler(TPeerBody._Fields.HEARTBEAT, this::takeHeartbeat);
     }
 
     @Override
     public void start(NodeKernel withKernel) {
         peers = kernel.require(PeerBook.class);
-        builder = new RouteBuilder(kernel.settings().node().id());
+        peerClient = kernel.require(PeerClient.class);
         duty = kernel.duty("fleet", RING_SLOTS, TICK_MILLIS, this::take, this::tick);
         prober = new VmProber(
                 kernel.require(EngineClient.class), kernel.httpClient(), kernel.clock(), event -> duty.offer(event));
@@ -71,58 +89,89 @@
         }
     }
 
+    private void takeHeartbeat(TPeerMessage message) {
+        Heartbeat heartbeat;
+        try {
+            heartbeat = HeartbeatMessages.fromWire(message);
+        } catch (IllegalArgumentException e) {
+            kernel.metrics().counter("peer.invalid").inc();
+            return;
+        }
+        duty.offer(new FleetEvent.Heard(heartbeat));
+    }
+
     private void take(FleetEvent event) {
         switch (event) {
             case FleetEvent.Listed(List<Vm> vms) -> takeList(vms);
-            case FleetEvent.CatalogueAdopted(Catalogue adopted) -> catalogue = adopted;
+            case FleetEvent.CatalogueAdopted(Catalogue adopted) -> {
+                catalogue = adopted;
+                step(new MembershipEvent.PolicyChanged(adopted.policy()));
+            }
             case FleetEvent.PlanAdopted(Plan adopted) -> plan = adopted;
-            case FleetEvent.Answered(VmId vm, long sentAtMillis, EngineState state) ->
-                report(new VmReport(vm, Health.ALIVE, state, sentAtMillis, false));
-            case FleetEvent.Silent silent -> {}
+            case FleetEvent.Answered(VmId vm, long sentAtMillis, EngineState state) -> {
+                step(new MembershipEvent.ProbeAnswered(vm, sentAtMillis, state));
+                publishLoad(vm, sentAtMillis, state);
+            }
+            case FleetEvent.Heard(Heartbeat heartbeat) -> step(new MembershipEvent.HeartbeatReceived(heartbeat));
         }
         refresh();
     }
 
+    /** Heartbeats carry no load, so the dispatcher takes it from the node's own probes. */
+    private void publishLoad(VmId vm, long sentAtMillis, EngineState state) {
+        if (state != null) {
+            kernel.publish(new NodeEvent.LoadProbed(vm, state.load(), sentAtMillis));
+        }
+    }
+
     private void takeList(List<Vm> vms) {
         listed.clear();
         for (Vm vm : vms) {
-            boolean own = vm.failureDomain().equals(kernel.settings().node().failureDomain());
+            boolean own = vm.failureDomain().equals(self.failureDomain());
             if (own && !vm.upstream().value().equals(PeerBook.ENTRY_UPSTREAM)) {
                 listed.put(vm.id(), vm);
             }
         }
         reports.keySet().retainAll(listed.keySet());
+        step(new MembershipEvent.VmsListed(List.copyOf(listed.keySet())));
+        List<PeerNode> others = new ArrayList<>();
+        for (PeerBook.Peer peer : peers.all()) {
+            others.add(new PeerNode(peer.node(), peer.failureDomain()));
+        }
+        step(new MembershipEvent.PeersListed(others));
     }
 
     private void tick() {
-        long nowMillis = kernel.clock().monotonicMillis();
-        if (nowMillis >= nextProbeMillis) {
-            nextProbeMillis = nowMillis + kernel.settings().timing().probeMillis();
-            probeAll();
-        }
-        checkSilence(nowMillis);
+        step(new MembershipEvent.Tick());
         refresh();
     }
 
-    private void probeAll() {
-        long timeoutMillis = catalogue.policy().failMillis();
-        for (Vm vm : listed.values()) {
-            boolean isModel =
-                    catalogue.find("model " + vm.upstream(), ModelEntry.class).isPresent();
-            prober.probe(vm, isModel, timeoutMillis);
+    private void step(MembershipEvent event) {
+        for (MembershipAction action : membership.step(kernel.clock().monotonicMillis(), event)) {
+            carryOut(action);
         }
     }
 
-    private void checkSilence(long nowMillis) {
-        PolicyEntry policy = catalogue.policy();
-        for (VmReport report : List.copyOf(reports.values())) {
-            long silentMillis = report.ageMillis(nowMillis);
-            Health health = silentMillis > policy.failMillis()
-                    ? Health.FAILED
-                    : silentMillis > policy.suspectMillis() ? Health.SUSPECT : Health.ALIVE;
-            if (health != report.health()) {
-                report(new VmReport(report.vm(), health, report.state(), report.observedMillis(), false));
-            }
+    private void carryOut(MembershipAction action) {
+        switch (action) {
+            case MembershipAction.Probe(VmId vm) -> probe(vm);
+            case MembershipAction.SendHeartbeat(NodeId to, Heartbeat heartbeat) ->
+                peers.find(to)
+                        .ifPresent(peer -> peerClient.send(
+                                peer.address(), TPeerBody.heartbeat(HeartbeatMessages.toWire(heartbeat))));
+            case MembershipAction.ReportVm(VmReport report) -> report(report);
+            case MembershipAction.ReportNode(NodeId node, Health health) -> reportNode(node, health);
+            case MembershipAction.RecordEvent(Message message, List<String> arguments) ->
+                kernel.timeline().record(message, arguments.toArray());
+        }
+    }
+
+    private void probe(VmId id) {
+        Vm vm = listed.get(id);
+        if (vm != null) {
+            boolean isModel =
+                    catalogue.find("model " + vm.upstream(), ModelEntry.class).isPresent();
+            prober.probe(vm, isModel, catalogue.policy().failMillis());
         }
     }
 
@@ -133,20 +182,29 @@
         }
     }
 
+    private void reportNode(NodeId node, Health health) {
+        boolean changed = health == Health.FAILED ? failedNodes.add(node) : failedNodes.remove(node);
+        if (changed) {
+            kernel.publish(new NodeEvent.FailedNodes(Set.copyOf(failedNodes)));
+        }
+    }
+
     private void refresh() {
-        RouteTable next = builder.build(
-                kernel.clock().monotonicMillis(), plan, listed, reports, new RouteBuilder.Inputs(catalogue, nodes()));
+        RouteBuilder.Inputs inputs = new RouteBuilder.Inputs(catalogue, servingNodes());
+        RouteTable next = builder.build(kernel.clock().monotonicMillis(), plan, listed, reports, inputs);
         if (!next.equals(table)) {
             table = next;
             kernel.publish(new NodeEvent.RoutesChanged(table));
         }
     }
 
-    private List<NodeId> nodes() {
+    private List<NodeId> servingNodes() {
         List<NodeId> nodes = new ArrayList<>();
-        nodes.add(kernel.settings().node().id());
-        for (PeerBook.Peer peer : peers.of(kernel.settings().node().failureDomain())) {
-            nodes.add(peer.node());
+        nodes.add(self.id());
+        for (PeerBook.Peer peer : peers.of(self.failureDomain())) {
+            if (!failedNodes.contains(peer.node())) {
+                nodes.add(peer.node());
+            }
         }
         nodes.sort(null);
         return nodes;
--- a/node/src/main/java/org/apricotdeal/node/fleet/VmProber.java
+++ b/node/src/main/java/org/apricotdeal/node/fleet/VmProber.java
@@ -10,7 +10,7 @@
 import org.apricotdeal.platform.Vm;
 import org.eclipse.jetty.client.HttpClient;
 
-/** Probes upstream VMs: engines for their state, plain services for any answer at all. */
+/** Probes upstream VMs: engines for their state, plain services for any answer at all. Silence is reported as nothing. */
 final class VmProber {
     private static final String SERVICE_PATH = "/healthz";
 
@@ -29,20 +29,19 @@
     void probe(Vm vm, boolean isModel, long timeoutMillis) {
         long sentAtMillis = clock.monotonicMillis();
         if (isModel) {
-            var unused = engines.state(vm.address(), timeoutMillis)
-                    .thenAccept(result -> sink.accept(
-                            switch (result) {
-                                case Result.Ok<EngineState, String>(EngineState state) ->
-                                    new FleetEvent.Answered(vm.id(), sentAtMillis, state);
-                                case Result.Err<EngineState, String> error -> new FleetEvent.Silent(vm.id());
-                            }));
+            var unused = engines.state(vm.address(), timeoutMillis).thenAccept(result -> {
+                if (result instanceof Result.Ok<EngineState, String>(EngineState state)) {
+                    sink.accept(new FleetEvent.Answered(vm.id(), sentAtMillis, state));
+                }
+            });
             return;
         }
         client.newRequest("http://" + vm.address() + SERVICE_PATH)
                 .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
-                .send(result -> sink.accept(
-                        result.isFailed()
-                                ? new FleetEvent.Silent(vm.id())
-                                : new FleetEvent.Answered(vm.id(), sentAtMillis, null)));
+                .send(result -> {
+                    if (result.isSucceeded()) {
+                        sink.accept(new FleetEvent.Answered(vm.id(), sentAtMillis, null));
+                    }
+                });
     }
 }
--- a/node/src/main/java/org/apricotdeal/node/kernel/NodeEvent.java
+++ b/node/src/main/java/org/apricotdeal/node/kernel/NodeEvent.java
@@ -1,8 +1,12 @@
 package org.apricotdeal.node.kernel;
 
 import java.util.List;
+import java.util.Set;
 
 import org.apricotdeal.catalogue.model.Catalogue;
+import org.apricotdeal.engine.EngineLoad;
+import org.apricotdeal.kernel.id.NodeId;
+import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.node.fleet.RouteTable;
 import org.apricotdeal.platform.Vm;
 import org.apricotdeal.policy.membership.VmReport;
@@ -31,6 +35,22 @@
      */
     record VmReported(VmReport report) implements NodeEvent {}
 
+    /**
+     * The nodes that count as failed have changed.
+     *
+     * @param nodes all failed nodes
+     */
+    record FailedNodes(Set<NodeId> nodes) implements NodeEvent {}
+
+    /**
+     * A VM's engine has reported its load.
+     *
+     * @param vm the VM
+     * @param load the load, with its age when the engine reported it
+     * @param sentAtMillis monotonic time at which the engine was asked
+     */
+    record LoadProbed(VmId vm, EngineLoad load, long sentAtMillis) implements NodeEvent {}
+
     /**
      * A newer plan of the failure domain is known.
      *
--- a/node/src/main/java/org/apricotdeal/node/live/LiveCall.java
+++ b/node/src/main/java/org/apricotdeal/node/live/LiveCall.java
@@ -114,7 +114,8 @@
                 body.idempotencyKey(),
                 body.hash(),
                 service.claimRetentionMillis(),
-                service.timeoutMillis());
+                service.timeoutMillis(),
+                context.receivedAtMillis());
         claims.claim(request, decision -> duty().notice(this, new LiveEvent.Claimed(decision)));
     }
 
--- a/node/src/main/java/org/apricotdeal/node/planning/PlanningPlugin.java
+++ b/node/src/main/java/org/apricotdeal/node/planning/PlanningPlugin.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import com.codahale.metrics.Counter;
@@ -53,6 +54,7 @@
     private Counter ordersSent;
     private long nextPlanRequestMillis;
     private volatile Plan newest;
+    private volatile Set<NodeId> failedNodes = Set.of();
 
     @Override
     public String name() {
@@ -90,10 +92,10 @@
             }
             case NodeEvent.CatalogueAdopted(Catalogue catalogue) ->
                 duty.offer(new PlannerEvent.CatalogueChanged(catalogue.all(ModelEntry.class)));
-            case NodeEvent.VmReported(VmReport report) -> {
-                if (report.state() != null) {
-                    duty.offer(new PlannerEvent.VmReported(report));
-                }
+            case NodeEvent.VmReported(VmReport report) -> duty.offer(new PlannerEvent.VmReported(report));
+            case NodeEvent.FailedNodes(Set<NodeId> failed) -> {
+                failedNodes = failed;
+                duty.offer(new PlannerEvent.NodesSeen(nodes()));
             }
             case NodeEvent.Draining draining -> duty.offer(new PlannerEvent.Stopping());
             default -> {}
@@ -104,7 +106,9 @@
         List<NodeId> nodes = new ArrayList<>();
         nodes.add(self.id());
         for (PeerBook.Peer peer : peers.of(self.failureDomain())) {
-            nodes.add(peer.node());
+            if (!failedNodes.contains(peer.node())) {
+                nodes.add(peer.node());
+            }
         }
         return nodes;
     }
@@ -158,6 +162,7 @@
         ordersSent.inc();
         long timeoutMillis = kernel.settings().platform().callTimeoutMillis();
         var unused = engines.order(order.address(), order.credential(), order.order(), timeoutMillis)
+                .exceptionally(failure -> new OrderOutcome.NoAnswer(String.valueOf(failure)))
                 .thenAccept(outcome -> duty.put(new PlannerEvent.OrderAnswered(order.orderId(), outcome)));
     }
 
--- a/proofs/src/main/java/org/apricotdeal/proofs/package-info.java
+++ b/proofs/src/main/java/org/apricotdeal/proofs/package-info.java
@@ -1,2 +1,2 @@
-/** Proofs of all modules; the tests themselves are this module's test sources. */
+/** Tests of all modules live in this module's test sources, one package per concept. */
 package org.apricotdeal.proofs;
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/THeartbeat.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/THeartbeat.java
@@ -10,52 +10,37 @@
 public class THeartbeat implements org.apache.thrift.TBase<THeartbeat, THeartbeat._Fields>, java.io.Serializable, Cloneable, Comparable<THeartbeat> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("THeartbeat");
 
-  private static final org.apache.thrift.protocol.TField NODE_FIELD_DESC = new org.apache.thrift.protocol.TField("node", org.apache.thrift.protocol.TType.STRING, (short)1);
-  private static final org.apache.thrift.protocol.TField FAILURE_DOMAIN_FIELD_DESC = new org.apache.thrift.protocol.TField("failureDomain", org.apache.thrift.protocol.TType.STRING, (short)2);
-  private static final org.apache.thrift.protocol.TField BOOT_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("bootId", org.apache.thrift.protocol.TType.STRING, (short)3);
-  private static final org.apache.thrift.protocol.TField TIME_FIELD_DESC = new org.apache.thrift.protocol.TField("time", org.apache.thrift.protocol.TType.STRUCT, (short)4);
-  private static final org.apache.thrift.protocol.TField CATALOGUE_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("catalogueVersion", org.apache.thrift.protocol.TType.I64, (short)5);
-  private static final org.apache.thrift.protocol.TField PLAN_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("planVersion", org.apache.thrift.protocol.TType.I64, (short)6);
-  private static final org.apache.thrift.protocol.TField VMS_FIELD_DESC = new org.apache.thrift.protocol.TField("vms", org.apache.thrift.protocol.TType.LIST, (short)7);
-  private static final org.apache.thrift.protocol.TField NODES_FIELD_DESC = new org.apache.thrift.protocol.TField("nodes", org.apache.thrift.protocol.TType.LIST, (short)9);
-  private static final org.apache.thrift.protocol.TField QUEUED_REQUESTS_FIELD_DESC = new org.apache.thrift.protocol.TField("queuedRequests", org.apache.thrift.protocol.TType.I32, (short)10);
-  private static final org.apache.thrift.protocol.TField IN_FLIGHT_REQUESTS_FIELD_DESC = new org.apache.thrift.protocol.TField("inFlightRequests", org.apache.thrift.protocol.TType.I32, (short)11);
-  private static final org.apache.thrift.protocol.TField STOPPING_FIELD_DESC = new org.apache.thrift.protocol.TField("stopping", org.apache.thrift.protocol.TType.BOOL, (short)12);
-  private static final org.apache.thrift.protocol.TField ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("address", org.apache.thrift.protocol.TType.STRING, (short)13);
-  private static final org.apache.thrift.protocol.TField CATALOGUE_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("catalogueDigest", org.apache.thrift.protocol.TType.STRING, (short)14);
+  private static final org.apache.thrift.protocol.TField BOOT_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("bootId", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField SENT_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("sentMillis", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField ECHO_BOOT_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("echoBootId", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField ECHO_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("echoMillis", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField ACK_INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("ackIncarnation", org.apache.thrift.protocol.TType.I64, (short)5);
+  private static final org.apache.thrift.protocol.TField OLDEST_ALIVE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("oldestAliveMillis", org.apache.thrift.protocol.TType.I64, (short)6);
+  private static final org.apache.thrift.protocol.TField AFTER_INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("afterIncarnation", org.apache.thrift.protocol.TType.I64, (short)7);
+  private static final org.apache.thrift.protocol.TField NEWS_FIELD_DESC = new org.apache.thrift.protocol.TField("news", org.apache.thrift.protocol.TType.LIST, (short)8);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new THeartbeatStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new THeartbeatTupleSchemeFactory();
 
-  public @org.apache.thrift.annotation.Nullable java.lang.String node; // required
-  public @org.apache.thrift.annotation.Nullable java.lang.String failureDomain; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String bootId; // required
-  public @org.apache.thrift.annotation.Nullable THybridTime time; // required
-  public long catalogueVersion; // required
-  public long planVersion; // required
-  public @org.apache.thrift.annotation.Nullable java.util.List<TVmView> vms; // required
-  public @org.apache.thrift.annotation.Nullable java.util.List<TNodeView> nodes; // required
-  public int queuedRequests; // required
-  public int inFlightRequests; // required
-  public boolean stopping; // required
-  public @org.apache.thrift.annotation.Nullable java.lang.String address; // optional
-  public @org.apache.thrift.annotation.Nullable java.lang.String catalogueDigest; // optional
+  public long sentMillis; // required
+  public @org.apache.thrift.annotation.Nullable java.lang.String echoBootId; // required
+  public long echoMillis; // required
+  public long ackIncarnation; // required
+  public long oldestAliveMillis; // required
+  public long afterIncarnation; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<TVmNews> news; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    NODE((short)1, "node"),
-    FAILURE_DOMAIN((short)2, "failureDomain"),
-    BOOT_ID((short)3, "bootId"),
-    TIME((short)4, "time"),
-    CATALOGUE_VERSION((short)5, "catalogueVersion"),
-    PLAN_VERSION((short)6, "planVersion"),
-    VMS((short)7, "vms"),
-    NODES((short)9, "nodes"),
-    QUEUED_REQUESTS((short)10, "queuedRequests"),
-    IN_FLIGHT_REQUESTS((short)11, "inFlightRequests"),
-    STOPPING((short)12, "stopping"),
-    ADDRESS((short)13, "address"),
-    CATALOGUE_DIGEST((short)14, "catalogueDigest");
+    BOOT_ID((short)1, "bootId"),
+    SENT_MILLIS((short)2, "sentMillis"),
+    ECHO_BOOT_ID((short)3, "echoBootId"),
+    ECHO_MILLIS((short)4, "echoMillis"),
+    ACK_INCARNATION((short)5, "ackIncarnation"),
+    OLDEST_ALIVE_MILLIS((short)6, "oldestAliveMillis"),
+    AFTER_INCARNATION((short)7, "afterIncarnation"),
+    NEWS((short)8, "news");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -71,32 +56,22 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // NODE
-          return NODE;
-        case 2: // FAILURE_DOMAIN
-          return FAILURE_DOMAIN;
-        case 3: // BOOT_ID
+        case 1: // BOOT_ID
           return BOOT_ID;
-        case 4: // TIME
-          return TIME;
-        case 5: // CATALOGUE_VERSION
-          return CATALOGUE_VERSION;
-        case 6: // PLAN_VERSION
-          return PLAN_VERSION;
-        case 7: // VMS
-          return VMS;
-        case 9: // NODES
-          return NODES;
-        case 10: // QUEUED_REQUESTS
-          return QUEUED_REQUESTS;
-        case 11: // IN_FLIGHT_REQUESTS
-          return IN_FLIGHT_REQUESTS;
-        case 12: // STOPPING
-          return STOPPING;
-        case 13: // ADDRESS
-          return ADDRESS;
-        case 14: // CATALOGUE_DIGEST
-          return CATALOGUE_DIGEST;
+        case 2: // SENT_MILLIS
+          return SENT_MILLIS;
+        case 3: // ECHO_BOOT_ID
+          return ECHO_BOOT_ID;
+        case 4: // ECHO_MILLIS
+          return ECHO_MILLIS;
+        case 5: // ACK_INCARNATION
+          return ACK_INCARNATION;
+        case 6: // OLDEST_ALIVE_MILLIS
+          return OLDEST_ALIVE_MILLIS;
+        case 7: // AFTER_INCARNATION
+          return AFTER_INCARNATION;
+        case 8: // NEWS
+          return NEWS;
         default:
           return null;
       }
@@ -140,44 +115,32 @@
   }
 
   // isset id assignments
-  private static final int __CATALOGUEVERSION_ISSET_ID = 0;
-  private static final int __PLANVERSION_ISSET_ID = 1;
-  private static final int __QUEUEDREQUESTS_ISSET_ID = 2;
-  private static final int __INFLIGHTREQUESTS_ISSET_ID = 3;
-  private static final int __STOPPING_ISSET_ID = 4;
+  private static final int __SENTMILLIS_ISSET_ID = 0;
+  private static final int __ECHOMILLIS_ISSET_ID = 1;
+  private static final int __ACKINCARNATION_ISSET_ID = 2;
+  private static final int __OLDESTALIVEMILLIS_ISSET_ID = 3;
+  private static final int __AFTERINCARNATION_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.ADDRESS,_Fields.CATALOGUE_DIGEST};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-    tmpMap.put(_Fields.NODE, new org.apache.thrift.meta_data.FieldMetaData("node", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.FAILURE_DOMAIN, new org.apache.thrift.meta_data.FieldMetaData("failureDomain", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.BOOT_ID, new org.apache.thrift.meta_data.FieldMetaData("bootId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.TIME, new org.apache.thrift.meta_data.FieldMetaData("time", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, THybridTime.class)));
-    tmpMap.put(_Fields.CATALOGUE_VERSION, new org.apache.thrift.meta_data.FieldMetaData("catalogueVersion", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+    tmpMap.put(_Fields.SENT_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("sentMillis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.PLAN_VERSION, new org.apache.thrift.meta_data.FieldMetaData("planVersion", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+    tmpMap.put(_Fields.ECHO_BOOT_ID, new org.apache.thrift.meta_data.FieldMetaData("echoBootId", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.ECHO_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("echoMillis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.VMS, new org.apache.thrift.meta_data.FieldMetaData("vms", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TVmView.class))));
-    tmpMap.put(_Fields.NODES, new org.apache.thrift.meta_data.FieldMetaData("nodes", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+    tmpMap.put(_Fields.ACK_INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("ackIncarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.OLDEST_ALIVE_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("oldestAliveMillis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.AFTER_INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("afterIncarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.NEWS, new org.apache.thrift.meta_data.FieldMetaData("news", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TNodeView.class))));
-    tmpMap.put(_Fields.QUEUED_REQUESTS, new org.apache.thrift.meta_data.FieldMetaData("queuedRequests", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-    tmpMap.put(_Fields.IN_FLIGHT_REQUESTS, new org.apache.thrift.meta_data.FieldMetaData("inFlightRequests", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-    tmpMap.put(_Fields.STOPPING, new org.apache.thrift.meta_data.FieldMetaData("stopping", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-    tmpMap.put(_Fields.ADDRESS, new org.apache.thrift.meta_data.FieldMetaData("address", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.CATALOGUE_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("catalogueDigest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TVmNews.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(THeartbeat.class, metaDataMap);
   }
@@ -186,35 +149,29 @@
   }
 
   public THeartbeat(
-    java.lang.String node,
-    java.lang.String failureDomain,
     java.lang.String bootId,
-    THybridTime time,
-    long catalogueVersion,
-    long planVersion,
-    java.util.List<TVmView> vms,
-    java.util.List<TNodeView> nodes,
-    int queuedRequests,
-    int inFlightRequests,
-    boolean stopping)
+    long sentMillis,
+    java.lang.String echoBootId,
+    long echoMillis,
+    long ackIncarnation,
+    long oldestAliveMillis,
+    long afterIncarnation,
+    java.util.List<TVmNews> news)
   {
     this();
-    this.node = node;
-    this.failureDomain = failureDomain;
     this.bootId = bootId;
-    this.time = time;
-    this.catalogueVersion = catalogueVersion;
-    setCatalogueVersionIsSet(true);
-    this.planVersion = planVersion;
-    setPlanVersionIsSet(true);
-    this.vms = vms;
-    this.nodes = nodes;
-    this.queuedRequests = queuedRequests;
-    setQueuedRequestsIsSet(true);
-    this.inFlightRequests = inFlightRequests;
-    setInFlightRequestsIsSet(true);
-    this.stopping = stopping;
-    setStoppingIsSet(true);
+    this.sentMillis = sentMillis;
+    setSentMillisIsSet(true);
+    this.echoBootId = echoBootId;
+    this.echoMillis = echoMillis;
+    setEchoMillisIsSet(true);
+    this.ackIncarnation = ackIncarnation;
+    setAckIncarnationIsSet(true);
+    this.oldestAliveMillis = oldestAliveMillis;
+    setOldestAliveMillisIsSet(true);
+    this.afterIncarnation = afterIncarnation;
+    setAfterIncarnationIsSet(true);
+    this.news = news;
   }
 
   /**
@@ -222,42 +179,23 @@
    */
   public THeartbeat(THeartbeat other) {
     __isset_bitfield = other.__isset_bitfield;
-    if (other.isSetNode()) {
-      this.node = other.node;
-    }
-    if (other.isSetFailureDomain()) {
-      this.failureDomain = other.failureDomain;
-    }
     if (other.isSetBootId()) {
       this.bootId = other.bootId;
     }
-    if (other.isSetTime()) {
-      this.time = new THybridTime(other.time);
-    }
-    this.catalogueVersion = other.catalogueVersion;
-    this.planVersion = other.planVersion;
-    if (other.isSetVms()) {
-      java.util.List<TVmView> __this__vms = new java.util.ArrayList<TVmView>(other.vms.size());
-      for (TVmView other_element : other.vms) {
-        __this__vms.add(new TVmView(other_element));
-      }
-      this.vms = __this__vms;
-    }
-    if (other.isSetNodes()) {
-      java.util.List<TNodeView> __this__nodes = new java.util.ArrayList<TNodeView>(other.nodes.size());
-      for (TNodeView other_element : other.nodes) {
-        __this__nodes.add(new TNodeView(other_element));
+    this.sentMillis = other.sentMillis;
+    if (other.isSetEchoBootId()) {
+      this.echoBootId = other.echoBootId;
+    }
+    this.echoMillis = other.echoMillis;
+    this.ackIncarnation = other.ackIncarnation;
+    this.oldestAliveMillis = other.oldestAliveMillis;
+    this.afterIncarnation = other.afterIncarnation;
+    if (other.isSetNews()) {
+      java.util.List<TVmNews> __this__news = new java.util.ArrayList<TVmNews>(other.news.size());
+      for (TVmNews other_element : other.news) {
+        __this__news.add(new TVmNews(other_element));
       }
-      this.nodes = __this__nodes;
-    }
-    this.queuedRequests = other.queuedRequests;
-    this.inFlightRequests = other.inFlightRequests;
-    this.stopping = other.stopping;
-    if (other.isSetAddress()) {
-      this.address = other.address;
-    }
-    if (other.isSetCatalogueDigest()) {
-      this.catalogueDigest = other.catalogueDigest;
+      this.news = __this__news;
     }
   }
 
@@ -268,74 +206,19 @@
 
   @Override
   public void clear() {
-    this.node = null;
-    this.failureDomain = null;
     this.bootId = null;
-    this.time = null;
-    setCatalogueVersionIsSet(false);
-    this.catalogueVersion = 0;
-    setPlanVersionIsSet(false);
-    this.planVersion = 0;
-    this.vms = null;
-    this.nodes = null;
-    setQueuedRequestsIsSet(false);
-    this.queuedRequests = 0;
-    setInFlightRequestsIsSet(false);
-    this.inFlightRequests = 0;
-    setStoppingIsSet(false);
-    this.stopping = false;
-    this.address = null;
-    this.catalogueDigest = null;
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.lang.String getNode() {
-    return this.node;
-  }
-
-  public THeartbeat setNode(@org.apache.thrift.annotation.Nullable java.lang.String node) {
-    this.node = node;
-    return this;
-  }
-
-  public void unsetNode() {
-    this.node = null;
-  }
-
-  /** Returns true if field node is set (has been assigned a value) and false otherwise */
-  public boolean isSetNode() {
-    return this.node != null;
-  }
-
-  public void setNodeIsSet(boolean value) {
-    if (!value) {
-      this.node = null;
-    }
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.lang.String getFailureDomain() {
-    return this.failureDomain;
-  }
-
-  public THeartbeat setFailureDomain(@org.apache.thrift.annotation.Nullable java.lang.String failureDomain) {
-    this.failureDomain = failureDomain;
-    return this;
-  }
-
-  public void unsetFailureDomain() {
-    this.failureDomain = null;
-  }
-
-  /** Returns true if field failureDomain is set (has been assigned a value) and false otherwise */
-  public boolean isSetFailureDomain() {
-    return this.failureDomain != null;
-  }
-
-  public void setFailureDomainIsSet(boolean value) {
-    if (!value) {
-      this.failureDomain = null;
-    }
+    setSentMillisIsSet(false);
+    this.sentMillis = 0;
+    this.echoBootId = null;
+    setEchoMillisIsSet(false);
+    this.echoMillis = 0;
+    setAckIncarnationIsSet(false);
+    this.ackIncarnation = 0;
+    setOldestAliveMillisIsSet(false);
+    this.oldestAliveMillis = 0;
+    setAfterIncarnationIsSet(false);
+    this.afterIncarnation = 0;
+    this.news = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -363,297 +246,190 @@
     }
   }
 
-  @org.apache.thrift.annotation.Nullable
-  public THybridTime getTime() {
-    return this.time;
-  }
-
-  public THeartbeat setTime(@org.apache.thrift.annotation.Nullable THybridTime time) {
-    this.time = time;
-    return this;
-  }
-
-  public void unsetTime() {
-    this.time = null;
-  }
-
-  /** Returns true if field time is set (has been assigned a value) and false otherwise */
-  public boolean isSetTime() {
-    return this.time != null;
-  }
-
-  public void setTimeIsSet(boolean value) {
-    if (!value) {
-      this.time = null;
-    }
-  }
-
-  public long getCatalogueVersion() {
-    return this.catalogueVersion;
-  }
-
-  public THeartbeat setCatalogueVersion(long catalogueVersion) {
-    this.catalogueVersion = catalogueVersion;
-    setCatalogueVersionIsSet(true);
-    return this;
-  }
-
-  public void unsetCatalogueVersion() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CATALOGUEVERSION_ISSET_ID);
+  public long getSentMillis() {
+    return this.sentMillis;
   }
 
-  /** Returns true if field catalogueVersion is set (has been assigned a value) and false otherwise */
-  public boolean isSetCatalogueVersion() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CATALOGUEVERSION_ISSET_ID);
-  }
-
-  public void setCatalogueVersionIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CATALOGUEVERSION_ISSET_ID, value);
-  }
-
-  public long getPlanVersion() {
-    return this.planVersion;
-  }
-
-  public THeartbeat setPlanVersion(long planVersion) {
-    this.planVersion = planVersion;
-    setPlanVersionIsSet(true);
+  public THeartbeat setSentMillis(long sentMillis) {
+    this.sentMillis = sentMillis;
+    setSentMillisIsSet(true);
     return this;
   }
 
-  public void unsetPlanVersion() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PLANVERSION_ISSET_ID);
-  }
-
-  /** Returns true if field planVersion is set (has been assigned a value) and false otherwise */
-  public boolean isSetPlanVersion() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PLANVERSION_ISSET_ID);
-  }
-
-  public void setPlanVersionIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PLANVERSION_ISSET_ID, value);
+  public void unsetSentMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SENTMILLIS_ISSET_ID);
   }
 
-  public int getVmsSize() {
-    return (this.vms == null) ? 0 : this.vms.size();
+  /** Returns true if field sentMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetSentMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SENTMILLIS_ISSET_ID);
   }
 
-  @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<TVmView> getVmsIterator() {
-    return (this.vms == null) ? null : this.vms.iterator();
-  }
-
-  public void addToVms(TVmView elem) {
-    if (this.vms == null) {
-      this.vms = new java.util.ArrayList<TVmView>();
-    }
-    this.vms.add(elem);
+  public void setSentMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SENTMILLIS_ISSET_ID, value);
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.List<TVmView> getVms() {
-    return this.vms;
+  public java.lang.String getEchoBootId() {
+    return this.echoBootId;
   }
 
-  public THeartbeat setVms(@org.apache.thrift.annotation.Nullable java.util.List<TVmView> vms) {
-    this.vms = vms;
+  public THeartbeat setEchoBootId(@org.apache.thrift.annotation.Nullable java.lang.String echoBootId) {
+    this.echoBootId = echoBootId;
     return this;
   }
 
-  public void unsetVms() {
-    this.vms = null;
+  public void unsetEchoBootId() {
+    this.echoBootId = null;
   }
 
-  /** Returns true if field vms is set (has been assigned a value) and false otherwise */
-  public boolean isSetVms() {
-    return this.vms != null;
+  /** Returns true if field echoBootId is set (has been assigned a value) and false otherwise */
+  public boolean isSetEchoBootId() {
+    return this.echoBootId != null;
   }
 
-  public void setVmsIsSet(boolean value) {
+  public void setEchoBootIdIsSet(boolean value) {
     if (!value) {
-      this.vms = null;
-    }
-  }
-
-  public int getNodesSize() {
-    return (this.nodes == null) ? 0 : this.nodes.size();
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<TNodeView> getNodesIterator() {
-    return (this.nodes == null) ? null : this.nodes.iterator();
-  }
-
-  public void addToNodes(TNodeView elem) {
-    if (this.nodes == null) {
-      this.nodes = new java.util.ArrayList<TNodeView>();
+      this.echoBootId = null;
     }
-    this.nodes.add(elem);
   }
 
-  @org.apache.thrift.annotation.Nullable
-  public java.util.List<TNodeView> getNodes() {
-    return this.nodes;
+  public long getEchoMillis() {
+    return this.echoMillis;
   }
 
-  public THeartbeat setNodes(@org.apache.thrift.annotation.Nullable java.util.List<TNodeView> nodes) {
-    this.nodes = nodes;
+  public THeartbeat setEchoMillis(long echoMillis) {
+    this.echoMillis = echoMillis;
+    setEchoMillisIsSet(true);
     return this;
   }
 
-  public void unsetNodes() {
-    this.nodes = null;
+  public void unsetEchoMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ECHOMILLIS_ISSET_ID);
   }
 
-  /** Returns true if field nodes is set (has been assigned a value) and false otherwise */
-  public boolean isSetNodes() {
-    return this.nodes != null;
+  /** Returns true if field echoMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetEchoMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ECHOMILLIS_ISSET_ID);
   }
 
-  public void setNodesIsSet(boolean value) {
-    if (!value) {
-      this.nodes = null;
-    }
+  public void setEchoMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ECHOMILLIS_ISSET_ID, value);
   }
 
-  public int getQueuedRequests() {
-    return this.queuedRequests;
+  public long getAckIncarnation() {
+    return this.ackIncarnation;
   }
 
-  public THeartbeat setQueuedRequests(int queuedRequests) {
-    this.queuedRequests = queuedRequests;
-    setQueuedRequestsIsSet(true);
+  public THeartbeat setAckIncarnation(long ackIncarnation) {
+    this.ackIncarnation = ackIncarnation;
+    setAckIncarnationIsSet(true);
     return this;
   }
 
-  public void unsetQueuedRequests() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __QUEUEDREQUESTS_ISSET_ID);
+  public void unsetAckIncarnation() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ACKINCARNATION_ISSET_ID);
   }
 
-  /** Returns true if field queuedRequests is set (has been assigned a value) and false otherwise */
-  public boolean isSetQueuedRequests() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __QUEUEDREQUESTS_ISSET_ID);
+  /** Returns true if field ackIncarnation is set (has been assigned a value) and false otherwise */
+  public boolean isSetAckIncarnation() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ACKINCARNATION_ISSET_ID);
   }
 
-  public void setQueuedRequestsIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __QUEUEDREQUESTS_ISSET_ID, value);
+  public void setAckIncarnationIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ACKINCARNATION_ISSET_ID, value);
   }
 
-  public int getInFlightRequests() {
-    return this.inFlightRequests;
+  public long getOldestAliveMillis() {
+    return this.oldestAliveMillis;
   }
 
-  public THeartbeat setInFlightRequests(int inFlightRequests) {
-    this.inFlightRequests = inFlightRequests;
-    setInFlightRequestsIsSet(true);
+  public THeartbeat setOldestAliveMillis(long oldestAliveMillis) {
+    this.oldestAliveMillis = oldestAliveMillis;
+    setOldestAliveMillisIsSet(true);
     return this;
   }
 
-  public void unsetInFlightRequests() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INFLIGHTREQUESTS_ISSET_ID);
+  public void unsetOldestAliveMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __OLDESTALIVEMILLIS_ISSET_ID);
   }
 
-  /** Returns true if field inFlightRequests is set (has been assigned a value) and false otherwise */
-  public boolean isSetInFlightRequests() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INFLIGHTREQUESTS_ISSET_ID);
+  /** Returns true if field oldestAliveMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetOldestAliveMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __OLDESTALIVEMILLIS_ISSET_ID);
   }
 
-  public void setInFlightRequestsIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INFLIGHTREQUESTS_ISSET_ID, value);
+  public void setOldestAliveMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __OLDESTALIVEMILLIS_ISSET_ID, value);
   }
 
-  public boolean isStopping() {
-    return this.stopping;
+  public long getAfterIncarnation() {
+    return this.afterIncarnation;
   }
 
-  public THeartbeat setStopping(boolean stopping) {
-    this.stopping = stopping;
-    setStoppingIsSet(true);
+  public THeartbeat setAfterIncarnation(long afterIncarnation) {
+    this.afterIncarnation = afterIncarnation;
+    setAfterIncarnationIsSet(true);
     return this;
   }
 
-  public void unsetStopping() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __STOPPING_ISSET_ID);
-  }
-
-  /** Returns true if field stopping is set (has been assigned a value) and false otherwise */
-  public boolean isSetStopping() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __STOPPING_ISSET_ID);
+  public void unsetAfterIncarnation() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __AFTERINCARNATION_ISSET_ID);
   }
 
-  public void setStoppingIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STOPPING_ISSET_ID, value);
+  /** Returns true if field afterIncarnation is set (has been assigned a value) and false otherwise */
+  public boolean isSetAfterIncarnation() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __AFTERINCARNATION_ISSET_ID);
   }
 
-  @org.apache.thrift.annotation.Nullable
-  public java.lang.String getAddress() {
-    return this.address;
+  public void setAfterIncarnationIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __AFTERINCARNATION_ISSET_ID, value);
   }
 
-  public THeartbeat setAddress(@org.apache.thrift.annotation.Nullable java.lang.String address) {
-    this.address = address;
-    return this;
+  public int getNewsSize() {
+    return (this.news == null) ? 0 : this.news.size();
   }
 
-  public void unsetAddress() {
-    this.address = null;
-  }
-
-  /** Returns true if field address is set (has been assigned a value) and false otherwise */
-  public boolean isSetAddress() {
-    return this.address != null;
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<TVmNews> getNewsIterator() {
+    return (this.news == null) ? null : this.news.iterator();
   }
 
-  public void setAddressIsSet(boolean value) {
-    if (!value) {
-      this.address = null;
+  public void addToNews(TVmNews elem) {
+    if (this.news == null) {
+      this.news = new java.util.ArrayList<TVmNews>();
     }
+    this.news.add(elem);
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.lang.String getCatalogueDigest() {
-    return this.catalogueDigest;
+  public java.util.List<TVmNews> getNews() {
+    return this.news;
   }
 
-  public THeartbeat setCatalogueDigest(@org.apache.thrift.annotation.Nullable java.lang.String catalogueDigest) {
-    this.catalogueDigest = catalogueDigest;
+  public THeartbeat setNews(@org.apache.thrift.annotation.Nullable java.util.List<TVmNews> news) {
+    this.news = news;
     return this;
   }
 
-  public void unsetCatalogueDigest() {
-    this.catalogueDigest = null;
+  public void unsetNews() {
+    this.news = null;
   }
 
-  /** Returns true if field catalogueDigest is set (has been assigned a value) and false otherwise */
-  public boolean isSetCatalogueDigest() {
-    return this.catalogueDigest != null;
+  /** Returns true if field news is set (has been assigned a value) and false otherwise */
+  public boolean isSetNews() {
+    return this.news != null;
   }
 
-  public void setCatalogueDigestIsSet(boolean value) {
+  public void setNewsIsSet(boolean value) {
     if (!value) {
-      this.catalogueDigest = null;
+      this.news = null;
     }
   }
 
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
-    case NODE:
-      if (value == null) {
-        unsetNode();
-      } else {
-        setNode((java.lang.String)value);
-      }
-      break;
-
-    case FAILURE_DOMAIN:
-      if (value == null) {
-        unsetFailureDomain();
-      } else {
-        setFailureDomain((java.lang.String)value);
-      }
-      break;
-
     case BOOT_ID:
       if (value == null) {
         unsetBootId();
@@ -662,83 +438,59 @@
       }
       break;
 
-    case TIME:
-      if (value == null) {
-        unsetTime();
-      } else {
-        setTime((THybridTime)value);
-      }
-      break;
-
-    case CATALOGUE_VERSION:
-      if (value == null) {
-        unsetCatalogueVersion();
-      } else {
-        setCatalogueVersion((java.lang.Long)value);
-      }
-      break;
-
-    case PLAN_VERSION:
-      if (value == null) {
-        unsetPlanVersion();
-      } else {
-        setPlanVersion((java.lang.Long)value);
-      }
-      break;
-
-    case VMS:
+    case SENT_MILLIS:
       if (value == null) {
-        unsetVms();
+        unsetSentMillis();
       } else {
-        setVms((java.util.List<TVmView>)value);
+        setSentMillis((java.lang.Long)value);
       }
       break;
 
-    case NODES:
+    case ECHO_BOOT_ID:
       if (value == null) {
-        unsetNodes();
+        unsetEchoBootId();
       } else {
-        setNodes((java.util.List<TNodeView>)value);
+        setEchoBootId((java.lang.String)value);
       }
       break;
 
-    case QUEUED_REQUESTS:
+    case ECHO_MILLIS:
       if (value == null) {
-        unsetQueuedRequests();
+        unsetEchoMillis();
       } else {
-        setQueuedRequests((java.lang.Integer)value);
+        setEchoMillis((java.lang.Long)value);
       }
       break;
 
-    case IN_FLIGHT_REQUESTS:
+    case ACK_INCARNATION:
       if (value == null) {
-        unsetInFlightRequests();
+        unsetAckIncarnation();
       } else {
-        setInFlightRequests((java.lang.Integer)value);
+        setAckIncarnation((java.lang.Long)value);
       }
       break;
 
-    case STOPPING:
+    case OLDEST_ALIVE_MILLIS:
       if (value == null) {
-        unsetStopping();
+        unsetOldestAliveMillis();
       } else {
-        setStopping((java.lang.Boolean)value);
+        setOldestAliveMillis((java.lang.Long)value);
       }
       break;
 
-    case ADDRESS:
+    case AFTER_INCARNATION:
       if (value == null) {
-        unsetAddress();
+        unsetAfterIncarnation();
       } else {
-        setAddress((java.lang.String)value);
+        setAfterIncarnation((java.lang.Long)value);
       }
       break;
 
-    case CATALOGUE_DIGEST:
+    case NEWS:
       if (value == null) {
-        unsetCatalogueDigest();
+        unsetNews();
       } else {
-        setCatalogueDigest((java.lang.String)value);
+        setNews((java.util.List<TVmNews>)value);
       }
       break;
 
@@ -749,44 +501,29 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
-    case NODE:
-      return getNode();
-
-    case FAILURE_DOMAIN:
-      return getFailureDomain();
-
     case BOOT_ID:
       return getBootId();
 
-    case TIME:
-      return getTime();
-
-    case CATALOGUE_VERSION:
-      return getCatalogueVersion();
-
-    case PLAN_VERSION:
-      return getPlanVersion();
-
-    case VMS:
-      return getVms();
+    case SENT_MILLIS:
+      return getSentMillis();
 
-    case NODES:
-      return getNodes();
+    case ECHO_BOOT_ID:
+      return getEchoBootId();
 
-    case QUEUED_REQUESTS:
-      return getQueuedRequests();
+    case ECHO_MILLIS:
+      return getEchoMillis();
 
-    case IN_FLIGHT_REQUESTS:
-      return getInFlightRequests();
+    case ACK_INCARNATION:
+      return getAckIncarnation();
 
-    case STOPPING:
-      return isStopping();
+    case OLDEST_ALIVE_MILLIS:
+      return getOldestAliveMillis();
 
-    case ADDRESS:
-      return getAddress();
+    case AFTER_INCARNATION:
+      return getAfterIncarnation();
 
-    case CATALOGUE_DIGEST:
-      return getCatalogueDigest();
+    case NEWS:
+      return getNews();
 
     }
     throw new java.lang.IllegalStateException();
@@ -800,32 +537,22 @@
     }
 
     switch (field) {
-    case NODE:
-      return isSetNode();
-    case FAILURE_DOMAIN:
-      return isSetFailureDomain();
     case BOOT_ID:
       return isSetBootId();
-    case TIME:
-      return isSetTime();
-    case CATALOGUE_VERSION:
-      return isSetCatalogueVersion();
-    case PLAN_VERSION:
-      return isSetPlanVersion();
-    case VMS:
-      return isSetVms();
-    case NODES:
-      return isSetNodes();
-    case QUEUED_REQUESTS:
-      return isSetQueuedRequests();
-    case IN_FLIGHT_REQUESTS:
-      return isSetInFlightRequests();
-    case STOPPING:
-      return isSetStopping();
-    case ADDRESS:
-      return isSetAddress();
-    case CATALOGUE_DIGEST:
-      return isSetCatalogueDigest();
+    case SENT_MILLIS:
+      return isSetSentMillis();
+    case ECHO_BOOT_ID:
+      return isSetEchoBootId();
+    case ECHO_MILLIS:
+      return isSetEchoMillis();
+    case ACK_INCARNATION:
+      return isSetAckIncarnation();
+    case OLDEST_ALIVE_MILLIS:
+      return isSetOldestAliveMillis();
+    case AFTER_INCARNATION:
+      return isSetAfterIncarnation();
+    case NEWS:
+      return isSetNews();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -843,24 +570,6 @@
     if (this == that)
       return true;
 
-    boolean this_present_node = true && this.isSetNode();
-    boolean that_present_node = true && that.isSetNode();
-    if (this_present_node || that_present_node) {
-      if (!(this_present_node && that_present_node))
-        return false;
-      if (!this.node.equals(that.node))
-        return false;
-    }
-
-    boolean this_present_failureDomain = true && this.isSetFailureDomain();
-    boolean that_present_failureDomain = true && that.isSetFailureDomain();
-    if (this_present_failureDomain || that_present_failureDomain) {
-      if (!(this_present_failureDomain && that_present_failureDomain))
-        return false;
-      if (!this.failureDomain.equals(that.failureDomain))
-        return false;
-    }
-
     boolean this_present_bootId = true && this.isSetBootId();
     boolean that_present_bootId = true && that.isSetBootId();
     if (this_present_bootId || that_present_bootId) {
@@ -870,93 +579,66 @@
         return false;
     }
 
-    boolean this_present_time = true && this.isSetTime();
-    boolean that_present_time = true && that.isSetTime();
-    if (this_present_time || that_present_time) {
-      if (!(this_present_time && that_present_time))
-        return false;
-      if (!this.time.equals(that.time))
-        return false;
-    }
-
-    boolean this_present_catalogueVersion = true;
-    boolean that_present_catalogueVersion = true;
-    if (this_present_catalogueVersion || that_present_catalogueVersion) {
-      if (!(this_present_catalogueVersion && that_present_catalogueVersion))
-        return false;
-      if (this.catalogueVersion != that.catalogueVersion)
-        return false;
-    }
-
-    boolean this_present_planVersion = true;
-    boolean that_present_planVersion = true;
-    if (this_present_planVersion || that_present_planVersion) {
-      if (!(this_present_planVersion && that_present_planVersion))
-        return false;
-      if (this.planVersion != that.planVersion)
-        return false;
-    }
-
-    boolean this_present_vms = true && this.isSetVms();
-    boolean that_present_vms = true && that.isSetVms();
-    if (this_present_vms || that_present_vms) {
-      if (!(this_present_vms && that_present_vms))
+    boolean this_present_sentMillis = true;
+    boolean that_present_sentMillis = true;
+    if (this_present_sentMillis || that_present_sentMillis) {
+      if (!(this_present_sentMillis && that_present_sentMillis))
         return false;
-      if (!this.vms.equals(that.vms))
+      if (this.sentMillis != that.sentMillis)
         return false;
     }
 
-    boolean this_present_nodes = true && this.isSetNodes();
-    boolean that_present_nodes = true && that.isSetNodes();
-    if (this_present_nodes || that_present_nodes) {
-      if (!(this_present_nodes && that_present_nodes))
+    boolean this_present_echoBootId = true && this.isSetEchoBootId();
+    boolean that_present_echoBootId = true && that.isSetEchoBootId();
+    if (this_present_echoBootId || that_present_echoBootId) {
+      if (!(this_present_echoBootId && that_present_echoBootId))
         return false;
-      if (!this.nodes.equals(that.nodes))
+      if (!this.echoBootId.equals(that.echoBootId))
         return false;
     }
 
-    boolean this_present_queuedRequests = true;
-    boolean that_present_queuedRequests = true;
-    if (this_present_queuedRequests || that_present_queuedRequests) {
-      if (!(this_present_queuedRequests && that_present_queuedRequests))
+    boolean this_present_echoMillis = true;
+    boolean that_present_echoMillis = true;
+    if (this_present_echoMillis || that_present_echoMillis) {
+      if (!(this_present_echoMillis && that_present_echoMillis))
         return false;
-      if (this.queuedRequests != that.queuedRequests)
+      if (this.echoMillis != that.echoMillis)
         return false;
     }
 
-    boolean this_present_inFlightRequests = true;
-    boolean that_present_inFlightRequests = true;
-    if (this_present_inFlightRequests || that_present_inFlightRequests) {
-      if (!(this_present_inFlightRequests && that_present_inFlightRequests))
+    boolean this_present_ackIncarnation = true;
+    boolean that_present_ackIncarnation = true;
+    if (this_present_ackIncarnation || that_present_ackIncarnation) {
+      if (!(this_present_ackIncarnation && that_present_ackIncarnation))
         return false;
-      if (this.inFlightRequests != that.inFlightRequests)
+      if (this.ackIncarnation != that.ackIncarnation)
         return false;
     }
 
-    boolean this_present_stopping = true;
-    boolean that_present_stopping = true;
-    if (this_present_stopping || that_present_stopping) {
-      if (!(this_present_stopping && that_present_stopping))
+    boolean this_present_oldestAliveMillis = true;
+    boolean that_present_oldestAliveMillis = true;
+    if (this_present_oldestAliveMillis || that_present_oldestAliveMillis) {
+      if (!(this_present_oldestAliveMillis && that_present_oldestAliveMillis))
         return false;
-      if (this.stopping != that.stopping)
+      if (this.oldestAliveMillis != that.oldestAliveMillis)
         return false;
     }
 
-    boolean this_present_address = true && this.isSetAddress();
-    boolean that_present_address = true && that.isSetAddress();
-    if (this_present_address || that_present_address) {
-      if (!(this_present_address && that_present_address))
+    boolean this_present_afterIncarnation = true;
+    boolean that_present_afterIncarnation = true;
+    if (this_present_afterIncarnation || that_present_afterIncarnation) {
+      if (!(this_present_afterIncarnation && that_present_afterIncarnation))
         return false;
-      if (!this.address.equals(that.address))
+      if (this.afterIncarnation != that.afterIncarnation)
         return false;
     }
 
-    boolean this_present_catalogueDigest = true && this.isSetCatalogueDigest();
-    boolean that_present_catalogueDigest = true && that.isSetCatalogueDigest();
-    if (this_present_catalogueDigest || that_present_catalogueDigest) {
-      if (!(this_present_catalogueDigest && that_present_catalogueDigest))
+    boolean this_present_news = true && this.isSetNews();
+    boolean that_present_news = true && that.isSetNews();
+    if (this_present_news || that_present_news) {
+      if (!(this_present_news && that_present_news))
         return false;
-      if (!this.catalogueDigest.equals(that.catalogueDigest))
+      if (!this.news.equals(that.news))
         return false;
     }
 
@@ -967,47 +649,27 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + ((isSetNode()) ? 131071 : 524287);
-    if (isSetNode())
-      hashCode = hashCode * 8191 + node.hashCode();
-
-    hashCode = hashCode * 8191 + ((isSetFailureDomain()) ? 131071 : 524287);
-    if (isSetFailureDomain())
-      hashCode = hashCode * 8191 + failureDomain.hashCode();
-
     hashCode = hashCode * 8191 + ((isSetBootId()) ? 131071 : 524287);
     if (isSetBootId())
       hashCode = hashCode * 8191 + bootId.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetTime()) ? 131071 : 524287);
-    if (isSetTime())
-      hashCode = hashCode * 8191 + time.hashCode();
-
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(catalogueVersion);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sentMillis);
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(planVersion);
+    hashCode = hashCode * 8191 + ((isSetEchoBootId()) ? 131071 : 524287);
+    if (isSetEchoBootId())
+      hashCode = hashCode * 8191 + echoBootId.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetVms()) ? 131071 : 524287);
-    if (isSetVms())
-      hashCode = hashCode * 8191 + vms.hashCode();
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(echoMillis);
 
-    hashCode = hashCode * 8191 + ((isSetNodes()) ? 131071 : 524287);
-    if (isSetNodes())
-      hashCode = hashCode * 8191 + nodes.hashCode();
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ackIncarnation);
 
-    hashCode = hashCode * 8191 + queuedRequests;
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(oldestAliveMillis);
 
-    hashCode = hashCode * 8191 + inFlightRequests;
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(afterIncarnation);
 
-    hashCode = hashCode * 8191 + ((stopping) ? 131071 : 524287);
-
-    hashCode = hashCode * 8191 + ((isSetAddress()) ? 131071 : 524287);
-    if (isSetAddress())
-      hashCode = hashCode * 8191 + address.hashCode();
-
-    hashCode = hashCode * 8191 + ((isSetCatalogueDigest()) ? 131071 : 524287);
-    if (isSetCatalogueDigest())
-      hashCode = hashCode * 8191 + catalogueDigest.hashCode();
+    hashCode = hashCode * 8191 + ((isSetNews()) ? 131071 : 524287);
+    if (isSetNews())
+      hashCode = hashCode * 8191 + news.hashCode();
 
     return hashCode;
   }
@@ -1020,26 +682,6 @@
 
     int lastComparison = 0;
 
-    lastComparison = java.lang.Boolean.compare(isSetNode(), other.isSetNode());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetNode()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.node, other.node);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
-    lastComparison = java.lang.Boolean.compare(isSetFailureDomain(), other.isSetFailureDomain());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetFailureDomain()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.failureDomain, other.failureDomain);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     lastComparison = java.lang.Boolean.compare(isSetBootId(), other.isSetBootId());
     if (lastComparison != 0) {
       return lastComparison;
@@ -1050,102 +692,72 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetTime(), other.isSetTime());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetTime()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.time, other.time);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
-    lastComparison = java.lang.Boolean.compare(isSetCatalogueVersion(), other.isSetCatalogueVersion());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetCatalogueVersion()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.catalogueVersion, other.catalogueVersion);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
-    lastComparison = java.lang.Boolean.compare(isSetPlanVersion(), other.isSetPlanVersion());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetPlanVersion()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.planVersion, other.planVersion);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
-    lastComparison = java.lang.Boolean.compare(isSetVms(), other.isSetVms());
+    lastComparison = java.lang.Boolean.compare(isSetSentMillis(), other.isSetSentMillis());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetVms()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.vms, other.vms);
+    if (isSetSentMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sentMillis, other.sentMillis);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetNodes(), other.isSetNodes());
+    lastComparison = java.lang.Boolean.compare(isSetEchoBootId(), other.isSetEchoBootId());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetNodes()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.nodes, other.nodes);
+    if (isSetEchoBootId()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.echoBootId, other.echoBootId);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetQueuedRequests(), other.isSetQueuedRequests());
+    lastComparison = java.lang.Boolean.compare(isSetEchoMillis(), other.isSetEchoMillis());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetQueuedRequests()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.queuedRequests, other.queuedRequests);
+    if (isSetEchoMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.echoMillis, other.echoMillis);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetInFlightRequests(), other.isSetInFlightRequests());
+    lastComparison = java.lang.Boolean.compare(isSetAckIncarnation(), other.isSetAckIncarnation());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetInFlightRequests()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.inFlightRequests, other.inFlightRequests);
+    if (isSetAckIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ackIncarnation, other.ackIncarnation);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetStopping(), other.isSetStopping());
+    lastComparison = java.lang.Boolean.compare(isSetOldestAliveMillis(), other.isSetOldestAliveMillis());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetStopping()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.stopping, other.stopping);
+    if (isSetOldestAliveMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.oldestAliveMillis, other.oldestAliveMillis);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetAddress(), other.isSetAddress());
+    lastComparison = java.lang.Boolean.compare(isSetAfterIncarnation(), other.isSetAfterIncarnation());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetAddress()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.address, other.address);
+    if (isSetAfterIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.afterIncarnation, other.afterIncarnation);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetCatalogueDigest(), other.isSetCatalogueDigest());
+    lastComparison = java.lang.Boolean.compare(isSetNews(), other.isSetNews());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetCatalogueDigest()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.catalogueDigest, other.catalogueDigest);
+    if (isSetNews()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.news, other.news);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -1174,126 +786,70 @@
     java.lang.StringBuilder sb = new java.lang.StringBuilder("THeartbeat(");
     boolean first = true;
 
-    sb.append("node:");
-    if (this.node == null) {
+    sb.append("bootId:");
+    if (this.bootId == null) {
       sb.append("null");
     } else {
-      sb.append(this.node);
+      sb.append(this.bootId);
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("failureDomain:");
-    if (this.failureDomain == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.failureDomain);
-    }
+    sb.append("sentMillis:");
+    sb.append(this.sentMillis);
     first = false;
     if (!first) sb.append(", ");
-    sb.append("bootId:");
-    if (this.bootId == null) {
+    sb.append("echoBootId:");
+    if (this.echoBootId == null) {
       sb.append("null");
     } else {
-      sb.append(this.bootId);
+      sb.append(this.echoBootId);
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("time:");
-    if (this.time == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.time);
-    }
+    sb.append("echoMillis:");
+    sb.append(this.echoMillis);
     first = false;
     if (!first) sb.append(", ");
-    sb.append("catalogueVersion:");
-    sb.append(this.catalogueVersion);
+    sb.append("ackIncarnation:");
+    sb.append(this.ackIncarnation);
     first = false;
     if (!first) sb.append(", ");
-    sb.append("planVersion:");
-    sb.append(this.planVersion);
+    sb.append("oldestAliveMillis:");
+    sb.append(this.oldestAliveMillis);
     first = false;
     if (!first) sb.append(", ");
-    sb.append("vms:");
-    if (this.vms == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.vms);
-    }
+    sb.append("afterIncarnation:");
+    sb.append(this.afterIncarnation);
     first = false;
     if (!first) sb.append(", ");
-    sb.append("nodes:");
-    if (this.nodes == null) {
+    sb.append("news:");
+    if (this.news == null) {
       sb.append("null");
     } else {
-      sb.append(this.nodes);
+      sb.append(this.news);
     }
     first = false;
-    if (!first) sb.append(", ");
-    sb.append("queuedRequests:");
-    sb.append(this.queuedRequests);
-    first = false;
-    if (!first) sb.append(", ");
-    sb.append("inFlightRequests:");
-    sb.append(this.inFlightRequests);
-    first = false;
-    if (!first) sb.append(", ");
-    sb.append("stopping:");
-    sb.append(this.stopping);
-    first = false;
-    if (isSetAddress()) {
-      if (!first) sb.append(", ");
-      sb.append("address:");
-      if (this.address == null) {
-        sb.append("null");
-      } else {
-        sb.append(this.address);
-      }
-      first = false;
-    }
-    if (isSetCatalogueDigest()) {
-      if (!first) sb.append(", ");
-      sb.append("catalogueDigest:");
-      if (this.catalogueDigest == null) {
-        sb.append("null");
-      } else {
-        sb.append(this.catalogueDigest);
-      }
-      first = false;
-    }
     sb.append(")");
     return sb.toString();
   }
 
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
-    if (node == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'node' was not present! Struct: " + toString());
-    }
-    if (failureDomain == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'failureDomain' was not present! Struct: " + toString());
-    }
     if (bootId == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'bootId' was not present! Struct: " + toString());
     }
-    if (time == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'time' was not present! Struct: " + toString());
-    }
-    // alas, we cannot check 'catalogueVersion' because it's a primitive and you chose the non-beans generator.
-    // alas, we cannot check 'planVersion' because it's a primitive and you chose the non-beans generator.
-    if (vms == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'vms' was not present! Struct: " + toString());
+    // alas, we cannot check 'sentMillis' because it's a primitive and you chose the non-beans generator.
+    if (echoBootId == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'echoBootId' was not present! Struct: " + toString());
     }
-    if (nodes == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'nodes' was not present! Struct: " + toString());
+    // alas, we cannot check 'echoMillis' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'ackIncarnation' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'oldestAliveMillis' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'afterIncarnation' because it's a primitive and you chose the non-beans generator.
+    if (news == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'news' was not present! Struct: " + toString());
     }
-    // alas, we cannot check 'queuedRequests' because it's a primitive and you chose the non-beans generator.
-    // alas, we cannot check 'inFlightRequests' because it's a primitive and you chose the non-beans generator.
-    // alas, we cannot check 'stopping' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
-    if (time != null) {
-      time.validate();
-    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -1334,129 +890,77 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // NODE
+          case 1: // BOOT_ID
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.node = iprot.readString();
-              struct.setNodeIsSet(true);
+              struct.bootId = iprot.readString();
+              struct.setBootIdIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // FAILURE_DOMAIN
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.failureDomain = iprot.readString();
-              struct.setFailureDomainIsSet(true);
+          case 2: // SENT_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sentMillis = iprot.readI64();
+              struct.setSentMillisIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // BOOT_ID
+          case 3: // ECHO_BOOT_ID
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.bootId = iprot.readString();
-              struct.setBootIdIsSet(true);
+              struct.echoBootId = iprot.readString();
+              struct.setEchoBootIdIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 4: // TIME
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
-              struct.time = new THybridTime();
-              struct.time.read(iprot);
-              struct.setTimeIsSet(true);
+          case 4: // ECHO_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.echoMillis = iprot.readI64();
+              struct.setEchoMillisIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 5: // CATALOGUE_VERSION
+          case 5: // ACK_INCARNATION
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.catalogueVersion = iprot.readI64();
-              struct.setCatalogueVersionIsSet(true);
+              struct.ackIncarnation = iprot.readI64();
+              struct.setAckIncarnationIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 6: // PLAN_VERSION
+          case 6: // OLDEST_ALIVE_MILLIS
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.planVersion = iprot.readI64();
-              struct.setPlanVersionIsSet(true);
+              struct.oldestAliveMillis = iprot.readI64();
+              struct.setOldestAliveMillisIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 7: // VMS
-            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-              {
-                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
-                struct.vms = new java.util.ArrayList<TVmView>(_list0.size);
-                @org.apache.thrift.annotation.Nullable TVmView _elem1;
-                for (int _i2 = 0; _i2 < _list0.size; ++_i2)
-                {
-                  _elem1 = new TVmView();
-                  _elem1.read(iprot);
-                  struct.vms.add(_elem1);
-                }
-                iprot.readListEnd();
-              }
-              struct.setVmsIsSet(true);
+          case 7: // AFTER_INCARNATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.afterIncarnation = iprot.readI64();
+              struct.setAfterIncarnationIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 9: // NODES
+          case 8: // NEWS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list3 = iprot.readListBegin();
-                struct.nodes = new java.util.ArrayList<TNodeView>(_list3.size);
-                @org.apache.thrift.annotation.Nullable TNodeView _elem4;
-                for (int _i5 = 0; _i5 < _list3.size; ++_i5)
+                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
+                struct.news = new java.util.ArrayList<TVmNews>(_list8.size);
+                @org.apache.thrift.annotation.Nullable TVmNews _elem9;
+                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
                 {
-                  _elem4 = new TNodeView();
-                  _elem4.read(iprot);
-                  struct.nodes.add(_elem4);
+                  _elem9 = new TVmNews();
+                  _elem9.read(iprot);
+                  struct.news.add(_elem9);
                 }
                 iprot.readListEnd();
               }
-              struct.setNodesIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 10: // QUEUED_REQUESTS
-            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.queuedRequests = iprot.readI32();
-              struct.setQueuedRequestsIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 11: // IN_FLIGHT_REQUESTS
-            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.inFlightRequests = iprot.readI32();
-              struct.setInFlightRequestsIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 12: // STOPPING
-            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-              struct.stopping = iprot.readBool();
-              struct.setStoppingIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 13: // ADDRESS
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.address = iprot.readString();
-              struct.setAddressIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 14: // CATALOGUE_DIGEST
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.catalogueDigest = iprot.readString();
-              struct.setCatalogueDigestIsSet(true);
+              struct.setNewsIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -1469,20 +973,20 @@
       iprot.readStructEnd();
 
       // check for required fields of primitive type, which can't be checked in the validate method
-      if (!struct.isSetCatalogueVersion()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'catalogueVersion' was not found in serialized data! Struct: " + toString());
+      if (!struct.isSetSentMillis()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'sentMillis' was not found in serialized data! Struct: " + toString());
       }
-      if (!struct.isSetPlanVersion()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'planVersion' was not found in serialized data! Struct: " + toString());
+      if (!struct.isSetEchoMillis()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'echoMillis' was not found in serialized data! Struct: " + toString());
       }
-      if (!struct.isSetQueuedRequests()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'queuedRequests' was not found in serialized data! Struct: " + toString());
+      if (!struct.isSetAckIncarnation()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'ackIncarnation' was not found in serialized data! Struct: " + toString());
       }
-      if (!struct.isSetInFlightRequests()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'inFlightRequests' was not found in serialized data! Struct: " + toString());
+      if (!struct.isSetOldestAliveMillis()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'oldestAliveMillis' was not found in serialized data! Struct: " + toString());
       }
-      if (!struct.isSetStopping()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'stopping' was not found in serialized data! Struct: " + toString());
+      if (!struct.isSetAfterIncarnation()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'afterIncarnation' was not found in serialized data! Struct: " + toString());
       }
       struct.validate();
     }
@@ -1492,79 +996,43 @@
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      if (struct.node != null) {
-        oprot.writeFieldBegin(NODE_FIELD_DESC);
-        oprot.writeString(struct.node);
-        oprot.writeFieldEnd();
-      }
-      if (struct.failureDomain != null) {
-        oprot.writeFieldBegin(FAILURE_DOMAIN_FIELD_DESC);
-        oprot.writeString(struct.failureDomain);
-        oprot.writeFieldEnd();
-      }
       if (struct.bootId != null) {
         oprot.writeFieldBegin(BOOT_ID_FIELD_DESC);
         oprot.writeString(struct.bootId);
         oprot.writeFieldEnd();
       }
-      if (struct.time != null) {
-        oprot.writeFieldBegin(TIME_FIELD_DESC);
-        struct.time.write(oprot);
+      oprot.writeFieldBegin(SENT_MILLIS_FIELD_DESC);
+      oprot.writeI64(struct.sentMillis);
+      oprot.writeFieldEnd();
+      if (struct.echoBootId != null) {
+        oprot.writeFieldBegin(ECHO_BOOT_ID_FIELD_DESC);
+        oprot.writeString(struct.echoBootId);
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(CATALOGUE_VERSION_FIELD_DESC);
-      oprot.writeI64(struct.catalogueVersion);
+      oprot.writeFieldBegin(ECHO_MILLIS_FIELD_DESC);
+      oprot.writeI64(struct.echoMillis);
       oprot.writeFieldEnd();
-      oprot.writeFieldBegin(PLAN_VERSION_FIELD_DESC);
-      oprot.writeI64(struct.planVersion);
+      oprot.writeFieldBegin(ACK_INCARNATION_FIELD_DESC);
+      oprot.writeI64(struct.ackIncarnation);
       oprot.writeFieldEnd();
-      if (struct.vms != null) {
-        oprot.writeFieldBegin(VMS_FIELD_DESC);
-        {
-          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.vms.size()));
-          for (TVmView _iter6 : struct.vms)
-          {
-            _iter6.write(oprot);
-          }
-          oprot.writeListEnd();
-        }
-        oprot.writeFieldEnd();
-      }
-      if (struct.nodes != null) {
-        oprot.writeFieldBegin(NODES_FIELD_DESC);
+      oprot.writeFieldBegin(OLDEST_ALIVE_MILLIS_FIELD_DESC);
+      oprot.writeI64(struct.oldestAliveMillis);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(AFTER_INCARNATION_FIELD_DESC);
+      oprot.writeI64(struct.afterIncarnation);
+      oprot.writeFieldEnd();
+      if (struct.news != null) {
+        oprot.writeFieldBegin(NEWS_FIELD_DESC);
         {
-          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.nodes.size()));
-          for (TNodeView _iter7 : struct.nodes)
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.news.size()));
+          for (TVmNews _iter11 : struct.news)
           {
-            _iter7.write(oprot);
+            _iter11.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(QUEUED_REQUESTS_FIELD_DESC);
-      oprot.writeI32(struct.queuedRequests);
-      oprot.writeFieldEnd();
-      oprot.writeFieldBegin(IN_FLIGHT_REQUESTS_FIELD_DESC);
-      oprot.writeI32(struct.inFlightRequests);
-      oprot.writeFieldEnd();
-      oprot.writeFieldBegin(STOPPING_FIELD_DESC);
-      oprot.writeBool(struct.stopping);
-      oprot.writeFieldEnd();
-      if (struct.address != null) {
-        if (struct.isSetAddress()) {
-          oprot.writeFieldBegin(ADDRESS_FIELD_DESC);
-          oprot.writeString(struct.address);
-          oprot.writeFieldEnd();
-        }
-      }
-      if (struct.catalogueDigest != null) {
-        if (struct.isSetCatalogueDigest()) {
-          oprot.writeFieldBegin(CATALOGUE_DIGEST_FIELD_DESC);
-          oprot.writeString(struct.catalogueDigest);
-          oprot.writeFieldEnd();
-        }
-      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1583,100 +1051,51 @@
     @Override
     public void write(org.apache.thrift.protocol.TProtocol prot, THeartbeat struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      oprot.writeString(struct.node);
-      oprot.writeString(struct.failureDomain);
       oprot.writeString(struct.bootId);
-      struct.time.write(oprot);
-      oprot.writeI64(struct.catalogueVersion);
-      oprot.writeI64(struct.planVersion);
+      oprot.writeI64(struct.sentMillis);
+      oprot.writeString(struct.echoBootId);
+      oprot.writeI64(struct.echoMillis);
+      oprot.writeI64(struct.ackIncarnation);
+      oprot.writeI64(struct.oldestAliveMillis);
+      oprot.writeI64(struct.afterIncarnation);
       {
-        oprot.writeI32(struct.vms.size());
-        for (TVmView _iter8 : struct.vms)
+        oprot.writeI32(struct.news.size());
+        for (TVmNews _iter12 : struct.news)
         {
-          _iter8.write(oprot);
+          _iter12.write(oprot);
         }
       }
-      {
-        oprot.writeI32(struct.nodes.size());
-        for (TNodeView _iter9 : struct.nodes)
-        {
-          _iter9.write(oprot);
-        }
-      }
-      oprot.writeI32(struct.queuedRequests);
-      oprot.writeI32(struct.inFlightRequests);
-      oprot.writeBool(struct.stopping);
-      java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetAddress()) {
-        optionals.set(0);
-      }
-      if (struct.isSetCatalogueDigest()) {
-        optionals.set(1);
-      }
-      oprot.writeBitSet(optionals, 2);
-      if (struct.isSetAddress()) {
-        oprot.writeString(struct.address);
-      }
-      if (struct.isSetCatalogueDigest()) {
-        oprot.writeString(struct.catalogueDigest);
-      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, THeartbeat struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      struct.node = iprot.readString();
-      struct.setNodeIsSet(true);
-      struct.failureDomain = iprot.readString();
-      struct.setFailureDomainIsSet(true);
       struct.bootId = iprot.readString();
       struct.setBootIdIsSet(true);
-      struct.time = new THybridTime();
-      struct.time.read(iprot);
-      struct.setTimeIsSet(true);
-      struct.catalogueVersion = iprot.readI64();
-      struct.setCatalogueVersionIsSet(true);
-      struct.planVersion = iprot.readI64();
-      struct.setPlanVersionIsSet(true);
-      {
-        org.apache.thrift.protocol.TList _list10 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.vms = new java.util.ArrayList<TVmView>(_list10.size);
-        @org.apache.thrift.annotation.Nullable TVmView _elem11;
-        for (int _i12 = 0; _i12 < _list10.size; ++_i12)
-        {
-          _elem11 = new TVmView();
-          _elem11.read(iprot);
-          struct.vms.add(_elem11);
-        }
-      }
-      struct.setVmsIsSet(true);
+      struct.sentMillis = iprot.readI64();
+      struct.setSentMillisIsSet(true);
+      struct.echoBootId = iprot.readString();
+      struct.setEchoBootIdIsSet(true);
+      struct.echoMillis = iprot.readI64();
+      struct.setEchoMillisIsSet(true);
+      struct.ackIncarnation = iprot.readI64();
+      struct.setAckIncarnationIsSet(true);
+      struct.oldestAliveMillis = iprot.readI64();
+      struct.setOldestAliveMillisIsSet(true);
+      struct.afterIncarnation = iprot.readI64();
+      struct.setAfterIncarnationIsSet(true);
       {
         org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.nodes = new java.util.ArrayList<TNodeView>(_list13.size);
-        @org.apache.thrift.annotation.Nullable TNodeView _elem14;
+        struct.news = new java.util.ArrayList<TVmNews>(_list13.size);
+        @org.apache.thrift.annotation.Nullable TVmNews _elem14;
         for (int _i15 = 0; _i15 < _list13.size; ++_i15)
         {
-          _elem14 = new TNodeView();
+          _elem14 = new TVmNews();
           _elem14.read(iprot);
-          struct.nodes.add(_elem14);
+          struct.news.add(_elem14);
         }
       }
-      struct.setNodesIsSet(true);
-      struct.queuedRequests = iprot.readI32();
-      struct.setQueuedRequestsIsSet(true);
-      struct.inFlightRequests = iprot.readI32();
-      struct.setInFlightRequestsIsSet(true);
-      struct.stopping = iprot.readBool();
-      struct.setStoppingIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(2);
-      if (incoming.get(0)) {
-        struct.address = iprot.readString();
-        struct.setAddressIsSet(true);
-      }
-      if (incoming.get(1)) {
-        struct.catalogueDigest = iprot.readString();
-        struct.setCatalogueDigestIsSet(true);
-      }
+      struct.setNewsIsSet(true);
     }
   }
 
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TVmView.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TVmNews.java
@@ -7,49 +7,62 @@
 package org.apricotdeal.wire.gen;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class TVmView implements org.apache.thrift.TBase<TVmView, TVmView._Fields>, java.io.Serializable, Cloneable, Comparable<TVmView> {
-  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("TVmView");
+public class TVmNews implements org.apache.thrift.TBase<TVmNews, TVmNews._Fields>, java.io.Serializable, Cloneable, Comparable<TVmNews> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("TVmNews");
 
   private static final org.apache.thrift.protocol.TField VM_FIELD_DESC = new org.apache.thrift.protocol.TField("vm", org.apache.thrift.protocol.TType.STRING, (short)1);
-  private static final org.apache.thrift.protocol.TField HEALTH_FIELD_DESC = new org.apache.thrift.protocol.TField("health", org.apache.thrift.protocol.TType.I32, (short)2);
-  private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField HEALTH_FIELD_DESC = new org.apache.thrift.protocol.TField("health", org.apache.thrift.protocol.TType.I32, (short)3);
   private static final org.apache.thrift.protocol.TField BOOT_ID_FIELD_DESC = new org.apache.thrift.protocol.TField("bootId", org.apache.thrift.protocol.TType.STRING, (short)4);
-  private static final org.apache.thrift.protocol.TField REPLICA_FIELD_DESC = new org.apache.thrift.protocol.TField("replica", org.apache.thrift.protocol.TType.STRING, (short)5);
-  private static final org.apache.thrift.protocol.TField GENERATION_FIELD_DESC = new org.apache.thrift.protocol.TField("generation", org.apache.thrift.protocol.TType.I64, (short)6);
-  private static final org.apache.thrift.protocol.TField RUNNING_FIELD_DESC = new org.apache.thrift.protocol.TField("running", org.apache.thrift.protocol.TType.I32, (short)7);
-  private static final org.apache.thrift.protocol.TField WAITING_FIELD_DESC = new org.apache.thrift.protocol.TField("waiting", org.apache.thrift.protocol.TType.I32, (short)8);
-  private static final org.apache.thrift.protocol.TField AGE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("ageMillis", org.apache.thrift.protocol.TType.I64, (short)9);
+  private static final org.apache.thrift.protocol.TField PHASE_FIELD_DESC = new org.apache.thrift.protocol.TField("phase", org.apache.thrift.protocol.TType.I32, (short)5);
+  private static final org.apache.thrift.protocol.TField REPLICA_FIELD_DESC = new org.apache.thrift.protocol.TField("replica", org.apache.thrift.protocol.TType.STRING, (short)6);
+  private static final org.apache.thrift.protocol.TField GENERATION_FIELD_DESC = new org.apache.thrift.protocol.TField("generation", org.apache.thrift.protocol.TType.I64, (short)7);
+  private static final org.apache.thrift.protocol.TField MEMBERS_FIELD_DESC = new org.apache.thrift.protocol.TField("members", org.apache.thrift.protocol.TType.LIST, (short)8);
+  private static final org.apache.thrift.protocol.TField FENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("fence", org.apache.thrift.protocol.TType.I64, (short)9);
   private static final org.apache.thrift.protocol.TField LOADED_MODEL_FIELD_DESC = new org.apache.thrift.protocol.TField("loadedModel", org.apache.thrift.protocol.TType.STRING, (short)10);
-  private static final org.apache.thrift.protocol.TField FENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("fence", org.apache.thrift.protocol.TType.I64, (short)11);
 
-  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TVmViewStandardSchemeFactory();
-  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TVmViewTupleSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TVmNewsStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TVmNewsTupleSchemeFactory();
 
   public @org.apache.thrift.annotation.Nullable java.lang.String vm; // required
-  public int health; // required
   public long incarnation; // required
+  /**
+   * 
+   * @see THealth
+   */
+  public @org.apache.thrift.annotation.Nullable THealth health; // optional
   public @org.apache.thrift.annotation.Nullable java.lang.String bootId; // optional
+  /**
+   * 
+   * @see TPhase
+   */
+  public @org.apache.thrift.annotation.Nullable TPhase phase; // optional
   public @org.apache.thrift.annotation.Nullable java.lang.String replica; // optional
   public long generation; // optional
-  public int running; // optional
-  public int waiting; // optional
-  public long ageMillis; // optional
-  public @org.apache.thrift.annotation.Nullable java.lang.String loadedModel; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> members; // optional
   public long fence; // optional
+  public @org.apache.thrift.annotation.Nullable java.lang.String loadedModel; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     VM((short)1, "vm"),
-    HEALTH((short)2, "health"),
-    INCARNATION((short)3, "incarnation"),
+    INCARNATION((short)2, "incarnation"),
+    /**
+     * 
+     * @see THealth
+     */
+    HEALTH((short)3, "health"),
     BOOT_ID((short)4, "bootId"),
-    REPLICA((short)5, "replica"),
-    GENERATION((short)6, "generation"),
-    RUNNING((short)7, "running"),
-    WAITING((short)8, "waiting"),
-    AGE_MILLIS((short)9, "ageMillis"),
-    LOADED_MODEL((short)10, "loadedModel"),
-    FENCE((short)11, "fence");
+    /**
+     * 
+     * @see TPhase
+     */
+    PHASE((short)5, "phase"),
+    REPLICA((short)6, "replica"),
+    GENERATION((short)7, "generation"),
+    MEMBERS((short)8, "members"),
+    FENCE((short)9, "fence"),
+    LOADED_MODEL((short)10, "loadedModel");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -67,26 +80,24 @@
       switch(fieldId) {
         case 1: // VM
           return VM;
-        case 2: // HEALTH
-          return HEALTH;
-        case 3: // INCARNATION
+        case 2: // INCARNATION
           return INCARNATION;
+        case 3: // HEALTH
+          return HEALTH;
         case 4: // BOOT_ID
           return BOOT_ID;
-        case 5: // REPLICA
+        case 5: // PHASE
+          return PHASE;
+        case 6: // REPLICA
           return REPLICA;
-        case 6: // GENERATION
+        case 7: // GENERATION
           return GENERATION;
-        case 7: // RUNNING
-          return RUNNING;
-        case 8: // WAITING
-          return WAITING;
-        case 9: // AGE_MILLIS
-          return AGE_MILLIS;
+        case 8: // MEMBERS
+          return MEMBERS;
+        case 9: // FENCE
+          return FENCE;
         case 10: // LOADED_MODEL
           return LOADED_MODEL;
-        case 11: // FENCE
-          return FENCE;
         default:
           return null;
       }
@@ -130,56 +141,48 @@
   }
 
   // isset id assignments
-  private static final int __HEALTH_ISSET_ID = 0;
-  private static final int __INCARNATION_ISSET_ID = 1;
-  private static final int __GENERATION_ISSET_ID = 2;
-  private static final int __RUNNING_ISSET_ID = 3;
-  private static final int __WAITING_ISSET_ID = 4;
-  private static final int __AGEMILLIS_ISSET_ID = 5;
-  private static final int __FENCE_ISSET_ID = 6;
+  private static final int __INCARNATION_ISSET_ID = 0;
+  private static final int __GENERATION_ISSET_ID = 1;
+  private static final int __FENCE_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.BOOT_ID,_Fields.REPLICA,_Fields.GENERATION,_Fields.RUNNING,_Fields.WAITING,_Fields.AGE_MILLIS,_Fields.LOADED_MODEL,_Fields.FENCE};
+  private static final _Fields optionals[] = {_Fields.HEALTH,_Fields.BOOT_ID,_Fields.PHASE,_Fields.REPLICA,_Fields.GENERATION,_Fields.MEMBERS,_Fields.FENCE,_Fields.LOADED_MODEL};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
     tmpMap.put(_Fields.VM, new org.apache.thrift.meta_data.FieldMetaData("vm", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.HEALTH, new org.apache.thrift.meta_data.FieldMetaData("health", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("incarnation", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.HEALTH, new org.apache.thrift.meta_data.FieldMetaData("health", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, THealth.class)));
     tmpMap.put(_Fields.BOOT_ID, new org.apache.thrift.meta_data.FieldMetaData("bootId", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.PHASE, new org.apache.thrift.meta_data.FieldMetaData("phase", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, TPhase.class)));
     tmpMap.put(_Fields.REPLICA, new org.apache.thrift.meta_data.FieldMetaData("replica", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.GENERATION, new org.apache.thrift.meta_data.FieldMetaData("generation", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.RUNNING, new org.apache.thrift.meta_data.FieldMetaData("running", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-    tmpMap.put(_Fields.WAITING, new org.apache.thrift.meta_data.FieldMetaData("waiting", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-    tmpMap.put(_Fields.AGE_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("ageMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+    tmpMap.put(_Fields.MEMBERS, new org.apache.thrift.meta_data.FieldMetaData("members", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.FENCE, new org.apache.thrift.meta_data.FieldMetaData("fence", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.LOADED_MODEL, new org.apache.thrift.meta_data.FieldMetaData("loadedModel", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.FENCE, new org.apache.thrift.meta_data.FieldMetaData("fence", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TVmView.class, metaDataMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TVmNews.class, metaDataMap);
   }
 
-  public TVmView() {
+  public TVmNews() {
   }
 
-  public TVmView(
+  public TVmNews(
     java.lang.String vm,
-    int health,
     long incarnation)
   {
     this();
     this.vm = vm;
-    this.health = health;
-    setHealthIsSet(true);
     this.incarnation = incarnation;
     setIncarnationIsSet(true);
   }
@@ -187,54 +190,55 @@
   /**
    * Performs a deep copy on <i>other</i>.
    */
-  public TVmView(TVmView other) {
+  public TVmNews(TVmNews other) {
     __isset_bitfield = other.__isset_bitfield;
     if (other.isSetVm()) {
       this.vm = other.vm;
     }
-    this.health = other.health;
     this.incarnation = other.incarnation;
+    if (other.isSetHealth()) {
+      this.health = other.health;
+    }
     if (other.isSetBootId()) {
       this.bootId = other.bootId;
     }
+    if (other.isSetPhase()) {
+      this.phase = other.phase;
+    }
     if (other.isSetReplica()) {
       this.replica = other.replica;
     }
     this.generation = other.generation;
-    this.running = other.running;
-    this.waiting = other.waiting;
-    this.ageMillis = other.ageMillis;
+    if (other.isSetMembers()) {
+      java.util.List<java.lang.String> __this__members = new java.util.ArrayList<java.lang.String>(other.members);
+      this.members = __this__members;
+    }
+    this.fence = other.fence;
     if (other.isSetLoadedModel()) {
       this.loadedModel = other.loadedModel;
     }
-    this.fence = other.fence;
   }
 
   @Override
-  public TVmView deepCopy() {
-    return new TVmView(this);
+  public TVmNews deepCopy() {
+    return new TVmNews(this);
   }
 
   @Override
   public void clear() {
     this.vm = null;
-    setHealthIsSet(false);
-    this.health = 0;
     setIncarnationIsSet(false);
     this.incarnation = 0;
+    this.health = null;
     this.bootId = null;
+    this.phase = null;
     this.replica = null;
     setGenerationIsSet(false);
     this.generation = 0;
-    setRunningIsSet(false);
-    this.running = 0;
-    setWaitingIsSet(false);
-    this.waiting = 0;
-    setAgeMillisIsSet(false);
-    this.ageMillis = 0;
-    this.loadedModel = null;
+    this.members = null;
     setFenceIsSet(false);
     this.fence = 0;
+    this.loadedModel = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -242,7 +246,7 @@
     return this.vm;
   }
 
-  public TVmView setVm(@org.apache.thrift.annotation.Nullable java.lang.String vm) {
+  public TVmNews setVm(@org.apache.thrift.annotation.Nullable java.lang.String vm) {
     this.vm = vm;
     return this;
   }
@@ -262,34 +266,11 @@
     }
   }
 
-  public int getHealth() {
-    return this.health;
-  }
-
-  public TVmView setHealth(int health) {
-    this.health = health;
-    setHealthIsSet(true);
-    return this;
-  }
-
-  public void unsetHealth() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __HEALTH_ISSET_ID);
-  }
-
-  /** Returns true if field health is set (has been assigned a value) and false otherwise */
-  public boolean isSetHealth() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __HEALTH_ISSET_ID);
-  }
-
-  public void setHealthIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __HEALTH_ISSET_ID, value);
-  }
-
   public long getIncarnation() {
     return this.incarnation;
   }
 
-  public TVmView setIncarnation(long incarnation) {
+  public TVmNews setIncarnation(long incarnation) {
     this.incarnation = incarnation;
     setIncarnationIsSet(true);
     return this;
@@ -308,12 +289,45 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
   }
 
+  /**
+   * 
+   * @see THealth
+   */
+  @org.apache.thrift.annotation.Nullable
+  public THealth getHealth() {
+    return this.health;
+  }
+
+  /**
+   * 
+   * @see THealth
+   */
+  public TVmNews setHealth(@org.apache.thrift.annotation.Nullable THealth health) {
+    this.health = health;
+    return this;
+  }
+
+  public void unsetHealth() {
+    this.health = null;
+  }
+
+  /** Returns true if field health is set (has been assigned a value) and false otherwise */
+  public boolean isSetHealth() {
+    return this.health != null;
+  }
+
+  public void setHealthIsSet(boolean value) {
+    if (!value) {
+      this.health = null;
+    }
+  }
+
   @org.apache.thrift.annotation.Nullable
   public java.lang.String getBootId() {
     return this.bootId;
   }
 
-  public TVmView setBootId(@org.apache.thrift.annotation.Nullable java.lang.String bootId) {
+  public TVmNews setBootId(@org.apache.thrift.annotation.Nullable java.lang.String bootId) {
     this.bootId = bootId;
     return this;
   }
@@ -333,12 +347,45 @@
     }
   }
 
+  /**
+   * 
+   * @see TPhase
+   */
+  @org.apache.thrift.annotation.Nullable
+  public TPhase getPhase() {
+    return this.phase;
+  }
+
+  /**
+   * 
+   * @see TPhase
+   */
+  public TVmNews setPhase(@org.apache.thrift.annotation.Nullable TPhase phase) {
+    this.phase = phase;
+    return this;
+  }
+
+  public void unsetPhase() {
+    this.phase = null;
+  }
+
+  /** Returns true if field phase is set (has been assigned a value) and false otherwise */
+  public boolean isSetPhase() {
+    return this.phase != null;
+  }
+
+  public void setPhaseIsSet(boolean value) {
+    if (!value) {
+      this.phase = null;
+    }
+  }
+
   @org.apache.thrift.annotation.Nullable
   public java.lang.String getReplica() {
     return this.replica;
   }
 
-  public TVmView setReplica(@org.apache.thrift.annotation.Nullable java.lang.String replica) {
+  public TVmNews setReplica(@org.apache.thrift.annotation.Nullable java.lang.String replica) {
     this.replica = replica;
     return this;
   }
@@ -362,7 +409,7 @@
     return this.generation;
   }
 
-  public TVmView setGeneration(long generation) {
+  public TVmNews setGeneration(long generation) {
     this.generation = generation;
     setGenerationIsSet(true);
     return this;
@@ -381,73 +428,68 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __GENERATION_ISSET_ID, value);
   }
 
-  public int getRunning() {
-    return this.running;
+  public int getMembersSize() {
+    return (this.members == null) ? 0 : this.members.size();
   }
 
-  public TVmView setRunning(int running) {
-    this.running = running;
-    setRunningIsSet(true);
-    return this;
-  }
-
-  public void unsetRunning() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RUNNING_ISSET_ID);
-  }
-
-  /** Returns true if field running is set (has been assigned a value) and false otherwise */
-  public boolean isSetRunning() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RUNNING_ISSET_ID);
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getMembersIterator() {
+    return (this.members == null) ? null : this.members.iterator();
   }
 
-  public void setRunningIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RUNNING_ISSET_ID, value);
+  public void addToMembers(java.lang.String elem) {
+    if (this.members == null) {
+      this.members = new java.util.ArrayList<java.lang.String>();
+    }
+    this.members.add(elem);
   }
 
-  public int getWaiting() {
-    return this.waiting;
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getMembers() {
+    return this.members;
   }
 
-  public TVmView setWaiting(int waiting) {
-    this.waiting = waiting;
-    setWaitingIsSet(true);
+  public TVmNews setMembers(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> members) {
+    this.members = members;
     return this;
   }
 
-  public void unsetWaiting() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WAITING_ISSET_ID);
+  public void unsetMembers() {
+    this.members = null;
   }
 
-  /** Returns true if field waiting is set (has been assigned a value) and false otherwise */
-  public boolean isSetWaiting() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WAITING_ISSET_ID);
+  /** Returns true if field members is set (has been assigned a value) and false otherwise */
+  public boolean isSetMembers() {
+    return this.members != null;
   }
 
-  public void setWaitingIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WAITING_ISSET_ID, value);
+  public void setMembersIsSet(boolean value) {
+    if (!value) {
+      this.members = null;
+    }
   }
 
-  public long getAgeMillis() {
-    return this.ageMillis;
+  public long getFence() {
+    return this.fence;
   }
 
-  public TVmView setAgeMillis(long ageMillis) {
-    this.ageMillis = ageMillis;
-    setAgeMillisIsSet(true);
+  public TVmNews setFence(long fence) {
+    this.fence = fence;
+    setFenceIsSet(true);
     return this;
   }
 
-  public void unsetAgeMillis() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __AGEMILLIS_ISSET_ID);
+  public void unsetFence() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __FENCE_ISSET_ID);
   }
 
-  /** Returns true if field ageMillis is set (has been assigned a value) and false otherwise */
-  public boolean isSetAgeMillis() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __AGEMILLIS_ISSET_ID);
+  /** Returns true if field fence is set (has been assigned a value) and false otherwise */
+  public boolean isSetFence() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __FENCE_ISSET_ID);
   }
 
-  public void setAgeMillisIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __AGEMILLIS_ISSET_ID, value);
+  public void setFenceIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FENCE_ISSET_ID, value);
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -455,7 +497,7 @@
     return this.loadedModel;
   }
 
-  public TVmView setLoadedModel(@org.apache.thrift.annotation.Nullable java.lang.String loadedModel) {
+  public TVmNews setLoadedModel(@org.apache.thrift.annotation.Nullable java.lang.String loadedModel) {
     this.loadedModel = loadedModel;
     return this;
   }
@@ -475,29 +517,6 @@
     }
   }
 
-  public long getFence() {
-    return this.fence;
-  }
-
-  public TVmView setFence(long fence) {
-    this.fence = fence;
-    setFenceIsSet(true);
-    return this;
-  }
-
-  public void unsetFence() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __FENCE_ISSET_ID);
-  }
-
-  /** Returns true if field fence is set (has been assigned a value) and false otherwise */
-  public boolean isSetFence() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __FENCE_ISSET_ID);
-  }
-
-  public void setFenceIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FENCE_ISSET_ID, value);
-  }
-
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -509,19 +528,19 @@
       }
       break;
 
-    case HEALTH:
+    case INCARNATION:
       if (value == null) {
-        unsetHealth();
+        unsetIncarnation();
       } else {
-        setHealth((java.lang.Integer)value);
+        setIncarnation((java.lang.Long)value);
       }
       break;
 
-    case INCARNATION:
+    case HEALTH:
       if (value == null) {
-        unsetIncarnation();
+        unsetHealth();
       } else {
-        setIncarnation((java.lang.Long)value);
+        setHealth((THealth)value);
       }
       break;
 
@@ -533,6 +552,14 @@
       }
       break;
 
+    case PHASE:
+      if (value == null) {
+        unsetPhase();
+      } else {
+        setPhase((TPhase)value);
+      }
+      break;
+
     case REPLICA:
       if (value == null) {
         unsetReplica();
@@ -549,27 +576,19 @@
       }
       break;
 
-    case RUNNING:
-      if (value == null) {
-        unsetRunning();
-      } else {
-        setRunning((java.lang.Integer)value);
-      }
-      break;
-
-    case WAITING:
+    case MEMBERS:
       if (value == null) {
-        unsetWaiting();
+        unsetMembers();
       } else {
-        setWaiting((java.lang.Integer)value);
+        setMembers((java.util.List<java.lang.String>)value);
       }
       break;
 
-    case AGE_MILLIS:
+    case FENCE:
       if (value == null) {
-        unsetAgeMillis();
+        unsetFence();
       } else {
-        setAgeMillis((java.lang.Long)value);
+        setFence((java.lang.Long)value);
       }
       break;
 
@@ -581,14 +600,6 @@
       }
       break;
 
-    case FENCE:
-      if (value == null) {
-        unsetFence();
-      } else {
-        setFence((java.lang.Long)value);
-      }
-      break;
-
     }
   }
 
@@ -599,36 +610,33 @@
     case VM:
       return getVm();
 
-    case HEALTH:
-      return getHealth();
-
     case INCARNATION:
       return getIncarnation();
 
+    case HEALTH:
+      return getHealth();
+
     case BOOT_ID:
       return getBootId();
 
+    case PHASE:
+      return getPhase();
+
     case REPLICA:
       return getReplica();
 
     case GENERATION:
       return getGeneration();
 
-    case RUNNING:
-      return getRunning();
+    case MEMBERS:
+      return getMembers();
 
-    case WAITING:
-      return getWaiting();
-
-    case AGE_MILLIS:
-      return getAgeMillis();
+    case FENCE:
+      return getFence();
 
     case LOADED_MODEL:
       return getLoadedModel();
 
-    case FENCE:
-      return getFence();
-
     }
     throw new java.lang.IllegalStateException();
   }
@@ -643,38 +651,36 @@
     switch (field) {
     case VM:
       return isSetVm();
-    case HEALTH:
-      return isSetHealth();
     case INCARNATION:
       return isSetIncarnation();
+    case HEALTH:
+      return isSetHealth();
     case BOOT_ID:
       return isSetBootId();
+    case PHASE:
+      return isSetPhase();
     case REPLICA:
       return isSetReplica();
     case GENERATION:
       return isSetGeneration();
-    case RUNNING:
-      return isSetRunning();
-    case WAITING:
-      return isSetWaiting();
-    case AGE_MILLIS:
-      return isSetAgeMillis();
-    case LOADED_MODEL:
-      return isSetLoadedModel();
+    case MEMBERS:
+      return isSetMembers();
     case FENCE:
       return isSetFence();
+    case LOADED_MODEL:
+      return isSetLoadedModel();
     }
     throw new java.lang.IllegalStateException();
   }
 
   @Override
   public boolean equals(java.lang.Object that) {
-    if (that instanceof TVmView)
-      return this.equals((TVmView)that);
+    if (that instanceof TVmNews)
+      return this.equals((TVmNews)that);
     return false;
   }
 
-  public boolean equals(TVmView that) {
+  public boolean equals(TVmNews that) {
     if (that == null)
       return false;
     if (this == that)
@@ -689,15 +695,6 @@
         return false;
     }
 
-    boolean this_present_health = true;
-    boolean that_present_health = true;
-    if (this_present_health || that_present_health) {
-      if (!(this_present_health && that_present_health))
-        return false;
-      if (this.health != that.health)
-        return false;
-    }
-
     boolean this_present_incarnation = true;
     boolean that_present_incarnation = true;
     if (this_present_incarnation || that_present_incarnation) {
@@ -707,6 +704,15 @@
         return false;
     }
 
+    boolean this_present_health = true && this.isSetHealth();
+    boolean that_present_health = true && that.isSetHealth();
+    if (this_present_health || that_present_health) {
+      if (!(this_present_health && that_present_health))
+        return false;
+      if (!this.health.equals(that.health))
+        return false;
+    }
+
     boolean this_present_bootId = true && this.isSetBootId();
     boolean that_present_bootId = true && that.isSetBootId();
     if (this_present_bootId || that_present_bootId) {
@@ -716,6 +722,15 @@
         return false;
     }
 
+    boolean this_present_phase = true && this.isSetPhase();
+    boolean that_present_phase = true && that.isSetPhase();
+    if (this_present_phase || that_present_phase) {
+      if (!(this_present_phase && that_present_phase))
+        return false;
+      if (!this.phase.equals(that.phase))
+        return false;
+    }
+
     boolean this_present_replica = true && this.isSetReplica();
     boolean that_present_replica = true && that.isSetReplica();
     if (this_present_replica || that_present_replica) {
@@ -734,30 +749,21 @@
         return false;
     }
 
-    boolean this_present_running = true && this.isSetRunning();
-    boolean that_present_running = true && that.isSetRunning();
-    if (this_present_running || that_present_running) {
-      if (!(this_present_running && that_present_running))
-        return false;
-      if (this.running != that.running)
-        return false;
-    }
-
-    boolean this_present_waiting = true && this.isSetWaiting();
-    boolean that_present_waiting = true && that.isSetWaiting();
-    if (this_present_waiting || that_present_waiting) {
-      if (!(this_present_waiting && that_present_waiting))
+    boolean this_present_members = true && this.isSetMembers();
+    boolean that_present_members = true && that.isSetMembers();
+    if (this_present_members || that_present_members) {
+      if (!(this_present_members && that_present_members))
         return false;
-      if (this.waiting != that.waiting)
+      if (!this.members.equals(that.members))
         return false;
     }
 
-    boolean this_present_ageMillis = true && this.isSetAgeMillis();
-    boolean that_present_ageMillis = true && that.isSetAgeMillis();
-    if (this_present_ageMillis || that_present_ageMillis) {
-      if (!(this_present_ageMillis && that_present_ageMillis))
+    boolean this_present_fence = true && this.isSetFence();
+    boolean that_present_fence = true && that.isSetFence();
+    if (this_present_fence || that_present_fence) {
+      if (!(this_present_fence && that_present_fence))
         return false;
-      if (this.ageMillis != that.ageMillis)
+      if (this.fence != that.fence)
         return false;
     }
 
@@ -770,15 +776,6 @@
         return false;
     }
 
-    boolean this_present_fence = true && this.isSetFence();
-    boolean that_present_fence = true && that.isSetFence();
-    if (this_present_fence || that_present_fence) {
-      if (!(this_present_fence && that_present_fence))
-        return false;
-      if (this.fence != that.fence)
-        return false;
-    }
-
     return true;
   }
 
@@ -790,14 +787,20 @@
     if (isSetVm())
       hashCode = hashCode * 8191 + vm.hashCode();
 
-    hashCode = hashCode * 8191 + health;
-
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
 
+    hashCode = hashCode * 8191 + ((isSetHealth()) ? 131071 : 524287);
+    if (isSetHealth())
+      hashCode = hashCode * 8191 + health.getValue();
+
     hashCode = hashCode * 8191 + ((isSetBootId()) ? 131071 : 524287);
     if (isSetBootId())
       hashCode = hashCode * 8191 + bootId.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetPhase()) ? 131071 : 524287);
+    if (isSetPhase())
+      hashCode = hashCode * 8191 + phase.getValue();
+
     hashCode = hashCode * 8191 + ((isSetReplica()) ? 131071 : 524287);
     if (isSetReplica())
       hashCode = hashCode * 8191 + replica.hashCode();
@@ -806,31 +809,23 @@
     if (isSetGeneration())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(generation);
 
-    hashCode = hashCode * 8191 + ((isSetRunning()) ? 131071 : 524287);
-    if (isSetRunning())
-      hashCode = hashCode * 8191 + running;
+    hashCode = hashCode * 8191 + ((isSetMembers()) ? 131071 : 524287);
+    if (isSetMembers())
+      hashCode = hashCode * 8191 + members.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetWaiting()) ? 131071 : 524287);
-    if (isSetWaiting())
-      hashCode = hashCode * 8191 + waiting;
-
-    hashCode = hashCode * 8191 + ((isSetAgeMillis()) ? 131071 : 524287);
-    if (isSetAgeMillis())
-      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ageMillis);
+    hashCode = hashCode * 8191 + ((isSetFence()) ? 131071 : 524287);
+    if (isSetFence())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(fence);
 
     hashCode = hashCode * 8191 + ((isSetLoadedModel()) ? 131071 : 524287);
     if (isSetLoadedModel())
       hashCode = hashCode * 8191 + loadedModel.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetFence()) ? 131071 : 524287);
-    if (isSetFence())
-      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(fence);
-
     return hashCode;
   }
 
   @Override
-  public int compareTo(TVmView other) {
+  public int compareTo(TVmNews other) {
     if (!getClass().equals(other.getClass())) {
       return getClass().getName().compareTo(other.getClass().getName());
     }
@@ -847,22 +842,22 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetHealth(), other.isSetHealth());
+    lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetHealth()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.health, other.health);
+    if (isSetIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
+    lastComparison = java.lang.Boolean.compare(isSetHealth(), other.isSetHealth());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetIncarnation()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
+    if (isSetHealth()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.health, other.health);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -877,52 +872,52 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetReplica(), other.isSetReplica());
+    lastComparison = java.lang.Boolean.compare(isSetPhase(), other.isSetPhase());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetReplica()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.replica, other.replica);
+    if (isSetPhase()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.phase, other.phase);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetGeneration(), other.isSetGeneration());
+    lastComparison = java.lang.Boolean.compare(isSetReplica(), other.isSetReplica());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetGeneration()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.generation, other.generation);
+    if (isSetReplica()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.replica, other.replica);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetRunning(), other.isSetRunning());
+    lastComparison = java.lang.Boolean.compare(isSetGeneration(), other.isSetGeneration());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetRunning()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.running, other.running);
+    if (isSetGeneration()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.generation, other.generation);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetWaiting(), other.isSetWaiting());
+    lastComparison = java.lang.Boolean.compare(isSetMembers(), other.isSetMembers());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetWaiting()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.waiting, other.waiting);
+    if (isSetMembers()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.members, other.members);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetAgeMillis(), other.isSetAgeMillis());
+    lastComparison = java.lang.Boolean.compare(isSetFence(), other.isSetFence());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetAgeMillis()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ageMillis, other.ageMillis);
+    if (isSetFence()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fence, other.fence);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -937,16 +932,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetFence(), other.isSetFence());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetFence()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fence, other.fence);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     return 0;
   }
 
@@ -968,7 +953,7 @@
 
   @Override
   public java.lang.String toString() {
-    java.lang.StringBuilder sb = new java.lang.StringBuilder("TVmView(");
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("TVmNews(");
     boolean first = true;
 
     sb.append("vm:");
@@ -979,13 +964,19 @@
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("health:");
-    sb.append(this.health);
-    first = false;
-    if (!first) sb.append(", ");
     sb.append("incarnation:");
     sb.append(this.incarnation);
     first = false;
+    if (isSetHealth()) {
+      if (!first) sb.append(", ");
+      sb.append("health:");
+      if (this.health == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.health);
+      }
+      first = false;
+    }
     if (isSetBootId()) {
       if (!first) sb.append(", ");
       sb.append("bootId:");
@@ -996,6 +987,16 @@
       }
       first = false;
     }
+    if (isSetPhase()) {
+      if (!first) sb.append(", ");
+      sb.append("phase:");
+      if (this.phase == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.phase);
+      }
+      first = false;
+    }
     if (isSetReplica()) {
       if (!first) sb.append(", ");
       sb.append("replica:");
@@ -1012,22 +1013,20 @@
       sb.append(this.generation);
       first = false;
     }
-    if (isSetRunning()) {
+    if (isSetMembers()) {
       if (!first) sb.append(", ");
-      sb.append("running:");
-      sb.append(this.running);
-      first = false;
-    }
-    if (isSetWaiting()) {
-      if (!first) sb.append(", ");
-      sb.append("waiting:");
-      sb.append(this.waiting);
+      sb.append("members:");
+      if (this.members == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.members);
+      }
       first = false;
     }
-    if (isSetAgeMillis()) {
+    if (isSetFence()) {
       if (!first) sb.append(", ");
-      sb.append("ageMillis:");
-      sb.append(this.ageMillis);
+      sb.append("fence:");
+      sb.append(this.fence);
       first = false;
     }
     if (isSetLoadedModel()) {
@@ -1040,12 +1039,6 @@
       }
       first = false;
     }
-    if (isSetFence()) {
-      if (!first) sb.append(", ");
-      sb.append("fence:");
-      sb.append(this.fence);
-      first = false;
-    }
     sb.append(")");
     return sb.toString();
   }
@@ -1055,7 +1048,6 @@
     if (vm == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'vm' was not present! Struct: " + toString());
     }
-    // alas, we cannot check 'health' because it's a primitive and you chose the non-beans generator.
     // alas, we cannot check 'incarnation' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
@@ -1078,17 +1070,17 @@
     }
   }
 
-  private static class TVmViewStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class TVmNewsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public TVmViewStandardScheme getScheme() {
-      return new TVmViewStandardScheme();
+    public TVmNewsStandardScheme getScheme() {
+      return new TVmNewsStandardScheme();
     }
   }
 
-  private static class TVmViewStandardScheme extends org.apache.thrift.scheme.StandardScheme<TVmView> {
+  private static class TVmNewsStandardScheme extends org.apache.thrift.scheme.StandardScheme<TVmNews> {
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot, TVmView struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol iprot, TVmNews struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TField schemeField;
       iprot.readStructBegin();
       while (true)
@@ -1106,18 +1098,18 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // HEALTH
-            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.health = iprot.readI32();
-              struct.setHealthIsSet(true);
+          case 2: // INCARNATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.incarnation = iprot.readI64();
+              struct.setIncarnationIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // INCARNATION
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.incarnation = iprot.readI64();
-              struct.setIncarnationIsSet(true);
+          case 3: // HEALTH
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.health = org.apricotdeal.wire.gen.THealth.findByValue(iprot.readI32());
+              struct.setHealthIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -1130,7 +1122,15 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 5: // REPLICA
+          case 5: // PHASE
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.phase = org.apricotdeal.wire.gen.TPhase.findByValue(iprot.readI32());
+              struct.setPhaseIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 6: // REPLICA
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
               struct.replica = iprot.readString();
               struct.setReplicaIsSet(true);
@@ -1138,7 +1138,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 6: // GENERATION
+          case 7: // GENERATION
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.generation = iprot.readI64();
               struct.setGenerationIsSet(true);
@@ -1146,26 +1146,28 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 7: // RUNNING
-            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.running = iprot.readI32();
-              struct.setRunningIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 8: // WAITING
-            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.waiting = iprot.readI32();
-              struct.setWaitingIsSet(true);
+          case 8: // MEMBERS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
+                struct.members = new java.util.ArrayList<java.lang.String>(_list0.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem1;
+                for (int _i2 = 0; _i2 < _list0.size; ++_i2)
+                {
+                  _elem1 = iprot.readString();
+                  struct.members.add(_elem1);
+                }
+                iprot.readListEnd();
+              }
+              struct.setMembersIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 9: // AGE_MILLIS
+          case 9: // FENCE
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.ageMillis = iprot.readI64();
-              struct.setAgeMillisIsSet(true);
+              struct.fence = iprot.readI64();
+              struct.setFenceIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -1178,14 +1180,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 11: // FENCE
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.fence = iprot.readI64();
-              struct.setFenceIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1194,9 +1188,6 @@
       iprot.readStructEnd();
 
       // check for required fields of primitive type, which can't be checked in the validate method
-      if (!struct.isSetHealth()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'health' was not found in serialized data! Struct: " + toString());
-      }
       if (!struct.isSetIncarnation()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'incarnation' was not found in serialized data! Struct: " + toString());
       }
@@ -1204,7 +1195,7 @@
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot, TVmView struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol oprot, TVmNews struct) throws org.apache.thrift.TException {
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
@@ -1213,12 +1204,16 @@
         oprot.writeString(struct.vm);
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(HEALTH_FIELD_DESC);
-      oprot.writeI32(struct.health);
-      oprot.writeFieldEnd();
       oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
       oprot.writeI64(struct.incarnation);
       oprot.writeFieldEnd();
+      if (struct.health != null) {
+        if (struct.isSetHealth()) {
+          oprot.writeFieldBegin(HEALTH_FIELD_DESC);
+          oprot.writeI32(struct.health.getValue());
+          oprot.writeFieldEnd();
+        }
+      }
       if (struct.bootId != null) {
         if (struct.isSetBootId()) {
           oprot.writeFieldBegin(BOOT_ID_FIELD_DESC);
@@ -1226,6 +1221,13 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.phase != null) {
+        if (struct.isSetPhase()) {
+          oprot.writeFieldBegin(PHASE_FIELD_DESC);
+          oprot.writeI32(struct.phase.getValue());
+          oprot.writeFieldEnd();
+        }
+      }
       if (struct.replica != null) {
         if (struct.isSetReplica()) {
           oprot.writeFieldBegin(REPLICA_FIELD_DESC);
@@ -1238,19 +1240,23 @@
         oprot.writeI64(struct.generation);
         oprot.writeFieldEnd();
       }
-      if (struct.isSetRunning()) {
-        oprot.writeFieldBegin(RUNNING_FIELD_DESC);
-        oprot.writeI32(struct.running);
-        oprot.writeFieldEnd();
-      }
-      if (struct.isSetWaiting()) {
-        oprot.writeFieldBegin(WAITING_FIELD_DESC);
-        oprot.writeI32(struct.waiting);
-        oprot.writeFieldEnd();
+      if (struct.members != null) {
+        if (struct.isSetMembers()) {
+          oprot.writeFieldBegin(MEMBERS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.members.size()));
+            for (java.lang.String _iter3 : struct.members)
+            {
+              oprot.writeString(_iter3);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
       }
-      if (struct.isSetAgeMillis()) {
-        oprot.writeFieldBegin(AGE_MILLIS_FIELD_DESC);
-        oprot.writeI64(struct.ageMillis);
+      if (struct.isSetFence()) {
+        oprot.writeFieldBegin(FENCE_FIELD_DESC);
+        oprot.writeI64(struct.fence);
         oprot.writeFieldEnd();
       }
       if (struct.loadedModel != null) {
@@ -1260,126 +1266,133 @@
           oprot.writeFieldEnd();
         }
       }
-      if (struct.isSetFence()) {
-        oprot.writeFieldBegin(FENCE_FIELD_DESC);
-        oprot.writeI64(struct.fence);
-        oprot.writeFieldEnd();
-      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
 
   }
 
-  private static class TVmViewTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class TVmNewsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public TVmViewTupleScheme getScheme() {
-      return new TVmViewTupleScheme();
+    public TVmNewsTupleScheme getScheme() {
+      return new TVmNewsTupleScheme();
     }
   }
 
-  private static class TVmViewTupleScheme extends org.apache.thrift.scheme.TupleScheme<TVmView> {
+  private static class TVmNewsTupleScheme extends org.apache.thrift.scheme.TupleScheme<TVmNews> {
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol prot, TVmView struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol prot, TVmNews struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       oprot.writeString(struct.vm);
-      oprot.writeI32(struct.health);
       oprot.writeI64(struct.incarnation);
       java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetBootId()) {
+      if (struct.isSetHealth()) {
         optionals.set(0);
       }
-      if (struct.isSetReplica()) {
+      if (struct.isSetBootId()) {
         optionals.set(1);
       }
-      if (struct.isSetGeneration()) {
+      if (struct.isSetPhase()) {
         optionals.set(2);
       }
-      if (struct.isSetRunning()) {
+      if (struct.isSetReplica()) {
         optionals.set(3);
       }
-      if (struct.isSetWaiting()) {
+      if (struct.isSetGeneration()) {
         optionals.set(4);
       }
-      if (struct.isSetAgeMillis()) {
+      if (struct.isSetMembers()) {
         optionals.set(5);
       }
-      if (struct.isSetLoadedModel()) {
+      if (struct.isSetFence()) {
         optionals.set(6);
       }
-      if (struct.isSetFence()) {
+      if (struct.isSetLoadedModel()) {
         optionals.set(7);
       }
       oprot.writeBitSet(optionals, 8);
+      if (struct.isSetHealth()) {
+        oprot.writeI32(struct.health.getValue());
+      }
       if (struct.isSetBootId()) {
         oprot.writeString(struct.bootId);
       }
+      if (struct.isSetPhase()) {
+        oprot.writeI32(struct.phase.getValue());
+      }
       if (struct.isSetReplica()) {
         oprot.writeString(struct.replica);
       }
       if (struct.isSetGeneration()) {
         oprot.writeI64(struct.generation);
       }
-      if (struct.isSetRunning()) {
-        oprot.writeI32(struct.running);
-      }
-      if (struct.isSetWaiting()) {
-        oprot.writeI32(struct.waiting);
+      if (struct.isSetMembers()) {
+        {
+          oprot.writeI32(struct.members.size());
+          for (java.lang.String _iter4 : struct.members)
+          {
+            oprot.writeString(_iter4);
+          }
+        }
       }
-      if (struct.isSetAgeMillis()) {
-        oprot.writeI64(struct.ageMillis);
+      if (struct.isSetFence()) {
+        oprot.writeI64(struct.fence);
       }
       if (struct.isSetLoadedModel()) {
         oprot.writeString(struct.loadedModel);
       }
-      if (struct.isSetFence()) {
-        oprot.writeI64(struct.fence);
-      }
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol prot, TVmView struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol prot, TVmNews struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       struct.vm = iprot.readString();
       struct.setVmIsSet(true);
-      struct.health = iprot.readI32();
-      struct.setHealthIsSet(true);
       struct.incarnation = iprot.readI64();
       struct.setIncarnationIsSet(true);
       java.util.BitSet incoming = iprot.readBitSet(8);
       if (incoming.get(0)) {
-        struct.bootId = iprot.readString();
-        struct.setBootIdIsSet(true);
+        struct.health = org.apricotdeal.wire.gen.THealth.findByValue(iprot.readI32());
+        struct.setHealthIsSet(true);
       }
       if (incoming.get(1)) {
-        struct.replica = iprot.readString();
-        struct.setReplicaIsSet(true);
+        struct.bootId = iprot.readString();
+        struct.setBootIdIsSet(true);
       }
       if (incoming.get(2)) {
-        struct.generation = iprot.readI64();
-        struct.setGenerationIsSet(true);
+        struct.phase = org.apricotdeal.wire.gen.TPhase.findByValue(iprot.readI32());
+        struct.setPhaseIsSet(true);
       }
       if (incoming.get(3)) {
-        struct.running = iprot.readI32();
-        struct.setRunningIsSet(true);
+        struct.replica = iprot.readString();
+        struct.setReplicaIsSet(true);
       }
       if (incoming.get(4)) {
-        struct.waiting = iprot.readI32();
-        struct.setWaitingIsSet(true);
+        struct.generation = iprot.readI64();
+        struct.setGenerationIsSet(true);
       }
       if (incoming.get(5)) {
-        struct.ageMillis = iprot.readI64();
-        struct.setAgeMillisIsSet(true);
+        {
+          org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.members = new java.util.ArrayList<java.lang.String>(_list5.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem6;
+          for (int _i7 = 0; _i7 < _list5.size; ++_i7)
+          {
+            _elem6 = iprot.readString();
+            struct.members.add(_elem6);
+          }
+        }
+        struct.setMembersIsSet(true);
       }
       if (incoming.get(6)) {
-        struct.loadedModel = iprot.readString();
-        struct.setLoadedModelIsSet(true);
-      }
-      if (incoming.get(7)) {
         struct.fence = iprot.readI64();
         struct.setFenceIsSet(true);
       }
+      if (incoming.get(7)) {
+        struct.loadedModel = iprot.readString();
+        struct.setLoadedModelIsSet(true);
+      }
     }
   }
 
--- a/wire-gen/src/main/thrift/peer.thrift
+++ b/wire-gen/src/main/thrift/peer.thrift
@@ -4,37 +4,32 @@
 
 struct THybridTime { 1: required i64 wallMillis; 2: required i32 counter; }
 
-// What one node tells another about an upstream VM that it probes.
-struct TVmView {
+enum THealth { ALIVE, SUSPECT, FAILED }
+enum TPhase { IDLE, LOADING, JOINED }
+
+// What a prober has found out about an upstream VM since the last acknowledged news.
+struct TVmNews {
   1: required string vm;
-  2: required i32 health;            // 0 alive, 1 suspect, 2 failed
-  3: required i64 incarnation;       // grows with each change that the prober sees
+  2: required i64 incarnation;
+  3: optional THealth health;        // absent: no longer probed
   4: optional string bootId;
-  5: optional string replica;
-  6: optional i64 generation;
-  7: optional i32 running;
-  8: optional i32 waiting;
-  9: optional i64 ageMillis;
+  5: optional TPhase phase;          // absent: no engine state
+  6: optional string replica;
+  7: optional i64 generation;
+  8: optional list<string> members;
+  9: optional i64 fence;
   10: optional string loadedModel;
-  11: optional i64 fence;
 }
 
-struct TNodeView { 1: required string node; 2: required string failureDomain; 3: required string address; 4: required string bootId; 5: required i32 health; 6: required i64 heartbeat; }
-
 struct THeartbeat {
-  1: required string node;
-  2: required string failureDomain;
-  3: required string bootId;
-  4: required THybridTime time;
-  5: required i64 catalogueVersion;
-  6: required i64 planVersion;
-  7: required list<TVmView> vms;
-  9: required list<TNodeView> nodes;
-  10: required i32 queuedRequests;
-  11: required i32 inFlightRequests;
-  12: required bool stopping;
-  13: optional string address;
-  14: optional string catalogueDigest;
+  1: required string bootId;
+  2: required i64 sentMillis;
+  3: required string echoBootId;
+  4: required i64 echoMillis;
+  5: required i64 ackIncarnation;
+  6: required i64 oldestAliveMillis;
+  7: required i64 afterIncarnation;
+  8: required list<TVmNews> news;
 }
 
 struct TCatalogueRequest { 1: required i64 haveVersion; }
