Leave a failed target out until all its VMs have been seen again; complete the demo and lab commands

Cause: two streams of the demo ended as unknown when a VM was killed: the target stayed in the table until its VM counted as failed, and a stream used up its attempts on it within milliseconds. Ruled out: more attempts, which would only hammer the same target. Change: an attempt's failure takes the target out of the table until each member has answered a later probe, and the stream is dispatched anew 50 ms later.

--- a/lab/src/main/java/org/apricotdeal/lab/soak/PlanningSoak.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/PlanningSoak.java
@@ -20,7 +20,14 @@
         System.exit(exitCode);
     }
 
-    private static String run(long seed) {
+    /**
+     * Runs one seed.
+     *
+     * @param seed the seed
+     * @return the run's figures
+     * @throws RunFailure where a check failed
+     */
+    public static String run(long seed) {
         PlanningRun run = new PlanningRun(seed, PlanningMutations.NONE);
         try {
             PlanningFigures figures = run.run();
--- a/node/src/main/java/org/apricotdeal/node/fleet/FleetEvent.java
+++ b/node/src/main/java/org/apricotdeal/node/fleet/FleetEvent.java
@@ -8,6 +8,7 @@
 import org.apricotdeal.platform.Vm;
 import org.apricotdeal.policy.membership.Heartbeat;
 import org.apricotdeal.policy.planning.Plan;
+import org.apricotdeal.policy.routing.TargetId;
 
 /** What the fleet duty is told. */
 sealed interface FleetEvent {
@@ -23,6 +24,9 @@
     /** A VM answered a probe; the state is null for a plain service. */
     record Answered(VmId vm, long sentAtMillis, EngineState state) implements FleetEvent {}
 
+    /** An attempt at a target failed. */
+    record TargetFailed(TargetId target, long atMillis) implements FleetEvent {}
+
     /** A heartbeat arrived. */
     record Heard(Heartbeat heartbeat) implements FleetEvent {}
 }
--- a/node/src/main/java/org/apricotdeal/node/fleet/FleetPlugin.java
+++ b/node/src/main/java/org/apricotdeal/node/fleet/FleetPlugin.java
@@ -32,6 +32,7 @@
 import org.apricotdeal.policy.membership.PeerNode;
 import org.apricotdeal.policy.membership.VmReport;
 import org.apricotdeal.policy.planning.Plan;
+import org.apricotdeal.policy.routing.TargetId;
 import org.apricotdeal.wire.gen.TPeerBody;
 import org.apricotdeal.wire.gen.TPeerMessage;
 
@@ -39,10 +40,12 @@
 public final class FleetPlugin implements NodePlugin {
     private static final int RING_SLOTS = 4_096;
     private static final long TICK_MILLIS = 50;
+    private static final long FAILED_TARGET_MILLIS = 10_000;
 
     private final Map<VmId, Vm> listed = new TreeMap<>();
     private final Map<VmId, VmReport> reports = new HashMap<>();
     private final Set<NodeId> failedNodes = new HashSet<>();
+    private final Map<TargetId, Long> failedTargets = new HashMap<>();
     private Catalogue catalogue = Catalogue.EMPTY;
     private Plan plan;
     private RouteTable table = RouteTable.EMPTY;
@@ -85,6 +88,8 @@
             case NodeEvent.VmsListed(List<Vm> vms) -> duty.offer(new FleetEvent.Listed(vms));
             case NodeEvent.CatalogueAdopted(Catalogue adopted) -> duty.offer(new FleetEvent.CatalogueAdopted(adopted));
             case NodeEvent.PlanAdopted(Plan adopted) -> duty.offer(new FleetEvent.PlanAdopted(adopted));
+            case NodeEvent.TargetFailed(TargetId target, long atMillis) ->
+                duty.offer(new FleetEvent.TargetFailed(target, atMillis));
             default -> {}
         }
     }
@@ -112,6 +117,7 @@
                 step(new MembershipEvent.ProbeAnswered(vm, sentAtMillis, state));
                 publishLoad(vm, sentAtMillis, state);
             }
+            case FleetEvent.TargetFailed(TargetId target, long atMillis) -> failedTargets.put(target, atMillis);
             case FleetEvent.Heard(Heartbeat heartbeat) -> step(new MembershipEvent.HeartbeatReceived(heartbeat));
         }
         refresh();
@@ -190,8 +196,10 @@
     }
 
     private void refresh() {
-        RouteBuilder.Inputs inputs = new RouteBuilder.Inputs(catalogue, servingNodes());
-        RouteTable next = builder.build(kernel.clock().monotonicMillis(), plan, listed, reports, inputs);
+        long nowMillis = kernel.clock().monotonicMillis();
+        failedTargets.values().removeIf(failedMillis -> nowMillis - failedMillis > FAILED_TARGET_MILLIS);
+        RouteBuilder.Inputs inputs = new RouteBuilder.Inputs(catalogue, servingNodes(), failedTargets);
+        RouteTable next = builder.build(nowMillis, plan, listed, reports, inputs);
         if (!next.equals(table)) {
             table = next;
             kernel.publish(new NodeEvent.RoutesChanged(table));
--- a/node/src/main/java/org/apricotdeal/node/fleet/RouteBuilder.java
+++ b/node/src/main/java/org/apricotdeal/node/fleet/RouteBuilder.java
@@ -37,6 +37,11 @@
         if (plan != null) {
             ServingView view = new ServingView(inputs.catalogue().policy().failMillis());
             for (ServableReplica replica : view.servable(nowMillis, plan, listed, reports)) {
+                TargetId id =
+                        TargetId.of(replica.replica().id(), replica.replica().generation());
+                if (inputs.isFailed(id, nowMillis - replica.oldestMillis())) {
+                    continue;
+                }
                 replicaRoute(plan.failureDomain(), replica, inputs)
                         .ifPresent(route -> routes.put(route.target().id(), route));
             }
@@ -49,10 +54,16 @@
     }
 
     /** What applies to all targets. */
-    record Inputs(Catalogue catalogue, List<NodeId> nodes) {
+    record Inputs(Catalogue catalogue, List<NodeId> nodes, Map<TargetId, Long> failedAtMillis) {
         Inputs {
             nodes = new ArrayList<>(nodes);
         }
+
+        /** Tells whether a target has failed and not all its VMs have been seen since. */
+        boolean isFailed(TargetId target, long seenAtMillis) {
+            Long failedMillis = failedAtMillis.get(target);
+            return failedMillis != null && seenAtMillis <= failedMillis;
+        }
     }
 
     private Optional<Route> replicaRoute(FailureDomainId failureDomain, ServableReplica servable, Inputs inputs) {
--- a/node/src/main/java/org/apricotdeal/node/kernel/NodeEvent.java
+++ b/node/src/main/java/org/apricotdeal/node/kernel/NodeEvent.java
@@ -11,6 +11,7 @@
 import org.apricotdeal.platform.Vm;
 import org.apricotdeal.policy.membership.VmReport;
 import org.apricotdeal.policy.planning.Plan;
+import org.apricotdeal.policy.routing.TargetId;
 
 /** A change that several duties of a node take note of. */
 public sealed interface NodeEvent {
@@ -58,6 +59,14 @@
      */
     record PlanAdopted(Plan plan) implements NodeEvent {}
 
+    /**
+     * An attempt at a target failed. The target takes no requests until all its VMs have answered a later probe.
+     *
+     * @param target the target
+     * @param atMillis monotonic time of the failure
+     */
+    record TargetFailed(TargetId target, long atMillis) implements NodeEvent {}
+
     /**
      * The targets that requests can go to have changed.
      *
--- a/node/src/main/java/org/apricotdeal/node/live/LiveStream.java
+++ b/node/src/main/java/org/apricotdeal/node/live/LiveStream.java
@@ -22,6 +22,7 @@
 import org.apricotdeal.node.caller.FailureCode;
 import org.apricotdeal.node.caller.RequestContext;
 import org.apricotdeal.node.fleet.Route;
+import org.apricotdeal.node.kernel.NodeEvent;
 import org.apricotdeal.node.settings.NodeSettings;
 import org.apricotdeal.policy.admission.FinishOutcome;
 import org.apricotdeal.policy.call.RetryPermit;
@@ -42,6 +43,10 @@
     private static final int MAX_ATTEMPTS = 6;
     private static final long EXCLUDE_MILLIS = 5_000;
     private static final int MAX_EARLY_TOKENS = 64;
+
+    /** Time for the failed target to leave the table of targets before the stream is dispatched anew. */
+    private static final long RETRY_DELAY_MILLIS = 50;
+
     private static final int PROGRESS_TOKENS = 8;
 
     private final LiveServices services;
@@ -51,10 +56,11 @@
     private final TokenStreamMachine machine;
     private final Map<Integer, StreamHandle> attempts = new HashMap<>();
     private Route granted;
-    private Route current;
+    private volatile Route current;
     private boolean started;
     private boolean paused;
     private volatile boolean lastNotStarted;
+    private long awaitsGrantFromMillis = Long.MAX_VALUE;
     private Failure refusal;
 
     LiveStream(LiveDuty duty, LiveServices services, RequestContext context, CompletionBody body, AnswerWriter writer) {
@@ -88,11 +94,7 @@
             case LiveEvent.Preempted preempted -> step(new StreamEvent.Preempt());
             case LiveEvent.OfStream(StreamEvent of) -> step(of);
             case LiveEvent.CallerGone gone -> callerGone();
-            case LiveEvent.Tick tick -> {
-                if (started) {
-                    step(new StreamEvent.Tick());
-                }
-            }
+            case LiveEvent.Tick tick -> tick();
             case LiveEvent.Forwarded(FailureDomainId failureDomain) -> takeForward(failureDomain);
             case LiveEvent.Outcome outcome -> {}
             case LiveEvent.ForwardOutcome outcome -> {}
@@ -100,6 +102,16 @@
         }
     }
 
+    private void tick() {
+        if (services.nowMillis() >= awaitsGrantFromMillis) {
+            awaitsGrantFromMillis = Long.MAX_VALUE;
+            services.dispatching().finished(context.id(), attemptOutcome());
+        }
+        if (started) {
+            step(new StreamEvent.Tick());
+        }
+    }
+
     private void takeGrant(TargetId target) {
         Optional<Route> route = services.table().find(target);
         if (route.isEmpty()) {
@@ -161,7 +173,7 @@
 
     private void carryOut(StreamAction action) {
         switch (action) {
-            case StreamAction.ChooseReplica(ReplicaId preferred, Set<ReplicaId> excluded) -> choose();
+            case StreamAction.ChooseReplica(ReplicaId preferred, Set<ReplicaId> excluded) -> choose(excluded);
             case StreamAction.Open(int attempt, ReplicaId replica, List<String> generated) -> open(attempt, generated);
             case StreamAction.CancelAttempt(int attempt) ->
                 Optional.ofNullable(attempts.remove(attempt)).ifPresent(StreamHandle::cancel);
@@ -173,11 +185,14 @@
         }
     }
 
-    private void choose() {
+    private void choose(Set<ReplicaId> excluded) {
+        if (current != null && excluded.contains(current.replica())) {
+            noteTargetFailed();
+        }
         if (granted != null) {
             chooseGranted();
         } else {
-            services.dispatching().finished(context.id(), attemptOutcome());
+            awaitsGrantFromMillis = services.nowMillis() + RETRY_DELAY_MILLIS;
         }
     }
 
@@ -194,6 +209,11 @@
         step(new StreamEvent.ReplicaChosen(current.replica()));
     }
 
+    private void noteTargetFailed() {
+        TargetId target = current.target().id();
+        services.kernel().publish(new NodeEvent.TargetFailed(target, services.nowMillis()));
+    }
+
     private void open(int attempt, List<String> generated) {
         RequestId id = new RequestId(context.id() + "." + attempt);
         CompletionRequest request = new CompletionRequest(
--- a/tool/src/main/java/org/apricotdeal/tool/lab/LabPlugin.java
+++ b/tool/src/main/java/org/apricotdeal/tool/lab/LabPlugin.java
@@ -5,10 +5,13 @@
 import org.apricotdeal.lab.experiment.ExperimentCommand;
 import org.apricotdeal.lab.load.LoadCommand;
 import org.apricotdeal.lab.soak.BookingRun;
+import org.apricotdeal.lab.soak.CatalogueRun;
+import org.apricotdeal.lab.soak.PlanningSoak;
 import org.apricotdeal.lab.soak.RandomisedRun;
 import org.apricotdeal.lab.soak.SoakRunner;
 import org.apricotdeal.lab.soak.StreamRun;
 import org.apricotdeal.standins.StandinsCommand;
+import org.apricotdeal.standins.load.EngineLoadCommand;
 import org.apricotdeal.tool.command.CommandRegistry;
 import org.apricotdeal.tool.command.Console;
 import org.apricotdeal.tool.command.ExitCode;
@@ -35,6 +38,10 @@
                 "lab load",
                 "Send a seeded load to nodes and verify every answer.",
                 (arguments, console) -> new LoadCommand(console.out(), console.err()).run(arguments)));
+        registry.add(new DelegatedCommand(
+                "lab engine-load",
+                "Measure how many token streams one engine stand-in carries.",
+                (arguments, console) -> new EngineLoadCommand(console.out(), console.err()).run(arguments)));
         registry.add(new DelegatedCommand("lab soak", "Run randomised runs over a range of seeds.", LabPlugin::soak));
     }
 
@@ -44,10 +51,12 @@
                 switch (which) {
                     case "claims" -> new BookingRun();
                     case "streams" -> new StreamRun();
+                    case "catalogue" -> new CatalogueRun();
+                    case "planning" -> PlanningSoak::run;
                     default -> null;
                 };
         if (run == null) {
-            console.err().println("usage: apricotdeal lab soak claims|streams [--seeds FIRST-LAST]");
+            console.err().println("usage: apricotdeal lab soak claims|streams|catalogue|planning [--seeds FIRST-LAST]");
             return which.equals("--help") ? ExitCode.OK.code() : ExitCode.USAGE.code();
         }
         String[] rest = arguments.subList(1, arguments.size()).toArray(new String[0]);
