--- a/kernel/src/main/java/org/apricotdeal/kernel/message/Message.java
+++ b/kernel/src/main/java/org/apricotdeal/kernel/message/Message.java
@@ -39,7 +39,7 @@
     PLAN_COMMITTED(403, Severity.INFO, "plan version %s is committed: %s"),
     PLAN_CONFLICT(404, Severity.WARNING, "plan version %s was not committed: version %s is in force"),
     PLAN_ADOPTED(405, Severity.INFO, "plan version %s by %s is in force"),
-    ORDER_FAILED(406, Severity.WARNING, "order to %s failed: %s"),
+    ORDER_FAILED(406, Severity.WARNING, "order to VM %s failed: %s"),
 
     // 500: claims
 
--- a/node/src/main/java/org/apricotdeal/node/fleet/FleetPlugin.java
+++ b/node/src/main/java/org/apricotdeal/node/fleet/FleetPlugin.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -49,6 +50,7 @@
     private Catalogue catalogue = Catalogue.EMPTY;
     private Plan plan;
     private RouteTable table = RouteTable.EMPTY;
+    private volatile boolean listKnown;
     private NodeKernel kernel;
     private NodeSettings.Node self;
     private Membership membership;
@@ -70,6 +72,7 @@
         membership = new Membership(self.id(), self.failureDomain(), kernel.bootId());
         builder = new RouteBuilder(self.id());
         kernel.offer(EngineClient.class, new HttpEngineClient(kernel.httpClient()));
+        kernel.readinessCheck(() -> listKnown ? Optional.empty() : Optional.of("the VM list is not known yet"));
         kernel.peerHandler(TPeerBody._Fields.HEARTBEAT, this::takeHeartbeat);
     }
 
@@ -131,6 +134,7 @@
     }
 
     private void takeList(List<Vm> vms) {
+        listKnown = true;
         listed.clear();
         for (Vm vm : vms) {
             boolean own = vm.failureDomain().equals(self.failureDomain());
--- a/node/src/main/java/org/apricotdeal/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/apricotdeal/node/settings/NodeSettings.java
@@ -29,10 +29,8 @@
      * @param host address to listen on
      * @param callerPort port for callers; 0 takes a free one
      * @param peerPort port for other nodes and operators; 0 takes a free one
-     * @param peers peer addresses of other nodes, used besides the VM list
      */
-    public record Node(
-            NodeId id, FailureDomainId failureDomain, String host, int callerPort, int peerPort, List<String> peers) {}
+    public record Node(NodeId id, FailureDomainId failureDomain, String host, int callerPort, int peerPort) {}
 
     /**
      * Where the platform is.
@@ -64,8 +62,6 @@
     /**
      * Periods of the node's duties.
      *
-     * @param heartbeatMillis time between two heartbeats to each peer
-     * @param probeMillis time between two probes of an upstream VM
      * @param vmListMillis time between two readings of the VM list
      * @param drainDelayMillis time between reporting not ready and refusing new requests at a graceful stop
      * @param drainTimeoutMillis longest time that a graceful stop waits for requests in progress
@@ -73,8 +69,6 @@
      * @param progressTimeoutMillis time between two tokens after which a stream is moved
      */
     public record Timing(
-            long heartbeatMillis,
-            long probeMillis,
             long vmListMillis,
             long drainDelayMillis,
             long drainTimeoutMillis,
@@ -108,8 +102,7 @@
                 new FailureDomainId(in.name("failureDomain", null)),
                 in.text("host", "127.0.0.1"),
                 (int) in.whole("callerPort", 8080L, 0, 65_535),
-                (int) in.whole("peerPort", 8081L, 0, 65_535),
-                in.names("peers", List.of()));
+                (int) in.whole("peerPort", 8081L, 0, 65_535));
     }
 
     private static Platform readPlatform(SectionReader in) {
@@ -132,8 +125,6 @@
 
     private static Timing readTiming(SectionReader in) {
         return new Timing(
-                in.whole("heartbeatMillis", 500L, 20, MAX_PERIOD_MILLIS),
-                in.whole("probeMillis", 500L, 20, MAX_PERIOD_MILLIS),
                 in.whole("vmListMillis", 1_000L, 20, MAX_PERIOD_MILLIS),
                 in.whole("drainDelayMillis", 2_000L, 0, MAX_PERIOD_MILLIS),
                 in.whole("drainTimeoutMillis", 120_000L, 0, MAX_PERIOD_MILLIS),
--- a/policy/src/main/java/org/apricotdeal/policy/planning/OrderSequencer.java
+++ b/policy/src/main/java/org/apricotdeal/policy/planning/OrderSequencer.java
@@ -68,6 +68,16 @@
         this.faults = faults;
     }
 
+    /** Finds the VM of an order that has not been answered. */
+    Optional<VmId> vmOf(long orderId) {
+        for (Map.Entry<VmId, Track> entry : tracks.entrySet()) {
+            if (entry.getValue().pendingOrderId == orderId) {
+                return Optional.of(entry.getKey());
+            }
+        }
+        return Optional.empty();
+    }
+
     /** Notes what came of an order; returns the VM's state where the answer tells it. */
     Optional<VmReport> answered(long nowMillis, long orderId, OrderOutcome outcome, List<ModelEntry> models) {
         for (Track track : tracks.values()) {
--- a/policy/src/main/java/org/apricotdeal/policy/planning/Planner.java
+++ b/policy/src/main/java/org/apricotdeal/policy/planning/Planner.java
@@ -489,7 +489,7 @@
             record.wantRead();
         }
         if (outcome instanceof OrderOutcome.Refused(String detail)) {
-            note(actions, Message.ORDER_FAILED, orderId, detail);
+            orders.vmOf(orderId).ifPresent(vm -> note(actions, Message.ORDER_FAILED, vm, detail));
         }
         orders.answered(nowMillis, orderId, outcome, models).ifPresent(report -> takeReport(nowMillis, report));
         if (highestFence > 0
--- a/proofs/src/test/java/org/apricotdeal/proofs/process/ProcessFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/ProcessFleet.java
@@ -58,19 +58,28 @@
 
     static ProcessFleet start() throws Exception {
         ProcessFleet fleet = new ProcessFleet(Files.createTempDirectory("apricotdeal"));
-        fleet.writeFleet();
-        fleet.startStandin("platform");
-        for (String vm : List.of("vm1", "vm2", "vm3", "vm4", "vm5", "desk1", "desk2")) {
-            fleet.startStandin(vm);
+        try {
+            fleet.startAll();
+        } catch (Exception | AssertionError e) {
+            fleet.close();
+            throw e;
         }
-        fleet.startNode("node1");
-        fleet.startNode("node2");
-        fleet.awaitApplied();
-        fleet.awaitServing("node1");
-        fleet.awaitServing("node2");
         return fleet;
     }
 
+    private void startAll() throws Exception {
+        writeFleet();
+        startStandin("platform");
+        for (String vm : List.of("vm1", "vm2", "vm3", "vm4", "vm5", "desk1", "desk2")) {
+            startStandin(vm);
+        }
+        startNode("node1");
+        startNode("node2");
+        awaitApplied();
+        awaitServing("node1");
+        awaitServing("node2");
+    }
+
     private void writeFleet() throws IOException {
         StringBuilder ini = new StringBuilder();
         ini.append("[platform platform]\nport = ").append(port("platform")).append("\nvmListLagMillis = 0\n");
@@ -194,6 +203,27 @@
         assertFalse(status >= 300, path + " answered " + status);
     }
 
+    /** Tells whether a node reports ready, as a balancer asks. */
+    boolean isReady(String node) {
+        try {
+            HttpRequest request = HttpRequest.newBuilder(
+                            URI.create("http://127.0.0.1:" + port(node + "-callers") + "/readyz"))
+                    .timeout(Duration.ofSeconds(5))
+                    .build();
+            return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /** Waits until a node reports ready. */
+    void awaitReady(String node) throws Exception {
+        await(node + " is ready", () -> isReady(node));
+    }
+
     /** Waits until a node is ready and serves a completion. */
     void awaitServing(String node) throws Exception {
         await(node + " serves", () -> complete(node, "ready", 1, false).statusCode() == 200);
