--- a/lab/src/main/java/org/apricotdeal/lab/load/LoadReport.java
+++ b/lab/src/main/java/org/apricotdeal/lab/load/LoadReport.java
@@ -29,10 +29,13 @@
             "unfinished",
             "latency_p50_ms",
             "latency_p95_ms",
+            "latency_p99_ms",
             "first_token_p50_ms",
             "first_token_p95_ms",
+            "first_token_p99_ms",
             "gap_p50_ms",
-            "gap_p95_ms");
+            "gap_p95_ms",
+            "gap_p99_ms");
 
     private final LoadPlan plan;
     private final LoadRecorder recorder;
@@ -99,6 +102,7 @@
         for (Histogram histogram : List.of(row.latencyMicros(), row.firstTokenMicros(), row.gapMicros())) {
             cells.add(millis(histogram, 50));
             cells.add(millis(histogram, 95));
+            cells.add(millis(histogram, 99));
         }
         return cells;
     }
--- a/proofs/src/test/java/org/apricotdeal/proofs/process/ProcessFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/ProcessFleet.java
@@ -1,8 +1,6 @@
 package org.apricotdeal.proofs.process;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -29,6 +27,7 @@
 import org.apricotdeal.node.NodeMain;
 import org.apricotdeal.platform.PlatformError;
 import org.apricotdeal.platform.SwapOutcome;
+import org.apricotdeal.proofs.standins.StandinFixture;
 
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.fail;
@@ -97,13 +96,7 @@
     }
 
     private int port(String name) {
-        return ports.computeIfAbsent(name, absent -> {
-            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                return socket.getLocalPort();
-            } catch (IOException e) {
-                throw new IllegalStateException("no free port", e);
-            }
-        });
+        return ports.computeIfAbsent(name, absent -> StandinFixture.freePort());
     }
 
     /** Starts the process of one stand-in. */
