--- a/node/src/main/java/org/apricotdeal/node/fleet/RouteBuilder.java
+++ b/node/src/main/java/org/apricotdeal/node/fleet/RouteBuilder.java
@@ -25,14 +25,30 @@
 import org.apricotdeal.policy.routing.TargetId;
 
 /** Builds the table of targets from the plan, the VM list, the VMs' reports and the catalogue. */
-final class RouteBuilder {
+public final class RouteBuilder {
     private final NodeId self;
 
-    RouteBuilder(NodeId self) {
+    /**
+     * Creates a builder.
+     *
+     * @param self this node
+     */
+    public RouteBuilder(NodeId self) {
         this.self = self;
     }
 
-    RouteTable build(long nowMillis, Plan plan, Map<VmId, Vm> listed, Map<VmId, VmReport> reports, Inputs inputs) {
+    /**
+     * Builds the table.
+     *
+     * @param nowMillis monotonic time
+     * @param plan the newest plan; null before the first
+     * @param listed upstream VMs of the failure domain
+     * @param reports newest reports by VM
+     * @param inputs what applies to all targets
+     * @return the targets that take requests now
+     */
+    public RouteTable build(
+            long nowMillis, Plan plan, Map<VmId, Vm> listed, Map<VmId, VmReport> reports, Inputs inputs) {
         Map<TargetId, Route> routes = new TreeMap<>();
         if (plan != null) {
             ServingView view = new ServingView(inputs.catalogue().policy().failMillis());
@@ -53,9 +69,16 @@
         return new RouteTable(routes);
     }
 
-    /** What applies to all targets. */
-    record Inputs(Catalogue catalogue, List<NodeId> nodes, Map<TargetId, Long> failedAtMillis) {
-        Inputs {
+    /**
+     * What applies to all targets.
+     *
+     * @param catalogue the catalogue in force
+     * @param nodes serving nodes of the failure domain, sorted
+     * @param failedAtMillis monotonic time of the last failed attempt, by target
+     */
+    public record Inputs(Catalogue catalogue, List<NodeId> nodes, Map<TargetId, Long> failedAtMillis) {
+        /** Copies the list. */
+        public Inputs {
             nodes = new ArrayList<>(nodes);
         }
 
