--- a/node/src/main/java/org/apricotdeal/node/live/LiveDuty.java
+++ b/node/src/main/java/org/apricotdeal/node/live/LiveDuty.java
@@ -43,9 +43,8 @@
     /** Hands a decision to a request; never waits. */
     void notice(LiveRequest request, LiveEvent event) {
         notices.add(new Input(request, event));
-        if (!duty.offer(WAKE)) {
-            return; // The duty is busy and takes its notices before the next event of the ring.
-        }
+        // Where the ring is full no wake-up is needed: the duty takes its notices before the next event of the ring.
+        duty.offer(WAKE);
     }
 
     private void takeFromRing(Input input) {
