Hash callers' keys and join domain reports in one place each

Cause: reading the whole change again. Change: CatalogueCodec.keyHash and sha256 serve both, DomainLoad.plus serves both; values as before. Left as it is: CatalogueDigest (spread) beside CatalogueCodec.digest (operators), a choice that needs a measurement, since the spread's digest is computed on every change at every node.

--- a/catalogue/src/main/java/org/apricotdeal/catalogue/codec/CatalogueCodec.java
+++ b/catalogue/src/main/java/org/apricotdeal/catalogue/codec/CatalogueCodec.java
@@ -194,7 +194,13 @@
         }
     }
 
-    private static String sha256(byte[] bytes) {
+    /**
+     * Computes a SHA-256.
+     *
+     * @param bytes the bytes
+     * @return 64 hexadecimal digits
+     */
+    public static String sha256(byte[] bytes) {
         try {
             return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
         } catch (NoSuchAlgorithmException e) {
--- a/lab/src/main/java/org/apricotdeal/lab/experiment/SimNode.java
+++ b/lab/src/main/java/org/apricotdeal/lab/experiment/SimNode.java
@@ -337,18 +337,9 @@
         Map<String, DomainLoad> sums = new HashMap<>();
         for (DomainReport report : reports.values()) {
             for (DomainLoad load : report.loads()) {
-                sums.merge(load.failureDomain() + " " + load.upstream() + " " + load.classId(), load, SimNode::add);
+                sums.merge(load.failureDomain() + " " + load.upstream() + " " + load.classId(), load, DomainLoad::plus);
             }
         }
         step(new DispatcherEvent.DomainsReported(new ArrayList<>(sums.values())));
     }
-
-    private static DomainLoad add(DomainLoad one, DomainLoad other) {
-        return new DomainLoad(
-                one.failureDomain(),
-                one.upstream(),
-                one.classId(),
-                one.openStreams() + other.openStreams(),
-                Math.max(one.takenMillis(), other.takenMillis()));
-    }
 }
--- a/node/src/main/java/org/apricotdeal/node/caller/CallHandler.java
+++ b/node/src/main/java/org/apricotdeal/node/caller/CallHandler.java
@@ -1,5 +1,6 @@
 package org.apricotdeal.node.caller;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
 import java.util.Locale;
 import java.util.Map;
@@ -7,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 
+import org.apricotdeal.catalogue.codec.CatalogueCodec;
 import org.apricotdeal.catalogue.model.ClassEntry;
 import org.apricotdeal.catalogue.model.ServiceEntry;
 import org.apricotdeal.kernel.id.UpstreamId;
@@ -100,8 +102,9 @@
                 headers.merge(name, field.getValue(), (first, next) -> first + ", " + next);
             }
         }
-        String hash = CallerIndex.sha256(
-                request.getMethod() + " " + pathAndQuery + "\n" + HexFormat.of().formatHex(bytes));
+        String described =
+                request.getMethod() + " " + pathAndQuery + "\n" + HexFormat.of().formatHex(bytes);
+        String hash = CatalogueCodec.sha256(described.getBytes(StandardCharsets.UTF_8));
         return new CallBody(request.getMethod(), call.path(), pathAndQuery, headers, bytes, call.key(), hash);
     }
 
--- a/node/src/main/java/org/apricotdeal/node/caller/CallerIndex.java
+++ b/node/src/main/java/org/apricotdeal/node/caller/CallerIndex.java
@@ -1,13 +1,10 @@
 package org.apricotdeal.node.caller;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HashMap;
-import java.util.HexFormat;
 import java.util.Map;
 import java.util.Optional;
 
+import org.apricotdeal.catalogue.codec.CatalogueCodec;
 import org.apricotdeal.catalogue.model.CallerEntry;
 import org.apricotdeal.catalogue.model.Catalogue;
 
@@ -27,15 +24,6 @@
         if (authorization == null || !authorization.startsWith(SCHEME)) {
             return Optional.empty();
         }
-        return Optional.ofNullable(byHash.get(sha256(authorization.substring(SCHEME.length()))));
-    }
-
-    static String sha256(String text) {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            return HexFormat.of().formatHex(digest.digest(text.getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("SHA-256 is part of every Java platform", e);
-        }
+        return Optional.ofNullable(byHash.get(CatalogueCodec.keyHash(authorization.substring(SCHEME.length()))));
     }
 }
--- a/node/src/main/java/org/apricotdeal/node/dispatch/DomainReports.java
+++ b/node/src/main/java/org/apricotdeal/node/dispatch/DomainReports.java
@@ -99,19 +99,9 @@
         Map<String, DomainLoad> sums = new TreeMap<>();
         for (List<DomainLoad> kept : reports.values()) {
             for (DomainLoad load : kept) {
-                sums.merge(
-                        load.failureDomain() + " " + load.upstream() + " " + load.classId(), load, DomainReports::add);
+                sums.merge(load.failureDomain() + " " + load.upstream() + " " + load.classId(), load, DomainLoad::plus);
             }
         }
         return new ArrayList<>(sums.values());
     }
-
-    private static DomainLoad add(DomainLoad one, DomainLoad other) {
-        return new DomainLoad(
-                one.failureDomain(),
-                one.upstream(),
-                one.classId(),
-                one.openStreams() + other.openStreams(),
-                Math.max(one.takenMillis(), other.takenMillis()));
-    }
 }
--- a/policy/src/main/java/org/apricotdeal/policy/admission/DomainLoad.java
+++ b/policy/src/main/java/org/apricotdeal/policy/admission/DomainLoad.java
@@ -14,4 +14,19 @@
  * @param takenMillis monotonic time at this node that the report describes
  */
 public record DomainLoad(
-        FailureDomainId failureDomain, UpstreamId upstream, ClassId classId, int openStreams, long takenMillis) {}
+        FailureDomainId failureDomain, UpstreamId upstream, ClassId classId, int openStreams, long takenMillis) {
+    /**
+     * Joins the reports of two nodes of one failure domain on the same class and upstream.
+     *
+     * @param other the other node's report
+     * @return the open streams of both, taken when the later one was
+     */
+    public DomainLoad plus(DomainLoad other) {
+        return new DomainLoad(
+                failureDomain,
+                upstream,
+                classId,
+                openStreams + other.openStreams,
+                Math.max(takenMillis, other.takenMillis));
+    }
+}
