--- a/node/src/main/java/org/apricotdeal/node/NodeMain.java
+++ b/node/src/main/java/org/apricotdeal/node/NodeMain.java
@@ -12,6 +12,8 @@
 import org.apricotdeal.kernel.misc.Version;
 import org.apricotdeal.kernel.settings.IniFile;
 import org.apricotdeal.node.settings.NodeSettings;
+import org.apricotdeal.relay.node.RelayNode;
+import org.apricotdeal.relay.node.RelaySettings;
 
 /** Entry point of the apricotdeal-node binary. */
 public final class NodeMain {
@@ -59,7 +61,10 @@
 
     private static void run(Path file, boolean checkOnly) {
         Findings findings = new Findings();
-        NodeSettings settings = readSettings(file, findings);
+        IniFile ini = IniFile.read(file, findings);
+        boolean relay = RelaySettings.isRelay(ini);
+        RelaySettings relaySettings = relay ? RelaySettings.read(ini, findings) : null;
+        NodeSettings settings = relay || findings.hasErrors() ? null : NodeSettings.read(ini, findings);
         if (!findings.all().isEmpty()) {
             System.err.println(findings);
         }
@@ -70,15 +75,30 @@
             System.out.println(file.getFileName() + ": settings are valid");
             return;
         }
-        serve(settings);
+        if (relay) {
+            serveRelay(relaySettings);
+        } else {
+            serve(settings);
+        }
     }
 
-    private static NodeSettings readSettings(Path file, Findings findings) {
-        IniFile ini = IniFile.read(file, findings);
-        if (findings.hasErrors()) {
-            return null;
+    private static void serveRelay(RelaySettings settings) {
+        RelayNode node = new RelayNode(settings);
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().name("stop").unstarted(() -> {
+            node.stopGracefully();
+            stopped.countDown();
+            Runtime.getRuntime().halt(0);
+        }));
+        try {
+            node.start();
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (Exception e) {
+            System.err.println("apricotdeal-node: cannot start: " + e.getMessage());
+            Runtime.getRuntime().halt(EXIT_CANNOT_START);
         }
-        return NodeSettings.read(ini, findings);
     }
 
     private static void serve(NodeSettings settings) {
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/model/package-info.java
@@ -0,0 +1,2 @@
+/** Routes, upstreams, VMs and replicas as the relay sees them. */
+package org.apricotdeal.relay.model;
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CallerConnector.java
@@ -0,0 +1,25 @@
+package org.apricotdeal.relay.node;
+
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+
+/** Accepts callers' connections, each of which can be watched for its end. */
+final class CallerConnector extends ServerConnector {
+    CallerConnector(Server server, HttpConnectionFactory http) {
+        // One selector accepts and reads: the machine has one processor.
+        super(server, 0, 1, http);
+    }
+
+    @Override
+    protected SocketChannelEndPoint newEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key) {
+        WatchedEndPoint endPoint = new WatchedEndPoint(channel, selector, key, getScheduler());
+        endPoint.setIdleTimeout(getIdleTimeout());
+        return endPoint;
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -0,0 +1,344 @@
+package org.apricotdeal.relay.node;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import org.apricotdeal.kernel.duty.Duty;
+import org.apricotdeal.kernel.id.FailureDomainId;
+import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.kernel.result.Result;
+import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.relay.model.RelayCatalogue;
+import org.apricotdeal.relay.model.UpstreamEntry;
+import org.apricotdeal.relay.model.UpstreamVm;
+import org.apricotdeal.relay.model.VmReport;
+import org.apricotdeal.relay.peer.PlannerChoice;
+import org.apricotdeal.relay.policy.PlannedOrder;
+import org.apricotdeal.relay.policy.RelayEvent;
+import org.apricotdeal.relay.policy.ReplicaPlanner;
+import org.apricotdeal.relay.policy.Target;
+import org.apricotdeal.relay.policy.TargetBuilder;
+import org.apricotdeal.relay.policy.VmTable;
+import org.apricotdeal.relay.port.ReplicaOrders;
+
+/**
+ * The duty that owns what the node believes of VMs and other nodes. It derives the targets for the dispatcher, asks VMs in
+ * doubt for their state, and runs the planners of the failure domains that fall to this node.
+ */
+final class FleetDuty implements AutoCloseable {
+    private static final int RING_SLOTS = 4_096;
+    private static final long TICK_MILLIS = 100;
+
+    /** Longest wait for a report: a VM answers within milliseconds, also when it works. */
+    private static final long REPORT_TIMEOUT_MILLIS = 400;
+
+    private static final long ORDER_TIMEOUT_MILLIS = 600;
+
+    /** Time between two calls for the state of the same VM. */
+    private static final long REPORT_PERIOD_MILLIS = 300;
+
+    /** Time between two calls for the state of a VM that does not answer but is still listed. */
+    private static final long SILENT_REPORT_PERIOD_MILLIS = 1_000;
+
+    /** A node that has not been heard for so long is not counted on for planning; several heartbeats. */
+    private static final long PEER_SILENT_MILLIS = 2_000;
+
+    /** A fleet that starts gets its first requests later than this; loads are short until then. */
+    private static final long START_MILLIS = 12_000;
+
+    /** Nodes that start together have registered by then; until then each would take itself for the only one. */
+    private static final long SETTLE_MILLIS = 1_500;
+
+    private final RelaySettings settings;
+    private final RelayDuty relay;
+    private final ReplicaOrders orders;
+    private final Clock clock;
+    private final DecisionLog log;
+    private final MetricRegistry metrics;
+    private final Duty<FleetEvent> duty;
+    private final VmTable table = new VmTable();
+    private final Map<VmId, Long> askedMillis = new HashMap<>();
+    private final Map<PlannerKey, ReplicaPlanner> planners = new HashMap<>();
+    private final Map<String, Peer> peers = new HashMap<>();
+    private final Map<String, Long> heardMillis = new HashMap<>();
+    private final long startedMillis;
+    private RelayCatalogue catalogue;
+    private List<Target> targets = List.of();
+    private boolean changed;
+    private boolean peersListed;
+    private boolean stopping;
+    private volatile List<Peer> livePeers = List.of();
+    private volatile boolean sawVms;
+
+    FleetDuty(
+            RelaySettings settings,
+            RelayDuty relay,
+            ReplicaOrders orders,
+            Clock clock,
+            DecisionLog log,
+            MetricRegistry metrics) {
+        this.settings = settings;
+        this.relay = relay;
+        this.orders = orders;
+        this.clock = clock;
+        this.log = log;
+        this.metrics = metrics;
+        this.startedMillis = clock.monotonicMillis();
+        metrics.register("targets", (Gauge<Integer>) () -> targets.size());
+        this.duty = new Duty<>("fleet", RING_SLOTS, TICK_MILLIS, this::step, this::tick);
+    }
+
+    void put(FleetEvent event) {
+        duty.put(event);
+    }
+
+    /** Hands on a doubt from a thread that must not wait; a doubt that finds no room comes again. */
+    void doubt(List<VmId> vms, String reason) {
+        if (!duty.offer(new FleetEvent.Doubted(vms, reason))) {
+            metrics.counter("fleet.doubts.dropped").inc();
+        }
+    }
+
+    List<Peer> peers() {
+        return livePeers;
+    }
+
+    /** Tells whether the store's VMs have been listed once. */
+    boolean sawVms() {
+        return sawVms;
+    }
+
+    private void step(FleetEvent event) {
+        switch (event) {
+            case FleetEvent.ListedAll(List<UpstreamVm> vms, long removeAtMillis) -> {
+                table.listedAll(vms, removeAtMillis);
+                sawVms = true;
+                changed = true;
+            }
+            case FleetEvent.Listed(UpstreamVm vm) -> {
+                table.listed(vm);
+                changed = true;
+            }
+            case FleetEvent.Removed(VmId vm, long removeAtMillis) -> {
+                table.removedUnlessBack(vm, removeAtMillis);
+                changed = true;
+            }
+            case FleetEvent.Reported(VmId vm, Result<VmReport, String> report) -> takeReport(vm, report);
+            case FleetEvent.Doubted(List<VmId> vms, String reason) -> vms.forEach(vm -> ask(vm, REPORT_PERIOD_MILLIS));
+            case FleetEvent.OrderAnswered answered -> takeReply(answered);
+            case FleetEvent.CatalogueChanged(RelayCatalogue adopted) -> {
+                catalogue = adopted;
+                changed = true;
+            }
+            case FleetEvent.PeersListed(List<Peer> listed) -> takePeers(listed);
+            case FleetEvent.Heartbeat(Peer sender, long version, var running) -> {
+                heardMillis.put(sender.name(), clock.monotonicMillis());
+                peers.putIfAbsent(sender.name(), sender);
+                relay.put(new RelayEvent.PeerLoad(sender.name(), running));
+            }
+            case FleetEvent.Stopping stop -> stopping = true;
+        }
+    }
+
+    private void takeReport(VmId vm, Result<VmReport, String> report) {
+        boolean silentBefore = table.isSilent(vm);
+        switch (report) {
+            case Result.Ok<VmReport, String>(VmReport state) -> table.reported(vm, state);
+            case Result.Err<VmReport, String>(String reason) -> {
+                table.missed(vm);
+                metrics.counter("vm.reports.missed").inc();
+            }
+        }
+        if (silentBefore != table.isSilent(vm)) {
+            log.state(silentBefore ? "vm_answers_again" : "vm_silent").with("vm", vm).write();
+        } else if (report instanceof Result.Err<VmReport, String> && !table.isSilent(vm)) {
+            ask(vm, 0);
+        }
+        changed = true;
+    }
+
+    private void takeReply(FleetEvent.OrderAnswered answered) {
+        ReplicaPlanner planner = planners.get(answered.planner());
+        if (planner != null) {
+            planner.replied(clock.monotonicMillis(), answered.order(), answered.reply());
+        }
+        metrics.counter("orders." + answered.reply()).inc();
+        log.state("order_answered")
+                .with("vm", answered.order().vm().id())
+                .with("expectedOrders", answered.order().expectedOrders())
+                .with("reply", answered.reply())
+                .write();
+    }
+
+    private void takePeers(List<Peer> listed) {
+        peersListed = true;
+        peers.clear();
+        for (Peer peer : listed) {
+            if (!peer.name().equals(settings.name())) {
+                peers.put(peer.name(), peer);
+            }
+        }
+        livePeers = List.copyOf(peers.values());
+    }
+
+    private void tick() {
+        long nowMillis = clock.monotonicMillis();
+        if (table.expire(nowMillis)) {
+            changed = true;
+        }
+        askSilent();
+        if (catalogue == null) {
+            return;
+        }
+        if (changed) {
+            changed = false;
+            publishTargets();
+        }
+        if (!stopping && peersListed && nowMillis - startedMillis >= SETTLE_MILLIS) {
+            plan(nowMillis);
+        }
+    }
+
+    private void askSilent() {
+        for (UpstreamVm vm : table.all()) {
+            if (table.isSilent(vm.id())) {
+                ask(vm.id(), SILENT_REPORT_PERIOD_MILLIS);
+            }
+        }
+    }
+
+    private void ask(VmId id, long periodMillis) {
+        long nowMillis = clock.monotonicMillis();
+        Optional<UpstreamVm> vm = table.find(id);
+        Long lastMillis = askedMillis.get(id);
+        if (vm.isEmpty() || (lastMillis != null && nowMillis - lastMillis < periodMillis)) {
+            return;
+        }
+        askedMillis.put(id, nowMillis);
+        metrics.counter("vm.reports.asked").inc();
+        var unused = orders.report(vm.get(), REPORT_TIMEOUT_MILLIS)
+                .thenAccept(report -> duty.put(new FleetEvent.Reported(id, report)));
+    }
+
+    private void publishTargets() {
+        askedMillis.keySet().removeIf(id -> table.find(id).isEmpty());
+        List<Target> built = TargetBuilder.targets(table, catalogue);
+        if (Set.copyOf(built).equals(Set.copyOf(targets))) {
+            return;
+        }
+        Set<Target> gone = new HashSet<>(targets);
+        gone.removeAll(built);
+        Set<Target> added = new HashSet<>(built);
+        targets.forEach(added::remove);
+        gone.forEach(target -> log.state("target_removed")
+                .with("target", target.id())
+                .with("line", target.line())
+                .write());
+        added.forEach(target -> log.state("target_added")
+                .with("target", target.id())
+                .with("line", target.line())
+                .with("members", target.members().size())
+                .write());
+        targets = built;
+        relay.put(new RelayEvent.TargetsChanged(built));
+    }
+
+    // Planning.
+
+    private void plan(long nowMillis) {
+        List<PlannerChoice.Candidate> live = candidates(nowMillis);
+        Set<PlannerKey> mine = new HashSet<>();
+        for (FailureDomainId domain : settings.failureDomains()) {
+            boolean own = PlannerChoice.planner(domain, live)
+                    .filter(settings.name()::equals)
+                    .isPresent();
+            for (UpstreamEntry upstream : catalogue.upstreams().values()) {
+                if (own && upstream.engine().isPresent()) {
+                    mine.add(new PlannerKey(domain, upstream.id()));
+                }
+            }
+        }
+        for (PlannerKey key : List.copyOf(planners.keySet())) {
+            if (!mine.contains(key)) {
+                planners.remove(key);
+                log.state("planner_yielded").with("planner", key).write();
+            }
+        }
+        for (PlannerKey key : mine) {
+            planOne(nowMillis, key);
+        }
+    }
+
+    /** Nodes that are counted on: the registered ones, less those that have fallen silent where others are heard. */
+    private List<PlannerChoice.Candidate> candidates(long nowMillis) {
+        boolean hearsAny = peers.keySet().stream().anyMatch(name -> heard(name, nowMillis));
+        List<PlannerChoice.Candidate> live = new ArrayList<>();
+        live.add(new PlannerChoice.Candidate(settings.name(), settings.failureDomain()));
+        for (Peer peer : peers.values()) {
+            if (!hearsAny || heard(peer.name(), nowMillis)) {
+                live.add(new PlannerChoice.Candidate(peer.name(), peer.failureDomain()));
+            }
+        }
+        return live;
+    }
+
+    private boolean heard(String name, long nowMillis) {
+        Long atMillis = heardMillis.get(name);
+        return atMillis != null && nowMillis - atMillis < PEER_SILENT_MILLIS;
+    }
+
+    private void planOne(long nowMillis, PlannerKey key) {
+        ReplicaPlanner planner = planners.get(key);
+        if (planner == null) {
+            planner = new ReplicaPlanner(settings.stallMillis());
+            planners.put(key, planner);
+            log.state("planner_took_over").with("planner", key).write();
+        }
+        UpstreamEntry upstream = catalogue.upstreams().get(key.upstream());
+        List<UpstreamVm> vms = table.all().stream()
+                .filter(vm -> vm.upstream().equals(key.upstream()) && vm.failureDomain().equals(key.failureDomain()))
+                .sorted(Comparator.comparing(UpstreamVm::id))
+                .toList();
+        Set<VmId> lost = new HashSet<>();
+        vms.stream().map(UpstreamVm::id).filter(table::isSilent).forEach(lost::add);
+        boolean beforeTraffic = settings.firstStart() && nowMillis - startedMillis < START_MILLIS;
+        List<PlannedOrder> planned = planner.plan(new ReplicaPlanner.Turn(
+                nowMillis,
+                clock.wallMillis(),
+                upstream.engine().orElseThrow(),
+                vms,
+                lost,
+                beforeTraffic,
+                1.0 / Math.max(1, settings.failureDomains().size())));
+        planned.forEach(order -> send(key, order));
+        if (!beforeTraffic) {
+            planner.watched().forEach(vm -> ask(vm, REPORT_PERIOD_MILLIS));
+        }
+    }
+
+    private void send(PlannerKey key, PlannedOrder order) {
+        metrics.counter("orders.sent").inc();
+        log.state("order_sent")
+                .with("planner", key)
+                .with("vm", order.vm().id())
+                .with("expectedOrders", order.expectedOrders())
+                .with("order", order.order())
+                .with("reason", order.reason())
+                .write();
+        var unused = orders.order(order.vm(), order.expectedOrders(), order.order(), ORDER_TIMEOUT_MILLIS)
+                .thenAccept(reply -> duty.put(new FleetEvent.OrderAnswered(key, order, reply)));
+    }
+
+    @Override
+    public void close() {
+        duty.close();
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -0,0 +1,168 @@
+package org.apricotdeal.relay.node;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apricotdeal.kernel.duty.Duty;
+import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.relay.policy.TargetId;
+import org.apricotdeal.wire.gen.TRelayHeartbeat;
+import org.apricotdeal.wire.gen.TRelayLoad;
+import org.apricotdeal.wire.gen.TRelayNode;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * Tells the other nodes what runs where, and takes their word. A node whose catalogue is older than the sender's gets the
+ * newer one with the next heartbeat, so that a change reaches nodes that the store turns away.
+ */
+final class Heartbeats extends Handler.Abstract implements AutoCloseable {
+    /** Path of the heartbeats on the port for peers. */
+    static final String PATH = "/heartbeat";
+
+    private static final long PERIOD_MILLIS = 250;
+    private static final long TIMEOUT_MILLIS = 600;
+    private static final int RING_SLOTS = 16;
+
+    private final HttpClient client;
+    private final RelayDuty relay;
+    private final FleetDuty fleet;
+    private final CatalogueHolder catalogues;
+    private final DecisionLog log;
+    private final MetricRegistry metrics;
+    private final TRelayNode self;
+    private final Map<String, Long> peerVersions = new ConcurrentHashMap<>();
+    private final Map<String, Boolean> underWay = new ConcurrentHashMap<>();
+    private Duty<Runnable> duty;
+
+    Heartbeats(
+            RelaySettings settings,
+            HttpClient client,
+            RelayDuty relay,
+            FleetDuty fleet,
+            CatalogueHolder catalogues,
+            Clock clock,
+            DecisionLog log,
+            MetricRegistry metrics) {
+        this.client = client;
+        this.relay = relay;
+        this.fleet = fleet;
+        this.catalogues = catalogues;
+        this.log = log;
+        this.metrics = metrics;
+        this.self = new TRelayNode(
+                settings.name(), settings.failureDomain().value(), settings.peerAddress(), clock.wallMillis());
+    }
+
+    void begin() {
+        duty = new Duty<>("heartbeats", RING_SLOTS, PERIOD_MILLIS, Runnable::run, this::sendAll);
+    }
+
+    private void sendAll() {
+        for (Peer peer : fleet.peers()) {
+            // One at a time to each peer: a silent connection must not gather heartbeats.
+            if (underWay.putIfAbsent(peer.name(), true) == null) {
+                send(peer);
+            }
+        }
+    }
+
+    private void send(Peer peer) {
+        int colon = peer.address().lastIndexOf(':');
+        client.newRequest(
+                        peer.address().substring(0, colon),
+                        Integer.parseInt(peer.address().substring(colon + 1)))
+                .method(HttpMethod.POST)
+                .path(PATH)
+                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .body(new BytesRequestContent(encode(peer)))
+                .send(result -> {
+                    underWay.remove(peer.name());
+                    if (result.isFailed()) {
+                        metrics.counter("heartbeats.failed").inc();
+                    }
+                });
+    }
+
+    private byte[] encode(Peer peer) {
+        List<TRelayLoad> loads = new ArrayList<>();
+        relay.running()
+                .forEach((target, count) -> loads.add(
+                        new TRelayLoad(target.vm().value(), target.number(), count)));
+        TRelayHeartbeat heartbeat = new TRelayHeartbeat(self, catalogues.version(), loads);
+        Long theirs = peerVersions.get(peer.name());
+        if (theirs != null && theirs < catalogues.version()) {
+            heartbeat.setCatalogue(catalogues.bytes());
+        }
+        try {
+            return new TSerializer(new TCompactProtocol.Factory()).serialize(heartbeat);
+        } catch (TException e) {
+            throw new IllegalStateException("a heartbeat cannot be encoded", e);
+        }
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        Content.Source.asByteBuffer(
+                request,
+                org.eclipse.jetty.util.Promise.from(
+                        bytes -> {
+                            response.setStatus(take(bytes) ? HttpStatus.NO_CONTENT_204 : HttpStatus.BAD_REQUEST_400);
+                            response.write(true, null, callback);
+                        },
+                        callback::failed));
+        return true;
+    }
+
+    private boolean take(ByteBuffer bytes) {
+        byte[] copy = new byte[bytes.remaining()];
+        bytes.get(copy);
+        try {
+            TRelayHeartbeat heartbeat = new TRelayHeartbeat();
+            new TDeserializer(new TCompactProtocol.Factory()).deserialize(heartbeat, copy);
+            take(heartbeat);
+            return true;
+        } catch (TException | IllegalArgumentException e) {
+            log.state("heartbeat_unreadable").with("reason", e).write();
+            return false;
+        }
+    }
+
+    private void take(TRelayHeartbeat heartbeat) {
+        Peer sender = Registration.peer(heartbeat.getSender());
+        peerVersions.put(sender.name(), heartbeat.getCatalogueVersion());
+        if (heartbeat.isSetCatalogue() && heartbeat.getCatalogueVersion() > catalogues.version()) {
+            catalogues.offer(heartbeat.getCatalogue(), sender.name());
+        }
+        Map<TargetId, Integer> running = new HashMap<>();
+        for (TRelayLoad load : heartbeat.getLoads()) {
+            running.put(new TargetId(new VmId(load.getVm()), load.getNumber()), load.getRunning());
+        }
+        fleet.put(new FleetEvent.Heartbeat(sender, heartbeat.getCatalogueVersion(), running));
+    }
+
+    @Override
+    public void close() {
+        if (duty != null) {
+            duty.close();
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -0,0 +1,199 @@
+package org.apricotdeal.relay.node;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.apricotdeal.kernel.id.UpstreamId;
+import org.apricotdeal.kernel.misc.Names;
+import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.relay.model.Customer;
+import org.apricotdeal.relay.model.ModelId;
+import org.apricotdeal.relay.model.RelayCatalogue;
+import org.apricotdeal.relay.model.RouteEntry;
+import org.apricotdeal.relay.model.UpstreamEntry;
+import org.apricotdeal.relay.policy.Arrival;
+import org.apricotdeal.relay.policy.ExchangeId;
+import org.apricotdeal.relay.policy.LineId;
+import org.apricotdeal.relay.port.ExchangeHeaders;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Takes callers' requests: matches the route, checks the key, reads the body within its bound, and hands them on. */
+final class IngressHandler extends Handler.Abstract.NonBlocking {
+    private static final String START_RETRY_SECONDS = "0.5";
+
+    private final CatalogueHolder catalogues;
+    private final ExchangeHeaders names;
+    private final RelayDuty duty;
+    private final Clock clock;
+    private final AtomicLong lastId = new AtomicLong();
+    private volatile boolean draining;
+
+    IngressHandler(CatalogueHolder catalogues, ExchangeHeaders names, RelayDuty duty, Clock clock) {
+        this.catalogues = catalogues;
+        this.names = names;
+        this.duty = duty;
+        this.clock = clock;
+    }
+
+    void drain() {
+        draining = true;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        long arrivedMillis = clock.monotonicMillis();
+        Optional<RelayCatalogue> known = catalogues.current();
+        if (known.isEmpty()) {
+            response.getHeaders().put(HttpHeader.RETRY_AFTER, START_RETRY_SECONDS);
+            answer(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503, "starting");
+            return true;
+        }
+        RelayCatalogue catalogue = known.get();
+        String path = request.getHttpURI().getPath();
+        Optional<RouteEntry> route = catalogue.route(host(request), path == null ? "" : path);
+        if (route.isEmpty()) {
+            answer(response, callback, HttpStatus.NOT_FOUND_404, "no route");
+            return true;
+        }
+        Optional<Customer> customer = key(request).flatMap(catalogue::customer);
+        if (catalogue.keysRequired() && !route.get().open() && customer.isEmpty()) {
+            answer(response, callback, HttpStatus.UNAUTHORIZED_401, "unknown key");
+            return true;
+        }
+        if (request.getLength() > catalogue.bounds().maxBodyBytes()) {
+            answer(response, callback, HttpStatus.PAYLOAD_TOO_LARGE_413, "body too long");
+            return true;
+        }
+        Arrival arrival = arrival(request, catalogue, route.get(), customer, arrivedMillis);
+        new BodyReader(request, response, callback, arrival, catalogue.bounds().maxBodyBytes()).run();
+        return true;
+    }
+
+    private static String host(Request request) {
+        String host = Request.getServerName(request);
+        return host == null ? "" : host;
+    }
+
+    private Optional<String> key(Request request) {
+        String authorization = request.getHeaders().get(HttpHeader.AUTHORIZATION);
+        String scheme = names.keyScheme() + " ";
+        boolean matches = authorization != null
+                && authorization.regionMatches(true, 0, scheme, 0, scheme.length());
+        return matches ? Optional.of(authorization.substring(scheme.length()).trim()) : Optional.empty();
+    }
+
+    private Arrival arrival(
+            Request request,
+            RelayCatalogue catalogue,
+            RouteEntry route,
+            Optional<Customer> customer,
+            long arrivedMillis) {
+        UpstreamId upstream = duty.chooseUpstream(route);
+        UpstreamEntry entry = catalogue.upstreams().get(upstream);
+        boolean engine = entry != null && entry.engine().isPresent();
+        Optional<ModelId> model = Optional.ofNullable(request.getHeaders().get(names.model()))
+                .filter(name -> engine && Names.isValid(name))
+                .map(ModelId::new);
+        long waitMillis = Math.min(route.timeoutMillis(), remainingMillis(request));
+        int priority = customer.map(Customer::priority)
+                .filter(own -> own.isPresent())
+                .map(own -> own.getAsInt())
+                .orElse(route.priority());
+        return new Arrival(
+                new ExchangeId(lastId.incrementAndGet()),
+                new LineId(upstream, model),
+                route,
+                customer.map(Customer::name).orElse(""),
+                priority,
+                arrivedMillis,
+                arrivedMillis + waitMillis);
+    }
+
+    private long remainingMillis(Request request) {
+        String text = request.getHeaders().get(names.remainingMillis());
+        if (text == null) {
+            return Long.MAX_VALUE / 2;
+        }
+        try {
+            return Math.max(0, (long) Double.parseDouble(text.trim()));
+        } catch (NumberFormatException e) {
+            // A caller that names no valid time waits as long as the route allows.
+            return Long.MAX_VALUE / 2;
+        }
+    }
+
+    private void answer(Response response, Callback callback, int status, String reason) {
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        if (draining) {
+            response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
+        }
+        duty.answeredAtOnce(status, reason);
+        byte[] body = ("{\"error\":\"" + reason.toLowerCase(Locale.ROOT) + "\"}").getBytes(StandardCharsets.UTF_8);
+        response.write(true, ByteBuffer.wrap(body), callback);
+    }
+
+    /** Reads a body to its end without blocking, then hands the request on. */
+    private final class BodyReader implements Runnable {
+        private final Request request;
+        private final Response response;
+        private final Callback callback;
+        private final Arrival arrival;
+        private final long maxBytes;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+        BodyReader(Request request, Response response, Callback callback, Arrival arrival, long maxBytes) {
+            this.request = request;
+            this.response = response;
+            this.callback = callback;
+            this.arrival = arrival;
+            this.maxBytes = maxBytes;
+        }
+
+        @Override
+        public void run() {
+            while (true) {
+                Content.Chunk chunk = request.read();
+                if (chunk == null) {
+                    request.demand(this);
+                    return;
+                }
+                if (Content.Chunk.isFailure(chunk)) {
+                    callback.failed(chunk.getFailure());
+                    return;
+                }
+                byte[] bytes = new byte[chunk.remaining()];
+                chunk.getByteBuffer().get(bytes);
+                boolean last = chunk.isLast();
+                chunk.release();
+                body.writeBytes(bytes);
+                if (body.size() > maxBytes) {
+                    answer(response, callback, HttpStatus.PAYLOAD_TOO_LARGE_413, "body too long");
+                    return;
+                }
+                if (last) {
+                    handOn();
+                    return;
+                }
+            }
+        }
+
+        private void handOn() {
+            Exchange exchange =
+                    new Exchange(arrival, request, response, callback, body.toByteArray(), names, draining);
+            exchange.watchCaller(() -> duty.callerLeft(exchange));
+            duty.arrived(exchange);
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
@@ -0,0 +1,115 @@
+package org.apricotdeal.relay.node;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apricotdeal.kernel.id.FailureDomainId;
+import org.apricotdeal.kernel.misc.Names;
+import org.apricotdeal.kernel.result.Result;
+import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.relay.port.StoreFault;
+import org.apricotdeal.platform.Versioned;
+import org.apricotdeal.relay.port.WatchStore;
+import org.apricotdeal.wire.gen.TRelayNode;
+
+/** Keeps this node registered in the store under a lease, and reads which other nodes are. */
+final class Registration extends StoreThread {
+    private static final String PREFIX = "apricotdeal/nodes/";
+    private static final long LEASE_TTL_MILLIS = 4_000;
+    private static final long RENEW_MILLIS = 1_200;
+
+    private final RelaySettings settings;
+    private final WatchStore store;
+    private final FleetDuty fleet;
+    private final DecisionLog log;
+    private final byte[] entry;
+    private long lease;
+
+    Registration(RelaySettings settings, WatchStore store, FleetDuty fleet, Clock clock, DecisionLog log) {
+        super("registration", clock, log);
+        this.settings = settings;
+        this.store = store;
+        this.fleet = fleet;
+        this.log = log;
+        this.entry = encode(new TRelayNode(
+                settings.name(), settings.failureDomain().value(), settings.peerAddress(), clock.wallMillis()));
+    }
+
+    @Override
+    long turn() {
+        Result<Long, StoreFault> kept = lease == 0 ? register() : store.renewLease(lease);
+        switch (kept) {
+            case Result.Ok<Long, StoreFault> ok -> answered();
+            case Result.Err<Long, StoreFault>(StoreFault fault) -> {
+                if (fault instanceof StoreFault.LeaseEnded) {
+                    lease = 0;
+                    return 0;
+                }
+                return failed(fault);
+            }
+        }
+        if (store.range(PREFIX, true) instanceof Result.Ok<WatchStore.Range, StoreFault>(WatchStore.Range range)) {
+            fleet.put(new FleetEvent.PeersListed(peers(range.items())));
+        }
+        return RENEW_MILLIS;
+    }
+
+    private Result<Long, StoreFault> register() {
+        return switch (store.grantLease(LEASE_TTL_MILLIS)) {
+            case Result.Err<Long, StoreFault> refused -> refused;
+            case Result.Ok<Long, StoreFault>(Long granted) -> {
+                Result<Long, StoreFault> written = store.write(PREFIX + settings.name(), entry, granted);
+                if (written instanceof Result.Ok<Long, StoreFault>) {
+                    lease = granted;
+                    log.state("registered").with("lease", granted).write();
+                }
+                yield written;
+            }
+        };
+    }
+
+    private List<Peer> peers(List<Versioned> items) {
+        List<Peer> peers = new ArrayList<>();
+        for (Versioned item : items) {
+            try {
+                TRelayNode node = new TRelayNode();
+                new TDeserializer(new TCompactProtocol.Factory()).deserialize(node, item.value());
+                peers.add(peer(node));
+            } catch (TException | IllegalArgumentException e) {
+                log.state("node_entry_unreadable")
+                        .with("key", item.key())
+                        .with("reason", e)
+                        .write();
+            }
+        }
+        return peers;
+    }
+
+    static Peer peer(TRelayNode node) {
+        return new Peer(
+                Names.require(node.getName()),
+                new FailureDomainId(node.getFailureDomain()),
+                node.getPeerAddress(),
+                node.getStartedMillis());
+    }
+
+    private static byte[] encode(TRelayNode node) {
+        try {
+            return new TSerializer(new TCompactProtocol.Factory()).serialize(node);
+        } catch (TException e) {
+            throw new IllegalStateException("a node entry cannot be encoded", e);
+        }
+    }
+
+    /** Takes this node off the list, so that others plan for it at once. */
+    void deregister() {
+        long held = lease;
+        if (held != 0 && store.endLease(held) instanceof Result.Err<Boolean, StoreFault>(StoreFault fault)) {
+            log.state("lease_not_ended").with("lease", held).with("fault", fault).write();
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -0,0 +1,286 @@
+package org.apricotdeal.relay.node;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apricotdeal.kernel.duty.Duty;
+import org.apricotdeal.kernel.id.UpstreamId;
+import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.relay.model.RouteEntry;
+import org.apricotdeal.relay.model.WeightedUpstream;
+import org.apricotdeal.relay.policy.AttemptOutcome;
+import org.apricotdeal.relay.policy.ExchangeId;
+import org.apricotdeal.relay.policy.RefusalReason;
+import org.apricotdeal.relay.policy.RelayAction;
+import org.apricotdeal.relay.policy.RelayDispatcher;
+import org.apricotdeal.relay.policy.RelayEvent;
+import org.apricotdeal.relay.policy.Target;
+import org.apricotdeal.relay.policy.TargetId;
+import org.apricotdeal.relay.port.ExchangeHeaders;
+import org.eclipse.jetty.client.HttpClient;
+
+/** The duty that owns the dispatcher: feeds it with what happens to exchanges and carries out what it decides. */
+final class RelayDuty implements UpstreamAttempt.Listener, AutoCloseable {
+    private static final int RING_SLOTS = 4_096;
+    private static final long TICK_MILLIS = 25;
+
+    private final Duty<RelayEvent> duty;
+    private final RelayDispatcher dispatcher;
+    private final HttpClient client;
+    private final ExchangeHeaders names;
+    private final Clock clock;
+    private final UniformRandomProvider random;
+    private final DecisionLog log;
+    private final MetricRegistry metrics;
+    private final Map<ExchangeId, Exchange> exchanges = new ConcurrentHashMap<>();
+    private volatile Map<TargetId, Integer> running = Map.of();
+    private volatile BiConsumer<List<VmId>, String> doubtListener = (vms, reason) -> {};
+
+    RelayDuty(
+            RelayDispatcher dispatcher,
+            HttpClient client,
+            ExchangeHeaders names,
+            Clock clock,
+            UniformRandomProvider random,
+            DecisionLog log,
+            MetricRegistry metrics) {
+        this.dispatcher = dispatcher;
+        this.client = client;
+        this.names = names;
+        this.clock = clock;
+        this.random = random;
+        this.log = log;
+        this.metrics = metrics;
+        metrics.register("requests.in.progress", (Gauge<Integer>) exchanges::size);
+        metrics.register("requests.waiting", (Gauge<Integer>) dispatcher::waiting);
+        this.duty = new Duty<>("dispatch", RING_SLOTS, TICK_MILLIS, this::step, this::tick);
+    }
+
+    /** Sets who is told of VMs that may be lost. */
+    void onDoubt(BiConsumer<List<VmId>, String> listener) {
+        doubtListener = listener;
+    }
+
+    /** Hands an event that must not be lost to the dispatcher; for threads that may be slowed down. */
+    void put(RelayEvent event) {
+        duty.put(event);
+    }
+
+    /** Returns the number of requests in progress at each target. */
+    Map<TargetId, Integer> running() {
+        return running;
+    }
+
+    int inProgress() {
+        return exchanges.size();
+    }
+
+    UpstreamId chooseUpstream(RouteEntry route) {
+        List<WeightedUpstream> upstreams = route.upstreams();
+        double sum = upstreams.stream().mapToDouble(WeightedUpstream::weight).sum();
+        double left = sum <= 0 || upstreams.size() == 1 ? 0 : random.nextDouble() * sum;
+        for (WeightedUpstream upstream : upstreams) {
+            left -= upstream.weight();
+            if (left < 0) {
+                return upstream.upstream();
+            }
+        }
+        return upstreams.getFirst().upstream();
+    }
+
+    void arrived(Exchange exchange) {
+        exchanges.put(exchange.arrival().id(), exchange);
+        metrics.meter("requests." + exchange.arrival().route().name()).mark();
+        if (!duty.offer(new RelayEvent.Arrived(exchange.arrival()))) {
+            exchanges.remove(exchange.arrival().id());
+            metrics.counter("refused.ring.full").inc();
+            exchange.refuse(RefusalReason.OVERLOAD, exchange.arrival().route().objectiveMillis());
+        }
+    }
+
+    void answeredAtOnce(int status, String reason) {
+        metrics.counter("answered.at.once." + status).inc();
+        log.request("answered_at_once")
+                .with("status", status)
+                .with("reason", reason)
+                .write();
+    }
+
+    void callerLeft(Exchange exchange) {
+        duty.put(new RelayEvent.CallerLeft(exchange.arrival().id()));
+    }
+
+    @Override
+    public void started(UpstreamAttempt attempt) {
+        duty.put(new RelayEvent.Started(attempt.exchange().arrival().id()));
+    }
+
+    @Override
+    public void answered(UpstreamAttempt attempt, int status) {
+        Exchange exchange = attempt.exchange();
+        long tookMillis = clock.monotonicMillis() - exchange.arrival().arrivedMillis();
+        metrics.histogram("answer.millis." + exchange.arrival().route().name()).update(tookMillis);
+        metrics.counter("answered." + status).inc();
+        log.request("answered")
+                .with("request", exchange.requestId())
+                .with("status", status)
+                .with("target", attempt.target().id())
+                .with("attempt", attempt.number())
+                .with("tookMillis", tookMillis)
+                .write();
+        duty.put(new RelayEvent.Finished(exchange.arrival().id()));
+    }
+
+    @Override
+    public void failed(UpstreamAttempt attempt, AttemptOutcome outcome, String reason, Optional<VmId> faultyVm) {
+        Exchange exchange = attempt.exchange();
+        metrics.counter("attempts.failed." + outcome).inc();
+        log.request("attempt_failed")
+                .with("request", exchange.requestId())
+                .with("target", attempt.target().id())
+                .with("attempt", attempt.number())
+                .with("outcome", outcome)
+                .with("reason", reason)
+                .with("faultyVm", faultyVm.map(VmId::value).orElse("-"))
+                .write();
+        if (outcome == AttemptOutcome.NOT_RUN) {
+            doubtListener.accept(attempt.target().members(), "answered " + reason);
+        }
+        duty.put(new RelayEvent.AttemptFailed(exchange.arrival().id(), outcome));
+    }
+
+    private void step(RelayEvent event) {
+        if (event instanceof RelayEvent.CallerLeft(ExchangeId id)) {
+            noteCallerLeft(id);
+        }
+        carryOut(dispatcher.step(clock.monotonicMillis(), event));
+        if (event instanceof RelayEvent.Finished(ExchangeId id)) {
+            exchanges.remove(id);
+        }
+    }
+
+    private void noteCallerLeft(ExchangeId id) {
+        Exchange exchange = exchanges.get(id);
+        if (exchange != null) {
+            metrics.counter("callers.left").inc();
+            log.request("caller_left").with("request", exchange.requestId()).write();
+        }
+    }
+
+    private void tick() {
+        for (Exchange exchange : exchanges.values()) {
+            dispatcher.progressed(exchange.progressMillis(), exchange.arrival().id());
+        }
+        carryOut(dispatcher.step(clock.monotonicMillis(), new RelayEvent.Tick()));
+        running = dispatcher.running();
+    }
+
+    private void carryOut(List<RelayAction> actions) {
+        for (RelayAction action : actions) {
+            switch (action) {
+                case RelayAction.Send(ExchangeId id, Target target, int attempt) -> send(id, target, attempt);
+                case RelayAction.Refuse(ExchangeId id, RefusalReason reason, long retryAfterMillis) ->
+                    refuse(id, reason, retryAfterMillis);
+                case RelayAction.GiveUp(ExchangeId id, RefusalReason reason) -> giveUp(id, reason);
+                case RelayAction.CutOff(ExchangeId id) -> cutOff(id);
+                case RelayAction.Forget(ExchangeId id) -> forget(id);
+                case RelayAction.Doubt(Target target, String reason) -> doubt(target, reason);
+            }
+        }
+    }
+
+    private void send(ExchangeId id, Target target, int number) {
+        Exchange exchange = exchanges.get(id);
+        if (exchange == null) {
+            return;
+        }
+        UpstreamAttempt attempt = new UpstreamAttempt(exchange, target, number, names, clock, this);
+        exchange.setAttempt(attempt);
+        log.request("sent")
+                .with("request", exchange.requestId())
+                .with("target", target.id())
+                .with("attempt", number)
+                .with("waitedMillis", clock.monotonicMillis() - exchange.arrival().arrivedMillis())
+                .write();
+        attempt.send(client);
+    }
+
+    private void refuse(ExchangeId id, RefusalReason reason, long retryAfterMillis) {
+        Exchange exchange = exchanges.remove(id);
+        if (exchange == null) {
+            return;
+        }
+        metrics.counter("refused." + reason).inc();
+        log.request("refused")
+                .with("request", exchange.requestId())
+                .with("route", exchange.arrival().route().name())
+                .with("line", exchange.arrival().line())
+                .with("reason", reason)
+                .with("waiting", dispatcher.waiting())
+                .with("retryAfterMillis", retryAfterMillis)
+                .write();
+        exchange.refuse(reason, retryAfterMillis);
+    }
+
+    private void giveUp(ExchangeId id, RefusalReason reason) {
+        Exchange exchange = exchanges.remove(id);
+        if (exchange == null) {
+            return;
+        }
+        metrics.counter("given.up." + reason).inc();
+        log.request("given_up")
+                .with("request", exchange.requestId())
+                .with("reason", reason)
+                .with("begun", exchange.hasBegun())
+                .write();
+        exchange.giveUp(reason);
+    }
+
+    private void cutOff(ExchangeId id) {
+        Exchange exchange = exchanges.get(id);
+        if (exchange != null && exchange.attempt() != null) {
+            exchange.attempt().cutOff();
+        }
+    }
+
+    private void forget(ExchangeId id) {
+        Exchange exchange = exchanges.remove(id);
+        if (exchange != null) {
+            exchange.callerGone();
+        }
+    }
+
+    private void doubt(Target target, String reason) {
+        metrics.counter("targets.doubted").inc();
+        log.state("target_in_doubt")
+                .with("target", target.id())
+                .with("line", target.line())
+                .with("reason", reason)
+                .write();
+        doubtListener.accept(target.members(), reason);
+    }
+
+    void awaitIdle(long untilMillis) {
+        while (!exchanges.isEmpty() && clock.monotonicMillis() < untilMillis) {
+            try {
+                TimeUnit.MILLISECONDS.sleep(TICK_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        duty.close();
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -0,0 +1,138 @@
+package org.apricotdeal.relay.node;
+
+import java.util.List;
+import java.util.ServiceLoader;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.apricotdeal.kernel.misc.Version;
+import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.kernel.time.SystemClock;
+import org.apricotdeal.relay.policy.RelayDispatcher;
+import org.apricotdeal.relay.policy.RelayEvent;
+import org.apricotdeal.relay.policy.RepeatBudget;
+import org.apricotdeal.relay.port.PlatformAdapter;
+import org.apricotdeal.relay.port.WatchStore;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** A node in relay mode: wires duties, store threads and ports, and runs its life from start to graceful stop. */
+public final class RelayNode {
+    /** The balancer asks once a second and goes by two answers; connections that it still sends are accepted until then. */
+    private static final long MIN_DRAIN_MILLIS = 3_000;
+
+    /** Margin before the platform ends the process. */
+    private static final long END_MARGIN_MILLIS = 700;
+
+    private final RelaySettings settings;
+    private final Clock clock = new SystemClock();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final DecisionLog log;
+    private final QueuedThreadPool threads;
+    private final HttpClient client;
+    private final RelayDuty relay;
+    private final FleetDuty fleet;
+    private final CatalogueHolder catalogues;
+    private final Registration registration;
+    private final Heartbeats heartbeats;
+    private final IngressHandler ingress;
+    private final List<StoreThread> storeThreads;
+    private final RelayServer server;
+
+    /**
+     * Creates a node.
+     *
+     * @param settings checked settings
+     */
+    public RelayNode(RelaySettings settings) {
+        this.settings = settings;
+        log = new DecisionLog(System.out, metrics);
+        threads = RelayClients.threads();
+        client = RelayClients.start(threads);
+        PlatformAdapter adapter = adapter(settings.adapter());
+        WatchStore store = adapter.store(client, settings.storeAddress(), settings.storeTimeoutMillis());
+        UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create();
+        RepeatBudget budget = new RepeatBudget(
+                settings.repeatWindowMillis(), settings.repeatRatio(), settings.repeatAllowance() / settings.nodes());
+        RelayDispatcher dispatcher = new RelayDispatcher(settings.failureDomain(), budget, random);
+        relay = new RelayDuty(dispatcher, client, adapter.headers(), clock, random, log, metrics);
+        fleet = new FleetDuty(settings, relay, adapter.orders(client), clock, log, metrics);
+        relay.onDoubt(fleet::doubt);
+        catalogues = new CatalogueHolder(adapter.codec(), log);
+        catalogues.subscribe(catalogue -> {
+            relay.put(new RelayEvent.CatalogueChanged(catalogue));
+            fleet.put(new FleetEvent.CatalogueChanged(catalogue));
+        });
+        registration = new Registration(settings, store, fleet, clock, log);
+        storeThreads = List.of(
+                new CatalogueWatcher(store, adapter.codec(), catalogues, clock, log),
+                new VmWatcher(store, adapter.codec(), fleet, clock, log),
+                registration);
+        heartbeats = new Heartbeats(settings, client, relay, fleet, catalogues, clock, log, metrics);
+        ingress = new IngressHandler(catalogues, adapter.headers(), relay, clock);
+        server = new RelayServer(settings, threads, ingress, heartbeats, this::isReady, metrics, catalogues);
+    }
+
+    private static PlatformAdapter adapter(String name) {
+        for (PlatformAdapter adapter : ServiceLoader.load(PlatformAdapter.class)) {
+            if (adapter.name().equals(name)) {
+                return adapter;
+            }
+        }
+        throw new IllegalStateException("no platform adapter is named " + name);
+    }
+
+    /**
+     * Opens the ports and starts to follow the store.
+     *
+     * @throws Exception where a port cannot be opened
+     */
+    public void start() throws Exception {
+        server.start();
+        storeThreads.forEach(StoreThread::start);
+        heartbeats.begin();
+        Signals.onHangUp(this::reload);
+        log.state("started")
+                .with("node", settings.name())
+                .with("version", Version.CURRENT)
+                .with("callers", settings.callerAddress())
+                .write();
+    }
+
+    private boolean isReady() {
+        return catalogues.version() > 0 && fleet.sawVms();
+    }
+
+    /**
+     * Stops gracefully: reports not ready and hands planning over, goes on accepting and serving, and ends before the
+     * platform ends the process.
+     */
+    public void stopGracefully() {
+        long endMillis = clock.monotonicMillis() + settings.drainMillis() - END_MARGIN_MILLIS;
+        log.state("stopping").with("inProgress", relay.inProgress()).write();
+        ingress.drain();
+        server.drain();
+        fleet.put(new FleetEvent.Stopping());
+        registration.close();
+        registration.deregister();
+        sleep(Math.min(MIN_DRAIN_MILLIS, settings.drainMillis() / 2));
+        relay.awaitIdle(endMillis);
+        log.state("stopped").with("cutOff", relay.inProgress()).write();
+        log.close();
+    }
+
+    /** Notes that the settings may have changed. They hold for the life of a process. */
+    private void reload() {
+        log.state("reload").with("effect", "settings are read at the next start").write();
+    }
+
+    private static void sleep(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
@@ -0,0 +1,154 @@
+package org.apricotdeal.relay.node;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
+
+import com.codahale.metrics.MetricRegistry;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** The listening ports of a node in relay mode: callers, readiness, peers and metrics. */
+final class RelayServer {
+    private static final int MAX_HEADER_BYTES = 16 * 1024;
+    private static final int BUFFER_BYTES = 4 * 1024;
+
+    /** Until a catalogue names another bound. */
+    private static final long IDLE_TIMEOUT_MILLIS = 15_000;
+
+    /** Connections that wait to be accepted; a full queue costs callers seconds. */
+    private static final int ACCEPT_QUEUE = 1_024;
+
+    private final Server server;
+    private final CallerConnector callers;
+    private final ServerConnector readiness;
+    private final IngressHandler ingress;
+    private final Heartbeats heartbeats;
+    private final BooleanSupplier ready;
+    private final MetricRegistry metrics;
+    private volatile boolean draining;
+
+    RelayServer(
+            RelaySettings settings,
+            QueuedThreadPool threads,
+            IngressHandler ingress,
+            Heartbeats heartbeats,
+            BooleanSupplier ready,
+            MetricRegistry metrics,
+            CatalogueHolder catalogues) {
+        this.ingress = ingress;
+        this.heartbeats = heartbeats;
+        this.ready = ready;
+        this.metrics = metrics;
+        server = new Server(threads);
+        callers = new CallerConnector(server, http());
+        listen(callers, settings.callerAddress());
+        readiness = connector(settings.readinessAddress());
+        connector(settings.peerAddress());
+        connector(RelaySettings.host(settings.peerAddress()) + ":" + settings.metricsPort());
+        server.setHandler(new PortRouter());
+        server.setErrorHandler(new OwnErrors());
+        catalogues.subscribe(catalogue -> {
+            if (catalogue.bounds().idleTimeoutMillis() > 0) {
+                callers.setIdleTimeout(catalogue.bounds().idleTimeoutMillis());
+            }
+        });
+    }
+
+    private static HttpConnectionFactory http() {
+        HttpConfiguration http = new HttpConfiguration();
+        http.setRequestHeaderSize(MAX_HEADER_BYTES);
+        http.setHeaderCacheSize(0);
+        http.setSendServerVersion(false);
+        http.setSendDateHeader(false);
+        http.setOutputBufferSize(BUFFER_BYTES);
+        http.setInputBufferSize(BUFFER_BYTES);
+        http.setUriCompliance(UriCompliance.UNSAFE);
+        return new HttpConnectionFactory(http);
+    }
+
+    private ServerConnector connector(String address) {
+        ServerConnector connector = new ServerConnector(server, 0, 1, http());
+        listen(connector, address);
+        return connector;
+    }
+
+    private void listen(ServerConnector connector, String address) {
+        connector.setHost(RelaySettings.host(address));
+        connector.setPort(RelaySettings.port(address));
+        connector.setAcceptQueueSize(ACCEPT_QUEUE);
+        connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
+        server.addConnector(connector);
+    }
+
+    void start() throws Exception {
+        server.start();
+    }
+
+    void drain() {
+        draining = true;
+    }
+
+    private static void answer(Response response, Callback callback, int status, String text) {
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain");
+        response.write(true, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), callback);
+    }
+
+    /** Hands a request to what its port is for. */
+    private final class PortRouter extends Handler.Abstract.NonBlocking {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) throws Exception {
+            Object connector = request.getConnectionMetaData().getConnector();
+            if (connector == callers) {
+                return ingress.handle(request, response, callback);
+            }
+            if (connector == readiness) {
+                boolean isReady = !draining && ready.getAsBoolean();
+                answer(
+                        response,
+                        callback,
+                        isReady ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503,
+                        isReady ? "ready\n" : "not ready\n");
+                return true;
+            }
+            return switch (request.getHttpURI().getPath()) {
+                case Heartbeats.PATH -> heartbeats.handle(request, response, callback);
+                case MetricsText.PATH -> {
+                    answer(response, callback, HttpStatus.OK_200, MetricsText.render(metrics));
+                    yield true;
+                }
+                default -> {
+                    answer(response, callback, HttpStatus.NOT_FOUND_404, "not found\n");
+                    yield true;
+                }
+            };
+        }
+    }
+
+    /** Answers what Jetty itself refuses; a fault of the program is never shown as one of the caller. */
+    private static final class OwnErrors implements Request.Handler {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            int status = response.getStatus();
+            Object cause = request.getAttribute(org.eclipse.jetty.server.handler.ErrorHandler.ERROR_EXCEPTION);
+            boolean callersFault =
+                    cause == null || cause instanceof org.eclipse.jetty.http.HttpException;
+            if (HttpStatus.isClientError(status) && !callersFault) {
+                response.setStatus(HttpStatus.INTERNAL_SERVER_ERROR_500);
+            }
+            response.write(true, null, callback);
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayAction.java
@@ -0,0 +1,52 @@
+package org.apricotdeal.relay.policy;
+
+/** What the dispatcher wants done. */
+public sealed interface RelayAction {
+    /**
+     * Send a request to a target.
+     *
+     * @param id the exchange
+     * @param target the target
+     * @param attempt number of the attempt, from 1
+     */
+    record Send(ExchangeId id, Target target, int attempt) implements RelayAction {}
+
+    /**
+     * Refuse a request that certainly did not run.
+     *
+     * @param id the exchange
+     * @param reason why
+     * @param retryAfterMillis when the caller should come back
+     */
+    record Refuse(ExchangeId id, RefusalReason reason, long retryAfterMillis) implements RelayAction {}
+
+    /**
+     * End a request that may have run.
+     *
+     * @param id the exchange
+     * @param reason why
+     */
+    record GiveUp(ExchangeId id, RefusalReason reason) implements RelayAction {}
+
+    /**
+     * Cut off the attempt under way, whose outcome is not asked for any more.
+     *
+     * @param id the exchange
+     */
+    record CutOff(ExchangeId id) implements RelayAction {}
+
+    /**
+     * Forget an exchange whose caller has left.
+     *
+     * @param id the exchange
+     */
+    record Forget(ExchangeId id) implements RelayAction {}
+
+    /**
+     * A target is in doubt: its members should be asked for their state.
+     *
+     * @param target the target
+     * @param reason what was seen
+     */
+    record Doubt(Target target, String reason) implements RelayAction {}
+}
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
@@ -0,0 +1,70 @@
+package org.apricotdeal.relay.policy;
+
+import java.util.List;
+import java.util.Map;
+
+import org.apricotdeal.relay.model.RelayCatalogue;
+
+/** What the dispatcher takes note of. */
+public sealed interface RelayEvent {
+    /**
+     * A request waits to be served.
+     *
+     * @param arrival the request
+     */
+    record Arrived(Arrival arrival) implements RelayEvent {}
+
+    /**
+     * The first bytes of an answer have come.
+     *
+     * @param id the exchange
+     */
+    record Started(ExchangeId id) implements RelayEvent {}
+
+    /**
+     * The caller has its final answer, or the exchange ended otherwise.
+     *
+     * @param id the exchange
+     */
+    record Finished(ExchangeId id) implements RelayEvent {}
+
+    /**
+     * An attempt ended without a final answer.
+     *
+     * @param id the exchange
+     * @param outcome how it ended
+     */
+    record AttemptFailed(ExchangeId id, AttemptOutcome outcome) implements RelayEvent {}
+
+    /**
+     * The caller has left.
+     *
+     * @param id the exchange
+     */
+    record CallerLeft(ExchangeId id) implements RelayEvent {}
+
+    /**
+     * A catalogue is in force, whose engine profiles give the first estimates for new lines.
+     *
+     * @param catalogue the catalogue
+     */
+    record CatalogueChanged(RelayCatalogue catalogue) implements RelayEvent {}
+
+    /**
+     * The targets have changed.
+     *
+     * @param targets all targets
+     */
+    record TargetsChanged(List<Target> targets) implements RelayEvent {}
+
+    /**
+     * Another node has told what it runs.
+     *
+     * @param node name of the node
+     * @param running number of its requests at each target
+     */
+    record PeerLoad(String node, Map<TargetId, Integer> running) implements RelayEvent {}
+
+    /** Time has passed. */
+    record Tick() implements RelayEvent {}
+}
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetBuilder.java
@@ -0,0 +1,81 @@
+package org.apricotdeal.relay.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.relay.model.EngineProfile;
+import org.apricotdeal.relay.model.RelayCatalogue;
+import org.apricotdeal.relay.model.UpstreamEntry;
+import org.apricotdeal.relay.model.UpstreamVm;
+
+/** Derives what requests can be sent to: replicas that serve with every member well, and plain services' VMs. */
+public final class TargetBuilder {
+    private TargetBuilder() {}
+
+    /**
+     * Derives the targets.
+     *
+     * @param table the VMs
+     * @param catalogue the catalogue in force
+     * @return the targets
+     */
+    public static List<Target> targets(VmTable table, RelayCatalogue catalogue) {
+        List<Target> targets = new ArrayList<>();
+        for (UpstreamEntry upstream : catalogue.upstreams().values()) {
+            List<UpstreamVm> vms = table.all().stream()
+                    .filter(vm -> vm.upstream().equals(upstream.id()))
+                    .toList();
+            if (upstream.engine().isPresent()) {
+                addReplicas(table, upstream, upstream.engine().get(), vms, targets);
+            } else {
+                addServices(table, upstream, vms, targets);
+            }
+        }
+        return targets;
+    }
+
+    private static void addReplicas(
+            VmTable table, UpstreamEntry upstream, EngineProfile engine, List<UpstreamVm> vms, List<Target> targets) {
+        for (Formations.Formation formation : Formations.of(vms, engine)) {
+            if (!formation.open() || !formation.ready() || !allWell(table, formation)) {
+                continue;
+            }
+            UpstreamVm head = formation.head().orElseThrow();
+            targets.add(new Target(
+                    new TargetId(head.id(), formation.id().number()),
+                    new LineId(upstream.id(), Optional.of(formation.model())),
+                    head.address(),
+                    head.failureDomain(),
+                    engine.slots(),
+                    formation.members().stream().map(UpstreamVm::id).toList()));
+        }
+    }
+
+    private static boolean allWell(VmTable table, Formations.Formation formation) {
+        for (UpstreamVm member : formation.members()) {
+            if (member.leaving() || table.isSilent(member.id())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static void addServices(
+            VmTable table, UpstreamEntry upstream, List<UpstreamVm> vms, List<Target> targets) {
+        for (UpstreamVm vm : vms) {
+            if (vm.leaving() || table.isSilent(vm.id())) {
+                continue;
+            }
+            List<VmId> members = List.of(vm.id());
+            targets.add(new Target(
+                    new TargetId(vm.id(), vm.startedWallMillis()),
+                    new LineId(upstream.id(), Optional.empty()),
+                    vm.address(),
+                    vm.failureDomain(),
+                    vm.slots(),
+                    members));
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -0,0 +1,83 @@
+package org.apricotdeal.relay.policy;
+
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** A target and what the dispatcher knows of its load and health. */
+final class TargetState {
+    /** Age beyond which another node's count is no longer believed; several heartbeats. */
+    private static final long PEER_LOAD_MILLIS = 1_500;
+
+    /** First time that a target in doubt is left out, before one request tries it again. */
+    private static final long FIRST_DOUBT_MILLIS = 1_000;
+
+    private static final long MAX_DOUBT_MILLIS = 8_000;
+
+    final Target target;
+    final Set<RequestState> running = new LinkedHashSet<>();
+    long lastProgressMillis;
+
+    private final LineState line;
+    private final Map<String, PeerCount> peers = new HashMap<>();
+    private long doubtUntilMillis;
+    private long doubtMillis;
+
+    /** Another node's count and when it was told. */
+    private record PeerCount(int running, long atMillis) {}
+
+    TargetState(Target target, LineState line) {
+        this.target = target;
+        this.line = line;
+    }
+
+    LineState line() {
+        return line;
+    }
+
+    void peerRuns(String node, int count, long nowMillis) {
+        if (count == 0) {
+            peers.remove(node);
+        } else {
+            peers.put(node, new PeerCount(count, nowMillis));
+        }
+    }
+
+    int load(long nowMillis) {
+        int sum = running.size();
+        for (PeerCount peer : peers.values()) {
+            if (nowMillis - peer.atMillis() < PEER_LOAD_MILLIS) {
+                sum += peer.running();
+            }
+        }
+        return sum;
+    }
+
+    int freeSlots(long nowMillis) {
+        if (nowMillis < doubtUntilMillis) {
+            return 0;
+        }
+        if (doubtMillis > 0) {
+            return running.isEmpty() ? 1 : 0;
+        }
+        return Math.max(0, target.slots() - load(nowMillis));
+    }
+
+    boolean inDoubt(long nowMillis) {
+        return doubtMillis > 0 || nowMillis < doubtUntilMillis;
+    }
+
+    /** Leaves the target out for a time that doubles with each doubt until it answers again. */
+    void doubt(long nowMillis) {
+        doubtMillis = doubtMillis == 0 ? FIRST_DOUBT_MILLIS : Math.min(MAX_DOUBT_MILLIS, 2 * doubtMillis);
+        doubtUntilMillis = nowMillis + doubtMillis;
+    }
+
+    void answered(long nowMillis) {
+        lastProgressMillis = nowMillis;
+        if (nowMillis >= doubtUntilMillis) {
+            doubtMillis = 0;
+        }
+    }
+}
