Count a VM's orders from its reports alone

A worker's entry in the store numbers its check-ins in the field that its report uses for the orders it has begun; the planner took one for the other. Ruled out: wrong ids, wrong members (the replies were conflicts, not misdirected). Change: entries leave the count unknown; a VM is asked once before its first order and counts on from the replies. The table of VMs merges entries, reports and replies by the formation's number and phase.

--- a/relay/src/main/java/org/apricotdeal/relay/model/UpstreamVm.java
+++ b/relay/src/main/java/org/apricotdeal/relay/model/UpstreamVm.java
@@ -19,8 +19,7 @@
  * @param slots requests that it works on at once
  * @param leaving true once it has announced that it leaves
  * @param startedWallMillis time of its start; a different value is another incarnation
- * @param orders number of orders that it has begun since its start
- * @param busy true while it carries out an order
+ * @param orders number of orders that it has begun since its start, or {@link #ORDERS_UNKNOWN}
  * @param staged models whose weights lie on its host
  * @param loaded model of its last replica since its start, where known
  * @param group its place in a replica, or nothing
@@ -35,57 +34,59 @@
         boolean leaving,
         long startedWallMillis,
         long orders,
-        boolean busy,
         List<ModelId> staged,
         Optional<ModelId> loaded,
         Optional<GroupMembership> group) {
+    /** The number of orders is not known; a VM tells it when asked for its state. */
+    public static final long ORDERS_UNKNOWN = -1;
+
     /** Copies the list. */
     public UpstreamVm {
         staged = List.copyOf(staged);
     }
 
     /**
-     * Returns the same VM with a newer state from its own report.
+     * Returns the same VM with another count of orders and another place in a replica.
      *
-     * @param report the report
+     * @param otherOrders number of orders that it has begun, or {@link #ORDERS_UNKNOWN}
+     * @param otherGroup its place in a replica, or nothing
      * @return the VM
      */
-    public UpstreamVm with(VmReport report) {
+    public UpstreamVm with(long otherOrders, Optional<GroupMembership> otherGroup) {
         return new UpstreamVm(
                 id,
                 upstream,
                 address,
                 failureDomain,
-                report.fabricDomain().or(() -> fabricDomain),
+                fabricDomain,
                 slots,
                 leaving,
-                report.startedWallMillis() > 0 ? report.startedWallMillis() : startedWallMillis,
-                report.orders(),
-                report.busy(),
-                report.staged(),
-                report.loaded(),
-                report.group());
+                startedWallMillis,
+                otherOrders,
+                staged,
+                loaded,
+                otherGroup);
     }
 
     /**
-     * Returns the same VM as leaving.
+     * Returns the same VM with the weights that its own report names.
      *
+     * @param report the report
      * @return the VM
      */
-    public UpstreamVm asLeaving() {
+    public UpstreamVm withWeights(VmReport report) {
         return new UpstreamVm(
                 id,
                 upstream,
                 address,
                 failureDomain,
-                fabricDomain,
+                report.fabricDomain().or(() -> fabricDomain),
                 slots,
-                true,
+                leaving,
                 startedWallMillis,
                 orders,
-                busy,
-                staged,
-                loaded,
+                report.staged(),
+                report.loaded(),
                 group);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/CatalogueWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CatalogueWatcher.java
@@ -2,10 +2,10 @@
 
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.platform.Versioned;
 import org.apricotdeal.relay.port.RecordCodec;
 import org.apricotdeal.relay.port.StoreChange;
 import org.apricotdeal.relay.port.StoreFault;
-import org.apricotdeal.platform.Versioned;
 import org.apricotdeal.relay.port.WatchStore;
 
 /** Follows the operator's key and puts each newer catalogue in force. */
--- a/relay/src/main/java/org/apricotdeal/relay/node/DecisionLog.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/DecisionLog.java
@@ -45,7 +45,10 @@
 
         private Line(String event, boolean limited) {
             this.limited = limited;
-            text.append("at=").append(System.currentTimeMillis()).append(" event=").append(event);
+            text.append("at=")
+                    .append(System.currentTimeMillis())
+                    .append(" event=")
+                    .append(event);
         }
 
         /**
--- a/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
@@ -71,8 +71,8 @@
         this.body = body;
         this.names = names;
         this.closeAfter = closeAfter;
-        this.requestId = Optional.ofNullable(request.getHeaders().get(names.requestId()))
-                .orElse("-");
+        this.requestId =
+                Optional.ofNullable(request.getHeaders().get(names.requestId())).orElse("-");
         this.lastEventId = request.getHeaders().get(names.lastEventId());
         this.endPoint = (WatchedEndPoint)
                 request.getConnectionMetaData().getConnection().getEndPoint();
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -118,17 +118,17 @@
 
     private void step(FleetEvent event) {
         switch (event) {
-            case FleetEvent.ListedAll(List<UpstreamVm> vms, long removeAtMillis) -> {
-                table.listedAll(vms, removeAtMillis);
+            case FleetEvent.ListedAll(List<UpstreamVm> vms, long removeAtMillis, long asOfMillis) -> {
+                table.listedAll(vms, removeAtMillis, asOfMillis, clock.monotonicMillis());
                 sawVms = true;
                 changed = true;
             }
-            case FleetEvent.Listed(UpstreamVm vm) -> {
-                table.listed(vm);
+            case FleetEvent.Listed(UpstreamVm vm, long asOfMillis) -> {
+                table.listed(vm, asOfMillis, clock.monotonicMillis());
                 changed = true;
             }
             case FleetEvent.Removed(VmId vm, long removeAtMillis) -> {
-                table.removedUnlessBack(vm, removeAtMillis);
+                table.removed(vm, removeAtMillis);
                 changed = true;
             }
             case FleetEvent.Reported(VmId vm, Result<VmReport, String> report) -> takeReport(vm, report);
@@ -151,14 +151,16 @@
     private void takeReport(VmId vm, Result<VmReport, String> report) {
         boolean silentBefore = table.isSilent(vm);
         switch (report) {
-            case Result.Ok<VmReport, String>(VmReport state) -> table.reported(vm, state);
+            case Result.Ok<VmReport, String>(VmReport state) -> table.reported(vm, state, clock.monotonicMillis());
             case Result.Err<VmReport, String>(String reason) -> {
                 table.missed(vm);
                 metrics.counter("vm.reports.missed").inc();
             }
         }
         if (silentBefore != table.isSilent(vm)) {
-            log.state(silentBefore ? "vm_answers_again" : "vm_silent").with("vm", vm).write();
+            log.state(silentBefore ? "vm_answers_again" : "vm_silent")
+                    .with("vm", vm)
+                    .write();
         } else if (report instanceof Result.Err<VmReport, String> && !table.isSilent(vm)) {
             ask(vm, 0);
         }
@@ -170,6 +172,8 @@
         if (planner != null) {
             planner.replied(clock.monotonicMillis(), answered.order(), answered.reply());
         }
+        table.ordered(answered.order(), answered.reply(), clock.monotonicMillis());
+        changed = true;
         metrics.counter("orders." + answered.reply()).inc();
         log.state("order_answered")
                 .with("vm", answered.order().vm().id())
@@ -304,7 +308,8 @@
         }
         UpstreamEntry upstream = catalogue.upstreams().get(key.upstream());
         List<UpstreamVm> vms = table.all().stream()
-                .filter(vm -> vm.upstream().equals(key.upstream()) && vm.failureDomain().equals(key.failureDomain()))
+                .filter(vm -> vm.upstream().equals(key.upstream())
+                        && vm.failureDomain().equals(key.failureDomain()))
                 .sorted(Comparator.comparing(UpstreamVm::id))
                 .toList();
         Set<VmId> lost = new HashSet<>();
@@ -319,6 +324,7 @@
                 beforeTraffic,
                 1.0 / Math.max(1, settings.failureDomains().size())));
         planned.forEach(order -> send(key, order));
+        planner.uncounted().forEach(vm -> ask(vm, REPORT_PERIOD_MILLIS));
         if (!beforeTraffic) {
             planner.watched().forEach(vm -> ask(vm, REPORT_PERIOD_MILLIS));
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -105,8 +105,7 @@
     private byte[] encode(Peer peer) {
         List<TRelayLoad> loads = new ArrayList<>();
         relay.running()
-                .forEach((target, count) -> loads.add(
-                        new TRelayLoad(target.vm().value(), target.number(), count)));
+                .forEach((target, count) -> loads.add(new TRelayLoad(target.vm().value(), target.number(), count)));
         TRelayHeartbeat heartbeat = new TRelayHeartbeat(self, catalogues.version(), loads);
         Long theirs = peerVersions.get(peer.name());
         if (theirs != null && theirs < catalogues.version()) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -88,8 +88,7 @@
     private Optional<String> key(Request request) {
         String authorization = request.getHeaders().get(HttpHeader.AUTHORIZATION);
         String scheme = names.keyScheme() + " ";
-        boolean matches = authorization != null
-                && authorization.regionMatches(true, 0, scheme, 0, scheme.length());
+        boolean matches = authorization != null && authorization.regionMatches(true, 0, scheme, 0, scheme.length());
         return matches ? Optional.of(authorization.substring(scheme.length()).trim()) : Optional.empty();
     }
 
@@ -190,8 +189,7 @@
         }
 
         private void handOn() {
-            Exchange exchange =
-                    new Exchange(arrival, request, response, callback, body.toByteArray(), names, draining);
+            Exchange exchange = new Exchange(arrival, request, response, callback, body.toByteArray(), names, draining);
             exchange.watchCaller(() -> duty.callerLeft(exchange));
             duty.arrived(exchange);
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
@@ -11,8 +11,8 @@
 import org.apricotdeal.kernel.misc.Names;
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.kernel.time.Clock;
-import org.apricotdeal.relay.port.StoreFault;
 import org.apricotdeal.platform.Versioned;
+import org.apricotdeal.relay.port.StoreFault;
 import org.apricotdeal.relay.port.WatchStore;
 import org.apricotdeal.wire.gen.TRelayNode;
 
@@ -109,7 +109,10 @@
     void deregister() {
         long held = lease;
         if (held != 0 && store.endLease(held) instanceof Result.Err<Boolean, StoreFault>(StoreFault fault)) {
-            log.state("lease_not_ended").with("lease", held).with("fault", fault).write();
+            log.state("lease_not_ended")
+                    .with("lease", held)
+                    .with("fault", fault)
+                    .write();
         }
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -208,7 +208,9 @@
                 .with("request", exchange.requestId())
                 .with("target", target.id())
                 .with("attempt", number)
-                .with("waitedMillis", clock.monotonicMillis() - exchange.arrival().arrivedMillis())
+                .with(
+                        "waitedMillis",
+                        clock.monotonicMillis() - exchange.arrival().arrivedMillis())
                 .write();
         attempt.send(client);
     }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -125,7 +125,9 @@
 
     /** Notes that the settings may have changed. They hold for the life of a process. */
     private void reload() {
-        log.state("reload").with("effect", "settings are read at the next start").write();
+        log.state("reload")
+                .with("effect", "settings are read at the next start")
+                .write();
     }
 
     private static void sleep(long millis) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
@@ -142,8 +142,7 @@
         public boolean handle(Request request, Response response, Callback callback) {
             int status = response.getStatus();
             Object cause = request.getAttribute(org.eclipse.jetty.server.handler.ErrorHandler.ERROR_EXCEPTION);
-            boolean callersFault =
-                    cause == null || cause instanceof org.eclipse.jetty.http.HttpException;
+            boolean callersFault = cause == null || cause instanceof org.eclipse.jetty.http.HttpException;
             if (HttpStatus.isClientError(status) && !callersFault) {
                 response.setStatus(HttpStatus.INTERNAL_SERVER_ERROR_500);
             }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelaySettings.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelaySettings.java
@@ -107,8 +107,7 @@
         }
         for (IniSection section : file.sections()) {
             if (!List.of(SECTION, "listen", "platform", "limits").contains(section.name())) {
-                findings.add(
-                        Message.SETTING_UNKNOWN, section.place(), SECTION + ", listen, platform, limits");
+                findings.add(Message.SETTING_UNKNOWN, section.place(), SECTION + ", listen, platform, limits");
             }
         }
         return settings;
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -131,7 +131,8 @@
         long remainingMillis = Math.max(1, exchange.arrival().endMillis() - clock.monotonicMillis());
         headers.put(names.remainingMillis(), Long.toString(remainingMillis));
         headers.put(names.targetVm(), target.id().vm().value());
-        headers.put(names.urgency(), Integer.toString(Math.clamp(exchange.arrival().priority(), 0, 9)));
+        headers.put(
+                names.urgency(), Integer.toString(Math.clamp(exchange.arrival().priority(), 0, 9)));
         if (!exchange.arrival().customer().isEmpty()) {
             headers.put(names.customer(), exchange.arrival().customer());
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
@@ -10,11 +10,11 @@
 import org.apricotdeal.kernel.misc.Names;
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.platform.Versioned;
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.port.RecordCodec;
 import org.apricotdeal.relay.port.StoreChange;
 import org.apricotdeal.relay.port.StoreFault;
-import org.apricotdeal.platform.Versioned;
 import org.apricotdeal.relay.port.WatchStore;
 
 /** Follows the VMs' entries in the store, in steps: each check-in would end a waiting watch, and each call is charged. */
@@ -31,6 +31,7 @@
     private final RecordCodec codec;
     private final FleetDuty fleet;
     private long revision = -1;
+    private long asOfMillis;
 
     VmWatcher(WatchStore store, RecordCodec codec, FleetDuty fleet, Clock clock, DecisionLog log) {
         super("vms", clock, log);
@@ -45,13 +46,15 @@
     }
 
     private long list() {
+        long calledMillis = clock().monotonicMillis();
         return switch (store.range(codec.vmPrefix(), false)) {
             case Result.Err<WatchStore.Range, StoreFault>(StoreFault fault) -> failed(fault);
             case Result.Ok<WatchStore.Range, StoreFault>(WatchStore.Range range) -> {
                 answered();
                 List<UpstreamVm> vms = new ArrayList<>();
                 range.items().forEach(item -> vm(item).ifPresent(vms::add));
-                fleet.put(new FleetEvent.ListedAll(vms, removeAtMillis()));
+                fleet.put(new FleetEvent.ListedAll(vms, removeAtMillis(), calledMillis));
+                asOfMillis = calledMillis;
                 revision = range.revision();
                 yield STEP_MILLIS;
             }
@@ -70,6 +73,7 @@
             case Result.Ok<WatchStore.Changes, StoreFault>(WatchStore.Changes changes) -> {
                 answered();
                 take(changes.changes());
+                asOfMillis = clock().monotonicMillis();
                 revision = Math.max(revision, changes.revision());
                 yield STEP_MILLIS;
             }
@@ -82,7 +86,7 @@
         for (StoreChange change : changes) {
             switch (change) {
                 case StoreChange.Written(Versioned item) ->
-                    vm(item).ifPresent(vm -> last.put(vm.id(), new FleetEvent.Listed(vm)));
+                    vm(item).ifPresent(vm -> last.put(vm.id(), new FleetEvent.Listed(vm, asOfMillis)));
                 case StoreChange.Deleted(String key, long atRevision) ->
                     id(key).ifPresent(id -> last.put(id, new FleetEvent.Removed(id, removeAtMillis())));
             }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/OrderBook.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/OrderBook.java
@@ -66,8 +66,7 @@
             case BEGUN -> entry.begun = true;
             case UNKNOWN -> {}
             case HOLDS -> entries.remove(order.vm().id());
-            case CONFLICT, OUTDATED, REFUSED, NOT_THIS_VM ->
-                entry.pauseUntilMillis = nowMillis + REFUSED_PAUSE_MILLIS;
+            case CONFLICT, OUTDATED, REFUSED, NOT_THIS_VM -> entry.pauseUntilMillis = nowMillis + REFUSED_PAUSE_MILLIS;
         }
     }
 
@@ -83,8 +82,7 @@
         if (entry == null) {
             return true;
         }
-        boolean restarted =
-                vm.startedWallMillis() != entry.order.vm().startedWallMillis();
+        boolean restarted = vm.startedWallMillis() != entry.order.vm().startedWallMillis();
         boolean moved = vm.orders() > entry.order.expectedOrders();
         boolean paused = entry.pauseUntilMillis > 0 && nowMillis >= entry.pauseUntilMillis;
         boolean expired = nowMillis - entry.firstSentMillis > MAX_DELAY_MILLIS;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -166,7 +166,8 @@
     }
 
     private LineState newLine(LineId id) {
-        UpstreamEntry upstream = catalogue == null ? null : catalogue.upstreams().get(id.upstream());
+        UpstreamEntry upstream =
+                catalogue == null ? null : catalogue.upstreams().get(id.upstream());
         if (upstream == null || upstream.engine().isEmpty() || id.model().isEmpty()) {
             return new LineState(id, PLAIN_SERVICE_MILLIS, PLAIN_START_MILLIS);
         }
@@ -174,8 +175,7 @@
         double pace = engine.model(id.model().get()).map(ModelSpec::pace).orElse(1.0);
         double tokenMillis = engine.stepMillis() + engine.slots() * engine.sequenceMillis();
         double serviceMillis = pace
-                * (engine.usualAnswerTokens() * tokenMillis
-                        + engine.usualPromptTokens() / engine.readTokensPerMilli());
+                * (engine.usualAnswerTokens() * tokenMillis + engine.usualPromptTokens() / engine.readTokensPerMilli());
         return new LineState(id, serviceMillis, ENGINE_START_MILLIS);
     }
 
@@ -338,7 +338,9 @@
     // Watch.
 
     private void tick() {
-        targets.values().removeIf(state -> state.running.isEmpty() && !state.line().targets.contains(state));
+        targets.values()
+                .removeIf(state ->
+                        state.running.isEmpty() && !state.line().targets.contains(state));
         for (TargetState state : List.copyOf(targets.values())) {
             if (!state.running.isEmpty() && nowMillis - state.lastProgressMillis > STALL_MILLIS) {
                 stalled(state);
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -63,6 +63,7 @@
     private final Map<VmId, Long> restUntilMillis = new HashMap<>();
     private final Map<VmId, Staging> staging = new HashMap<>();
     private final Map<FormationId, Integer> planned = new HashMap<>();
+    private final Set<VmId> uncounted = new HashSet<>();
     private long lastNumber;
     private long startedMillis = -1;
     private List<PlannedOrder> out = new ArrayList<>();
@@ -129,6 +130,15 @@
         orders.replied(nowMillis, order, reply);
     }
 
+    /**
+     * Returns VMs that cannot be given orders before they have told how many they have begun.
+     *
+     * @return the VMs
+     */
+    public Set<VmId> uncounted() {
+        return Set.copyOf(uncounted);
+    }
+
     /**
      * Returns VMs whose state is about to change.
      *
@@ -158,6 +168,7 @@
     public List<PlannedOrder> plan(Turn now) {
         turn = now;
         out = new ArrayList<>(orders.due(now.nowMillis()));
+        uncounted.clear();
         if (startedMillis < 0) {
             startedMillis = now.nowMillis();
             restAfterTakeOver();
@@ -170,7 +181,9 @@
                 counts.merge(formation.model(), 1, Integer::sum);
             }
         }
-        firstSeenMillis.keySet().retainAll(formations.stream().map(Formation::id).toList());
+        firstSeenMillis
+                .keySet()
+                .retainAll(formations.stream().map(Formation::id).toList());
         form(formations, counts);
         stage(counts);
         return out;
@@ -221,7 +234,10 @@
         }
         if (formation.ready() && formation.headPhase() == GroupPhase.READY) {
             UpstreamVm head = formation.head().orElseThrow();
-            order(head, new ReplicaOrder.Open(id.replica(), id.number()), "all " + formation.size() + " members are ready");
+            order(
+                    head,
+                    new ReplicaOrder.Open(id.replica(), id.number()),
+                    "all " + formation.size() + " members are ready");
         }
         return true;
     }
@@ -280,6 +296,10 @@
         if (staging.containsKey(vm.id()) && !turn.beforeTraffic()) {
             return false;
         }
+        if (vm.orders() == UpstreamVm.ORDERS_UNKNOWN) {
+            uncounted.add(vm.id());
+            return false;
+        }
         if (turn.nowMillis() < restUntilMillis.getOrDefault(vm.id(), 0L)) {
             return false;
         }
@@ -352,9 +372,8 @@
     private int loading() {
         int count = staging.size();
         for (UpstreamVm vm : turn.vms()) {
-            boolean joining = vm.group()
-                    .map(group -> group.phase() == GroupPhase.JOINING)
-                    .orElse(false);
+            boolean joining =
+                    vm.group().map(group -> group.phase() == GroupPhase.JOINING).orElse(false);
             PlannedOrder pending = orders.pending(vm.id());
             if (joining || (pending != null && pending.order() instanceof ReplicaOrder.Join)) {
                 count++;
@@ -386,7 +405,10 @@
         double perSecond = turn.engine().loadsPerSecond() * turn.loadShare();
         for (UpstreamVm vm : turn.vms()) {
             boolean idle = vm.group().isEmpty() && vm.fabricDomain().isPresent() && !vm.leaving();
-            if (!idle || staging.containsKey(vm.id()) || !vm.staged().isEmpty() || turn.lost().contains(vm.id())) {
+            if (!idle
+                    || staging.containsKey(vm.id())
+                    || !vm.staged().isEmpty()
+                    || turn.lost().contains(vm.id())) {
                 continue;
             }
             if (loading() >= (turn.beforeTraffic() ? FIRST_LOADS : concurrent)
@@ -402,7 +424,8 @@
         staging.keySet().removeIf(id -> turn.vms().stream()
                 .filter(vm -> vm.id().equals(id))
                 .findFirst()
-                .map(vm -> !vm.staged().isEmpty() && vm.staged().contains(staging.get(id).model()))
+                .map(vm -> !vm.staged().isEmpty()
+                        && vm.staged().contains(staging.get(id).model()))
                 .orElse(true));
     }
 
@@ -426,7 +449,9 @@
     }
 
     private boolean isSpareOf(UpstreamVm vm, ModelId model) {
-        if (vm.leaving() || (vm.group().isPresent() && !released.contains(FormationId.of(vm.group().get())))) {
+        if (vm.leaving()
+                || (vm.group().isPresent()
+                        && !released.contains(FormationId.of(vm.group().get())))) {
             return false;
         }
         Staging loading = staging.get(vm.id());
@@ -439,6 +464,10 @@
         if (!orders.isSettled(turn.nowMillis(), vm)) {
             return false;
         }
+        if (vm.orders() == UpstreamVm.ORDERS_UNKNOWN) {
+            uncounted.add(vm.id());
+            return false;
+        }
         PlannedOrder planned = new PlannedOrder(vm, vm.orders(), order, reason);
         orders.sent(turn.nowMillis(), planned);
         out.add(planned);
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetBuilder.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetBuilder.java
@@ -62,8 +62,7 @@
         return true;
     }
 
-    private static void addServices(
-            VmTable table, UpstreamEntry upstream, List<UpstreamVm> vms, List<Target> targets) {
+    private static void addServices(VmTable table, UpstreamEntry upstream, List<UpstreamVm> vms, List<Target> targets) {
         for (UpstreamVm vm : vms) {
             if (vm.leaving() || table.isSilent(vm.id())) {
                 continue;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -11,57 +11,67 @@
 import org.apricotdeal.relay.model.GroupPhase;
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.model.VmReport;
+import org.apricotdeal.relay.port.OrderReply;
+import org.apricotdeal.relay.port.ReplicaOrder;
 
 /**
- * What a node believes of the VMs, from the store's entries and from the VMs' own reports. News of a VM overtake each
- * other; its count of orders tells which are newer, and within one count a membership only moves on.
+ * What a node believes of the VMs, from the store's entries, the VMs' own reports and the replies to orders. These overtake
+ * each other. Entries do not count orders, so what they say of a membership is weighed by its formation's number and phase,
+ * which only rise, and by the time up to which the entry may be old.
  */
 public final class VmTable {
-    /** Time without an answer after which a VM that is still listed counts as lost. */
+    /** Calls for a VM's state without an answer after which it counts as lost, although it is listed. */
     private static final int LOST_AFTER_MISSES = 2;
 
-    private final Map<VmId, UpstreamVm> vms = new HashMap<>();
-    private final Map<VmId, Integer> misses = new HashMap<>();
-    private final Map<VmId, Long> removeAtMillis = new HashMap<>();
+    /** A report may be this old: the platform's lag, and the way. */
+    private static final long REPORT_AGE_MILLIS = 400;
+
+    private final Map<VmId, Known> vms = new HashMap<>();
+
+    /** A VM and how its state was learned. */
+    private static final class Known {
+        private UpstreamVm vm;
+        private long groupLearnedMillis;
+        private int misses;
+        private long removeAtMillis = Long.MAX_VALUE;
+
+        Known(UpstreamVm vm) {
+            this.vm = vm;
+        }
+    }
 
     /**
      * Takes a VM's entry.
      *
      * @param entry the entry
+     * @param asOfMillis time after which it was written, as far as is known
+     * @param nowMillis time
      */
-    public void listed(UpstreamVm entry) {
-        removeAtMillis.remove(entry.id());
-        UpstreamVm known = vms.get(entry.id());
-        if (known != null && known.startedWallMillis() > entry.startedWallMillis()) {
+    public void listed(UpstreamVm entry, long asOfMillis, long nowMillis) {
+        Known known = vms.get(entry.id());
+        if (known == null || entry.startedWallMillis() > known.vm.startedWallMillis()) {
+            Known fresh = new Known(entry);
+            fresh.groupLearnedMillis = nowMillis;
+            vms.put(entry.id(), fresh);
             return;
         }
-        boolean newer = known == null || isNewer(known, entry);
-        if (known == null || known.startedWallMillis() != entry.startedWallMillis()) {
-            misses.remove(entry.id());
+        if (entry.startedWallMillis() < known.vm.startedWallMillis()) {
+            return;
         }
-        vms.put(entry.id(), newer ? entry : entry.leaving() ? known.asLeaving() : known);
+        known.removeAtMillis = Long.MAX_VALUE;
+        learn(known, entry.with(known.vm.orders(), newer(known, entry.group(), asOfMillis)), nowMillis);
     }
 
     /**
      * Takes the removal of a VM's entry.
      *
      * @param id the VM
-     */
-    public void removed(VmId id) {
-        vms.remove(id);
-        misses.remove(id);
-        removeAtMillis.remove(id);
-    }
-
-    /**
-     * Takes the removal of a VM's entry that may come back.
-     *
-     * @param id the VM
      * @param atMillis time at which the VM is removed, unless its entry is back by then
      */
-    public void removedUnlessBack(VmId id, long atMillis) {
-        if (vms.containsKey(id)) {
-            removeAtMillis.putIfAbsent(id, atMillis);
+    public void removed(VmId id, long atMillis) {
+        Known known = vms.get(id);
+        if (known != null) {
+            known.removeAtMillis = Math.min(known.removeAtMillis, atMillis);
         }
     }
 
@@ -70,11 +80,13 @@
      * entries that lapsed while the store was away return shortly after it.
      *
      * @param entries all entries
-     * @param atMillis time until which VMs without an entry are kept
+     * @param removeAtMillis time until which VMs without an entry are kept
+     * @param asOfMillis time at which the entries were read
+     * @param nowMillis time
      */
-    public void listedAll(Collection<UpstreamVm> entries, long atMillis) {
-        vms.keySet().forEach(id -> removeAtMillis.putIfAbsent(id, atMillis));
-        entries.forEach(this::listed);
+    public void listedAll(Collection<UpstreamVm> entries, long removeAtMillis, long asOfMillis, long nowMillis) {
+        vms.keySet().forEach(id -> removed(id, removeAtMillis));
+        entries.forEach(entry -> listed(entry, asOfMillis, nowMillis));
     }
 
     /**
@@ -84,12 +96,7 @@
      * @return true where VMs were removed
      */
     public boolean expire(long nowMillis) {
-        List<VmId> due = removeAtMillis.entrySet().stream()
-                .filter(entry -> nowMillis >= entry.getValue())
-                .map(Map.Entry::getKey)
-                .toList();
-        due.forEach(this::removed);
-        return !due.isEmpty();
+        return vms.values().removeIf(known -> nowMillis >= known.removeAtMillis);
     }
 
     /**
@@ -97,27 +104,96 @@
      *
      * @param id the VM
      * @param report the report
+     * @param nowMillis time
      */
-    public void reported(VmId id, VmReport report) {
-        UpstreamVm known = vms.get(id);
+    public void reported(VmId id, VmReport report, long nowMillis) {
+        Known known = vms.get(id);
         if (known == null) {
             return;
         }
-        misses.remove(id);
-        UpstreamVm updated = known.with(report);
-        if (isNewer(known, updated)) {
-            vms.put(id, updated);
+        known.misses = 0;
+        if (report.startedWallMillis() != 0 && report.startedWallMillis() != known.vm.startedWallMillis()) {
+            return;
+        }
+        if (report.orders() < known.vm.orders()) {
+            return;
+        }
+        Optional<GroupMembership> group = report.orders() > known.vm.orders()
+                ? report.group()
+                : newer(known, report.group(), nowMillis - REPORT_AGE_MILLIS);
+        learn(known, known.vm.withWeights(report).with(report.orders(), group), nowMillis);
+    }
+
+    /**
+     * Takes the reply to an order: what a VM has begun shows at once.
+     *
+     * @param order the order
+     * @param reply the reply
+     * @param nowMillis time
+     */
+    public void ordered(PlannedOrder order, OrderReply reply, long nowMillis) {
+        Known known = vms.get(order.vm().id());
+        if (known == null || known.vm.startedWallMillis() != order.vm().startedWallMillis()) {
+            return;
+        }
+        switch (reply) {
+            case BEGUN -> {
+                if (known.vm.orders() <= order.expectedOrders()) {
+                    Optional<GroupMembership> group = begun(order, known.vm.group());
+                    learn(known, known.vm.with(order.expectedOrders() + 1, group), nowMillis);
+                }
+            }
+            // Another order came first, or its effect is not known: only the VM itself can tell the count now.
+            case CONFLICT, OUTDATED, REFUSED, NOT_THIS_VM ->
+                known.vm = known.vm.with(UpstreamVm.ORDERS_UNKNOWN, known.vm.group());
+            case HOLDS, UNKNOWN -> {}
+        }
+    }
+
+    private static Optional<GroupMembership> begun(PlannedOrder order, Optional<GroupMembership> before) {
+        return switch (order.order()) {
+            case ReplicaOrder.Join(var replica, long number, var model, var members) ->
+                Optional.of(new GroupMembership(
+                        replica, number, members.indexOf(order.vm().id()), GroupPhase.JOINING));
+            case ReplicaOrder.Leave leave -> Optional.empty();
+            case ReplicaOrder.Open open -> before;
+            case ReplicaOrder.Close close -> before;
+            case ReplicaOrder.Stage stage -> before;
+        };
+    }
+
+    private static void learn(Known known, UpstreamVm vm, long nowMillis) {
+        if (!vm.group().equals(known.vm.group())) {
+            known.groupLearnedMillis = nowMillis;
         }
+        known.vm = vm;
+    }
+
+    /** Chooses between the membership that is known and one that was true some time after the given one. */
+    private static Optional<GroupMembership> newer(Known known, Optional<GroupMembership> said, long asOfMillis) {
+        Optional<GroupMembership> before = known.vm.group();
+        if (asOfMillis > known.groupLearnedMillis || said.equals(before)) {
+            return said;
+        }
+        if (said.isEmpty() || before.isEmpty()) {
+            return before;
+        }
+        int order = Long.compare(said.get().number(), before.get().number());
+        if (order == 0) {
+            order = said.get().phase().compareTo(before.get().phase());
+        }
+        return order > 0 ? said : before;
     }
 
     /**
-     * Notes that a VM did not answer a call for its report.
+     * Notes that a VM did not answer a call for its state.
      *
      * @param id the VM
      */
     public void missed(VmId id) {
-        if (vms.containsKey(id)) {
-            misses.merge(id, 1, Integer::sum);
+        Known known = vms.get(id);
+        if (known != null) {
+            known.misses++;
         }
     }
 
@@ -128,7 +204,8 @@
      * @return true after several calls in a row without an answer
      */
     public boolean isSilent(VmId id) {
-        return misses.getOrDefault(id, 0) >= LOST_AFTER_MISSES;
+        Known known = vms.get(id);
+        return known != null && known.misses >= LOST_AFTER_MISSES;
     }
 
     /**
@@ -138,7 +215,7 @@
      * @return the VM, or nothing where it is not listed
      */
     public Optional<UpstreamVm> find(VmId id) {
-        return Optional.ofNullable(vms.get(id));
+        return Optional.ofNullable(vms.get(id)).map(known -> known.vm);
     }
 
     /**
@@ -147,22 +224,6 @@
      * @return the VMs
      */
     public List<UpstreamVm> all() {
-        return List.copyOf(vms.values());
-    }
-
-    private static boolean isNewer(UpstreamVm known, UpstreamVm other) {
-        if (other.startedWallMillis() != known.startedWallMillis()) {
-            return other.startedWallMillis() > known.startedWallMillis();
-        }
-        if (other.orders() != known.orders()) {
-            return other.orders() > known.orders();
-        }
-        if (known.leaving() && !other.leaving()) {
-            return false;
-        }
-        Optional<GroupPhase> otherPhase = other.group().map(GroupMembership::phase);
-        Optional<GroupPhase> knownPhase = known.group().map(GroupMembership::phase);
-        return knownPhase.isEmpty()
-                || (otherPhase.isPresent() && otherPhase.get().compareTo(knownPhase.get()) >= 0);
+        return vms.values().stream().map(known -> known.vm).toList();
     }
 }
