--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -38,7 +38,7 @@
     private static final long TICK_MILLIS = 100;
 
     /** Longest wait for a report: a VM answers within milliseconds, also when it works. */
-    private static final long REPORT_TIMEOUT_MILLIS = 400;
+    private static final long REPORT_TIMEOUT_MILLIS = 250;
 
     private static final long ORDER_TIMEOUT_MILLIS = 600;
 
@@ -221,7 +221,7 @@
 
     private void ask(VmId id, long periodMillis) {
         long nowMillis = clock.monotonicMillis();
-        Optional<UpstreamVm> vm = table.find(id);
+        Optional<UpstreamVm> vm = table.find(id).filter(this::hasEngine);
         Long lastMillis = askedMillis.get(id);
         if (vm.isEmpty() || (lastMillis != null && nowMillis - lastMillis < periodMillis)) {
             return;
@@ -232,6 +232,13 @@
                 .thenAccept(report -> duty.put(new FleetEvent.Reported(id, report)));
     }
 
+    /** Plain services have no state to ask for; whether they answer shows by their requests alone. */
+    private boolean hasEngine(UpstreamVm vm) {
+        UpstreamEntry upstream =
+                catalogue == null ? null : catalogue.upstreams().get(vm.upstream());
+        return upstream != null && upstream.engine().isPresent();
+    }
+
     private void publishTargets() {
         askedMillis.keySet().removeIf(id -> table.find(id).isEmpty());
         List<Target> built = TargetBuilder.targets(table, catalogue);
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -30,7 +30,7 @@
  */
 public final class RelayDispatcher implements Machine<RelayEvent, RelayAction> {
     /** A replica passes on events each few steps; one without any for so long has lost a member or its head. */
-    private static final long STALL_MILLIS = 700;
+    private static final long STALL_MILLIS = 550;
 
     /** Shortest and longest time to come back where no target is known: a repair takes about two seconds. */
     private static final long MIN_ABSENT_RETRY_MILLIS = 800;
@@ -104,7 +104,7 @@
     public void progressed(long atMillis, ExchangeId id) {
         RequestState request = requests.get(id);
         if (request != null && request.running()) {
-            request.target.answered(atMillis);
+            request.target.progressed(atMillis);
         }
     }
 
@@ -236,7 +236,7 @@
         if (request == null || !request.running()) {
             return;
         }
-        request.target.answered(nowMillis);
+        request.target.progressed(nowMillis);
         if (!request.started) {
             request.started = true;
             request.line.startMillis.add(nowMillis - request.dispatchedMillis);
@@ -250,7 +250,7 @@
         }
         line(request.arrival.line()).waiting.remove(request);
         if (request.running()) {
-            request.target.answered(nowMillis);
+            request.target.progressed(nowMillis);
             request.line.serviceMillis.add(nowMillis - request.dispatchedMillis);
             release(request);
         }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -284,8 +284,24 @@
                         .add(vm);
             }
         }
+        List<UpstreamVm> left = new ArrayList<>();
         for (List<UpstreamVm> domain : free.values()) {
-            formIn(domain, counts);
+            left.addAll(formIn(domain, counts));
+        }
+        if (!turn.beforeTraffic()) {
+            formAcross(left, counts);
+        }
+    }
+
+    /** Lets a replica span fabric domains where its model would have none otherwise: slow, but better than none. */
+    private void formAcross(List<UpstreamVm> free, Map<ModelId, Integer> counts) {
+        for (ModelSpec model : turn.engine().models()) {
+            List<UpstreamVm> members = members(free, model);
+            if (counts.getOrDefault(model.id(), 0) == 0 && members.size() == model.size()) {
+                join(model, members);
+                free.removeAll(members);
+                counts.merge(model.id(), 1, Integer::sum);
+            }
         }
     }
 
@@ -311,22 +327,34 @@
         return released.contains(id) && !headed.contains(id);
     }
 
-    private void formIn(List<UpstreamVm> free, Map<ModelId, Integer> counts) {
+    /** Forms what replicas it can within a fabric domain; returns the VMs left over. */
+    private List<UpstreamVm> formIn(List<UpstreamVm> free, Map<ModelId, Integer> counts) {
         List<UpstreamVm> left = new ArrayList<>(free);
         boolean formed = true;
         while (formed) {
             formed = false;
             for (ModelSpec model : byDeficit(counts)) {
                 List<UpstreamVm> members = members(left, model);
-                if (members.size() == model.size() && mayLoad(members, model)) {
-                    join(model, members);
-                    left.removeAll(members);
-                    counts.merge(model.id(), 1, Integer::sum);
-                    formed = true;
-                    break;
+                if (members.size() < model.size() || !leavesSpares(left, model)) {
+                    continue;
+                }
+                if (!mayLoad(members, model)) {
+                    return left;
                 }
+                join(model, members);
+                left.removeAll(members);
+                counts.merge(model.id(), 1, Integer::sum);
+                formed = true;
+                break;
             }
         }
+        return left;
+    }
+
+    /** Tells whether a fleet that starts keeps a spare of each model in the fabric domain beside a new replica. */
+    private boolean leavesSpares(List<UpstreamVm> free, ModelSpec model) {
+        return !turn.beforeTraffic()
+                || free.size() - model.size() >= turn.engine().models().size();
     }
 
     /** Models, the one furthest below its share of the VMs first. */
@@ -429,23 +457,31 @@
                 .orElse(true));
     }
 
-    /** Chooses the model whose next replica needs the fewest further VMs in the VM's fabric domain, then by deficit. */
+    /**
+     * Chooses a model for a VM without weights: one that has replicas in the fabric domain and no spare while the fleet
+     * starts; later the one that is furthest below its share and lacks the smallest part of a replica.
+     */
     private ModelSpec modelToStage(UpstreamVm vm, Map<ModelId, Integer> counts) {
-        ModelSpec best = null;
-        double bestScore = Double.MAX_VALUE;
-        for (ModelSpec model : turn.engine().models()) {
-            long held = turn.vms().stream()
-                    .filter(other -> other.fabricDomain().equals(vm.fabricDomain()))
-                    .filter(other -> !other.id().equals(vm.id()) && isSpareOf(other, model.id()))
-                    .count();
-            long missing = model.size() - held % model.size();
-            double score = missing * fill(model, counts);
-            if (score < bestScore) {
-                best = model;
-                bestScore = score;
-            }
-        }
-        return best;
+        List<UpstreamVm> neighbours = turn.vms().stream()
+                .filter(other -> other.fabricDomain().equals(vm.fabricDomain()))
+                .filter(other -> !other.id().equals(vm.id()))
+                .toList();
+        Comparator<ModelSpec> order = Comparator.comparing(
+                        (ModelSpec model) -> !turn.beforeTraffic() || !lacksSpare(neighbours, model))
+                .thenComparingDouble(model -> missingPart(neighbours, model) * fill(model, counts));
+        return turn.engine().models().stream().min(order).orElseThrow();
+    }
+
+    private double missingPart(List<UpstreamVm> neighbours, ModelSpec model) {
+        return 1 - (double) (spares(neighbours, model.id()) % model.size()) / model.size();
+    }
+
+    private boolean lacksSpare(List<UpstreamVm> neighbours, ModelSpec model) {
+        return spares(neighbours, model.id()) == 0;
+    }
+
+    private long spares(List<UpstreamVm> neighbours, ModelId model) {
+        return neighbours.stream().filter(other -> isSpareOf(other, model)).count();
     }
 
     private boolean isSpareOf(UpstreamVm vm, ModelId model) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -74,9 +74,13 @@
         doubtUntilMillis = nowMillis + doubtMillis;
     }
 
-    void answered(long nowMillis) {
-        lastProgressMillis = nowMillis;
-        if (nowMillis >= doubtUntilMillis) {
+    /** Takes note of bytes that came from the target; of several requests' the latest count. */
+    void progressed(long atMillis) {
+        if (atMillis <= lastProgressMillis) {
+            return;
+        }
+        lastProgressMillis = atMillis;
+        if (atMillis >= doubtUntilMillis) {
             doubtMillis = 0;
         }
     }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -146,10 +146,17 @@
             // Another order came first, or its effect is not known: only the VM itself can tell the count now.
             case CONFLICT, OUTDATED, REFUSED, NOT_THIS_VM ->
                 known.vm = known.vm.with(UpstreamVm.ORDERS_UNKNOWN, known.vm.group());
-            case HOLDS, UNKNOWN -> {}
+            // Done already, by this order or before: the count may have moved or not.
+            case HOLDS ->
+                learn(known, known.vm.with(UpstreamVm.ORDERS_UNKNOWN, held(order, known.vm.group())), nowMillis);
+            case UNKNOWN -> {}
         }
     }
 
+    private static Optional<GroupMembership> held(PlannedOrder order, Optional<GroupMembership> before) {
+        return order.order() instanceof ReplicaOrder.Leave ? Optional.empty() : before;
+    }
+
     private static Optional<GroupMembership> begun(PlannedOrder order, Optional<GroupMembership> before) {
         return switch (order.order()) {
             case ReplicaOrder.Join(var replica, long number, var model, var members) ->
