--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayDispatcherTest.java
@@ -0,0 +1,179 @@
+package org.apricotdeal.proofs.relay;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.apricotdeal.relay.model.Repeatability;
+import org.apricotdeal.relay.policy.AttemptOutcome;
+import org.apricotdeal.relay.policy.RefusalReason;
+import org.apricotdeal.relay.policy.RelayAction;
+import org.apricotdeal.relay.policy.RelayEvent;
+import org.apricotdeal.relay.policy.TargetId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+/** What the relay's dispatcher does with requests, attempts and targets. */
+public final class RelayDispatcherTest {
+    @Test
+    public void requestWithoutTargetIsRefusedAtOnceWithATimeToComeBack() {
+        RelayFixture relay = new RelayFixture();
+        List<RelayAction> actions = relay.arrive(Repeatability.IDEMPOTENT);
+        RelayAction.Refuse refused =
+                RelayFixture.of(actions, RelayAction.Refuse.class).getFirst();
+        assertEquals(refused.reason(), RefusalReason.NO_TARGET);
+        assertTrue(refused.retryAfterMillis() > 0, refused.toString());
+    }
+
+    @Test
+    public void neverMoreThanTheSlotsAreSentCountingOtherNodes() {
+        RelayFixture relay = new RelayFixture();
+        relay.targets(RelayFixture.target("v1", 4));
+        relay.step(new RelayEvent.PeerLoad(
+                "n2", Map.of(new TargetId(RelayFixture.target("v1", 4).id().vm(), 1), 3)));
+        assertEquals(
+                RelayFixture.of(relay.arrive(Repeatability.STREAM), RelayAction.Send.class)
+                        .size(),
+                1);
+        assertEquals(
+                RelayFixture.of(relay.arrive(Repeatability.STREAM), RelayAction.Send.class)
+                        .size(),
+                0);
+    }
+
+    @Test
+    public void countOfASilentNodeIsForgotten() {
+        RelayFixture relay = new RelayFixture();
+        relay.targets(RelayFixture.target("v1", 1));
+        relay.step(new RelayEvent.PeerLoad(
+                "n2", Map.of(new TargetId(RelayFixture.target("v1", 1).id().vm(), 1), 1)));
+        relay.pass(2_000);
+        assertEquals(
+                RelayFixture.of(relay.arrive(Repeatability.STREAM), RelayAction.Send.class)
+                        .size(),
+                1);
+    }
+
+    @Test
+    public void whatMayNotBeRepeatedIsGivenUpOnceItMayHaveRun() {
+        RelayFixture relay = new RelayFixture();
+        relay.targets(RelayFixture.target("v1", 2), RelayFixture.target("v2", 2));
+        RelayAction.Send sent = RelayFixture.onlySend(relay.arrive(Repeatability.ONCE));
+        List<RelayAction> actions = relay.fail(sent.id(), AttemptOutcome.BROKEN);
+        assertEquals(RelayFixture.of(actions, RelayAction.Send.class), List.of());
+        assertEquals(RelayFixture.of(actions, RelayAction.Refuse.class), List.of());
+        assertEquals(
+                RelayFixture.of(actions, RelayAction.GiveUp.class).getFirst().reason(), RefusalReason.BROKEN);
+    }
+
+    @DataProvider
+    public Object[][] kinds() {
+        return new Object[][] {{Repeatability.IDEMPOTENT}, {Repeatability.ONCE}, {Repeatability.STREAM}};
+    }
+
+    @Test(dataProvider = "kinds")
+    public void whatWasNeverSentGoesToAnotherTargetAndCountsAsNoAttempt(Repeatability kind) {
+        RelayFixture relay = new RelayFixture(0);
+        relay.targets(RelayFixture.target("v1", 2), RelayFixture.target("v2", 2));
+        RelayAction.Send first = RelayFixture.onlySend(relay.step(new RelayEvent.Arrived(relay.arrival(kind, 1))));
+        RelayAction.Send second = RelayFixture.onlySend(relay.fail(first.id(), AttemptOutcome.NOT_SENT));
+        assertNotEquals(second.target().id(), first.target().id());
+        assertEquals(second.attempt(), 1);
+        List<RelayAction> actions = relay.fail(first.id(), AttemptOutcome.NOT_SENT);
+        assertEquals(RelayFixture.of(actions, RelayAction.Refuse.class).size(), 1, actions.toString());
+    }
+
+    @Test(dataProvider = "kinds")
+    public void attemptsStayWithinTheRoutesNumber(Repeatability kind) {
+        RelayFixture relay = new RelayFixture();
+        relay.targets(RelayFixture.target("v1", 2), RelayFixture.target("v2", 2), RelayFixture.target("v3", 2));
+        RelayAction.Send first = RelayFixture.onlySend(relay.step(new RelayEvent.Arrived(relay.arrival(kind, 2))));
+        RelayFixture.onlySend(relay.fail(first.id(), AttemptOutcome.NOT_RUN));
+        List<RelayAction> actions = relay.fail(first.id(), AttemptOutcome.NOT_RUN);
+        assertEquals(RelayFixture.of(actions, RelayAction.Send.class), List.of());
+        assertEquals(
+                RelayFixture.of(actions, RelayAction.Refuse.class).getFirst().reason(), RefusalReason.NOT_RUN);
+    }
+
+    @Test
+    public void repeatsStayWithinTheBudget() {
+        RelayFixture relay = new RelayFixture(0);
+        relay.targets(RelayFixture.target("v1", 8), RelayFixture.target("v2", 8));
+        RelayAction.Send sent = RelayFixture.onlySend(relay.arrive(Repeatability.IDEMPOTENT));
+        assertEquals(RelayFixture.of(relay.fail(sent.id(), AttemptOutcome.BROKEN), RelayAction.Send.class), List.of());
+    }
+
+    @Test
+    public void streamOfATargetThatStandsStillGoesOnElsewhere() {
+        RelayFixture relay = new RelayFixture();
+        relay.targets(RelayFixture.target("v1", 2), RelayFixture.target("v2", 2));
+        RelayAction.Send sent = RelayFixture.onlySend(relay.arrive(Repeatability.STREAM));
+        relay.step(new RelayEvent.Started(sent.id()));
+        List<RelayAction> actions = relay.pass(1_000);
+        assertEquals(RelayFixture.of(actions, RelayAction.CutOff.class).size(), 1, actions.toString());
+        assertEquals(
+                RelayFixture.of(actions, RelayAction.Doubt.class).getFirst().target(), sent.target());
+        assertNotEquals(RelayFixture.onlySend(actions).target(), sent.target());
+    }
+
+    /** One request of a target waits for its first event while another's events flow: the target does not stand still. */
+    @Test
+    public void progressOfATargetIsThatOfItsLatestRequest() {
+        RelayFixture relay = new RelayFixture();
+        relay.targets(RelayFixture.target("v1", 2));
+        RelayAction.Send flowing = RelayFixture.onlySend(relay.arrive(Repeatability.STREAM));
+        RelayAction.Send waiting = RelayFixture.onlySend(relay.arrive(Repeatability.STREAM));
+        long sentMillis = relay.nowMillis;
+        for (int i = 0; i < 40; i++) {
+            relay.dispatcher.progressed(relay.nowMillis, flowing.id());
+            relay.dispatcher.progressed(sentMillis, waiting.id());
+            List<RelayAction> actions = relay.pass(50);
+            assertEquals(RelayFixture.of(actions, RelayAction.Doubt.class), List.of());
+        }
+    }
+
+    @Test
+    public void callerWhoLeavesEndsTheAttempt() {
+        RelayFixture relay = new RelayFixture();
+        relay.targets(RelayFixture.target("v1", 1));
+        RelayAction.Send sent = RelayFixture.onlySend(relay.arrive(Repeatability.ONCE));
+        List<RelayAction> actions = relay.step(new RelayEvent.CallerLeft(sent.id()));
+        assertEquals(RelayFixture.of(actions, RelayAction.CutOff.class).size(), 1);
+        assertEquals(relay.dispatcher.running(), Map.of());
+    }
+
+    @Test
+    public void everyRequestHasItsEndAtItsTimeAtTheLatest() {
+        RelayFixture relay = new RelayFixture();
+        relay.targets(RelayFixture.target("v1", 1));
+        RelayAction.Send sent = RelayFixture.onlySend(relay.arrive(Repeatability.ONCE));
+        List<RelayAction> actions = relay.pass(RelayFixture.TIMEOUT_MILLIS + 50);
+        RelayAction.GiveUp end =
+                RelayFixture.of(actions, RelayAction.GiveUp.class).getFirst();
+        assertEquals(end.id(), sent.id());
+        assertEquals(end.reason(), RefusalReason.TIMEOUT);
+    }
+
+    /** A burst of thrice the capacity: what is refused is refused within an eighth of the objective or never sent late. */
+    @Test
+    public void floodIsRefusedAtOnceAndReturnsAreSpread() {
+        RelayFixture relay = new RelayFixture();
+        relay.targets(RelayFixture.target("v1", 4));
+        Set<Long> returns = new HashSet<>();
+        int refused = 0;
+        for (int i = 0; i < 60; i++) {
+            List<RelayAction> actions = relay.arrive(Repeatability.STREAM);
+            for (RelayAction.Refuse refuse : RelayFixture.of(actions, RelayAction.Refuse.class)) {
+                refused++;
+                returns.add(refuse.retryAfterMillis());
+            }
+        }
+        assertTrue(refused >= 40, refused + " of 60 refused on arrival");
+        assertTrue(returns.size() > refused / 4, returns.toString());
+    }
+}
--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
@@ -0,0 +1,306 @@
+package org.apricotdeal.proofs.relay;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.apricotdeal.kernel.id.FabricDomainId;
+import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.relay.model.EngineProfile;
+import org.apricotdeal.relay.model.GroupMembership;
+import org.apricotdeal.relay.model.GroupPhase;
+import org.apricotdeal.relay.model.ModelId;
+import org.apricotdeal.relay.model.ModelSpec;
+import org.apricotdeal.relay.model.UpstreamVm;
+import org.apricotdeal.relay.policy.PlannedOrder;
+import org.apricotdeal.relay.policy.ReplicaPlanner;
+import org.apricotdeal.relay.policy.VmTable;
+import org.apricotdeal.relay.port.OrderReply;
+import org.apricotdeal.relay.port.ReplicaOrder;
+
+/**
+ * A failure domain of model VMs under one or more planners, on a virtual clock. After each step it asserts what must always
+ * hold: a replica opens only when every member has been ready in that formation, and no VM joins another replica while the
+ * head of its own is open or stands still without having broken.
+ */
+final class SimFleet {
+    static final long STALL_MILLIS = 4_000;
+    private static final long TICK_MILLIS = 100;
+    private static final long LAPSE_MILLIS = 3_600;
+    private static final int FABRICS = 3;
+    private static final int VMS_PER_FABRIC = 10;
+    private static final EngineProfile ENGINE = new EngineProfile(
+            12,
+            5,
+            7.8,
+            0.13,
+            0.01,
+            45.9,
+            979,
+            154,
+            200,
+            5,
+            7,
+            SimVm.FORM_MILLIS,
+            2.5,
+            List.of(
+                    new ModelSpec(new ModelId("m0"), 4, 0.5, 1, 16_000, 1_600),
+                    new ModelSpec(new ModelId("m1"), 2, 0.5, 0.6, 12_000, 1_100)));
+
+    final Map<VmId, SimVm> vms = new TreeMap<>();
+    final UniformRandomProvider random;
+    long nowMillis = 100_000;
+    double lateOrders;
+    boolean beforeTraffic;
+    private final Set<String> readyOnce = new HashSet<>();
+    private final Map<VmId, Long> deadSinceMillis = new TreeMap<>();
+    private final Map<VmId, Long> leavesAtMillis = new TreeMap<>();
+    private final List<Planning> planners = new ArrayList<>();
+    private final PriorityQueue<Late> late = new PriorityQueue<>(Comparator.comparingLong(Late::atMillis));
+    private int lastVm;
+    private int lastPlanner;
+
+    /** A planner with what its node believes. */
+    private static final class Planning {
+        private final ReplicaPlanner planner;
+        private final VmTable table = new VmTable();
+        private final List<Runnable> replies = new ArrayList<>();
+
+        Planning(int number) {
+            planner = new ReplicaPlanner("p" + number, STALL_MILLIS);
+        }
+    }
+
+    /** An order that is carried out late. */
+    private record Late(long atMillis, VmId vm, long startedMillis, long expected, ReplicaOrder order) {}
+
+    SimFleet(long seed) {
+        random = RandomSource.SPLIT_MIX_64.create(seed);
+        for (int i = 0; i < FABRICS * VMS_PER_FABRIC; i++) {
+            add(i % FABRICS);
+        }
+        addPlanner();
+    }
+
+    SimVm add(int fabric) {
+        VmId id = new VmId("v" + ++lastVm);
+        SimVm vm = new SimVm(id, new FabricDomainId("f" + fabric), ENGINE.models(), readyOnce, nowMillis);
+        vms.put(id, vm);
+        return vm;
+    }
+
+    void addPlanner() {
+        planners.add(new Planning(++lastPlanner));
+    }
+
+    void replacePlanner() {
+        planners.clear();
+        addPlanner();
+    }
+
+    int plannerCount() {
+        return planners.size();
+    }
+
+    /** Announces that a VM leaves; it is gone some seconds later. */
+    void leave(SimVm vm) {
+        vm.leaving = true;
+        leavesAtMillis.put(vm.id, nowMillis + 5_000);
+    }
+
+    void kill(SimVm vm) {
+        vm.dead = true;
+        deadSinceMillis.put(vm.id, nowMillis);
+    }
+
+    void restart(SimVm vm) {
+        deadSinceMillis.remove(vm.id);
+        vm.restart(nowMillis);
+    }
+
+    List<SimVm> live() {
+        return vms.values().stream().filter(vm -> !vm.dead).toList();
+    }
+
+    /** Counts replicas that serve with all members. */
+    long serving(String model) {
+        return live().stream()
+                .filter(vm -> vm.group.isPresent() && vm.group.get().phase() == GroupPhase.OPEN)
+                .filter(vm ->
+                        vm.loaded.map(ModelId::value).filter(model::equals).isPresent())
+                .filter(vm -> vm.members.stream().allMatch(member -> isMember(member, vm.group.get())))
+                .count();
+    }
+
+    String describe() {
+        StringBuilder text = new StringBuilder();
+        live().forEach(vm -> text.append("\n  ")
+                .append(vm.id)
+                .append(' ')
+                .append(vm.fabric)
+                .append(" orders=")
+                .append(vm.orders)
+                .append(" staged=")
+                .append(vm.staged.orElse(null))
+                .append(vm.leaving ? " leaving " : " ")
+                .append(vm.group.orElse(null)));
+        return live().size() + ":" + text;
+    }
+
+    private boolean isMember(VmId id, GroupMembership group) {
+        SimVm vm = vms.get(id);
+        return vm != null && !vm.dead && vm.group.isPresent() && vm.group.get().sameFormation(group);
+    }
+
+    void run(long millis) {
+        for (long end = nowMillis + millis; nowMillis < end; ) {
+            nowMillis += TICK_MILLIS;
+            moveVms();
+            planners.forEach(this::plan);
+        }
+    }
+
+    private void moveVms() {
+        while (!late.isEmpty() && late.peek().atMillis() <= nowMillis) {
+            Late order = late.poll();
+            SimVm vm = vms.get(order.vm());
+            if (vm != null && !vm.dead && vm.startedMillis == order.startedMillis()) {
+                apply(vm, order.expected(), order.order());
+            }
+        }
+        for (SimVm vm : live()) {
+            if (vm.tick(nowMillis)) {
+                checkOpened(vm);
+            }
+            stallOrBreak(vm);
+        }
+        for (SimVm vm : live()) {
+            if (nowMillis >= leavesAtMillis.getOrDefault(vm.id, Long.MAX_VALUE)) {
+                kill(vm);
+            }
+        }
+        vms.values()
+                .removeIf(vm ->
+                        vm.dead && nowMillis - deadSinceMillis.getOrDefault(vm.id, nowMillis) > 10 * LAPSE_MILLIS);
+    }
+
+    private void stallOrBreak(SimVm vm) {
+        if (vm.group.isEmpty() || vm.group.get().phase() != GroupPhase.OPEN) {
+            return;
+        }
+        boolean whole = vm.members.stream().allMatch(member -> isMember(member, vm.group.get()));
+        if (whole) {
+            vm.stallSinceMillis = -1;
+        } else if (vm.stallSinceMillis < 0) {
+            vm.stallSinceMillis = nowMillis;
+        } else if (nowMillis - vm.stallSinceMillis >= STALL_MILLIS) {
+            vm.phase(GroupPhase.BROKEN);
+        }
+    }
+
+    private void checkOpened(SimVm head) {
+        for (VmId member : head.members) {
+            if (!readyOnce.contains(SimVm.membership(member, head.group.orElseThrow()))) {
+                throw new AssertionError("at " + nowMillis + ": " + head.group + " opened, " + member
+                        + " was never ready in it; members " + head.members);
+            }
+        }
+    }
+
+    private OrderReply apply(SimVm vm, long expected, ReplicaOrder order) {
+        Optional<GroupMembership> before = vm.group;
+        OrderReply reply = vm.take(nowMillis, expected, order);
+        if (reply == OrderReply.BEGUN && order instanceof ReplicaOrder.Join join && before.isPresent()) {
+            checkFree(vm, before.get(), join);
+        }
+        return reply;
+    }
+
+    /** Heads that are dead take nothing; any other must not serve the replica that its member is taken from. */
+    private void checkFree(SimVm vm, GroupMembership before, ReplicaOrder.Join join) {
+        for (SimVm head : live()) {
+            boolean heads = head != vm
+                    && head.group.isPresent()
+                    && head.group.get().rank() == 0
+                    && head.group.get().sameFormation(before);
+            if (heads
+                    && head.group.get().phase() != GroupPhase.BROKEN
+                    && head.group.get().phase() != GroupPhase.JOINING
+                    && head.group.get().phase() != GroupPhase.READY) {
+                throw new AssertionError("at " + nowMillis + ": " + vm.id + " joins " + join.replica() + " while "
+                        + head.id + " is " + head.group);
+            }
+        }
+    }
+
+    private void plan(Planning planning) {
+        List.copyOf(planning.replies).forEach(Runnable::run);
+        planning.replies.clear();
+        learn(planning);
+        Set<VmId> lost = new HashSet<>();
+        for (UpstreamVm vm : planning.table.all()) {
+            if (planning.table.isSilent(vm.id())) {
+                lost.add(vm.id());
+            }
+        }
+        List<UpstreamVm> known = planning.table.all().stream()
+                .sorted(Comparator.comparing(UpstreamVm::id))
+                .toList();
+        List<PlannedOrder> orders = planning.planner.plan(
+                new ReplicaPlanner.Turn(nowMillis, nowMillis, ENGINE, known, lost, beforeTraffic, 1));
+        orders.forEach(order -> send(planning, order));
+        Set<VmId> asked = new HashSet<>(planning.planner.uncounted());
+        asked.addAll(planning.planner.watched());
+        asked.forEach(id -> ask(planning, id));
+    }
+
+    /** Entries come in steps, and each may be half a second old. */
+    private void learn(Planning planning) {
+        for (SimVm vm : vms.values()) {
+            boolean lapsed = vm.dead && nowMillis - deadSinceMillis.get(vm.id) > LAPSE_MILLIS;
+            if (lapsed) {
+                planning.table.removed(vm.id, nowMillis);
+            } else if (random.nextInt(5) == 0 && !vm.dead) {
+                planning.table.listed(vm.entry(), nowMillis - 500, nowMillis);
+            } else if (vm.dead || planning.table.isSilent(vm.id)) {
+                ask(planning, vm.id);
+            }
+        }
+        planning.table.expire(nowMillis);
+    }
+
+    private void ask(Planning planning, VmId id) {
+        SimVm vm = vms.get(id);
+        if (vm == null || vm.dead) {
+            planning.table.missed(id);
+        } else {
+            planning.table.reported(id, vm.report(), nowMillis);
+        }
+    }
+
+    private void send(Planning planning, PlannedOrder order) {
+        SimVm vm = vms.get(order.vm().id());
+        OrderReply reply;
+        if (vm == null || vm.dead || vm.startedMillis != order.vm().startedWallMillis()) {
+            reply = OrderReply.UNKNOWN;
+        } else if (random.nextDouble() < lateOrders) {
+            long delayMillis = 2_000 + random.nextLong(10_000);
+            late.add(new Late(nowMillis + delayMillis, vm.id, vm.startedMillis, order.expectedOrders(), order.order()));
+            reply = OrderReply.UNKNOWN;
+        } else {
+            reply = apply(vm, order.expectedOrders(), order.order());
+        }
+        planning.replies.add(() -> {
+            planning.table.ordered(order, reply, nowMillis);
+            planning.planner.replied(nowMillis, order, reply);
+        });
+    }
+}
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -11,6 +11,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import com.dynatrace.hash4j.hashing.Hashing;
 import org.apricotdeal.kernel.duty.Duty;
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.VmId;
@@ -70,6 +71,7 @@
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, Long> heardMillis = new HashMap<>();
     private final long startedMillis;
+    private final String plannerName;
     private RelayCatalogue catalogue;
     private List<Target> targets = List.of();
     private boolean changed;
@@ -92,10 +94,17 @@
         this.log = log;
         this.metrics = metrics;
         this.startedMillis = clock.monotonicMillis();
+        this.plannerName = plannerName(settings.name(), clock.wallMillis());
         metrics.register("targets", (Gauge<Integer>) () -> targets.size());
         this.duty = new Duty<>("fleet", RING_SLOTS, TICK_MILLIS, this::step, this::tick);
     }
 
+    /** Tells nodes apart by their names, and starts of a node by their time. */
+    private static String plannerName(String node, long wallMillis) {
+        long mixed = Hashing.komihash4_3().hashCharsToLong(node + "/" + wallMillis);
+        return Long.toUnsignedString(mixed, Character.MAX_RADIX);
+    }
+
     void put(FleetEvent event) {
         duty.put(event);
     }
@@ -309,7 +318,7 @@
     private void planOne(long nowMillis, PlannerKey key) {
         ReplicaPlanner planner = planners.get(key);
         if (planner == null) {
-            planner = new ReplicaPlanner(settings.stallMillis());
+            planner = new ReplicaPlanner(plannerName, settings.stallMillis());
             planners.put(key, planner);
             log.state("planner_took_over").with("planner", key).write();
         }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/Formations.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/Formations.java
@@ -100,14 +100,15 @@
     }
 
     /**
-     * Names a replica so that its model can be told from the name.
+     * Names a replica so that its model can be told from the name, and no two planners choose the same name.
      *
      * @param model the model
-     * @param number number of the first formation
+     * @param planner name of the planning node's incarnation
+     * @param number number of the formation
      * @return the name
      */
-    public static ReplicaId name(ModelId model, long number) {
-        return new ReplicaId(model + "." + Long.toString(number, Character.MAX_RADIX));
+    public static ReplicaId name(ModelId model, String planner, long number) {
+        return new ReplicaId(model + "." + planner + "-" + Long.toString(number, Character.MAX_RADIX));
     }
 
     /**
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -52,26 +52,38 @@
     /** Loads under way at once before traffic, when they are short. */
     private static final int FIRST_LOADS = 4;
 
+    /** Time beyond the forming of a replica after which a head that does not say open is told again. */
+    private static final long OPEN_MARGIN_MILLIS = 1_500;
+
+    /** Time for all VMs of a fleet that starts to tell their counts, so that the first replicas are chosen among all. */
+    private static final long COUNTING_MILLIS = 1_000;
+
     private static final long OUTDATED_STEP = 10_000;
 
+    private final String name;
     private final long stallMillis;
     private final OrderBook orders = new OrderBook();
     private final LoadLimit loads = new LoadLimit();
     private final Set<FormationId> released = new HashSet<>();
     private final Map<FormationId, Long> firstSeenMillis = new HashMap<>();
     private final Map<FormationId, Long> leavingSinceMillis = new HashMap<>();
+    private final Map<FormationId, Long> openAgainMillis = new HashMap<>();
     private final Map<VmId, Long> restUntilMillis = new HashMap<>();
     private final Map<VmId, Staging> staging = new HashMap<>();
-    private final Map<FormationId, Integer> planned = new HashMap<>();
+    private final Map<FormationId, Planned> planned = new HashMap<>();
     private final Set<VmId> uncounted = new HashSet<>();
     private long lastNumber;
     private long startedMillis = -1;
+    private boolean awaitsLoads;
     private List<PlannedOrder> out = new ArrayList<>();
     private Turn turn;
 
     /** A load of weights onto a host that this planner ordered. */
     private record Staging(ModelId model, long untilMillis) {}
 
+    /** A replica that this planner ordered its members to join. */
+    private record Planned(ModelId model, long atMillis) {}
+
     /**
      * What a turn is decided on.
      *
@@ -95,9 +107,11 @@
     /**
      * Creates a planner.
      *
+     * @param name letters and digits that no other planner has, also of an earlier start of the same node
      * @param stallMillis time after which a head whose member is gone is broken
      */
-    public ReplicaPlanner(long stallMillis) {
+    public ReplicaPlanner(String name, long stallMillis) {
+        this.name = name;
         this.stallMillis = stallMillis;
     }
 
@@ -181,14 +195,32 @@
                 counts.merge(formation.model(), 1, Integer::sum);
             }
         }
-        firstSeenMillis
-                .keySet()
-                .retainAll(formations.stream().map(Formation::id).toList());
+        forgetGone(formations);
+        countUnseen(formations, counts);
         form(formations, counts);
         stage(counts);
         return out;
     }
 
+    /** Counts replicas whose members have been ordered to join and have not said so yet. */
+    private void countUnseen(List<Formation> formations, Map<ModelId, Integer> counts) {
+        Set<FormationId> seen = new HashSet<>();
+        formations.forEach(formation -> seen.add(formation.id()));
+        planned.forEach((id, replica) -> {
+            if (!seen.contains(id) && turn.nowMillis() - replica.atMillis() < ASSEMBLE_MILLIS) {
+                counts.merge(replica.model(), 1, Integer::sum);
+            }
+        });
+    }
+
+    private void forgetGone(List<Formation> formations) {
+        Set<FormationId> known = new HashSet<>();
+        formations.forEach(formation -> known.add(formation.id()));
+        firstSeenMillis.keySet().retainAll(known);
+        openAgainMillis.keySet().retainAll(known);
+        leavingSinceMillis.keySet().retainAll(known);
+    }
+
     /** Members that left a replica under an earlier planner may have a head that is still open somewhere. */
     private void restAfterTakeOver() {
         if (turn.beforeTraffic()) {
@@ -233,15 +265,23 @@
             return false;
         }
         if (formation.ready() && formation.headPhase() == GroupPhase.READY) {
-            UpstreamVm head = formation.head().orElseThrow();
-            order(
-                    head,
-                    new ReplicaOrder.Open(id.replica(), id.number()),
-                    "all " + formation.size() + " members are ready");
+            open(formation);
         }
         return true;
     }
 
+    private void open(Formation formation) {
+        FormationId id = formation.id();
+        if (turn.nowMillis() < openAgainMillis.getOrDefault(id, 0L)) {
+            return;
+        }
+        UpstreamVm head = formation.head().orElseThrow();
+        String reason = "all " + formation.size() + " members are ready";
+        if (order(head, new ReplicaOrder.Open(id.replica(), id.number()), reason)) {
+            openAgainMillis.put(id, turn.nowMillis() + turn.engine().formMillis() + OPEN_MARGIN_MILLIS);
+        }
+    }
+
     /** Tells whether the missing members have been ordered to join and may still do so. */
     private boolean assembling(Formation formation, long sinceMillis) {
         return planned.containsKey(formation.id())
@@ -284,6 +324,12 @@
                         .add(vm);
             }
         }
+        awaitsLoads = false;
+        boolean countingAtStart = turn.beforeTraffic() && turn.nowMillis() - startedMillis < COUNTING_MILLIS;
+        if (countingAtStart && !uncounted.isEmpty()) {
+            awaitsLoads = true;
+            return;
+        }
         List<UpstreamVm> left = new ArrayList<>();
         for (List<UpstreamVm> domain : free.values()) {
             left.addAll(formIn(domain, counts));
@@ -339,6 +385,7 @@
                     continue;
                 }
                 if (!mayLoad(members, model)) {
+                    awaitsLoads = true;
                     return left;
                 }
                 join(model, members);
@@ -417,8 +464,8 @@
                 .max()
                 .orElse(0);
         lastNumber = Math.max(Math.max(lastNumber, highest) + 1, turn.wallMillis());
-        FormationId id = new FormationId(Formations.name(model.id(), lastNumber), lastNumber);
-        planned.put(id, members.size());
+        FormationId id = new FormationId(Formations.name(model.id(), name, lastNumber), lastNumber);
+        planned.put(id, new Planned(model.id(), turn.nowMillis()));
         List<VmId> ids = members.stream().map(UpstreamVm::id).toList();
         for (UpstreamVm member : members) {
             staging.remove(member.id());
@@ -429,6 +476,9 @@
     // Stage.
 
     private void stage(Map<ModelId, Integer> counts) {
+        if (turn.beforeTraffic() && awaitsLoads) {
+            return;
+        }
         int concurrent = (int) Math.max(1, Math.ceil(turn.engine().concurrentLoads() * turn.loadShare()));
         double perSecond = turn.engine().loadsPerSecond() * turn.loadShare();
         for (UpstreamVm vm : turn.vms()) {
