Believe no entry that a VM has left; take a reset for an error; never end a stream with its connection

(3) found by RelayNodeTest: on a connection that closes after the answer Jetty sends a stream without chunks, so a broken one looks whole. Change: entries move a membership only forward, replies and reports alone end one, an entry that disagrees has its VM asked; connections to upstreams report a reset as an error; streams are always chunked; 8 loads at once while the fleet starts.

--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
@@ -0,0 +1,175 @@
+package org.apricotdeal.proofs.relay;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import org.apricotdeal.kernel.id.FailureDomainId;
+import org.apricotdeal.relay.node.RelayNode;
+import org.apricotdeal.relay.node.RelaySettings;
+import org.apricotdeal.standins.users.UsersStoreStandin;
+import org.apricotdeal.standins.users.UsersWorkerStandin;
+
+/** A node in relay mode before the stand-in of the users' platform: two replicas of two VMs, and one plain service. */
+final class RelayFleet implements AutoCloseable {
+    static final String KEY = "key-1";
+    private static final int READ_TIMEOUT_MILLIS = 8_000;
+
+    final UsersStoreStandin store = new UsersStoreStandin();
+    final List<UsersWorkerStandin> engines = new ArrayList<>();
+    final UsersWorkerStandin service;
+    final RelayNode node;
+    final String callerAddress = freeAddress();
+    final String readinessAddress = freeAddress();
+
+    RelayFleet(int events, long gapMillis) throws Exception {
+        for (int i = 0; i < 4; i++) {
+            engines.add(new UsersWorkerStandin(
+                    store, new UsersWorkerStandin.Settings("e" + i, "chat", "a", "f" + i / 2, events, gapMillis)));
+        }
+        service = new UsersWorkerStandin(store, new UsersWorkerStandin.Settings("s0", "shop", "a", "", 0, 0));
+        String peerAddress = freeAddress();
+        node = new RelayNode(new RelaySettings(
+                "n1",
+                new FailureDomainId("a"),
+                List.of(new FailureDomainId("a")),
+                false,
+                callerAddress,
+                readinessAddress,
+                peerAddress,
+                port(freeAddress()),
+                "users",
+                store.address(),
+                500,
+                1_000,
+                3_000,
+                10_000,
+                0.2,
+                20,
+                1));
+        node.start();
+    }
+
+    /** Writes a configuration with a stream route, a booking route and one customer. */
+    void configure(long version, String... keys) {
+        store.put("op/config", """
+                {"version":%d,"routes":[
+                {"name":"talk","host":"h.example","path-prefix":"/talk/","type":"streaming","timeout-ms":6000,
+                "target-latency-ms":500,"priority":0,"service":"chat","max-attempts":2,"public":false,
+                "session-affinity":true,"stream-resume":true,"target-gap-ms":300},
+                {"name":"book","host":"h.example","path-prefix":"/book/","type":"non_idempotent","timeout-ms":1000,
+                "target-latency-ms":300,"priority":1,"service":"shop","max-attempts":1,"public":false}],
+                "services":[{"name":"chat","health-path":"/h","max-connections":50,"protocol":"h1","tls":false,
+                "engine":{"slots":4,"kv-capacity":1000,"stride":5,"models":[{"name":"m1","size":2,"share":1.0,"pace":1.0,
+                "load-s":0.1,"warm-s":0.1}],"step_ms":1,"per_seq_ms":0.1,"context_per_k":0.01,"read_per_s":45900.0,
+                "loads-per-s":50.0,"loads_at_once":7,"usual":{"prompt":10,"answer":10},"form-ms":50,"far_x":2.5,
+                "report_lag_ms":0}},
+                {"name":"shop","health-path":"/h","max-connections":50,"protocol":"h1","tls":false}],
+                "limits":{"max-header-bytes":16384,"max-body-bytes":100000,"header-timeout-ms":3000,
+                "idle-timeout-ms":15000},
+                "tenants":[{"name":"customer-1","api-keys":["%s"],"priority":1}]}""".formatted(version, String.join("\",\"", keys)));
+    }
+
+    void awaitServing(int seconds) {
+        await(seconds, () -> call("POST", "/talk/x", "warm", KEY).startsWith("HTTP/1.1 200"));
+    }
+
+    static void await(int seconds, BooleanSupplier condition) {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > endNanos) {
+                throw new AssertionError("not so within " + seconds + " s");
+            }
+            pause(50);
+        }
+    }
+
+    static void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Sends a request on a connection of its own and reads until the connection closes. */
+    String call(String method, String path, String id, String key) {
+        try (Socket socket = connect(callerAddress)) {
+            send(socket, method, path, id, key);
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            return "failed: " + e;
+        }
+    }
+
+    String readiness() throws IOException {
+        try (Socket socket = connect(readinessAddress)) {
+            socket.getOutputStream()
+                    .write("GET /readyz HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n"
+                            .getBytes(StandardCharsets.UTF_8));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    private static int port(String address) {
+        return Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    }
+
+    Socket connect(String address) throws IOException {
+        Socket socket = new Socket();
+        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port(address)));
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        return socket;
+    }
+
+    static void send(Socket socket, String method, String path, String id, String key) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        String body = method.equals("POST") ? "question" : "";
+        String request = """
+                %s %s HTTP/1.1
+                Host: h.example
+                Connection: close
+                X-Attempt-Id: %s
+                X-Model: m1
+                X-Tenant: forged
+                X-Target-Instance: forged
+                X-Deadline-Ms: 5000
+                Authorization: Bearer %s
+                Content-Length: %d
+
+                """.formatted(method, path, id, key, body.length()).replace("\n", "\r\n");
+        out.write((request + body).getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+
+    static String readSome(InputStream in) throws IOException {
+        byte[] bytes = new byte[1_024];
+        int read = in.read(bytes);
+        return read < 0 ? "" : new String(bytes, 0, read, StandardCharsets.UTF_8);
+    }
+
+    private static String freeAddress() {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return "127.0.0.1:" + socket.getLocalPort();
+        } catch (IOException e) {
+            throw new IllegalStateException("no free port", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        node.close();
+        engines.forEach(UsersWorkerStandin::close);
+        service.close();
+        store.close();
+    }
+}
--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayNodeTest.java
@@ -0,0 +1,196 @@
+package org.apricotdeal.proofs.relay;
+
+import java.net.Socket;
+import java.util.List;
+import java.util.Map;
+
+import org.apricotdeal.standins.users.UsersStoreStandin;
+import org.apricotdeal.standins.users.UsersWorkerStandin;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** The whole path of a node in relay mode before the stand-in of the users' platform. */
+public final class RelayNodeTest {
+    private RelayFleet fleet;
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        if (fleet != null) {
+            fleet.close();
+            fleet = null;
+        }
+    }
+
+    private void start(int events, long gapMillis) throws Exception {
+        fleet = new RelayFleet(events, gapMillis);
+        fleet.configure(3, RelayFleet.KEY);
+        fleet.awaitServing(15);
+    }
+
+    private static List<Map<String, String>> runsOf(RelayFleet fleet, String id) {
+        return fleet.engines.stream()
+                .flatMap(engine -> engine.runs().stream())
+                .filter(run -> run.get("x-attempt-id").equals(id))
+                .toList();
+    }
+
+    private UsersWorkerStandin runner(String id) {
+        RelayFleet.await(5, () -> !runsOf(fleet, id).isEmpty());
+        return fleet.engines.stream()
+                .filter(engine -> engine.runs().stream()
+                        .anyMatch(run -> run.get("x-attempt-id").equals(id)))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static void assertEvents(String answer, int events) {
+        for (int i = 1; i <= events; i++) {
+            String event = "id: " + i + "\ndata: token " + i + "\n\n";
+            int at = answer.indexOf(event);
+            assertTrue(at >= 0, "event " + i + " is missing in " + answer);
+            assertEquals(answer.lastIndexOf(event), at, "event " + i + " came twice");
+        }
+    }
+
+    @Test
+    public void nodeWithoutCatalogueAnswersNeitherYesNorNo() throws Exception {
+        fleet = new RelayFleet(1, 1);
+        assertTrue(fleet.call("POST", "/talk/x", "r1", RelayFleet.KEY).startsWith("HTTP/1.1 503"));
+        assertTrue(fleet.readiness().startsWith("HTTP/1.1 503"));
+    }
+
+    @Test
+    public void streamPassesUnchangedWithTheSystemsOwnHeaders() throws Exception {
+        start(4, 5);
+        String answer = fleet.call("POST", "/talk/a%20b?q=1", "r1", RelayFleet.KEY);
+        assertTrue(answer.contains("X-Response-Signature: signed-"), answer);
+        assertEvents(answer, 4);
+        Map<String, String> run = runsOf(fleet, "r1").getFirst();
+        assertEquals(run.get("x-tenant"), "customer-1");
+        assertTrue(run.get("x-target-instance").startsWith("e"), run.toString());
+        assertEquals(run.get("path"), "/talk/a%20b");
+        assertEquals(run.get("body"), "question");
+        assertFalse(run.containsKey("authorization"));
+        assertTrue(Integer.parseInt(run.get("x-deadline-ms")) <= 5_000);
+    }
+
+    @Test
+    public void unknownRouteAndUnknownKeyAreRefused() throws Exception {
+        start(1, 1);
+        assertTrue(fleet.call("GET", "/nowhere/x", "r1", RelayFleet.KEY).startsWith("HTTP/1.1 404"));
+        assertTrue(fleet.call("POST", "/book/x", "r2", "other").startsWith("HTTP/1.1 401"));
+        assertEquals(fleet.service.runs(), List.of());
+    }
+
+    @Test
+    public void streamGoesOnAtTheOtherReplicaAfterTheLastWholeEvent() throws Exception {
+        start(8, 20);
+        fleet.engines.forEach(engine -> engine.breakStreamsAfter(5));
+        String answer = fleet.call("POST", "/talk/x", "r1", RelayFleet.KEY);
+        assertEvents(answer, 8);
+        assertTrue(answer.endsWith("0\r\n\r\n"), answer);
+        List<Map<String, String>> runs = runsOf(fleet, "r1");
+        assertEquals(runs.size(), 2);
+        assertEquals(
+                runs.stream()
+                        .filter(run -> "5".equals(run.get("last-event-id")))
+                        .count(),
+                1);
+    }
+
+    /** Also where the connection closes after the answer, which would otherwise end with it. */
+    @Test
+    public void streamThatBreaksOffForGoodDoesNotLookWhole() throws Exception {
+        start(8, 20);
+        fleet.engines.forEach(engine -> engine.breakStreamsAfter(2));
+        String answer = fleet.call("POST", "/talk/x", "r1", RelayFleet.KEY);
+        assertTrue(answer.contains("Transfer-Encoding: chunked"), answer);
+        assertFalse(answer.endsWith("0\r\n\r\n"), answer);
+    }
+
+    @Test
+    public void streamThatFallsSilentGoesOnElsewhere() throws Exception {
+        start(40, 25);
+        Thread silencer = Thread.ofPlatform().start(() -> {
+            UsersWorkerStandin runner = runner("r1");
+            RelayFleet.pause(200);
+            runner.fallSilent();
+        });
+        String answer = fleet.call("POST", "/talk/x", "r1", RelayFleet.KEY);
+        silencer.join();
+        assertEvents(answer, 40);
+    }
+
+    @Test
+    public void callerWhoLeavesIsNoticedAndItsWorkEnded() throws Exception {
+        start(200, 20);
+        try (Socket socket = fleet.connect(fleet.callerAddress)) {
+            RelayFleet.send(socket, "POST", "/talk/x", "r1", RelayFleet.KEY);
+            assertTrue(RelayFleet.readSome(socket.getInputStream()).startsWith("HTTP/1.1 200"));
+        }
+        UsersWorkerStandin runner = runner("r1");
+        RelayFleet.await(1, () -> runner.cutOff().contains("r1"));
+    }
+
+    @Test
+    public void answerToAnotherRequestIsNeverPassedOn() throws Exception {
+        start(1, 1);
+        fleet.service.echo("another");
+        String answer = fleet.call("POST", "/book/x", "r1", RelayFleet.KEY);
+        assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+        assertEquals(fleet.service.runs().size(), 1);
+    }
+
+    @Test
+    public void bookingOfASilentServiceEndsAsUnknownAndRanOnce() throws Exception {
+        start(1, 1);
+        fleet.service.fallSilent();
+        String answer = fleet.call("POST", "/book/x", "r1", RelayFleet.KEY);
+        assertTrue(answer.startsWith("HTTP/1.1 504"), answer);
+    }
+
+    @Test
+    public void leavingWorkerGetsNothingNewWithinTwoSeconds() throws Exception {
+        start(1, 1);
+        fleet.service.drain();
+        RelayFleet.await(
+                2, () -> fleet.call("POST", "/book/x", "r1", RelayFleet.KEY).startsWith("HTTP/1.1 503"));
+        int runs = fleet.service.runs().size();
+        assertTrue(fleet.call("POST", "/book/x", "r2", RelayFleet.KEY).startsWith("HTTP/1.1 503"));
+        assertEquals(fleet.service.runs().size(), runs);
+    }
+
+    /** A watch that was sent while the store was silent must not outlast its return. */
+    @Test
+    public void catalogueIsInForceTwoSecondsAfterASilentStoreIsBack() throws Exception {
+        start(1, 1);
+        fleet.store.setMode(UsersStoreStandin.Mode.SILENT);
+        RelayFleet.pause(4_000);
+        fleet.store.setMode(UsersStoreStandin.Mode.SERVING);
+        fleet.configure(9, "key-2");
+        RelayFleet.await(2, () -> fleet.call("POST", "/book/x", "r1", "key-2").startsWith("HTTP/1.1 200"));
+        assertTrue(fleet.call("POST", "/book/x", "r2", RelayFleet.KEY).startsWith("HTTP/1.1 401"));
+    }
+
+    @Test
+    public void olderCatalogueNeverComesIntoForce() throws Exception {
+        start(1, 1);
+        fleet.configure(2, "key-2");
+        RelayFleet.pause(1_000);
+        assertTrue(fleet.call("POST", "/book/x", "r1", RelayFleet.KEY).startsWith("HTTP/1.1 200"));
+    }
+
+    @Test
+    public void lostHistoryIsReadAgainAndWhatIsMissingHasLeft() throws Exception {
+        start(1, 1);
+        fleet.store.remove("servers/s0");
+        fleet.store.compact();
+        RelayFleet.await(
+                2, () -> fleet.call("POST", "/book/x", "r1", RelayFleet.KEY).startsWith("HTTP/1.1 503"));
+        assertTrue(fleet.call("POST", "/talk/x", "r2", RelayFleet.KEY).startsWith("HTTP/1.1 200"));
+    }
+}
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ReplicaPlannerTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ReplicaPlannerTest.java
@@ -72,11 +72,13 @@
     public void randomFaultsNeverBreakAnInvariant(long seed) {
         SimFleet fleet = started(seed);
         fleet.lateOrders = seed % 3 == 0 ? 0 : 0.3;
+        fleet.oldEntries = seed % 2 == 0 ? 0 : 0.9;
         for (int i = 0; i < 40; i++) {
             fault(fleet);
             fleet.run(200 + fleet.random.nextLong(2_500));
         }
         fleet.lateOrders = 0;
+        fleet.oldEntries = 0;
         fleet.replacePlanner();
         fleet.run(60_000);
         long whole = fleet.serving("m0") * 4 + fleet.serving("m1") * 2;
--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/UsersRecordsTest.java
@@ -0,0 +1,102 @@
+package org.apricotdeal.proofs.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+import org.apricotdeal.adapter.UsersPlatform;
+import org.apricotdeal.kernel.result.Result;
+import org.apricotdeal.relay.model.GroupPhase;
+import org.apricotdeal.relay.model.RelayCatalogue;
+import org.apricotdeal.relay.model.Repeatability;
+import org.apricotdeal.relay.model.RouteEntry;
+import org.apricotdeal.relay.model.UpstreamVm;
+import org.apricotdeal.relay.port.RecordCodec;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Records of the users' store, whole, with unknown fields, and spoiled. */
+public final class UsersRecordsTest {
+    private static final RecordCodec CODEC = new UsersPlatform().codec();
+    private static final String ENTRY = """
+            {"service":"chat","address":"10.128.0.9:8080","zone":"a","version":"v1","slots":12,"state":"ready",
+            "cold-remaining-ms":0,"phase":"unified","models":[{"name":"m0","version":1,"adapters":[]}],"sequence":4,
+            "domain":"d1","staged-models":["m0"],"born":1700000000000,"future":{"a":1},
+            "group":{"name":"m0.x-1","epoch":12,"rank":1,"state":"ready"}}""";
+
+    private static Optional<UpstreamVm> vm(String json) {
+        return CODEC.vm("i-1", json.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    public void entryIsReadWhole() {
+        UpstreamVm vm = vm(ENTRY).orElseThrow();
+        assertEquals(vm.slots(), 12);
+        assertEquals(vm.startedWallMillis(), 1_700_000_000_000L);
+        assertEquals(vm.fabricDomain().orElseThrow().value(), "d1");
+        assertEquals(vm.staged().getFirst().value(), "m0");
+        assertEquals(vm.group().orElseThrow().phase(), GroupPhase.READY);
+        assertEquals(vm.group().orElseThrow().rank(), 1);
+    }
+
+    /** The entry numbers its check-ins in the field that a report uses for the count of orders. */
+    @Test
+    public void entryTellsNoCountOfOrders() {
+        assertEquals(vm(ENTRY).orElseThrow().orders(), UpstreamVm.ORDERS_UNKNOWN);
+    }
+
+    @DataProvider
+    public Object[][] spoiled() {
+        return new Object[][] {
+            {"\"service\":\"chat\",", ""},
+            {"\"slots\":12", "\"slots\":\"12\""},
+            {"\"state\":\"ready\",\n\"cold", "\"state\":\"resting\",\n\"cold"},
+            {"\"address\":\"10.128.0.9:8080\"", "\"address\":7"},
+            {"\"zone\":\"a\"", "\"zone\":null"},
+            {"\"sequence\":4", "\"sequence\":4.5"},
+            {"\"born\":1700000000000", "\"born\":\"yesterday\""},
+            {"\"epoch\":12", "\"epoch\":\"x\""},
+            {"{\"service\"", "{{\"service\""},
+        };
+    }
+
+    @Test(dataProvider = "spoiled")
+    public void spoiledEntryNamesNoVm(String part, String replacement) {
+        assertTrue(ENTRY.contains(part), part);
+        assertEquals(vm(ENTRY.replace(part, replacement)), Optional.empty());
+    }
+
+    @Test
+    public void catalogueMatchesTheLongestPrefixOfTheHost() {
+        String json = """
+                {"version":7,"routes":[
+                {"name":"r1","host":"h","path-prefix":"/a/","type":"idempotent","timeout-ms":800,"target-latency-ms":100,
+                "priority":2,"service":"shop","max-attempts":2,"public":true},
+                {"name":"r2","host":"h","path-prefix":"/a/b/","type":"streaming","timeout-ms":8000,
+                "traffic-split":[{"service":"chat","weight":90},{"service":"shop","weight":10}],"stream-resume":true}],
+                "services":[{"name":"chat"},{"name":"shop"}],"limits":{"max-body-bytes":5},
+                "tenants":[{"name":"c","api-keys":["k1","k2"]}]}""";
+        Result<RelayCatalogue, String> read = CODEC.catalogue(json.getBytes(StandardCharsets.UTF_8));
+        RelayCatalogue catalogue = ((Result.Ok<RelayCatalogue, String>) read).value();
+        RouteEntry route = catalogue.route("H", "/a/b/c").orElseThrow();
+        assertEquals(route.name(), "r2");
+        assertEquals(route.repeatability(), Repeatability.STREAM);
+        assertEquals(route.upstreams().size(), 2);
+        assertEquals(catalogue.route("h", "/a/c").orElseThrow().name(), "r1");
+        assertEquals(catalogue.route("h", "/a"), Optional.empty());
+        assertEquals(catalogue.customer("k2").orElseThrow().name(), "c");
+        assertEquals(catalogue.bounds().maxBodyBytes(), 5);
+    }
+
+    @DataProvider
+    public Object[][] unreadable() {
+        return new Object[][] {{""}, {"[]"}, {"{\"routes\":[]}"}, {"{\"version\":1,\"routes\":[{\"host\":\"h\"}]}"}};
+    }
+
+    @Test(dataProvider = "unreadable")
+    public void unreadableCatalogueIsAnError(String json) {
+        assertTrue(CODEC.catalogue(json.getBytes(StandardCharsets.UTF_8)) instanceof Result.Err, json);
+    }
+}
--- a/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
@@ -130,6 +130,8 @@
     void beginStream(int status, HttpFields upstreamHeaders) {
         if (begun.compareAndSet(false, true)) {
             head(status, upstreamHeaders);
+            // Without chunks the answer would end with its connection, and one that is broken off would look whole.
+            response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED);
         }
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -127,13 +127,16 @@
 
     private void step(FleetEvent event) {
         switch (event) {
-            case FleetEvent.ListedAll(List<UpstreamVm> vms, long removeAtMillis, long asOfMillis) -> {
-                table.listedAll(vms, removeAtMillis, asOfMillis, clock.monotonicMillis());
+            case FleetEvent.ListedAll(List<UpstreamVm> vms, long removeAtMillis) -> {
+                table.listedAll(vms, removeAtMillis, clock.monotonicMillis())
+                        .forEach(vm -> ask(vm, REPORT_PERIOD_MILLIS));
                 sawVms = true;
                 changed = true;
             }
-            case FleetEvent.Listed(UpstreamVm vm, long asOfMillis) -> {
-                table.listed(vm, asOfMillis, clock.monotonicMillis());
+            case FleetEvent.Listed(UpstreamVm vm) -> {
+                if (table.listed(vm, clock.monotonicMillis())) {
+                    ask(vm.id(), REPORT_PERIOD_MILLIS);
+                }
                 changed = true;
             }
             case FleetEvent.Removed(VmId vm, long removeAtMillis) -> {
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetEvent.java
@@ -14,11 +14,11 @@
 
 /** What the fleet duty takes note of. */
 sealed interface FleetEvent {
-    /** The store listed all VMs as of some time; those missing are removed at the given time unless they come back. */
-    record ListedAll(List<UpstreamVm> vms, long removeAtMillis, long asOfMillis) implements FleetEvent {}
+    /** The store listed all VMs; those missing are removed at the given time unless they come back. */
+    record ListedAll(List<UpstreamVm> vms, long removeAtMillis) implements FleetEvent {}
 
-    /** A VM wrote its entry, some time after the given one. */
-    record Listed(UpstreamVm vm, long asOfMillis) implements FleetEvent {}
+    /** A VM wrote its entry. */
+    record Listed(UpstreamVm vm) implements FleetEvent {}
 
     /** A VM's entry is gone; the VM is removed at the given time unless the entry comes back. */
     record Removed(VmId vm, long removeAtMillis) implements FleetEvent {}
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayClients.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayClients.java
@@ -3,7 +3,6 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
-import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.SocketAddressResolver;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
@@ -35,7 +34,7 @@
     }
 
     static HttpClient start(QueuedThreadPool threads) {
-        ClientConnector connector = new ClientConnector();
+        UpstreamConnector connector = new UpstreamConnector();
         connector.setSelectors(1);
         HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
         client.setExecutor(threads);
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -130,6 +130,22 @@
                 .write();
     }
 
+    /** Closes at once, cutting off what is in progress. */
+    public void close() {
+        storeThreads.forEach(StoreThread::close);
+        try {
+            server.stop();
+            client.stop();
+            threads.stop();
+        } catch (Exception e) {
+            throw new IllegalStateException("the node cannot stop", e);
+        }
+        heartbeats.close();
+        fleet.close();
+        relay.close();
+        log.close();
+    }
+
     private static void sleep(long millis) {
         try {
             TimeUnit.MILLISECONDS.sleep(millis);
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
@@ -95,6 +95,10 @@
         server.start();
     }
 
+    void stop() throws Exception {
+        server.stop();
+    }
+
     void drain() {
         draining = true;
     }
--- a/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
@@ -31,7 +31,6 @@
     private final RecordCodec codec;
     private final FleetDuty fleet;
     private long revision = -1;
-    private long asOfMillis;
 
     VmWatcher(WatchStore store, RecordCodec codec, FleetDuty fleet, Clock clock, DecisionLog log) {
         super("vms", clock, log);
@@ -46,15 +45,13 @@
     }
 
     private long list() {
-        long calledMillis = clock().monotonicMillis();
         return switch (store.range(codec.vmPrefix(), false)) {
             case Result.Err<WatchStore.Range, StoreFault>(StoreFault fault) -> failed(fault);
             case Result.Ok<WatchStore.Range, StoreFault>(WatchStore.Range range) -> {
                 answered();
                 List<UpstreamVm> vms = new ArrayList<>();
                 range.items().forEach(item -> vm(item).ifPresent(vms::add));
-                fleet.put(new FleetEvent.ListedAll(vms, removeAtMillis(), calledMillis));
-                asOfMillis = calledMillis;
+                fleet.put(new FleetEvent.ListedAll(vms, removeAtMillis()));
                 revision = range.revision();
                 yield STEP_MILLIS;
             }
@@ -71,7 +68,6 @@
             case Result.Ok<WatchStore.Changes, StoreFault>(WatchStore.Changes changes) -> {
                 answered();
                 take(changes.changes());
-                asOfMillis = clock().monotonicMillis();
                 revision = Math.max(revision, changes.revision());
                 yield STEP_MILLIS;
             }
@@ -84,7 +80,7 @@
         for (StoreChange change : changes) {
             switch (change) {
                 case StoreChange.Written(Versioned item) ->
-                    vm(item).ifPresent(vm -> last.put(vm.id(), new FleetEvent.Listed(vm, asOfMillis)));
+                    vm(item).ifPresent(vm -> last.put(vm.id(), new FleetEvent.Listed(vm)));
                 case StoreChange.Deleted(String key, long atRevision) ->
                     id(key).ifPresent(id -> last.put(id, new FleetEvent.Removed(id, removeAtMillis())));
             }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -50,7 +50,7 @@
     private static final long ASSEMBLE_MILLIS = 4_000;
 
     /** Loads under way at once before traffic, when they are short. */
-    private static final int FIRST_LOADS = 4;
+    private static final int FIRST_LOADS = 8;
 
     /** Time beyond the forming of a replica after which a head that does not say open is told again. */
     private static final long OPEN_MARGIN_MILLIS = 1_500;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -1,5 +1,6 @@
 package org.apricotdeal.relay.policy;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -16,15 +17,18 @@
 
 /**
  * What a node believes of the VMs, from the store's entries, the VMs' own reports and the replies to orders. These overtake
- * each other. Entries do not count orders, so what they say of a membership is weighed by its formation's number and phase,
- * which only rise, and by the time up to which the entry may be old.
+ * each other.
+ *
+ * <p>An entry may be old, also when it has just been written: a VM that is cut off from the store leaves its last one there,
+ * and a delayed write arrives late. So an entry moves a membership only forward, by the formation's number and the phase in
+ * it, and never ends one. That a VM has left is believed of the reply to an order and of the VM's own report.
  */
 public final class VmTable {
     /** Calls for a VM's state without an answer after which it counts as lost, although it is listed. */
     private static final int LOST_AFTER_MISSES = 2;
 
     /** A report may be this old: the platform's lag, and the way. */
-    private static final long REPORT_AGE_MILLIS = 400;
+    private static final long REPORT_AGE_MILLIS = 600;
 
     private final Map<VmId, Known> vms = new HashMap<>();
 
@@ -32,6 +36,7 @@
     private static final class Known {
         private UpstreamVm vm;
         private long groupLearnedMillis;
+        private long leftNumber = -1;
         private int misses;
         private long removeAtMillis = Long.MAX_VALUE;
 
@@ -44,22 +49,23 @@
      * Takes a VM's entry.
      *
      * @param entry the entry
-     * @param asOfMillis time after which it was written, as far as is known
      * @param nowMillis time
+     * @return true where the entry names no replica, although the VM is believed to be in one: it should be asked
      */
-    public void listed(UpstreamVm entry, long asOfMillis, long nowMillis) {
+    public boolean listed(UpstreamVm entry, long nowMillis) {
         Known known = vms.get(entry.id());
         if (known == null || entry.startedWallMillis() > known.vm.startedWallMillis()) {
             Known fresh = new Known(entry);
             fresh.groupLearnedMillis = nowMillis;
             vms.put(entry.id(), fresh);
-            return;
+            return false;
         }
         if (entry.startedWallMillis() < known.vm.startedWallMillis()) {
-            return;
+            return false;
         }
         known.removeAtMillis = Long.MAX_VALUE;
-        learn(known, entry.with(known.vm.orders(), newer(known, entry.group(), asOfMillis)), nowMillis);
+        learn(known, entry.with(known.vm.orders(), further(known, entry.group())), nowMillis);
+        return entry.group().isEmpty() && known.vm.group().isPresent();
     }
 
     /**
@@ -81,12 +87,18 @@
      *
      * @param entries all entries
      * @param removeAtMillis time until which VMs without an entry are kept
-     * @param asOfMillis time at which the entries were read
      * @param nowMillis time
+     * @return VMs that should be asked, as after {@link #listed}
      */
-    public void listedAll(Collection<UpstreamVm> entries, long removeAtMillis, long asOfMillis, long nowMillis) {
+    public List<VmId> listedAll(Collection<UpstreamVm> entries, long removeAtMillis, long nowMillis) {
         vms.keySet().forEach(id -> removed(id, removeAtMillis));
-        entries.forEach(entry -> listed(entry, asOfMillis, nowMillis));
+        List<VmId> doubtful = new ArrayList<>();
+        for (UpstreamVm entry : entries) {
+            if (listed(entry, nowMillis)) {
+                doubtful.add(entry.id());
+            }
+        }
+        return doubtful;
     }
 
     /**
@@ -118,9 +130,16 @@
         if (report.orders() < known.vm.orders()) {
             return;
         }
-        Optional<GroupMembership> group = report.orders() > known.vm.orders()
-                ? report.group()
-                : newer(known, report.group(), nowMillis - REPORT_AGE_MILLIS);
+        boolean counted = known.vm.orders() != UpstreamVm.ORDERS_UNKNOWN;
+        boolean mayBeOlder = nowMillis - known.groupLearnedMillis < REPORT_AGE_MILLIS;
+        if (!counted
+                && mayBeOlder
+                && known.vm.group().isPresent()
+                && report.group().isEmpty()) {
+            return;
+        }
+        Optional<GroupMembership> group =
+                report.orders() > known.vm.orders() ? report.group() : further(known, report.group());
         learn(known, known.vm.withWeights(report).with(report.orders(), group), nowMillis);
     }
 
@@ -173,18 +192,21 @@
         if (!vm.group().equals(known.vm.group())) {
             known.groupLearnedMillis = nowMillis;
         }
+        if (vm.group().isEmpty()) {
+            known.vm.group().ifPresent(left -> known.leftNumber = left.number());
+        }
         known.vm = vm;
     }
 
-    /** Chooses between the membership that is known and one that was true some time after the given one. */
-    private static Optional<GroupMembership> newer(Known known, Optional<GroupMembership> said, long asOfMillis) {
+    /** Chooses the membership that is further on; one that the VM is known to have left does not come back. */
+    private static Optional<GroupMembership> further(Known known, Optional<GroupMembership> said) {
         Optional<GroupMembership> before = known.vm.group();
-        if (asOfMillis > known.groupLearnedMillis || said.equals(before)) {
-            return said;
-        }
-        if (said.isEmpty() || before.isEmpty()) {
+        if (said.isEmpty() || said.get().number() <= known.leftNumber) {
             return before;
         }
+        if (before.isEmpty()) {
+            return said;
+        }
         int order = Long.compare(said.get().number(), before.get().number());
         if (order == 0) {
             order = said.get().phase().compareTo(before.get().phase());
--- /dev/null
+++ b/standins/src/main/java/org/apricotdeal/standins/users/UsersStoreStandin.java
@@ -0,0 +1,189 @@
+package org.apricotdeal.standins.users;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
+
+/** The users' key-value store on a port of its own, with the troubles that tests cause. */
+public final class UsersStoreStandin implements AutoCloseable {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final long EXPIRE_MILLIS = 50;
+
+    private final UsersStore store = new UsersStore();
+    private final Server server = new Server();
+    private final ServerConnector connector = new ServerConnector(server);
+    private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor(
+            Thread.ofPlatform().daemon(true).factory());
+    private final AtomicInteger calls = new AtomicInteger();
+    private volatile Mode mode = Mode.SERVING;
+
+    /** What the store does with calls. */
+    public enum Mode {
+        /** Answers them. */
+        SERVING,
+        /** Takes them and never answers, also those that wait. */
+        SILENT,
+        /** Answers 503. */
+        BUSY
+    }
+
+    /** Starts the store on loopback. */
+    public UsersStoreStandin() {
+        connector.setHost("127.0.0.1");
+        server.addConnector(connector);
+        server.setStopTimeout(0);
+        server.setHandler(new Calls());
+        try {
+            server.start();
+        } catch (Exception e) {
+            throw new IllegalStateException("the stand-in store cannot start", e);
+        }
+        var unused = clock.scheduleAtFixedRate(
+                () -> store.expire(System.currentTimeMillis()), EXPIRE_MILLIS, EXPIRE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Returns where the store listens.
+     *
+     * @return host and port
+     */
+    public String address() {
+        return "127.0.0.1:" + connector.getLocalPort();
+    }
+
+    /**
+     * Sets what the store does with calls from now on.
+     *
+     * @param changed the mode
+     */
+    public void setMode(Mode changed) {
+        mode = changed;
+    }
+
+    /**
+     * Returns how many calls came.
+     *
+     * @return number of calls, also of those that were not answered
+     */
+    public int calls() {
+        return calls.get();
+    }
+
+    /** Drops the history, so that watches have to read all keys again. */
+    public void compact() {
+        store.compact();
+    }
+
+    /**
+     * Writes a key as the operator or a worker does.
+     *
+     * @param key the key
+     * @param json its value
+     */
+    public void put(String key, String json) {
+        store.put(key, Base64.getEncoder().encodeToString(json.getBytes(StandardCharsets.UTF_8)), 0);
+    }
+
+    /**
+     * Removes a key.
+     *
+     * @param key the key
+     */
+    public void remove(String key) {
+        store.remove(key);
+    }
+
+    @Override
+    public void close() {
+        clock.shutdownNow();
+        try {
+            server.stop();
+        } catch (Exception e) {
+            throw new IllegalStateException("a stand-in's server could not be stopped", e);
+        }
+    }
+
+    /** The store's calls. */
+    private final class Calls extends Handler.Abstract {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) throws Exception {
+            calls.incrementAndGet();
+            if (mode == Mode.SILENT) {
+                return true;
+            }
+            if (mode == Mode.BUSY) {
+                reply(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503, JsonNodeFactory.instance.objectNode());
+                return true;
+            }
+            String path = request.getHttpURI().getPath();
+            ObjectNode answer = answer(path, Request.extractQueryParameters(request), request);
+            if (mode == Mode.SILENT) {
+                return true;
+            }
+            if (answer == null) {
+                boolean watch = path.equals("/kv-watch");
+                reply(
+                        response,
+                        callback,
+                        watch ? HttpStatus.GONE_410 : HttpStatus.NOT_FOUND_404,
+                        JsonNodeFactory.instance.objectNode());
+                return true;
+            }
+            reply(response, callback, HttpStatus.OK_200, answer);
+            return true;
+        }
+
+        private ObjectNode answer(String path, Fields query, Request request) throws Exception {
+            long nowMillis = System.currentTimeMillis();
+            if (path.startsWith("/kv-keep/")) {
+                return store.keep(lastNumber(path), nowMillis);
+            }
+            if (path.startsWith("/kv-lease-end/")) {
+                store.end(lastNumber(path));
+                return JsonNodeFactory.instance.objectNode();
+            }
+            return switch (path) {
+                case "/kv-range" -> store.range(query.getValue("path-prefix"), query.getValue("after"));
+                case "/kv-watch" ->
+                    store.watch(
+                            query.getValue("path-prefix"),
+                            Long.parseLong(query.getValue("after")),
+                            Long.parseLong(query.getValue("wait-ms")));
+                case "/kv-txn" -> store.write(MAPPER.readTree(Content.Source.asString(request)));
+                case "/kv-lease" ->
+                    store.grant(
+                            MAPPER.readTree(Content.Source.asString(request))
+                                    .path("ttl-ms")
+                                    .asLong(),
+                            nowMillis);
+                default -> null;
+            };
+        }
+
+        private static long lastNumber(String path) {
+            return Long.parseLong(path.substring(path.lastIndexOf('/') + 1));
+        }
+
+        private static void reply(Response response, Callback callback, int status, ObjectNode body) {
+            response.setStatus(status);
+            response.write(true, ByteBuffer.wrap(body.toString().getBytes(StandardCharsets.UTF_8)), callback);
+        }
+    }
+}
