Try a target in doubt again when it is the only one; take two stalls for a plain service

Each of the three workers had lost one answer and was put in doubt; with all in doubt a request was refused before it could try one, so none ever recovered. Ruled out: the workers (they served the other nodes). Change: a line is without targets only where none may be tried; a hung request of before is no new sign of a stall; a plain service is in doubt after two stalls in a row. Tests: targetInDoubtIsTriedAgain..., plainServiceIsInDoubtAfterTwoStallsInARow.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayDispatcherTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayDispatcherTest.java
@@ -3,13 +3,18 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
+import org.apricotdeal.kernel.id.UpstreamId;
+import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.Repeatability;
 import org.apricotdeal.relay.policy.AttemptOutcome;
+import org.apricotdeal.relay.policy.LineId;
 import org.apricotdeal.relay.policy.RefusalReason;
 import org.apricotdeal.relay.policy.RelayAction;
 import org.apricotdeal.relay.policy.RelayEvent;
+import org.apricotdeal.relay.policy.Target;
 import org.apricotdeal.relay.policy.TargetId;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -121,6 +126,35 @@
         assertNotEquals(RelayFixture.onlySend(actions).target(), sent.target());
     }
 
+    /** A line whose targets are all in doubt tries them again, one request at a time. */
+    @Test
+    public void targetInDoubtIsTriedAgainAlsoWhereItIsTheOnlyOne() {
+        RelayFixture relay = new RelayFixture();
+        relay.targets(RelayFixture.target("v1", 2));
+        RelayFixture.onlySend(relay.arrive(Repeatability.STREAM));
+        assertEquals(RelayFixture.of(relay.pass(1_000), RelayAction.Doubt.class).size(), 1);
+        relay.pass(RelayFixture.TIMEOUT_MILLIS);
+        RelayAction.Send tried = RelayFixture.onlySend(relay.arrive(Repeatability.STREAM));
+        relay.pass(100);
+        relay.step(new RelayEvent.Started(tried.id()));
+        relay.step(new RelayEvent.Finished(tried.id()));
+        RelayFixture.onlySend(relay.arrive(Repeatability.STREAM));
+        RelayFixture.onlySend(relay.arrive(Repeatability.STREAM));
+    }
+
+    /** One lost answer says little of a service that works on one request at a time. */
+    @Test
+    public void plainServiceIsInDoubtAfterTwoStallsInARow() {
+        RelayFixture relay = new RelayFixture();
+        LineId shop = new LineId(new UpstreamId("shop"), Optional.empty());
+        Target target = new Target(
+                new TargetId(new VmId("s1"), 1), shop, "s1:80", RelayFixture.HOME, 6, List.of(new VmId("s1")));
+        relay.targets(target);
+        relay.step(new RelayEvent.Arrived(relay.arrival(shop, Repeatability.ONCE, 1)));
+        assertEquals(RelayFixture.of(relay.pass(700), RelayAction.Doubt.class), List.of());
+        assertEquals(RelayFixture.of(relay.pass(700), RelayAction.Doubt.class).size(), 1);
+    }
+
     /** One request of a target waits for its first event while another's events flow: the target does not stand still. */
     @Test
     public void progressOfATargetIsThatOfItsLatestRequest() {
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFixture.java
@@ -69,9 +69,13 @@
     }
 
     Arrival arrival(Repeatability repeatability, int maxAttempts) {
+        return arrival(LINE, repeatability, maxAttempts);
+    }
+
+    Arrival arrival(LineId line, Repeatability repeatability, int maxAttempts) {
         return new Arrival(
                 new ExchangeId(++lastId),
-                LINE,
+                line,
                 route(repeatability, maxAttempts),
                 "customer",
                 1,
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -132,7 +132,7 @@
         LineState line = line(arrival.line());
         RequestState request = new RequestState(arrival, line, ++lastSequence);
         budget.requested(nowMillis);
-        if (line.usableSlots(nowMillis) == 0) {
+        if (line.usableSlots(nowMillis) == 0 && line.freeSlots(nowMillis) == 0) {
             refuse(request, RefusalReason.NO_TARGET, absentRetryMillis());
             return;
         }
@@ -358,7 +358,10 @@
     }
 
     private void stalled(TargetState state) {
-        doubt(state, "no progress for " + (nowMillis - state.lastProgressMillis) + " ms");
+        boolean news = !state.inDoubt(nowMillis) || state.triedSinceDoubt();
+        if (news && state.stalledAgain()) {
+            doubt(state, "no progress for " + (nowMillis - state.lastProgressMillis) + " ms");
+        }
         state.lastProgressMillis = nowMillis;
         for (RequestState request : List.copyOf(state.running)) {
             if (canMove(request)) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -15,12 +15,17 @@
 
     private static final long MAX_DOUBT_MILLIS = 8_000;
 
+    /** Stalls in a row that put a plain service in doubt. */
+    private static final int PLAIN_STALLS = 2;
+
     final Target target;
     final Set<RequestState> running = new LinkedHashSet<>();
     long lastProgressMillis;
 
     private final LineState line;
     private final Map<String, PeerCount> peers = new HashMap<>();
+    private int stalls;
+    private long doubtedMillis;
     private long doubtUntilMillis;
     private long doubtMillis;
 
@@ -59,7 +64,7 @@
             return 0;
         }
         if (doubtMillis > 0) {
-            return running.isEmpty() ? 1 : 0;
+            return triedSinceDoubt() ? 0 : 1;
         }
         return Math.max(0, target.slots() - load(nowMillis));
     }
@@ -68,18 +73,34 @@
         return doubtMillis > 0 || nowMillis < doubtUntilMillis;
     }
 
+    /** Tells whether a request was sent since the target was last put in doubt; older ones are no news of it. */
+    boolean triedSinceDoubt() {
+        return running.stream().anyMatch(request -> request.dispatchedMillis > doubtedMillis);
+    }
+
     /** Leaves the target out for a time that doubles with each doubt until it answers again. */
     void doubt(long nowMillis) {
         doubtMillis = doubtMillis == 0 ? FIRST_DOUBT_MILLIS : Math.min(MAX_DOUBT_MILLIS, 2 * doubtMillis);
+        doubtedMillis = nowMillis;
         doubtUntilMillis = nowMillis + doubtMillis;
     }
 
+    /**
+     * Counts a stall; returns whether it puts the target in doubt. A plain service works on few requests at once, so a
+     * single answer that is lost on the way leaves it without progress; it takes two in a row.
+     */
+    boolean stalledAgain() {
+        stalls++;
+        return target.line().model().isPresent() || stalls >= PLAIN_STALLS;
+    }
+
     /** Takes note of bytes that came from the target; of several requests' the latest count. */
     void progressed(long atMillis) {
         if (atMillis <= lastProgressMillis) {
             return;
         }
         lastProgressMillis = atMillis;
+        stalls = 0;
         if (atMillis >= doubtUntilMillis) {
             doubtMillis = 0;
         }
