--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayNodeTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayNodeTest.java
@@ -1,6 +1,7 @@
 package org.apricotdeal.proofs.relay;
 
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 
@@ -176,6 +177,27 @@
         assertTrue(fleet.call("POST", "/book/x", "r2", RelayFleet.KEY).startsWith("HTTP/1.1 401"));
     }
 
+    @Test
+    public void stoppingNodeEndsWhatItHasAndLastRefusesWhatIsNew() throws Exception {
+        start(40, 25);
+        Thread stopper = Thread.ofPlatform().unstarted(fleet.node::stopGracefully);
+        try (Socket socket = fleet.connect(fleet.callerAddress)) {
+            RelayFleet.send(socket, "POST", "/talk/x", "r1", RelayFleet.KEY);
+            String begun = RelayFleet.readSome(socket.getInputStream());
+            stopper.start();
+            RelayFleet.pause(100);
+            assertTrue(fleet.readiness().startsWith("HTTP/1.1 503"));
+            assertTrue(fleet.call("POST", "/book/x", "r2", RelayFleet.KEY).startsWith("HTTP/1.1 200"));
+            RelayFleet.pause(1_600);
+            assertTrue(fleet.call("POST", "/book/x", "r3", RelayFleet.KEY).startsWith("HTTP/1.1 503"));
+            String rest = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertTrue((begun + rest).contains("id: 40\n"), begun + rest);
+        }
+        stopper.join();
+        assertTrue(fleet.service.runs().stream()
+                .noneMatch(run -> run.get("x-attempt-id").equals("r3")));
+    }
+
     @Test
     public void olderCatalogueNeverComesIntoForce() throws Exception {
         start(1, 1);
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ReplicaPlannerTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ReplicaPlannerTest.java
@@ -67,7 +67,11 @@
         return seeds;
     }
 
-    /** The fleet's invariants are asserted inside {@link SimFleet}; calm has to bring replicas back. */
+    /**
+     * The fleet's invariants are asserted inside {@link SimFleet}; calm has to bring replicas back.
+     *
+     * @param seed seed of the faults
+     */
     @Test(dataProvider = "seeds")
     public void randomFaultsNeverBreakAnInvariant(long seed) {
         SimFleet fleet = started(seed);
--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -32,12 +32,16 @@
 final class IngressHandler extends Handler.Abstract.NonBlocking {
     private static final String START_RETRY_SECONDS = "0.5";
 
+    /** Another node serves at once. */
+    private static final String STOP_RETRY_SECONDS = "0.05";
+
     private final CatalogueHolder catalogues;
     private final ExchangeHeaders names;
     private final RelayDuty duty;
     private final Clock clock;
     private final AtomicLong lastId = new AtomicLong();
     private volatile boolean draining;
+    private volatile long refuseFromMillis = Long.MAX_VALUE;
 
     IngressHandler(CatalogueHolder catalogues, ExchangeHeaders names, RelayDuty duty, Clock clock) {
         this.catalogues = catalogues;
@@ -46,7 +50,12 @@
         this.clock = clock;
     }
 
-    void drain() {
+    /**
+     * Closes connections with their next answer, and refuses new requests from a later time on, so that what is in progress
+     * then can end before the process does.
+     */
+    void drain(long refuseRequestsFromMillis) {
+        refuseFromMillis = refuseRequestsFromMillis;
         draining = true;
     }
 
@@ -54,9 +63,10 @@
     public boolean handle(Request request, Response response, Callback callback) {
         long arrivedMillis = clock.monotonicMillis();
         Optional<RelayCatalogue> known = catalogues.current();
-        if (known.isEmpty()) {
-            response.getHeaders().put(HttpHeader.RETRY_AFTER, START_RETRY_SECONDS);
-            answer(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503, "starting");
+        if (known.isEmpty() || arrivedMillis >= refuseFromMillis) {
+            boolean starting = known.isEmpty();
+            response.getHeaders().put(HttpHeader.RETRY_AFTER, starting ? START_RETRY_SECONDS : STOP_RETRY_SECONDS);
+            answer(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503, starting ? "starting" : "stopping");
             return true;
         }
         RelayCatalogue catalogue = known.get();
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -110,9 +110,10 @@
      * platform ends the process.
      */
     public void stopGracefully() {
-        long endMillis = clock.monotonicMillis() + settings.drainMillis() - END_MARGIN_MILLIS;
+        long startMillis = clock.monotonicMillis();
+        long endMillis = startMillis + settings.drainMillis() - END_MARGIN_MILLIS;
         log.state("stopping").with("inProgress", relay.inProgress()).write();
-        ingress.drain();
+        ingress.drain(startMillis + settings.drainMillis() / 2);
         server.drain();
         fleet.put(new FleetEvent.Stopping());
         registration.close();
--- a/relay/src/main/java/org/apricotdeal/relay/policy/OrderBook.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/OrderBook.java
@@ -67,6 +67,7 @@
             case UNKNOWN -> {}
             case HOLDS -> entries.remove(order.vm().id());
             case CONFLICT, OUTDATED, REFUSED, NOT_THIS_VM -> entry.pauseUntilMillis = nowMillis + REFUSED_PAUSE_MILLIS;
+            default -> throw new IllegalStateException("reply " + reply);
         }
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -296,6 +296,7 @@
                 request.mayHaveRun = true;
                 repeat(request);
             }
+            default -> throw new IllegalStateException("outcome " + outcome);
         }
         serve(request.line);
     }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -171,6 +171,7 @@
                 }
             }
             case UNKNOWN -> {}
+            default -> throw new IllegalStateException("reply " + reply);
         }
     }
 
