--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/UsersRecordsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/UsersRecordsTest.java
@@ -41,7 +41,7 @@
         assertEquals(vm.group().orElseThrow().rank(), 1);
     }
 
-    /** The entry numbers its check-ins in the field that a report uses for the count of orders. */
+    /** The entry numbers its heartbeats in the field that a report uses for the count of orders. */
     @Test
     public void entryTellsNoCountOfOrders() {
         assertEquals(vm(ENTRY).orElseThrow().orders(), UpstreamVm.ORDERS_UNKNOWN);
--- a/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
@@ -17,7 +17,7 @@
 import org.apricotdeal.relay.port.StoreFault;
 import org.apricotdeal.relay.port.WatchStore;
 
-/** Follows the VMs' entries in the store, in steps: each check-in would end a waiting watch, and each call is charged. */
+/** Follows the VMs' entries in the store, in steps: each heartbeat of a VM would end a waiting watch, and each call is charged. */
 final class VmWatcher extends StoreThread {
     /** Time between two watches: news of a leaving VM reach the node well within the platform's two seconds. */
     private static final long STEP_MILLIS = 500;
