Wait for each node and each stream in two process tests

LeavingTest.leavingServiceVmGetsNoNewWork waited until node1 alone had read that desk1 leaves, then sent through both nodes; node2 reads the VM list on its own period of 1 s and may lawfully send there until then. VmLossTest waited for an instant at which the engines report all 8 streams as running; each lasts 3 s, so streams that begin over more than 3 s never overlap, and the wait runs out after 45 s. A stream that failed was not shown.

Change: LeavingTest first sees each node send work to desk1, then waits for each node to stop, then demands as before that nothing more arrives. VmLossTest counts a stream as begun by its first token at the caller, fails at once with the body of a stream that ends without one, and takes as victim a replica that works at that moment, so the loss always hits streams in progress.

--- a/proofs/src/test/java/org/apricotdeal/proofs/process/LeavingTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/LeavingTest.java
@@ -87,27 +87,37 @@
         }
     }
 
+    /** Each node reads the VM list on its own period, so each has to learn of the leaving VM before the claim holds. */
     @Test
     public void leavingServiceVmGetsNoNewWork() throws Exception {
+        List<String> nodes = List.of("node1", "node2");
+        for (String node : nodes) {
+            ProcessFleet.await(node + " sends work to desk1", () -> givesWork(node, "desk1"));
+        }
         fleet.post("platform", "/standin/vms/desk1/state", "{\"state\": \"leaving\"}");
-        ProcessFleet.await("desk1 gets no work", () -> {
-            int before = executions("desk1");
-            for (int i = 0; i < 10; i++) {
-                assertEquals(
-                        fleet.send("node1", "GET", "/services/desk/lookup", "").statusCode(), 200);
-            }
-            return executions("desk1") == before;
-        });
+        for (String node : nodes) {
+            ProcessFleet.await(node + " gives desk1 no work", () -> !givesWork(node, "desk1"));
+        }
         int before = executions("desk1");
         for (int i = 0; i < 40; i++) {
-            assertEquals(
-                    fleet.send(i % 2 == 0 ? "node1" : "node2", "GET", "/services/desk/lookup", "")
-                            .statusCode(),
-                    200);
+            lookUp(nodes.get(i % nodes.size()));
         }
         assertEquals(executions("desk1"), before, "executions of the leaving VM");
     }
 
+    /** Sends ten lookups to a node and tells whether any of them ran on a service VM. */
+    private boolean givesWork(String node, String desk) throws Exception {
+        int before = executions(desk);
+        for (int i = 0; i < 10; i++) {
+            lookUp(node);
+        }
+        return executions(desk) > before;
+    }
+
+    private void lookUp(String node) throws Exception {
+        assertEquals(fleet.send(node, "GET", "/services/desk/lookup", "").statusCode(), 200);
+    }
+
     private int executions(String desk) throws Exception {
         return fleet.get(desk, "/standin/executions").path("executions").size();
     }
--- a/proofs/src/test/java/org/apricotdeal/proofs/process/ProcessFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/ProcessFleet.java
@@ -1,10 +1,13 @@
 package org.apricotdeal.proofs.process;
 
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.Reader;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -140,7 +143,7 @@
         Findings findings = new Findings();
         String descriptor = new String(
                 ProcessFleet.class.getResourceAsStream("/process/catalogue.ini").readAllBytes(),
-                java.nio.charset.StandardCharsets.UTF_8);
+                StandardCharsets.UTF_8);
         String text = edit.apply(descriptor.replace("${keySha256}", CatalogueCodec.keyHash(KEY)));
         List<Entry> entries =
                 List.copyOf(IniCatalogue.parse("catalogue.ini", text, findings).entries());
@@ -158,25 +161,52 @@
     /** Sends a completion request. */
     HttpResponse<String> complete(String node, String prompt, int maxTokens, boolean stream)
             throws IOException, InterruptedException {
-        String body = "{\"model\":\"quote\",\"prompt\":\"%s\",\"max_tokens\":%d,\"stream\":%s}"
+        return send(node, "POST", "/v1/completions", completion(prompt, maxTokens, stream));
+    }
+
+    /** Sends a completion request for a stream, tells of its first token, and returns the whole body. */
+    String stream(String node, String prompt, int maxTokens, Runnable onFirstToken)
+            throws IOException, InterruptedException {
+        HttpRequest request = request(node, "POST", "/v1/completions", completion(prompt, maxTokens, true))
+                .build();
+        StringBuilder body = new StringBuilder();
+        boolean begun = false;
+        try (Reader reader = new InputStreamReader(
+                client.send(request, HttpResponse.BodyHandlers.ofInputStream()).body(), StandardCharsets.UTF_8)) {
+            char[] piece = new char[1_024];
+            for (int read = reader.read(piece); read >= 0; read = reader.read(piece)) {
+                body.append(piece, 0, read);
+                if (!begun && body.indexOf("\"offset\"") >= 0) {
+                    begun = true;
+                    onFirstToken.run();
+                }
+            }
+        }
+        return body.toString();
+    }
+
+    private static String completion(String prompt, int maxTokens, boolean stream) {
+        return "{\"model\":\"quote\",\"prompt\":\"%s\",\"max_tokens\":%d,\"stream\":%s}"
                 .formatted(prompt, maxTokens, stream);
-        return send(node, "POST", "/v1/completions", body);
     }
 
     /** Sends a request to a node's port for callers. */
     HttpResponse<String> send(String node, String method, String path, String body, String... headers)
             throws IOException, InterruptedException {
-        HttpRequest.Builder request = HttpRequest.newBuilder(
-                        URI.create("http://127.0.0.1:" + port(node + "-callers") + path))
-                .timeout(REQUEST_PATIENCE)
-                .header("authorization", "Bearer " + KEY)
-                .method(method, HttpRequest.BodyPublishers.ofString(body));
+        HttpRequest.Builder request = request(node, method, path, body);
         if (headers.length > 0) {
             request.headers(headers);
         }
         return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 
+    private HttpRequest.Builder request(String node, String method, String path, String body) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port(node + "-callers") + path))
+                .timeout(REQUEST_PATIENCE)
+                .header("authorization", "Bearer " + KEY)
+                .method(method, HttpRequest.BodyPublishers.ofString(body));
+    }
+
     /** Reads JSON from a process's admin or stand-in path. */
     JsonNode get(String name, String path) throws IOException, InterruptedException {
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port(name) + path))
--- a/proofs/src/test/java/org/apricotdeal/proofs/process/VmLossTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/VmLossTest.java
@@ -1,11 +1,11 @@
 package org.apricotdeal.proofs.process;
 
-import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -16,16 +16,19 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.fail;
 
 /** Loses, stops and continues VMs of replicas while streams are in progress. */
 public final class VmLossTest {
     private static final int STREAMS = 8;
     private static final int TOKENS = 150;
 
+    private final Set<String> begun = ConcurrentHashMap.newKeySet();
     private ProcessFleet fleet;
 
     @BeforeMethod
     public void start() throws Exception {
+        begun.clear();
         fleet = ProcessFleet.start();
         ProcessFleet.await("both replicas serve", () -> serving().size() == 2);
     }
@@ -38,8 +41,8 @@
     @Test
     public void streamsStayWholeWhenVmIsKilled() throws Exception {
         List<CompletableFuture<String>> streams = startStreams();
-        awaitFirstTokens();
-        String victim = serving().getFirst().path("members").path(1).asText();
+        awaitFirstTokens(streams);
+        String victim = busyReplica().path("members").path(1).asText();
         fleet.process(victim).kill();
         assertWhole(streams);
         ProcessFleet.await("the replica is repaired without " + victim, () -> {
@@ -51,8 +54,8 @@
     @Test
     public void streamsStayWholeWhenVmIsStoppedAndContinued() throws Exception {
         List<CompletableFuture<String>> streams = startStreams();
-        awaitFirstTokens();
-        String victim = serving().getFirst().path("members").path(0).asText();
+        awaitFirstTokens(streams);
+        String victim = busyReplica().path("members").path(0).asText();
         fleet.process(victim).signal("STOP");
         assertWhole(streams);
         fleet.process(victim).signal("CONT");
@@ -71,26 +74,34 @@
         return streams;
     }
 
-    private void awaitFirstTokens() throws Exception {
-        ProcessFleet.await("all streams have begun", () -> running() >= STREAMS);
+    /** Waits until the caller of each stream has a token of it; a stream that ends without one fails at once. */
+    private void awaitFirstTokens(List<CompletableFuture<String>> streams) throws Exception {
+        ProcessFleet.await("all streams have begun", () -> {
+            for (int i = 0; i < STREAMS; i++) {
+                if (streams.get(i).isDone() && !begun.contains("stream " + i)) {
+                    fail("stream " + i + " has no token: " + streams.get(i).get());
+                }
+            }
+            return begun.size() == STREAMS;
+        });
     }
 
-    private int running() throws Exception {
-        int running = 0;
-        for (JsonNode replica : serving()) {
+    /** Returns a serving replica that works on streams now. */
+    private JsonNode busyReplica() throws Exception {
+        List<JsonNode> serving = serving();
+        for (JsonNode replica : serving) {
             String first = replica.path("members").path(0).asText();
-            running += fleet.get(first, "/engine/state")
-                    .path("load")
-                    .path("running")
-                    .asInt();
+            JsonNode load = fleet.get(first, "/engine/state").path("load");
+            if (load.path("running").asInt() > 0) {
+                return replica;
+            }
         }
-        return running;
+        throw new AssertionError("no stream is in progress at " + serving);
     }
 
     private String stream(String node, String prompt) {
         try {
-            HttpResponse<String> response = fleet.complete(node, prompt, TOKENS, true);
-            return response.body();
+            return fleet.stream(node, prompt, TOKENS, () -> begun.add(prompt));
         } catch (Exception e) {
             return "failed: " + e;
         }
