Divide the repeat allowance by the registered nodes; go on counting nodes that are heard

Cause: each node took a part of the fixed allowance by the setting `nodes`, so a fleet of more nodes overdraws the shared bound (12 nodes where 4 are set: three times the allowance); RepeatBudget.setAllowance was never called.

Change: the budget holds the whole allowance and divides it by the number of registered nodes, never by fewer than the setting, since nodes that cannot be seen take their part too. A listing of nodes keeps those that are still heard.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFixture.java
@@ -40,7 +40,7 @@
 
     RelayFixture(double repeats) {
         dispatcher =
-                new RelayDispatcher(HOME, new RepeatBudget(10_000, 0.2, repeats), RandomSource.SPLIT_MIX_64.create(7));
+                new RelayDispatcher(HOME, new RepeatBudget(10_000, 0.2, repeats, 1), RandomSource.SPLIT_MIX_64.create(7));
     }
 
     static Target target(String vm, int slots) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -196,13 +196,16 @@
 
     private void takePeers(List<Peer> listed) {
         peersListed = true;
-        peers.clear();
+        // A node whose registration lapsed still plans and serves as long as it is heard.
+        long nowMillis = clock.monotonicMillis();
+        peers.keySet().removeIf(name -> !heard(name, nowMillis));
         for (Peer peer : listed) {
             if (!peer.name().equals(settings.name())) {
                 peers.put(peer.name(), peer);
             }
         }
         livePeers = List.copyOf(peers.values());
+        relay.put(new RelayEvent.NodesCounted(peers.size() + 1));
     }
 
     private void tick() {
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -55,7 +55,7 @@
         WatchStore store = adapter.store(client, settings.storeAddress(), settings.storeTimeoutMillis());
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create();
         RepeatBudget budget = new RepeatBudget(
-                settings.repeatWindowMillis(), settings.repeatRatio(), settings.repeatAllowance() / settings.nodes());
+                settings.repeatWindowMillis(), settings.repeatRatio(), settings.repeatAllowance(), settings.nodes());
         RelayDispatcher dispatcher = new RelayDispatcher(settings.failureDomain(), budget, random);
         relay = new RelayDuty(dispatcher, client, adapter.headers(), clock, random, log, metrics);
         fleet = new FleetDuty(settings, relay, adapter.orders(client), clock, log, metrics);
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelaySettings.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelaySettings.java
@@ -29,7 +29,7 @@
  * @param repeatWindowMillis window over which repeats are counted
  * @param repeatRatio repeats for each request, over all nodes
  * @param repeatAllowance repeats in a window beside those, over all nodes
- * @param nodes number of nodes that share the allowance
+ * @param nodes number of nodes that share the allowance at least; more where more are registered
  */
 public record RelaySettings(
         String name,
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -121,6 +121,7 @@
             case RelayEvent.CatalogueChanged(RelayCatalogue changed) -> catalogue = changed;
             case RelayEvent.TargetsChanged(List<Target> changed) -> changeTargets(changed);
             case RelayEvent.PeerLoad(String node, Map<TargetId, Integer> running) -> takePeerLoad(node, running);
+            case RelayEvent.NodesCounted(int nodes) -> budget.setNodes(nodes);
             case RelayEvent.Tick tick -> tick();
         }
         return actions;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
@@ -65,6 +65,13 @@
      */
     record PeerLoad(String node, Map<TargetId, Integer> running) implements RelayEvent {}
 
+    /**
+     * The registered nodes were counted.
+     *
+     * @param nodes number of nodes, this one among them
+     */
+    record NodesCounted(int nodes) implements RelayEvent {}
+
     /** Time has passed. */
     record Tick() implements RelayEvent {}
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RepeatBudget.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RepeatBudget.java
@@ -5,35 +5,40 @@
 
 /**
  * Bounds attempts beyond each request's first, over a sliding window. All nodes share the bound: a node counts its own
- * requests, and takes its part of the fixed allowance.
+ * requests, and takes an equal part of the fixed allowance.
  */
 public final class RepeatBudget {
     private final long windowMillis;
     private final double ratio;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> repeats = new ArrayDeque<>();
-    private double allowance;
+    private final double allowance;
+    private final int leastNodes;
+    private int nodes;
 
     /**
      * Creates a budget.
      *
      * @param windowMillis length of the window
      * @param ratio repeats for each request in the window
-     * @param allowance repeats in a window beside those, this node's part
+     * @param allowance repeats in a window beside those, over all nodes
+     * @param leastNodes number of nodes that share the allowance at least; those that cannot be seen take their part too
      */
-    public RepeatBudget(long windowMillis, double ratio, double allowance) {
+    public RepeatBudget(long windowMillis, double ratio, double allowance, int leastNodes) {
         this.windowMillis = windowMillis;
         this.ratio = ratio;
         this.allowance = allowance;
+        this.leastNodes = leastNodes;
+        this.nodes = leastNodes;
     }
 
     /**
-     * Sets this node's part of the fixed allowance.
+     * Sets how many nodes share the allowance.
      *
-     * @param repeats repeats in a window
+     * @param registered number of registered nodes, this one among them
      */
-    public void setAllowance(double repeats) {
-        allowance = repeats;
+    public void setNodes(int registered) {
+        nodes = Math.max(leastNodes, registered);
     }
 
     /**
@@ -54,7 +59,7 @@
      */
     public boolean tryRepeat(long nowMillis) {
         expire(nowMillis);
-        if (repeats.size() + 1 > allowance + ratio * requests.size()) {
+        if (repeats.size() + 1 > allowance / nodes + ratio * requests.size()) {
             return false;
         }
         repeats.addLast(nowMillis);
