--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -22,13 +22,11 @@
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.model.VmReport;
 import org.apricotdeal.relay.peer.PlannerChoice;
-import org.apricotdeal.relay.policy.LoadMeter;
 import org.apricotdeal.relay.policy.PlannedOrder;
 import org.apricotdeal.relay.policy.RelayEvent;
 import org.apricotdeal.relay.policy.ReplicaPlanner;
 import org.apricotdeal.relay.policy.Target;
 import org.apricotdeal.relay.policy.TargetBuilder;
-import org.apricotdeal.relay.policy.TargetId;
 import org.apricotdeal.relay.policy.VmTable;
 import org.apricotdeal.relay.port.ReplicaOrders;
 
@@ -72,8 +70,6 @@
     private final Map<PlannerKey, ReplicaPlanner> planners = new HashMap<>();
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, Long> heardMillis = new HashMap<>();
-    private final Map<String, Map<TargetId, Integer>> peerRunning = new HashMap<>();
-    private final LoadMeter meter = new LoadMeter();
     private final long startedMillis;
     private final String plannerName;
     private RelayCatalogue catalogue;
@@ -158,7 +154,6 @@
             case FleetEvent.Heartbeat(Peer sender, long version, var running) -> {
                 heardMillis.put(sender.name(), clock.monotonicMillis());
                 peers.putIfAbsent(sender.name(), sender);
-                peerRunning.put(sender.name(), running);
                 relay.put(new RelayEvent.PeerLoad(sender.name(), running));
             }
             case FleetEvent.Stopping stop -> stopping = true;
@@ -213,14 +208,6 @@
         relay.put(new RelayEvent.NodesCounted(peers.size() + 1));
     }
 
-    /** Reads the load of all nodes that are heard. */
-    private void readLoads(long nowMillis) {
-        peerRunning.keySet().removeIf(name -> !heard(name, nowMillis));
-        List<Map<TargetId, Integer>> running = new ArrayList<>(peerRunning.values());
-        running.add(relay.running());
-        meter.read(nowMillis, targets, running);
-    }
-
     private void tick() {
         long nowMillis = clock.monotonicMillis();
         if (table.expire(nowMillis)) {
@@ -234,7 +221,6 @@
             changed = false;
             publishTargets();
         }
-        readLoads(nowMillis);
         if (!stopping && peersListed && nowMillis - startedMillis >= SETTLE_MILLIS) {
             plan(nowMillis);
         }
@@ -357,7 +343,6 @@
                 upstream.engine().orElseThrow(),
                 vms,
                 lost,
-                meter.loads(key.upstream()),
                 beforeTraffic,
                 1.0 / Math.max(1, settings.failureDomains().size())));
         planned.forEach(order -> send(key, order));
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -33,9 +33,8 @@
  * where a member is lost or leaves, the head leaves first, then the others are free; where the head itself is lost, the
  * others leave and rest until it cannot be open any more, for it may only be out of reach. <em>Form:</em> free VMs of one
  * fabric domain that hold a model's weights become a replica of it, the model furthest below its share first.
- * <em>Rebalance:</em> replicas close, and give their VMs to a model that is short. <em>Stage:</em> free VMs load the
- * weights of the model that lacks VMs most, a replica's last missing one first, as the weight store allows; before traffic
- * hosts of members load a second model too, so that survivors can repair either.
+ * <em>Stage:</em> free VMs load the weights of the model that lacks VMs most, a replica's last missing one first, as the
+ * weight store allows.
  */
 public final class ReplicaPlanner {
     /** After this much longer than the stall time, a head without members is certainly broken. */
@@ -47,15 +46,6 @@
     /** Time after which a replica whose members do not all join is given up; longer than any load. */
     private static final long FORMING_MILLIS = 40_000;
 
-    /** Time that a replica which gives way has for the requests that it works on; longer than most answers. */
-    private static final long CLOSING_MILLIS = 4_000;
-
-    /** Time in which the members of a replica that is dissolved become free for others. */
-    private static final long DISSOLVE_MILLIS = 500;
-
-    /** Time in which a replica that got another's VMs opens and takes its part of the load. */
-    private static final long REBALANCE_PAUSE_MILLIS = 6_000;
-
     /** A first member may take so long to show up after the others have. */
     private static final long ASSEMBLE_MILLIS = 4_000;
 
@@ -77,8 +67,6 @@
     private final Set<FormationId> released = new HashSet<>();
     private final Map<FormationId, Long> firstSeenMillis = new HashMap<>();
     private final Map<FormationId, Long> leavingSinceMillis = new HashMap<>();
-    private final Set<FormationId> warming = new HashSet<>();
-    private final Map<FormationId, Long> givingWaySinceMillis = new HashMap<>();
     private final Map<FormationId, Long> openAgainMillis = new HashMap<>();
     private final Map<VmId, Long> restUntilMillis = new HashMap<>();
     private final Map<VmId, Staging> staging = new HashMap<>();
@@ -86,13 +74,9 @@
     private final Set<VmId> uncounted = new HashSet<>();
     private long lastNumber;
     private long startedMillis = -1;
-    private long rebalancedMillis;
-    private long dissolvedMillis;
-    private Map<FabricDomainId, List<UpstreamVm>> idle = new TreeMap<>();
     private boolean awaitsLoads;
     private List<PlannedOrder> out = new ArrayList<>();
     private Turn turn;
-    private ReplicaNeeds needs;
 
     /** A load of weights onto a host that this planner ordered. */
     private record Staging(ModelId model, long untilMillis) {}
@@ -108,7 +92,6 @@
      * @param engine the upstream's engines
      * @param vms the upstream's VMs in the failure domain
      * @param lost VMs that are listed and do not answer
-     * @param loads load of the upstream's models over the whole fleet; empty where nothing is known
      * @param beforeTraffic true while the fleet starts and loads are short
      * @param loadShare this planner's part of the weight store's rate and concurrency, 0 to 1
      */
@@ -118,7 +101,6 @@
             EngineProfile engine,
             List<UpstreamVm> vms,
             Set<VmId> lost,
-            Map<ModelId, ModelLoad> loads,
             boolean beforeTraffic,
             double loadShare) {}
 
@@ -133,6 +115,18 @@
         this.stallMillis = stallMillis;
     }
 
+    /** Forgets what was under way; called when this node takes the planning over. */
+    public void takeOver() {
+        orders.clear();
+        released.clear();
+        restUntilMillis.clear();
+        staging.clear();
+        planned.clear();
+        firstSeenMillis.clear();
+        leavingSinceMillis.clear();
+        startedMillis = -1;
+    }
+
     /**
      * Takes the reply to an order.
      *
@@ -168,10 +162,10 @@
         List<VmId> watched = new ArrayList<>(orders.openVms());
         if (turn != null) {
             for (UpstreamVm vm : turn.vms()) {
-                boolean moving = vm.group()
-                        .map(group -> group.phase() == GroupPhase.JOINING || group.phase() == GroupPhase.CLOSING)
+                boolean joining = vm.group()
+                        .map(group -> group.phase() == GroupPhase.JOINING)
                         .orElse(false);
-                if (moving && !watched.contains(vm.id())) {
+                if (joining && !watched.contains(vm.id())) {
                     watched.add(vm.id());
                 }
             }
@@ -187,7 +181,6 @@
      */
     public List<PlannedOrder> plan(Turn now) {
         turn = now;
-        needs = needs(now);
         out = new ArrayList<>(orders.due(now.nowMillis()));
         uncounted.clear();
         if (startedMillis < 0) {
@@ -205,19 +198,10 @@
         forgetGone(formations);
         countUnseen(formations, counts);
         form(formations, counts);
-        rebalance(formations, counts);
         stage(counts);
         return out;
     }
 
-    private static ReplicaNeeds needs(Turn now) {
-        long fabricDomains =
-                now.vms().stream().map(UpstreamVm::fabricDomain).distinct().count();
-        int spares = (int) fabricDomains * now.engine().models().size();
-        Map<ModelId, ModelLoad> loads = now.beforeTraffic() ? Map.of() : now.loads();
-        return new ReplicaNeeds(now.engine(), loads, now.vms().size(), spares);
-    }
-
     /** Counts replicas whose members have been ordered to join and have not said so yet. */
     private void countUnseen(List<Formation> formations, Map<ModelId, Integer> counts) {
         Set<FormationId> seen = new HashSet<>();
@@ -235,7 +219,6 @@
         firstSeenMillis.keySet().retainAll(known);
         openAgainMillis.keySet().retainAll(known);
         leavingSinceMillis.keySet().retainAll(known);
-        givingWaySinceMillis.keySet().retainAll(known);
     }
 
     /** Members that left a replica under an earlier planner may have a head that is still open somewhere. */
@@ -270,16 +253,6 @@
             dissolve(formation, lost ? "a member does not answer" : broken ? "the head is broken" : "a member is gone");
             return false;
         }
-        if (givingWaySinceMillis.containsKey(id)) {
-            close(formation);
-            return false;
-        }
-        if (warming.contains(id) && turn.beforeTraffic()) {
-            if (formation.ready()) {
-                formation.members().forEach(vm -> leave(vm, id, "has loaded the model"));
-            }
-            return false;
-        }
         if (leaving) {
             long firstMillis = leavingSinceMillis.computeIfAbsent(id, key -> turn.nowMillis());
             if (turn.nowMillis() - firstMillis >= LEAVING_GRACE_MILLIS) {
@@ -309,17 +282,6 @@
         }
     }
 
-    /** Closes a replica that gives way to another model; it is dissolved when it has finished its work. */
-    private void close(Formation formation) {
-        FormationId id = formation.id();
-        long sinceMillis = turn.nowMillis() - givingWaySinceMillis.get(id);
-        if (formation.headPhase() == GroupPhase.OPEN && sinceMillis < CLOSING_MILLIS) {
-            order(formation.head().orElseThrow(), new ReplicaOrder.Close(id.replica(), id.number()), "gives way");
-        } else if (formation.headPhase() != GroupPhase.CLOSING || sinceMillis >= CLOSING_MILLIS) {
-            dissolve(formation, "has given way");
-        }
-    }
-
     /** Tells whether the missing members have been ordered to join and may still do so. */
     private boolean assembling(Formation formation, long sinceMillis) {
         return planned.containsKey(formation.id())
@@ -328,11 +290,10 @@
     }
 
     private void dissolve(Formation formation, String reason) {
-        dissolvedMillis = turn.nowMillis();
         FormationId id = formation.id();
         Optional<UpstreamVm> head = formation.head().filter(vm -> !turn.lost().contains(vm.id()));
         if (head.isPresent()) {
-            leave(head.get(), id, reason);
+            order(head.get(), new ReplicaOrder.Leave(id.replica(), id.number()), reason);
             PlannedOrder pending = orders.pending(head.get().id());
             if (pending != null && pending.order() instanceof ReplicaOrder.Leave) {
                 released.add(id);
@@ -341,16 +302,12 @@
         }
         for (UpstreamVm member : formation.members()) {
             if (!turn.lost().contains(member.id())) {
-                leave(member, id, "the head is lost");
+                order(member, new ReplicaOrder.Leave(id.replica(), id.number()), "the head is lost");
                 restUntilMillis.put(member.id(), turn.nowMillis() + stallMillis + REST_MARGIN_MILLIS);
             }
         }
     }
 
-    private void leave(UpstreamVm member, FormationId id, String reason) {
-        order(member, new ReplicaOrder.Leave(id.replica(), id.number()), reason);
-    }
-
     // Form.
 
     private void form(List<Formation> formations, Map<ModelId, Integer> counts) {
@@ -367,35 +324,18 @@
                         .add(vm);
             }
         }
-        idle = new TreeMap<>();
         awaitsLoads = false;
         boolean countingAtStart = turn.beforeTraffic() && turn.nowMillis() - startedMillis < COUNTING_MILLIS;
         if (countingAtStart && !uncounted.isEmpty()) {
             awaitsLoads = true;
             return;
         }
-        free.forEach((domain, vms) -> idle.put(domain, formIn(vms, counts)));
         List<UpstreamVm> left = new ArrayList<>();
-        idle.values().forEach(left::addAll);
+        for (List<UpstreamVm> domain : free.values()) {
+            left.addAll(formIn(domain, counts));
+        }
         if (!turn.beforeTraffic()) {
             formAcross(left, counts);
-        } else if (!awaitsLoads) {
-            idle.values().forEach(this::warmUp);
-        }
-    }
-
-    /**
-     * Lets spares of a fleet that starts load the smallest model as members of a replica that never opens: they rejoin one
-     * fast later, and their hosts are free for the weights of another model.
-     */
-    private void warmUp(List<UpstreamVm> spares) {
-        ModelSpec smallest = turn.engine().models().stream()
-                .min(Comparator.comparingInt(ModelSpec::size))
-                .orElseThrow();
-        List<UpstreamVm> cold =
-                spares.stream().filter(vm -> vm.loaded().isEmpty()).toList();
-        if (turn.engine().models().size() > 1 && cold.size() >= smallest.size()) {
-            warming.add(join(smallest, cold.subList(0, smallest.size())));
         }
     }
 
@@ -439,15 +379,9 @@
         boolean formed = true;
         while (formed) {
             formed = false;
-            for (ModelSpec model : needs.byDeficit(counts)) {
+            for (ModelSpec model : byDeficit(counts)) {
                 List<UpstreamVm> members = members(left, model);
-                if (members.size() < model.size()) {
-                    if (awaitsMembers(members, model)) {
-                        return left;
-                    }
-                    continue;
-                }
-                if (!mayTake(left, model, counts)) {
+                if (members.size() < model.size() || !leavesSpares(left, model)) {
                     continue;
                 }
                 if (!mayLoad(members, model)) {
@@ -464,15 +398,22 @@
         return left;
     }
 
-    /** Tells whether idle VMs wait for few others to form a replica of a model, so that a better provided one takes none. */
-    private boolean awaitsMembers(List<UpstreamVm> members, ModelSpec model) {
-        return !turn.beforeTraffic() && 2 * members.size() > model.size();
+    /** Tells whether a fleet that starts keeps a spare of each model in the fabric domain beside a new replica. */
+    private boolean leavesSpares(List<UpstreamVm> free, ModelSpec model) {
+        return !turn.beforeTraffic()
+                || free.size() - model.size() >= turn.engine().models().size();
+    }
+
+    /** Models, the one furthest below its share of the VMs first. */
+    private List<ModelSpec> byDeficit(Map<ModelId, Integer> counts) {
+        List<ModelSpec> models = new ArrayList<>(turn.engine().models());
+        models.sort(Comparator.comparingDouble(model -> fill(model, counts)));
+        return models;
     }
 
-    /** Tells whether a new replica leaves a spare for each model in the fabric domain, or is worth the last ones. */
-    private boolean mayTake(List<UpstreamVm> free, ModelSpec model, Map<ModelId, Integer> counts) {
-        return free.size() - model.size() >= turn.engine().models().size()
-                || (!turn.beforeTraffic() && needs.wants(model, counts));
+    private static double fill(ModelSpec model, Map<ModelId, Integer> counts) {
+        double share = Math.max(model.share(), Double.MIN_NORMAL);
+        return (counts.getOrDefault(model.id(), 0) + 0.5) * model.size() / share;
     }
 
     /** Chooses a replica's members: those that need least time to join. */
@@ -484,8 +425,7 @@
                 .toList();
     }
 
-    /** Tells whether a VM can join a replica of a model without loading it from the weight store. */
-    static boolean holds(UpstreamVm vm, ModelId model) {
+    private static boolean holds(UpstreamVm vm, ModelId model) {
         return vm.staged().contains(model) || vm.loaded().filter(model::equals).isPresent();
     }
 
@@ -517,7 +457,7 @@
         return count;
     }
 
-    private FormationId join(ModelSpec model, List<UpstreamVm> members) {
+    private void join(ModelSpec model, List<UpstreamVm> members) {
         long highest = turn.vms().stream()
                 .flatMap(vm -> vm.group().stream())
                 .mapToLong(GroupMembership::number)
@@ -531,141 +471,40 @@
             staging.remove(member.id());
             order(member, new ReplicaOrder.Join(id.replica(), id.number(), model.id(), ids), "forms " + id.replica());
         }
-        return id;
-    }
-
-    // Rebalance.
-
-    private void rebalance(List<Formation> formations, Map<ModelId, Integer> counts) {
-        boolean pausing = turn.nowMillis() - rebalancedMillis < REBALANCE_PAUSE_MILLIS
-                || turn.nowMillis() - dissolvedMillis < DISSOLVE_MILLIS;
-        if (turn.beforeTraffic() || pausing || !givingWaySinceMillis.isEmpty()) {
-            return;
-        }
-        List<Formation> serving = formations.stream()
-                .filter(formation -> formation.open() && formation.ready() && isWell(formation))
-                .toList();
-        Rebalancer rebalancer = new Rebalancer(needs, turn.engine().models());
-        for (Formation formation : rebalancer.choose(serving, idle, counts).givingWay()) {
-            givingWaySinceMillis.put(formation.id(), turn.nowMillis());
-            rebalancedMillis = turn.nowMillis();
-            close(formation);
-        }
-    }
-
-    private boolean isWell(Formation formation) {
-        return formation.members().stream()
-                .noneMatch(vm -> vm.leaving() || turn.lost().contains(vm.id()));
     }
 
     // Stage.
 
     private void stage(Map<ModelId, Integer> counts) {
-        staging.keySet().removeIf(this::isStaged);
         if (turn.beforeTraffic() && awaitsLoads) {
             return;
         }
-        for (UpstreamVm vm : withoutWeights(counts)) {
-            stage(vm, modelToStage(vm, counts), concurrentLoads(), "spare");
-        }
+        int concurrent = (int) Math.max(1, Math.ceil(turn.engine().concurrentLoads() * turn.loadShare()));
+        double perSecond = turn.engine().loadsPerSecond() * turn.loadShare();
         for (UpstreamVm vm : turn.vms()) {
-            completing(vm).ifPresent(model -> stage(vm, model, concurrentLoads(), "completes a replica"));
-        }
-        if (turn.beforeTraffic()) {
-            for (UpstreamVm vm : turn.vms()) {
-                secondModel(vm).ifPresent(model -> stage(vm, model, FIRST_LOADS, "second model of its host"));
+            boolean idle = vm.group().isEmpty() && vm.fabricDomain().isPresent() && !vm.leaving();
+            if (!idle
+                    || staging.containsKey(vm.id())
+                    || !vm.staged().isEmpty()
+                    || turn.lost().contains(vm.id())) {
+                continue;
             }
-        }
-    }
-
-    private int concurrentLoads() {
-        return turn.beforeTraffic()
-                ? FIRST_LOADS
-                : (int) Math.max(1, Math.ceil(turn.engine().concurrentLoads() * turn.loadShare()));
-    }
-
-    private boolean isStaged(VmId id) {
-        for (UpstreamVm vm : turn.vms()) {
-            if (vm.id().equals(id)) {
-                return vm.staged().contains(staging.get(id).model());
+            if (loading() >= (turn.beforeTraffic() ? FIRST_LOADS : concurrent)
+                    || !orders.isSettled(turn.nowMillis(), vm)
+                    || !(turn.beforeTraffic() || loads.tryLoad(turn.nowMillis(), perSecond))) {
+                continue;
+            }
+            ModelSpec model = modelToStage(vm, counts);
+            if (order(vm, new ReplicaOrder.Stage(model.id()), "spare")) {
+                staging.put(vm.id(), new Staging(model.id(), turn.nowMillis() + 2 * model.loadMillis()));
             }
         }
-        return true;
-    }
-
-    private void stage(UpstreamVm vm, ModelSpec model, int concurrent, String reason) {
-        if (loading() >= concurrent || !orders.isSettled(turn.nowMillis(), vm)) {
-            return;
-        }
-        double perSecond = turn.engine().loadsPerSecond() * turn.loadShare();
-        if (!turn.beforeTraffic() && !loads.tryLoad(turn.nowMillis(), perSecond)) {
-            return;
-        }
-        if (order(vm, new ReplicaOrder.Stage(model.id()), reason)) {
-            staging.put(vm.id(), new Staging(model.id(), turn.nowMillis() + 2 * model.loadMillis()));
-        }
-    }
-
-    private boolean mayStage(UpstreamVm vm) {
-        return vm.fabricDomain().isPresent()
-                && !vm.leaving()
-                && !staging.containsKey(vm.id())
-                && !turn.lost().contains(vm.id());
-    }
-
-    /** Returns idle VMs without weights, first those that lack the smallest part of a replica that is needed. */
-    private List<UpstreamVm> withoutWeights(Map<ModelId, Integer> counts) {
-        return turn.vms().stream()
-                .filter(vm -> mayStage(vm) && vm.group().isEmpty() && vm.staged().isEmpty())
-                .sorted(Comparator.comparingDouble(vm -> lack(neighbours(vm), modelToStage(vm, counts), counts)))
-                .toList();
-    }
-
-    /** Returns the model that is short and of which an idle VM would complete a replica, where its own is not short. */
-    private Optional<ModelSpec> completing(UpstreamVm vm) {
-        if (turn.beforeTraffic() || !mayStage(vm) || vm.group().isPresent() || vm.staged().isEmpty()) {
-            return Optional.empty();
-        }
-        boolean needed = turn.engine().models().stream()
-                .anyMatch(model -> holds(vm, model.id()) && needs.isShort(model));
-        return turn.engine().models().stream()
-                .filter(model -> !needed && !holds(vm, model.id()) && needs.isShort(model))
-                .filter(model -> spares(neighbours(vm), model.id()) == model.size() - 1)
-                .findFirst();
-    }
-
-    /**
-     * Returns the model that a host should hold beside that of its VM. A VM rejoins a replica of its last model fast in any
-     * case, so with the weights of another it can repair either. Only a model that spans as many
-     * VMs or more is worth it: fewer of its replicas exist, and each loss costs it more.
-     */
-    private Optional<ModelSpec> secondModel(UpstreamVm vm) {
-        boolean settled = vm.group()
-                .map(group -> group.phase() != GroupPhase.JOINING && group.phase() != GroupPhase.BROKEN)
-                .orElse(true);
-        if (!settled || !mayStage(vm) || vm.loaded().isEmpty()) {
-            return Optional.empty();
-        }
-        Optional<ModelSpec> own = turn.engine().model(vm.loaded().get());
-        if (own.isEmpty() || vm.staged().stream().anyMatch(model -> !model.equals(own.get().id()))) {
-            return Optional.empty();
-        }
-        return turn.engine().models().stream()
-                .filter(model -> !model.equals(own.get()) && model.size() >= own.get().size())
-                .min(Comparator.comparingDouble(model -> cover(neighbours(vm), model)));
-    }
-
-    /** Tells how many replicas' worth of a fabric domain's hosts hold a model's weights, under way or not. */
-    private double cover(List<UpstreamVm> neighbours, ModelSpec model) {
-        long hosts = neighbours.stream()
-                .filter(other -> other.staged().contains(model.id()) || isStaging(other, model.id()))
-                .count();
-        return (double) hosts / model.size();
-    }
-
-    private boolean isStaging(UpstreamVm vm, ModelId model) {
-        Staging loading = staging.get(vm.id());
-        return loading != null && loading.model().equals(model);
+        staging.keySet().removeIf(id -> turn.vms().stream()
+                .filter(vm -> vm.id().equals(id))
+                .findFirst()
+                .map(vm -> !vm.staged().isEmpty()
+                        && vm.staged().contains(staging.get(id).model()))
+                .orElse(true));
     }
 
     /**
@@ -673,22 +512,14 @@
      * starts; later the one that is furthest below its share and lacks the smallest part of a replica.
      */
     private ModelSpec modelToStage(UpstreamVm vm, Map<ModelId, Integer> counts) {
-        List<UpstreamVm> neighbours = neighbours(vm);
-        Comparator<ModelSpec> order = Comparator.comparing(
-                        (ModelSpec model) -> !turn.beforeTraffic() || !lacksSpare(neighbours, model))
-                .thenComparingDouble(model -> lack(neighbours, model, counts));
-        return turn.engine().models().stream().min(order).orElseThrow();
-    }
-
-    private List<UpstreamVm> neighbours(UpstreamVm vm) {
-        return turn.vms().stream()
+        List<UpstreamVm> neighbours = turn.vms().stream()
                 .filter(other -> other.fabricDomain().equals(vm.fabricDomain()))
                 .filter(other -> !other.id().equals(vm.id()))
                 .toList();
-    }
-
-    private double lack(List<UpstreamVm> neighbours, ModelSpec model, Map<ModelId, Integer> counts) {
-        return missingPart(neighbours, model) * needs.fill(model, counts);
+        Comparator<ModelSpec> order = Comparator.comparing(
+                        (ModelSpec model) -> !turn.beforeTraffic() || !lacksSpare(neighbours, model))
+                .thenComparingDouble(model -> missingPart(neighbours, model) * fill(model, counts));
+        return turn.engine().models().stream().min(order).orElseThrow();
     }
 
     private double missingPart(List<UpstreamVm> neighbours, ModelSpec model) {
@@ -709,7 +540,8 @@
                         && !released.contains(FormationId.of(vm.group().get())))) {
             return false;
         }
-        return staging.containsKey(vm.id()) ? isStaging(vm, model) : holds(vm, model);
+        Staging loading = staging.get(vm.id());
+        return holds(vm, model) || (loading != null && loading.model().equals(model));
     }
 
     // Orders.
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -136,21 +136,10 @@
         }
         // An old report may still name a replica that the VM is known to have left.
         Optional<GroupMembership> said = report.group().filter(membership -> membership.number() > known.leftNumber);
-        boolean closed = !mayBeOlder && hasClosed(known.vm.group(), said);
-        Optional<GroupMembership> group =
-                closed || report.orders() > known.vm.orders() ? said : further(known, said);
+        Optional<GroupMembership> group = report.orders() > known.vm.orders() ? said : further(known, said);
         learn(known, known.vm.withWeights(report).with(report.orders(), group), nowMillis);
     }
 
-    /** Tells whether a head that was closing says that it is ready again. */
-    private static boolean hasClosed(Optional<GroupMembership> before, Optional<GroupMembership> said) {
-        return before.isPresent()
-                && said.isPresent()
-                && before.get().sameFormation(said.get())
-                && before.get().phase() == GroupPhase.CLOSING
-                && said.get().phase() == GroupPhase.READY;
-    }
-
     /**
      * Takes the reply to an order: what a VM has begun shows at once.
      *
@@ -193,7 +182,7 @@
                         replica, number, members.indexOf(order.vm().id()), GroupPhase.JOINING));
             case ReplicaOrder.Leave leave -> Optional.empty();
             case ReplicaOrder.Open open -> before;
-            case ReplicaOrder.Close close -> before.map(membership -> membership.in(GroupPhase.CLOSING));
+            case ReplicaOrder.Close close -> before;
             case ReplicaOrder.Stage stage -> before;
         };
     }
--- a/relay/src/main/java/org/apricotdeal/relay/port/ReplicaOrder.java
+++ b/relay/src/main/java/org/apricotdeal/relay/port/ReplicaOrder.java
@@ -32,7 +32,7 @@
     record Open(ReplicaId replica, long number) implements ReplicaOrder {}
 
     /**
-     * To a head: take nothing new, finish what there is, and be ready again.
+     * To a head: stop serving, cutting off what runs.
      *
      * @param replica the replica
      * @param number number of its formation
