--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimVm.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimVm.java
@@ -141,7 +141,9 @@
         boolean warm = staged.filter(join.model()::equals).isPresent();
         phaseAtMillis = nowMillis + (again ? REJOIN_MILLIS : warm ? spec.warmMillis() : spec.loadMillis());
         loaded = Optional.of(join.model());
-        staged = loaded;
+        if (!again && !warm) {
+            staged = loaded;
+        }
         return OrderReply.BEGUN;
     }
 
