--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -34,7 +34,7 @@
  * others leave and rest until it cannot be open any more, for it may only be out of reach. <em>Form:</em> free VMs of one
  * fabric domain that hold a model's weights become a replica of it, the model furthest below its share first.
  * <em>Stage:</em> free VMs load the weights of the model that lacks VMs most, a replica's last missing one first, as the
- * weight store allows; before traffic hosts of members load a second model too, so that survivors can repair either.
+ * weight store allows.
  */
 public final class ReplicaPlanner {
     /** After this much longer than the stall time, a head without members is certainly broken. */
@@ -46,9 +46,6 @@
     /** Time after which a replica whose members do not all join is given up; longer than any load. */
     private static final long FORMING_MILLIS = 40_000;
 
-    /** Time after which an idle VM of no use loads another model; longer than a repair, shorter than a load is long. */
-    private static final long STRANDED_MILLIS = 8_000;
-
     /** A first member may take so long to show up after the others have. */
     private static final long ASSEMBLE_MILLIS = 4_000;
 
@@ -72,7 +69,6 @@
     private final Map<FormationId, Long> leavingSinceMillis = new HashMap<>();
     private final Map<FormationId, Long> openAgainMillis = new HashMap<>();
     private final Map<VmId, Long> restUntilMillis = new HashMap<>();
-    private final Map<VmId, Long> strandedSinceMillis = new HashMap<>();
     private final Map<VmId, Staging> staging = new HashMap<>();
     private final Map<FormationId, Planned> planned = new HashMap<>();
     private final Set<VmId> uncounted = new HashSet<>();
@@ -119,6 +115,18 @@
         this.stallMillis = stallMillis;
     }
 
+    /** Forgets what was under way; called when this node takes the planning over. */
+    public void takeOver() {
+        orders.clear();
+        released.clear();
+        restUntilMillis.clear();
+        staging.clear();
+        planned.clear();
+        firstSeenMillis.clear();
+        leavingSinceMillis.clear();
+        startedMillis = -1;
+    }
+
     /**
      * Takes the reply to an order.
      *
@@ -468,133 +476,35 @@
     // Stage.
 
     private void stage(Map<ModelId, Integer> counts) {
-        staging.keySet().removeIf(this::isStaged);
         if (turn.beforeTraffic() && awaitsLoads) {
             return;
         }
-        noteStranded();
-        for (UpstreamVm vm : withoutWeights(counts)) {
-            stage(vm, modelToStage(vm, counts), "spare");
-        }
-        if (turn.beforeTraffic()) {
-            for (UpstreamVm vm : turn.vms()) {
-                secondModel(vm).ifPresent(model -> stage(vm, model, "second model of its host"));
-            }
-        }
-    }
-
-    private boolean isStaged(VmId id) {
-        for (UpstreamVm vm : turn.vms()) {
-            if (vm.id().equals(id)) {
-                return vm.staged().contains(staging.get(id).model());
-            }
-        }
-        return true;
-    }
-
-    private void stage(UpstreamVm vm, ModelSpec model, String reason) {
-        if (loading() >= concurrentLoads() || !orders.isSettled(turn.nowMillis(), vm)) {
-            return;
-        }
+        int concurrent = (int) Math.max(1, Math.ceil(turn.engine().concurrentLoads() * turn.loadShare()));
         double perSecond = turn.engine().loadsPerSecond() * turn.loadShare();
-        if (!turn.beforeTraffic() && !loads.tryLoad(turn.nowMillis(), perSecond)) {
-            return;
-        }
-        if (order(vm, new ReplicaOrder.Stage(model.id()), reason)) {
-            staging.put(vm.id(), new Staging(model.id(), turn.nowMillis() + 2 * model.loadMillis()));
-        }
-    }
-
-    private int concurrentLoads() {
-        return turn.beforeTraffic()
-                ? FIRST_LOADS
-                : (int) Math.max(1, Math.ceil(turn.engine().concurrentLoads() * turn.loadShare()));
-    }
-
-    private boolean mayStage(UpstreamVm vm) {
-        return vm.fabricDomain().isPresent()
-                && !vm.leaving()
-                && !staging.containsKey(vm.id())
-                && !turn.lost().contains(vm.id());
-    }
-
-    /** Returns idle VMs without useful weights, first those that lack the smallest part of a replica that is needed. */
-    private List<UpstreamVm> withoutWeights(Map<ModelId, Integer> counts) {
-        return turn.vms().stream()
-                .filter(vm -> mayStage(vm) && vm.group().isEmpty())
-                .filter(vm -> vm.staged().isEmpty() || isStranded(vm))
-                .sorted(Comparator.comparingDouble(vm -> lack(neighbours(vm), modelToStage(vm, counts), counts)))
-                .toList();
-    }
-
-    /** Notes which idle VMs hold only models of which their fabric domain can neither repair nor form a replica. */
-    private void noteStranded() {
         for (UpstreamVm vm : turn.vms()) {
-            List<ModelSpec> useful = usefulModels(vm);
-            boolean useless = vm.group().isEmpty()
-                    && !useful.isEmpty()
-                    && useful.stream().noneMatch(model -> holds(vm, model.id()));
-            if (useless && !turn.beforeTraffic()) {
-                strandedSinceMillis.putIfAbsent(vm.id(), turn.nowMillis());
-            } else {
-                strandedSinceMillis.remove(vm.id());
+            boolean idle = vm.group().isEmpty() && vm.fabricDomain().isPresent() && !vm.leaving();
+            if (!idle
+                    || staging.containsKey(vm.id())
+                    || !vm.staged().isEmpty()
+                    || turn.lost().contains(vm.id())) {
+                continue;
+            }
+            if (loading() >= (turn.beforeTraffic() ? FIRST_LOADS : concurrent)
+                    || !orders.isSettled(turn.nowMillis(), vm)
+                    || !(turn.beforeTraffic() || loads.tryLoad(turn.nowMillis(), perSecond))) {
+                continue;
+            }
+            ModelSpec model = modelToStage(vm, counts);
+            if (order(vm, new ReplicaOrder.Stage(model.id()), "spare")) {
+                staging.put(vm.id(), new Staging(model.id(), turn.nowMillis() + 2 * model.loadMillis()));
             }
         }
-    }
-
-    private boolean isStranded(UpstreamVm vm) {
-        Long sinceMillis = strandedSinceMillis.get(vm.id());
-        return sinceMillis != null && turn.nowMillis() - sinceMillis >= STRANDED_MILLIS;
-    }
-
-    /** Returns the models that have a replica in a VM's fabric domain, or for which it has VMs enough that are idle. */
-    private List<ModelSpec> usefulModels(UpstreamVm vm) {
-        List<UpstreamVm> neighbours = neighbours(vm);
-        long idle = 1
-                + neighbours.stream()
-                        .filter(other -> other.group().isEmpty() && !other.leaving())
-                        .filter(other -> !turn.lost().contains(other.id()))
-                        .count();
-        return turn.engine().models().stream()
-                .filter(model -> model.size() <= idle || hasReplica(neighbours, model.id()))
-                .toList();
-    }
-
-    private boolean hasReplica(List<UpstreamVm> neighbours, ModelId model) {
-        return neighbours.stream()
-                .anyMatch(vm -> vm.group().isPresent()
-                        && !released.contains(FormationId.of(vm.group().get()))
-                        && vm.loaded().filter(model::equals).isPresent());
-    }
-
-    /**
-     * Returns the model that a member's host should hold beside the member's own, which the member rejoins fast in any case:
-     * with both it can repair either. Only a model that spans as many VMs or more is worth it: it has fewer replicas, and
-     * loses more of its slots with each.
-     */
-    private Optional<ModelSpec> secondModel(UpstreamVm vm) {
-        boolean works = vm.group()
-                .map(group -> group.phase() == GroupPhase.READY || group.phase() == GroupPhase.OPEN)
-                .orElse(false);
-        Optional<ModelSpec> own = vm.loaded().flatMap(turn.engine()::model);
-        if (!works || !mayStage(vm) || own.isEmpty() || vm.staged().stream().anyMatch(id -> !id.equals(own.get().id()))) {
-            return Optional.empty();
-        }
-        List<UpstreamVm> neighbours = neighbours(vm);
-        return turn.engine().models().stream()
-                .filter(model -> !model.equals(own.get()) && model.size() >= own.get().size())
-                .min(Comparator.comparingDouble(model -> (double) holders(neighbours, model.id()) / model.size()));
-    }
-
-    private long holders(List<UpstreamVm> vms, ModelId model) {
-        return vms.stream()
-                .filter(vm -> vm.staged().contains(model) || isStaging(vm, model))
-                .count();
-    }
-
-    private boolean isStaging(UpstreamVm vm, ModelId model) {
-        Staging loading = staging.get(vm.id());
-        return loading != null && loading.model().equals(model);
+        staging.keySet().removeIf(id -> turn.vms().stream()
+                .filter(vm -> vm.id().equals(id))
+                .findFirst()
+                .map(vm -> !vm.staged().isEmpty()
+                        && vm.staged().contains(staging.get(id).model()))
+                .orElse(true));
     }
 
     /**
@@ -602,23 +512,14 @@
      * starts; later the one that is furthest below its share and lacks the smallest part of a replica.
      */
     private ModelSpec modelToStage(UpstreamVm vm, Map<ModelId, Integer> counts) {
-        List<UpstreamVm> neighbours = neighbours(vm);
-        Comparator<ModelSpec> order = Comparator.comparing(
-                        (ModelSpec model) -> !turn.beforeTraffic() || !lacksSpare(neighbours, model))
-                .thenComparing(model -> isStranded(vm) && !usefulModels(vm).contains(model))
-                .thenComparingDouble(model -> lack(neighbours, model, counts));
-        return turn.engine().models().stream().min(order).orElseThrow();
-    }
-
-    private List<UpstreamVm> neighbours(UpstreamVm vm) {
-        return turn.vms().stream()
+        List<UpstreamVm> neighbours = turn.vms().stream()
                 .filter(other -> other.fabricDomain().equals(vm.fabricDomain()))
                 .filter(other -> !other.id().equals(vm.id()))
                 .toList();
-    }
-
-    private double lack(List<UpstreamVm> neighbours, ModelSpec model, Map<ModelId, Integer> counts) {
-        return missingPart(neighbours, model) * fill(model, counts);
+        Comparator<ModelSpec> order = Comparator.comparing(
+                        (ModelSpec model) -> !turn.beforeTraffic() || !lacksSpare(neighbours, model))
+                .thenComparingDouble(model -> missingPart(neighbours, model) * fill(model, counts));
+        return turn.engine().models().stream().min(order).orElseThrow();
     }
 
     private double missingPart(List<UpstreamVm> neighbours, ModelSpec model) {
@@ -639,7 +540,8 @@
                         && !released.contains(FormationId.of(vm.group().get())))) {
             return false;
         }
-        return staging.containsKey(vm.id()) ? isStaging(vm, model) : holds(vm, model);
+        Staging loading = staging.get(vm.id());
+        return holds(vm, model) || (loading != null && loading.model().equals(model));
     }
 
     // Orders.
