--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFixture.java
@@ -39,8 +39,8 @@
     }
 
     RelayFixture(double repeats) {
-        dispatcher =
-                new RelayDispatcher(HOME, new RepeatBudget(10_000, 0.2, repeats, 1), RandomSource.SPLIT_MIX_64.create(7));
+        dispatcher = new RelayDispatcher(
+                HOME, new RepeatBudget(10_000, 0.2, repeats, 1), RandomSource.SPLIT_MIX_64.create(7));
     }
 
     static Target target(String vm, int slots) {
@@ -49,6 +49,10 @@
     }
 
     static RouteEntry route(Repeatability repeatability, int maxAttempts) {
+        return route(repeatability, maxAttempts, OBJECTIVE_MILLIS);
+    }
+
+    private static RouteEntry route(Repeatability repeatability, int maxAttempts, long objectiveMillis) {
         return new RouteEntry(
                 "route",
                 "host",
@@ -56,7 +60,7 @@
                 repeatability,
                 repeatability == Repeatability.STREAM,
                 TIMEOUT_MILLIS,
-                OBJECTIVE_MILLIS,
+                objectiveMillis,
                 300,
                 1,
                 true,
@@ -83,6 +87,18 @@
                 nowMillis + TIMEOUT_MILLIS);
     }
 
+    /** Makes a stream request of a class, which has a priority and an objective. */
+    Arrival arrival(int priority, long objectiveMillis) {
+        return new Arrival(
+                new ExchangeId(++lastId),
+                LINE,
+                route(Repeatability.STREAM, 2, objectiveMillis),
+                "customer",
+                priority,
+                nowMillis,
+                nowMillis + TIMEOUT_MILLIS);
+    }
+
     List<RelayAction> arrive(Repeatability repeatability) {
         return step(new RelayEvent.Arrived(arrival(repeatability, 2)));
     }
