--- a/relay/src/main/java/org/apricotdeal/relay/policy/LineState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/LineState.java
@@ -18,9 +18,6 @@
     final Average serviceMillis;
     final Average startMillis;
 
-    /** Requests that other nodes have in progress here for each of this node's. */
-    double othersForEachOwn;
-
     /**
      * Creates a line.
      *
@@ -34,17 +31,6 @@
         this.startMillis = new Average(usualStartMillis);
     }
 
-    /** Weighs the other nodes' part of the work; without any work of this node they count as equals. */
-    void weighOthers(int nodes, long nowMillis) {
-        int own = 0;
-        int others = 0;
-        for (TargetState target : targets) {
-            own += target.running.size();
-            others += target.peerLoad(nowMillis);
-        }
-        othersForEachOwn = own == 0 ? nodes - 1 : (double) others / own;
-    }
-
     int usableSlots(long nowMillis) {
         int sum = 0;
         for (TargetState target : targets) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -54,7 +54,6 @@
     private final Map<LineId, LineState> lines = new HashMap<>();
     private final Map<TargetId, TargetState> targets = new HashMap<>();
     private RelayCatalogue catalogue;
-    private int nodes = 1;
     private long lastSequence;
     private long nowMillis;
     private List<RelayAction> actions = new ArrayList<>();
@@ -122,7 +121,7 @@
             case RelayEvent.CatalogueChanged(RelayCatalogue changed) -> catalogue = changed;
             case RelayEvent.TargetsChanged(List<Target> changed) -> changeTargets(changed);
             case RelayEvent.PeerLoad(String node, Map<TargetId, Integer> running) -> takePeerLoad(node, running);
-            case RelayEvent.NodesCounted(int counted) -> countNodes(counted);
+            case RelayEvent.NodesCounted(int nodes) -> budget.setNodes(nodes);
             case RelayEvent.Tick tick -> tick();
         }
         return actions;
@@ -164,13 +163,7 @@
     }
 
     private LineState line(LineId id) {
-        LineState line = lines.get(id);
-        if (line == null) {
-            line = newLine(id);
-            line.weighOthers(nodes, nowMillis);
-            lines.put(id, line);
-        }
-        return line;
+        return lines.computeIfAbsent(id, this::newLine);
     }
 
     private LineState newLine(LineId id) {
@@ -347,7 +340,6 @@
     // Watch.
 
     private void tick() {
-        weighOthers();
         targets.values()
                 .removeIf(state ->
                         state.running.isEmpty() && !state.line().targets.contains(state));
@@ -437,21 +429,10 @@
         lines.values().forEach(this::serve);
     }
 
-    private void countNodes(int counted) {
-        nodes = counted;
-        budget.setNodes(counted);
-        weighOthers();
-    }
-
-    private void weighOthers() {
-        lines.values().forEach(line -> line.weighOthers(nodes, nowMillis));
-    }
-
     private void takePeerLoad(String node, Map<TargetId, Integer> running) {
         for (TargetState state : targets.values()) {
             state.peerRuns(node, running.getOrDefault(state.target.id(), 0), nowMillis);
         }
-        weighOthers();
         lines.values().forEach(this::serve);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -10,9 +10,6 @@
     /** Age beyond which another node's count is no longer believed; several heartbeats. */
     private static final long PEER_LOAD_MILLIS = 1_500;
 
-    /** Time until a request shows in other nodes' counts: a heartbeat's period and its way. */
-    private static final long UNHEARD_MILLIS = 300;
-
     /** First time that a target in doubt is left out, before one request tries it again. */
     private static final long FIRST_DOUBT_MILLIS = 1_000;
 
@@ -53,11 +50,7 @@
     }
 
     int load(long nowMillis) {
-        return running.size() + peerLoad(nowMillis);
-    }
-
-    int peerLoad(long nowMillis) {
-        int sum = 0;
+        int sum = running.size();
         for (PeerCount peer : peers.values()) {
             if (nowMillis - peer.atMillis() < PEER_LOAD_MILLIS) {
                 sum += peer.running();
@@ -73,24 +66,7 @@
         if (doubtMillis > 0) {
             return triedSinceDoubt() ? 0 : 1;
         }
-        return Math.max(0, target.slots() - load(nowMillis) - unheardLoad(nowMillis));
-    }
-
-    /**
-     * Guesses what other nodes have sent and not told of yet, by what this node has sent in that time and their part of the
-     * line's work. All nodes see a new replica at once; without the guess each would fill all its slots.
-     */
-    private int unheardLoad(long nowMillis) {
-        if (target.line().model().isEmpty()) {
-            return 0;
-        }
-        int recent = 0;
-        for (RequestState request : running) {
-            if (nowMillis - request.dispatchedMillis < UNHEARD_MILLIS) {
-                recent++;
-            }
-        }
-        return (int) Math.round(recent * line.othersForEachOwn);
+        return Math.max(0, target.slots() - load(nowMillis));
     }
 
     boolean inDoubt(long nowMillis) {
