--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/NodesShareTargetsTest.java
@@ -0,0 +1,94 @@
+package org.apricotdeal.proofs.relay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.apricotdeal.relay.model.Repeatability;
+import org.apricotdeal.relay.policy.ExchangeId;
+import org.apricotdeal.relay.policy.RelayAction;
+import org.apricotdeal.relay.policy.RelayEvent;
+import org.apricotdeal.relay.policy.Target;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertTrue;
+
+/** Replays nodes whose requests wait when a replica opens: together they send it about what it works on at once. */
+public final class NodesShareTargetsTest {
+    private static final int SLOTS = 17;
+    private static final int WAITING = 30;
+    private static final long HEARTBEAT_MILLIS = 250;
+
+    @DataProvider
+    public Object[][] fleets() {
+        return new Object[][] {{1}, {2}, {4}, {8}};
+    }
+
+    /**
+     * No more than the slots and one request a node beyond them are sent before and after the heartbeats, and the slots are
+     * used.
+     *
+     * @param nodes number of nodes
+     */
+    @Test(dataProvider = "fleets", groups = "known-red")
+    public void newReplicaIsNotFilledByEachNode(int nodes) {
+        Target busy = RelayFixture.target("v1", SLOTS);
+        Target fresh = RelayFixture.target("v2", SLOTS);
+        List<RelayFixture> fleet = new ArrayList<>();
+        Map<RelayFixture, List<ExchangeId>> sent = new HashMap<>();
+        for (int i = 0; i < nodes; i++) {
+            RelayFixture node = new RelayFixture();
+            node.step(new RelayEvent.NodesCounted(nodes));
+            node.targets(busy);
+            node.step(new RelayEvent.PeerLoad("other", Map.of(busy.id(), SLOTS)));
+            for (int waiting = 0; waiting < WAITING; waiting++) {
+                node.arrive(Repeatability.STREAM);
+            }
+            fleet.add(node);
+        }
+        for (RelayFixture node : fleet) {
+            sent.put(node, sends(node.targets(busy, fresh)));
+        }
+        assertTrue(total(sent) <= SLOTS + nodes, "before heartbeats: " + total(sent));
+        for (int beat = 0; beat < 3; beat++) {
+            exchangeHeartbeats(fleet, sent, fresh);
+        }
+        assertTrue(total(sent) <= SLOTS + nodes, "after heartbeats: " + total(sent));
+        assertTrue(total(sent) >= Math.min(SLOTS, waiting(fleet)), "slots used: " + total(sent));
+    }
+
+    private static int waiting(List<RelayFixture> fleet) {
+        return fleet.stream().mapToInt(node -> node.dispatcher.waiting()).sum();
+    }
+
+    private static void exchangeHeartbeats(
+            List<RelayFixture> fleet, Map<RelayFixture, List<ExchangeId>> sent, Target target) {
+        Map<RelayFixture, Integer> told = new HashMap<>();
+        sent.forEach((node, ids) -> told.put(node, ids.size()));
+        for (RelayFixture node : fleet) {
+            node.nowMillis += HEARTBEAT_MILLIS;
+            for (ExchangeId id : sent.get(node)) {
+                node.dispatcher.progressed(node.nowMillis, id);
+            }
+            for (RelayFixture peer : fleet) {
+                if (peer != node) {
+                    RelayEvent load =
+                            new RelayEvent.PeerLoad("n" + fleet.indexOf(peer), Map.of(target.id(), told.get(peer)));
+                    sent.get(node).addAll(sends(node.step(load)));
+                }
+            }
+        }
+    }
+
+    private static int total(Map<RelayFixture, List<ExchangeId>> sent) {
+        return sent.values().stream().mapToInt(List::size).sum();
+    }
+
+    private static List<ExchangeId> sends(List<RelayAction> actions) {
+        return new ArrayList<>(RelayFixture.of(actions, RelayAction.Send.class).stream()
+                .map(RelayAction.Send::id)
+                .toList());
+    }
+}
