--- a/proofs/src/test/java/org/apricotdeal/relay/node/PlannerOfUnlistedNodeTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/PlannerOfUnlistedNodeTest.java
@@ -66,10 +66,10 @@
             fleet.put(new FleetEvent.PeersListed(List.of(PLANNER)));
             for (int beat = 0; beat < 20; beat++) {
                 fleet.put(new FleetEvent.Heartbeat(PLANNER, 1, Map.of()));
-                Thread.sleep(BEAT_MILLIS);
+                Thread.sleep(BEAT_MILLIS / 5);
                 // Listed at first; then its registration lapses.
                 fleet.put(new FleetEvent.PeersListed(beat < 8 ? List.of(PLANNER) : List.of()));
-                Thread.sleep(BEAT_MILLIS / 5);
+                Thread.sleep(BEAT_MILLIS);
             }
             assertFalse(tookOver(out), out.toString(StandardCharsets.UTF_8));
             fleet.put(new FleetEvent.PeersListed(List.of()));
