Share what stood twice: list-then-watch, running a node, stand-in servers; drop dead code

No change of behaviour; no test's assertion changed. - StoreWatcher: CatalogueWatcher and VmWatcher each had the list, the watch and the return to the list after a fault. - NodeMain.serve: both modes had the same shutdown hook and start. - StandinServer.start(Handler) and reply: both users' stand-ins set up, stopped and answered on a server of their own. - RelayNode describes itself once.

Not shared: RelayClients and HttpClients (relay does not depend on http, and their limits differ), enum heads and constructors that are alike in shape alone.

--- a/node/src/main/java/org/apricotdeal/node/NodeMain.java
+++ b/node/src/main/java/org/apricotdeal/node/NodeMain.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.IntSupplier;
 
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
@@ -84,33 +85,32 @@
 
     private static void serveRelay(RelaySettings settings) {
         RelayNode node = new RelayNode(settings);
-        CountDownLatch stopped = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().name("stop").unstarted(() -> {
+        serve(node::start, () -> {
             node.stopGracefully();
-            stopped.countDown();
-            Runtime.getRuntime().halt(0);
-        }));
-        try {
-            node.start();
-            stopped.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } catch (Exception e) {
-            System.err.println("apricotdeal-node: cannot start: " + e.getMessage());
-            Runtime.getRuntime().halt(EXIT_CANNOT_START);
-        }
+            return 0;
+        });
     }
 
     private static void serve(NodeSettings settings) {
         Node node = new Node(settings);
+        serve(node::start, () -> node.stopGracefully() == 0 ? 0 : EXIT_CUT_OFF);
+    }
+
+    /** What starts a node. */
+    private interface Start {
+        void run() throws Exception;
+    }
+
+    /** Runs a node until the process is asked to stop; its graceful stop returns the exit status. */
+    private static void serve(Start start, IntSupplier stopGracefully) {
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(Thread.ofPlatform().name("stop").unstarted(() -> {
-            int cutOff = node.stopGracefully();
+            int status = stopGracefully.getAsInt();
             stopped.countDown();
-            Runtime.getRuntime().halt(cutOff == 0 ? 0 : EXIT_CUT_OFF);
+            Runtime.getRuntime().halt(status);
         }));
         try {
-            node.start();
+            start.run();
             stopped.await();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimVm.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimVm.java
@@ -117,7 +117,6 @@
         return switch (order) {
             case ReplicaOrder.Join join -> join(nowMillis, join);
             case ReplicaOrder.Open(var replica, long number) -> open(nowMillis, replica.value(), number);
-            case ReplicaOrder.Close close -> throw new AssertionError("the planner does not close");
             case ReplicaOrder.Leave(var replica, long number) -> leave(replica.value(), number);
             case ReplicaOrder.Stage(var model) -> stage(nowMillis, model);
         };
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -15,7 +15,6 @@
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apricotdeal.kernel.duty.Duty;
 import org.apricotdeal.kernel.id.VmId;
-import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.policy.TargetId;
 import org.apricotdeal.wire.gen.TRelayHeartbeat;
 import org.apricotdeal.wire.gen.TRelayLoad;
@@ -54,12 +53,11 @@
     private Duty<Runnable> duty;
 
     Heartbeats(
-            RelaySettings settings,
+            TRelayNode self,
             HttpClient client,
             RelayDuty relay,
             FleetDuty fleet,
             CatalogueHolder catalogues,
-            Clock clock,
             DecisionLog log,
             MetricRegistry metrics) {
         this.client = client;
@@ -68,8 +66,7 @@
         this.catalogues = catalogues;
         this.log = log;
         this.metrics = metrics;
-        this.self = new TRelayNode(
-                settings.name(), settings.failureDomain().value(), settings.peerAddress(), clock.wallMillis());
+        this.self = self;
     }
 
     void begin() {
--- a/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
@@ -22,21 +22,20 @@
     private static final long LEASE_TTL_MILLIS = 4_000;
     private static final long RENEW_MILLIS = 1_200;
 
-    private final RelaySettings settings;
     private final WatchStore store;
     private final FleetDuty fleet;
     private final DecisionLog log;
+    private final String key;
     private final byte[] entry;
     private long lease;
 
-    Registration(RelaySettings settings, WatchStore store, FleetDuty fleet, Clock clock, DecisionLog log) {
+    Registration(TRelayNode self, WatchStore store, FleetDuty fleet, Clock clock, DecisionLog log) {
         super("registration", clock, log);
-        this.settings = settings;
         this.store = store;
         this.fleet = fleet;
         this.log = log;
-        this.entry = encode(new TRelayNode(
-                settings.name(), settings.failureDomain().value(), settings.peerAddress(), clock.wallMillis()));
+        this.key = PREFIX + self.getName();
+        this.entry = encode(self);
     }
 
     @Override
@@ -62,7 +61,7 @@
         return switch (store.grantLease(LEASE_TTL_MILLIS)) {
             case Result.Err<Long, StoreFault> refused -> refused;
             case Result.Ok<Long, StoreFault>(Long granted) -> {
-                Result<Long, StoreFault> written = store.write(PREFIX + settings.name(), entry, granted);
+                Result<Long, StoreFault> written = store.write(key, entry, granted);
                 if (written instanceof Result.Ok<Long, StoreFault>) {
                     lease = granted;
                     log.state("registered").with("lease", granted).write();
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -15,6 +15,7 @@
 import org.apricotdeal.relay.policy.RepeatBudget;
 import org.apricotdeal.relay.port.PlatformAdapter;
 import org.apricotdeal.relay.port.WatchStore;
+import org.apricotdeal.wire.gen.TRelayNode;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -65,12 +66,14 @@
             relay.put(new RelayEvent.CatalogueChanged(catalogue));
             fleet.put(new FleetEvent.CatalogueChanged(catalogue));
         });
-        registration = new Registration(settings, store, fleet, clock, log);
+        TRelayNode self = new TRelayNode(
+                settings.name(), settings.failureDomain().value(), settings.peerAddress(), clock.wallMillis());
+        registration = new Registration(self, store, fleet, clock, log);
         storeThreads = List.of(
                 new CatalogueWatcher(store, adapter.codec(), catalogues, clock, log),
                 new VmWatcher(store, adapter.codec(), fleet, clock, log),
                 registration);
-        heartbeats = new Heartbeats(settings, client, relay, fleet, catalogues, clock, log, metrics);
+        heartbeats = new Heartbeats(self, client, relay, fleet, catalogues, log, metrics);
         ingress = new IngressHandler(catalogues, adapter.headers(), relay, clock);
         server = new RelayServer(settings, threads, ingress, heartbeats, this::isReady, metrics, catalogues);
     }
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/node/StoreWatcher.java
@@ -0,0 +1,72 @@
+package org.apricotdeal.relay.node;
+
+import java.util.List;
+
+import org.apricotdeal.kernel.result.Result;
+import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.platform.Versioned;
+import org.apricotdeal.relay.port.StoreChange;
+import org.apricotdeal.relay.port.StoreFault;
+import org.apricotdeal.relay.port.WatchStore;
+
+/** Follows the keys with a prefix: lists them once, then watches for changes, and lists again after each fault. */
+abstract class StoreWatcher extends StoreThread {
+    private final WatchStore store;
+    private final String prefix;
+    private final long waitMillis;
+    private long revision = -1;
+
+    /**
+     * Creates a watcher.
+     *
+     * @param matter what it follows, for the log and the thread's name
+     * @param store the store
+     * @param prefix prefix of the keys
+     * @param waitMillis longest wait of a watch
+     */
+    StoreWatcher(String matter, WatchStore store, String prefix, long waitMillis, Clock clock, DecisionLog log) {
+        super(matter, clock, log);
+        this.store = store;
+        this.prefix = prefix;
+        this.waitMillis = waitMillis;
+    }
+
+    /** Takes all items at once; returns how long to pause before the next call. */
+    abstract long listed(List<Versioned> items);
+
+    /** Takes changes in their order; returns how long to pause before the next call. */
+    abstract long changed(List<StoreChange> changes);
+
+    @Override
+    final long turn() {
+        return revision < 0 ? list() : watch();
+    }
+
+    private long list() {
+        return switch (store.range(prefix, false)) {
+            case Result.Err<WatchStore.Range, StoreFault>(StoreFault fault) -> failed(fault);
+            case Result.Ok<WatchStore.Range, StoreFault>(WatchStore.Range range) -> {
+                answered();
+                long pauseMillis = listed(range.items());
+                revision = range.revision();
+                yield pauseMillis;
+            }
+        };
+    }
+
+    private long watch() {
+        return switch (store.watch(prefix, revision, waitMillis)) {
+            case Result.Err<WatchStore.Changes, StoreFault>(StoreFault fault) -> {
+                // Read again: a watch sent while the store is away would wait in vain beyond its return.
+                revision = -1;
+                yield fault instanceof StoreFault.HistoryLost ? 0 : failed(fault);
+            }
+            case Result.Ok<WatchStore.Changes, StoreFault>(WatchStore.Changes changes) -> {
+                answered();
+                long pauseMillis = changed(changes.changes());
+                revision = Math.max(revision, changes.revision());
+                yield pauseMillis;
+            }
+        };
+    }
+}
--- a/relay/src/main/java/org/apricotdeal/relay/policy/OrderBook.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/OrderBook.java
@@ -130,9 +130,4 @@
     public List<VmId> openVms() {
         return List.copyOf(entries.keySet());
     }
-
-    /** Forgets all orders, when another node has become the planner. */
-    public void clear() {
-        entries.clear();
-    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -115,18 +115,6 @@
         this.stallMillis = stallMillis;
     }
 
-    /** Forgets what was under way; called when this node takes the planning over. */
-    public void takeOver() {
-        orders.clear();
-        released.clear();
-        restUntilMillis.clear();
-        staging.clear();
-        planned.clear();
-        firstSeenMillis.clear();
-        leavingSinceMillis.clear();
-        startedMillis = -1;
-    }
-
     /**
      * Takes the reply to an order.
      *
@@ -479,7 +467,10 @@
         if (turn.beforeTraffic() && awaitsLoads) {
             return;
         }
-        int concurrent = (int) Math.max(1, Math.ceil(turn.engine().concurrentLoads() * turn.loadShare()));
+        int loading = loading();
+        int concurrent = turn.beforeTraffic()
+                ? FIRST_LOADS
+                : (int) Math.max(1, Math.ceil(turn.engine().concurrentLoads() * turn.loadShare()));
         double perSecond = turn.engine().loadsPerSecond() * turn.loadShare();
         for (UpstreamVm vm : turn.vms()) {
             boolean idle = vm.group().isEmpty() && vm.fabricDomain().isPresent() && !vm.leaving();
@@ -489,7 +480,7 @@
                     || turn.lost().contains(vm.id())) {
                 continue;
             }
-            if (loading() >= (turn.beforeTraffic() ? FIRST_LOADS : concurrent)
+            if (loading >= concurrent
                     || !orders.isSettled(turn.nowMillis(), vm)
                     || !(turn.beforeTraffic() || loads.tryLoad(turn.nowMillis(), perSecond))) {
                 continue;
@@ -497,14 +488,20 @@
             ModelSpec model = modelToStage(vm, counts);
             if (order(vm, new ReplicaOrder.Stage(model.id()), "spare")) {
                 staging.put(vm.id(), new Staging(model.id(), turn.nowMillis() + 2 * model.loadMillis()));
+                loading++;
+            }
+        }
+        staging.keySet().removeIf(this::isStaged);
+    }
+
+    /** Tells whether a load has ended, or its VM is gone. */
+    private boolean isStaged(VmId id) {
+        for (UpstreamVm vm : turn.vms()) {
+            if (vm.id().equals(id)) {
+                return vm.staged().contains(staging.get(id).model());
             }
         }
-        staging.keySet().removeIf(id -> turn.vms().stream()
-                .filter(vm -> vm.id().equals(id))
-                .findFirst()
-                .map(vm -> !vm.staged().isEmpty()
-                        && vm.staged().contains(staging.get(id).model()))
-                .orElse(true));
+        return true;
     }
 
     /**
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -182,7 +182,6 @@
                         replica, number, members.indexOf(order.vm().id()), GroupPhase.JOINING));
             case ReplicaOrder.Leave leave -> Optional.empty();
             case ReplicaOrder.Open open -> before;
-            case ReplicaOrder.Close close -> before;
             case ReplicaOrder.Stage stage -> before;
         };
     }
--- a/relay/src/main/java/org/apricotdeal/relay/port/ReplicaOrder.java
+++ b/relay/src/main/java/org/apricotdeal/relay/port/ReplicaOrder.java
@@ -31,14 +31,6 @@
      */
     record Open(ReplicaId replica, long number) implements ReplicaOrder {}
 
-    /**
-     * To a head: stop serving, cutting off what runs.
-     *
-     * @param replica the replica
-     * @param number number of its formation
-     */
-    record Close(ReplicaId replica, long number) implements ReplicaOrder {}
-
     /**
      * Leave a replica at once.
      *
--- a/standins/src/main/java/org/apricotdeal/standins/server/StandinServer.java
+++ b/standins/src/main/java/org/apricotdeal/standins/server/StandinServer.java
@@ -1,6 +1,7 @@
 package org.apricotdeal.standins.server;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 import org.eclipse.jetty.server.Handler;
@@ -14,6 +15,7 @@
 
 /** HTTP server of one stand-in. Stopping it closes its ports and cuts every connection, as the loss of a VM does. */
 public final class StandinServer implements AutoCloseable {
+    private static final String LOOPBACK = "127.0.0.1";
     private static final int SELECTORS = 1;
     private static final int BACKLOG_CONNECTIONS = 1024;
 
@@ -48,16 +50,56 @@
             connector.setAcceptQueueSize(BACKLOG_CONNECTIONS);
             server.addConnector(connector);
         }
+        return start(server, new ExchangeHandler(handler), "a stand-in can't listen on " + host + " " + ports);
+    }
+
+    /**
+     * Starts a server with threads of its own on a free port of the loopback address.
+     *
+     * @param handler handles the requests
+     * @return the started server
+     */
+    public static StandinServer start(Handler handler) {
+        Server server = new Server();
+        ServerConnector connector = new ServerConnector(server);
+        connector.setHost(LOOPBACK);
+        server.addConnector(connector);
+        return start(server, handler, "a stand-in can't listen on " + LOOPBACK);
+    }
+
+    private static StandinServer start(Server server, Handler handler, String failure) {
         server.setStopTimeout(0);
-        server.setHandler(new ExchangeHandler(handler));
+        server.setHandler(handler);
         try {
             server.start();
         } catch (Exception e) {
-            throw new IllegalStateException("a stand-in can't listen on " + host + " " + ports, e);
+            throw new IllegalStateException(failure, e);
         }
         return new StandinServer(server);
     }
 
+    /**
+     * Answers a request at once.
+     *
+     * @param response the response
+     * @param callback the request's callback
+     * @param status status code
+     * @param body the body
+     */
+    public static void reply(Response response, Callback callback, int status, String body) {
+        response.setStatus(status);
+        response.write(true, StandardCharsets.UTF_8.encode(body), callback);
+    }
+
+    /**
+     * Returns where a server on the loopback address listens.
+     *
+     * @return host and port
+     */
+    public String loopbackAddress() {
+        return LOOPBACK + ":" + port();
+    }
+
     /**
      * Returns the first port.
      *
--- a/standins/src/main/java/org/apricotdeal/standins/users/UsersStoreStandin.java
+++ b/standins/src/main/java/org/apricotdeal/standins/users/UsersStoreStandin.java
@@ -1,6 +1,5 @@
 package org.apricotdeal.standins.users;
 
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.concurrent.Executors;
@@ -11,13 +10,12 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.apricotdeal.standins.server.StandinServer;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
-import org.eclipse.jetty.server.Server;
-import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Fields;
 
@@ -27,8 +25,7 @@
     private static final long EXPIRE_MILLIS = 50;
 
     private final UsersStore store = new UsersStore();
-    private final Server server = new Server();
-    private final ServerConnector connector = new ServerConnector(server);
+    private final StandinServer server = StandinServer.start(new Calls());
     private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().daemon(true).factory());
     private final AtomicInteger calls = new AtomicInteger();
@@ -46,15 +43,6 @@
 
     /** Starts the store on loopback. */
     public UsersStoreStandin() {
-        connector.setHost("127.0.0.1");
-        server.addConnector(connector);
-        server.setStopTimeout(0);
-        server.setHandler(new Calls());
-        try {
-            server.start();
-        } catch (Exception e) {
-            throw new IllegalStateException("the stand-in store cannot start", e);
-        }
         var unused = clock.scheduleAtFixedRate(
                 () -> store.expire(System.currentTimeMillis()), EXPIRE_MILLIS, EXPIRE_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -65,7 +53,7 @@
      * @return host and port
      */
     public String address() {
-        return "127.0.0.1:" + connector.getLocalPort();
+        return server.loopbackAddress();
     }
 
     /**
@@ -113,11 +101,7 @@
     @Override
     public void close() {
         clock.shutdownNow();
-        try {
-            server.stop();
-        } catch (Exception e) {
-            throw new IllegalStateException("a stand-in's server could not be stopped", e);
-        }
+        server.close();
     }
 
     /** The store's calls. */
@@ -182,8 +166,7 @@
         }
 
         private static void reply(Response response, Callback callback, int status, ObjectNode body) {
-            response.setStatus(status);
-            response.write(true, ByteBuffer.wrap(body.toString().getBytes(StandardCharsets.UTF_8)), callback);
+            StandinServer.reply(response, callback, status, body.toString());
         }
     }
 }
--- a/standins/src/main/java/org/apricotdeal/standins/users/UsersWorkerStandin.java
+++ b/standins/src/main/java/org/apricotdeal/standins/users/UsersWorkerStandin.java
@@ -15,13 +15,12 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.apricotdeal.standins.server.StandinServer;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
-import org.eclipse.jetty.server.Server;
-import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 
@@ -36,8 +35,7 @@
 
     private final UsersStoreStandin store;
     private final Settings settings;
-    private final Server server = new Server();
-    private final ServerConnector connector = new ServerConnector(server);
+    private final StandinServer server = StandinServer.start(new Calls());
     private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().daemon(true).factory());
     private final long startedMillis = System.currentTimeMillis();
@@ -72,15 +70,6 @@
     public UsersWorkerStandin(UsersStoreStandin store, Settings settings) {
         this.store = store;
         this.settings = settings;
-        connector.setHost("127.0.0.1");
-        server.addConnector(connector);
-        server.setStopTimeout(0);
-        server.setHandler(new Calls());
-        try {
-            server.start();
-        } catch (Exception e) {
-            throw new IllegalStateException("a stand-in worker cannot start", e);
-        }
         register("ready");
     }
 
@@ -135,7 +124,7 @@
     private synchronized void register(String state) {
         ObjectNode entry = JsonNodeFactory.instance.objectNode();
         entry.put("service", settings.service())
-                .put("address", "127.0.0.1:" + connector.getLocalPort())
+                .put("address", server.loopbackAddress())
                 .put("zone", settings.zone())
                 .put("version", "v1")
                 .put("slots", 4)
@@ -222,11 +211,7 @@
     @Override
     public void close() {
         clock.shutdownNow();
-        try {
-            server.stop();
-        } catch (Exception e) {
-            throw new IllegalStateException("a stand-in's server could not be stopped", e);
-        }
+        server.close();
     }
 
     /** What comes to the worker's port. */
@@ -238,10 +223,10 @@
             }
             String path = request.getHttpURI().getPath();
             if (path.equals("/report")) {
-                reply(response, callback, HttpStatus.OK_200, report().toString());
+                StandinServer.reply(response, callback, HttpStatus.OK_200, report().toString());
             } else if (path.equals("/order")) {
                 int status = order(MAPPER.readTree(Content.Source.asString(request)));
-                reply(response, callback, status, "{}");
+                StandinServer.reply(response, callback, status, "{}");
             } else {
                 run(request, response, callback, path);
             }
@@ -259,7 +244,7 @@
             response.getHeaders().put("X-Attempt-Id", echoedId == null ? id : echoedId);
             response.getHeaders().put("X-Response-Signature", "signed-" + settings.id());
             if (settings.domain().isEmpty()) {
-                reply(response, callback, HttpStatus.OK_200, "{\"by\":\"" + settings.id() + "\"}");
+                StandinServer.reply(response, callback, HttpStatus.OK_200, "{\"by\":\"" + settings.id() + "\"}");
                 return;
             }
             response.getHeaders().put("Content-Type", "text/event-stream");
@@ -298,10 +283,5 @@
                                 callback.failed(failure);
                             }));
         }
-
-        private static void reply(Response response, Callback callback, int status, String body) {
-            response.setStatus(status);
-            response.write(true, StandardCharsets.UTF_8.encode(body), callback);
-        }
     }
 }
