--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -18,6 +18,7 @@
 import org.apricotdeal.relay.model.WeightedUpstream;
 import org.apricotdeal.relay.policy.AttemptOutcome;
 import org.apricotdeal.relay.policy.ExchangeId;
+import org.apricotdeal.relay.policy.RefusalGrounds;
 import org.apricotdeal.relay.policy.RefusalReason;
 import org.apricotdeal.relay.policy.RelayAction;
 import org.apricotdeal.relay.policy.RelayDispatcher;
@@ -186,9 +187,8 @@
     private void carryOut(List<RelayAction> actions) {
         for (RelayAction action : actions) {
             switch (action) {
-                case RelayAction.Send(ExchangeId id, Target target, int attempt) -> send(id, target, attempt);
-                case RelayAction.Refuse(ExchangeId id, RefusalReason reason, long retryAfterMillis) ->
-                    refuse(id, reason, retryAfterMillis);
+                case RelayAction.Send send -> send(send);
+                case RelayAction.Refuse refusal -> refuse(refusal);
                 case RelayAction.GiveUp(ExchangeId id, RefusalReason reason) -> giveUp(id, reason);
                 case RelayAction.CutOff(ExchangeId id) -> cutOff(id);
                 case RelayAction.Forget(ExchangeId id) -> forget(id);
@@ -197,39 +197,47 @@
         }
     }
 
-    private void send(ExchangeId id, Target target, int number) {
-        Exchange exchange = exchanges.get(id);
+    private void send(RelayAction.Send send) {
+        Exchange exchange = exchanges.get(send.id());
         if (exchange == null) {
             return;
         }
-        UpstreamAttempt attempt = new UpstreamAttempt(exchange, target, number, names, clock, this);
+        UpstreamAttempt attempt = new UpstreamAttempt(exchange, send.target(), send.attempt(), names, clock, this);
         exchange.setAttempt(attempt);
+        long nowMillis = clock.monotonicMillis();
         log.request("sent")
                 .with("request", exchange.requestId())
-                .with("target", target.id())
-                .with("attempt", number)
-                .with(
-                        "waitedMillis",
-                        clock.monotonicMillis() - exchange.arrival().arrivedMillis())
+                .with("target", send.target().id())
+                .with("attempt", send.attempt())
+                .with("waitedMillis", nowMillis - exchange.arrival().arrivedMillis())
+                .with("remainingMillis", exchange.arrival().endMillis() - nowMillis)
+                .with("load", send.load())
+                .with("loadAgeMillis", send.loadAgeMillis())
                 .write();
         attempt.send(client);
     }
 
-    private void refuse(ExchangeId id, RefusalReason reason, long retryAfterMillis) {
-        Exchange exchange = exchanges.remove(id);
+    private void refuse(RelayAction.Refuse refusal) {
+        Exchange exchange = exchanges.remove(refusal.id());
         if (exchange == null) {
             return;
         }
-        metrics.counter("refused." + reason).inc();
+        metrics.counter("refused." + refusal.reason()).inc();
+        RefusalGrounds grounds = refusal.grounds();
         log.request("refused")
                 .with("request", exchange.requestId())
                 .with("route", exchange.arrival().route().name())
                 .with("line", exchange.arrival().line())
-                .with("reason", reason)
-                .with("waiting", dispatcher.waiting())
-                .with("retryAfterMillis", retryAfterMillis)
+                .with("reason", refusal.reason())
+                .with("waiting", grounds.waiting())
+                .with("predictedWaitMillis", grounds.predictedWaitMillis())
+                .with("freeSlots", grounds.freeSlots())
+                .with("usableSlots", grounds.usableSlots())
+                .with("waitedMillis", grounds.waitedMillis())
+                .with("remainingMillis", exchange.arrival().endMillis() - clock.monotonicMillis())
+                .with("retryAfterMillis", refusal.retryAfterMillis())
                 .write();
-        exchange.refuse(reason, retryAfterMillis);
+        exchange.refuse(refusal.reason(), refusal.retryAfterMillis());
     }
 
     private void giveUp(ExchangeId id, RefusalReason reason) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayAction.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayAction.java
@@ -8,8 +8,10 @@
      * @param id the exchange
      * @param target the target
      * @param attempt number of the attempt, from 1
+     * @param load requests known to run at the target before this one, also those of other nodes
+     * @param loadAgeMillis age of the oldest count of another node in it
      */
-    record Send(ExchangeId id, Target target, int attempt) implements RelayAction {}
+    record Send(ExchangeId id, Target target, int attempt, int load, long loadAgeMillis) implements RelayAction {}
 
     /**
      * Refuse a request that certainly did not run.
@@ -17,8 +19,10 @@
      * @param id the exchange
      * @param reason why
      * @param retryAfterMillis when the caller should come back
+     * @param grounds what it was decided on
      */
-    record Refuse(ExchangeId id, RefusalReason reason, long retryAfterMillis) implements RelayAction {}
+    record Refuse(ExchangeId id, RefusalReason reason, long retryAfterMillis, RefusalGrounds grounds)
+            implements RelayAction {}
 
     /**
      * End a request that may have run.
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -218,6 +218,7 @@
     }
 
     private void send(RequestState request, TargetState target) {
+        int load = target.load(nowMillis);
         request.target = target;
         request.attempts++;
         request.started = false;
@@ -227,7 +228,8 @@
             target.lastProgressMillis = nowMillis;
         }
         target.running.add(request);
-        actions.add(new RelayAction.Send(request.arrival.id(), target.target, request.attempts));
+        actions.add(new RelayAction.Send(
+                request.arrival.id(), target.target, request.attempts, load, target.loadAgeMillis(nowMillis)));
     }
 
     // Follow.
@@ -334,7 +336,15 @@
 
     private void refuse(RequestState request, RefusalReason reason, long retryAfterMillis) {
         requests.remove(request.arrival.id());
-        actions.add(new RelayAction.Refuse(request.arrival.id(), reason, retryAfterMillis));
+        LineState line = request.line;
+        double waitMillis = line.predictWaitMillis(request, nowMillis);
+        RefusalGrounds grounds = new RefusalGrounds(
+                line.waiting.size(),
+                waitMillis == Double.MAX_VALUE ? -1 : Math.round(waitMillis),
+                line.freeSlots(nowMillis),
+                line.usableSlots(nowMillis),
+                nowMillis - request.arrival.arrivedMillis());
+        actions.add(new RelayAction.Refuse(request.arrival.id(), reason, retryAfterMillis, grounds));
     }
 
     // Watch.
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -59,6 +59,18 @@
         return sum;
     }
 
+    /** Returns the age of the oldest count of another node that the load rests on. */
+    long loadAgeMillis(long nowMillis) {
+        long oldestMillis = 0;
+        for (PeerCount peer : peers.values()) {
+            long ageMillis = nowMillis - peer.atMillis();
+            if (ageMillis < PEER_LOAD_MILLIS) {
+                oldestMillis = Math.max(oldestMillis, ageMillis);
+            }
+        }
+        return oldestMillis;
+    }
+
     int freeSlots(long nowMillis) {
         if (nowMillis < doubtUntilMillis) {
             return 0;
