Serve newcomers before callers who come back while slots are short, and spread returns over the slots that get free

Ruled out: slots that stay empty (as many are served as the slots can). Change: a caller with clearly less time left than callers of its route bring along in calm times (CallerPatience) has been refused before. It goes behind newcomers of its class; while newcomers are refused it does not get the last tenth of the slots, and is refused at once. Times to come back are placed one after the other, half of the slots' rate apart, up to the third of their time that callers honour. A request that has waited too long to be in time is refused then, not at its objective.

--- a/relay/src/main/java/org/apricotdeal/relay/policy/LineState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/LineState.java
@@ -10,13 +10,23 @@
     private static final Comparator<RequestState> ORDER = Comparator.comparing(
                     (RequestState request) -> request.attempts == 0)
             .thenComparingInt(request -> request.arrival.priority())
+            .thenComparing(request -> request.returned)
             .thenComparingLong(request -> request.sequence);
 
+    /** Part of the slots that are the last ones. */
+    private static final double KEPT_SHARE = 0.1;
+
+    /** Part of the slots that callers who come back may count on. */
+    private static final double RETURN_SHARE = 0.5;
+
     final LineId id;
     final TreeSet<RequestState> waiting = new TreeSet<>(ORDER);
     final List<TargetState> targets = new ArrayList<>();
     final Average serviceMillis;
     final Average startMillis;
+    long refusedMillis = Long.MIN_VALUE / 2;
+    long newcomerRefusedMillis = Long.MIN_VALUE / 2;
+    long nextReturnMillis;
 
     /**
      * Creates a line.
@@ -49,6 +59,33 @@
         return sum;
     }
 
+    /** Tells whether the last free slots are kept for newcomers, since some of these were refused a short time ago. */
+    boolean keepsSlotsForNewcomers(long nowMillis, long withinMillis) {
+        return nowMillis - newcomerRefusedMillis < withinMillis
+                && freeSlots(nowMillis) < usableSlots(nowMillis) * KEPT_SHARE;
+    }
+
+    /**
+     * Chooses when a refused caller should come back. Returns are placed one after the other, as far apart as slots get free
+     * for them, so that callers who were refused together do not come back together.
+     *
+     * @param nowMillis time
+     * @param earliestMillis shortest time to come back
+     * @param latestMillis longest time to come back
+     * @param spread number from 0 to 1 that places the returns beyond the longest time
+     * @return time from now
+     */
+    long placeReturn(long nowMillis, double earliestMillis, double latestMillis, double spread) {
+        double apartMillis = serviceMillis.value() / Math.max(1, usableSlots(nowMillis) * RETURN_SHARE);
+        nextReturnMillis = Math.max(nextReturnMillis, nowMillis + Math.round(earliestMillis));
+        long atMillis = nextReturnMillis;
+        if (atMillis - nowMillis > latestMillis) {
+            return Math.round(latestMillis - spread * Math.max(0, latestMillis - earliestMillis) / 2);
+        }
+        nextReturnMillis += Math.round(apartMillis);
+        return atMillis - nowMillis;
+    }
+
     /** Predicts how long a request waits behind those that go before it. */
     double predictWaitMillis(RequestState request, long nowMillis) {
         int ahead = waiting.headSet(request).size();
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -21,7 +21,9 @@
  * works on at once, counted over all nodes as far as their heartbeats tell.
  *
  * <p><em>Admit:</em> a request that could not start within its objective, by the number ahead of it and the time that a
- * slot is kept, is refused at once. It certainly did not run, and the caller is told when to come back. <em>Place:</em>
+ * slot is kept, is refused at once. It certainly did not run, and the caller is told when to come back. One who comes back
+ * has missed the objective and goes behind newcomers of its class, who can still be served in time; before them, callers
+ * who come back would make each newcomer late in turn. <em>Place:</em>
  * the line's first request goes to the target with the smallest part of its slots taken, the own failure domain first.
  * <em>Watch:</em> a target none of whose requests advances is in doubt: it gets nothing new, and what runs there and may
  * be repeated goes on elsewhere. <em>Repeat:</em> an attempt that failed is made again at another target where the route
@@ -37,12 +39,15 @@
 
     private static final long MAX_ABSENT_RETRY_MILLIS = 2_000;
 
-    /** Most that a caller is asked to wait: callers honour a third of their time. */
-    private static final long MAX_RETRY_MILLIS = 2_000;
+    /** Part of their time left that callers wait at most before they come back. */
+    private static final double HONOURED_SHARE = 1.0 / 3;
 
     /** Part of the objective that a request may wait at least, so that a slow line is not closed altogether. */
     private static final double MIN_WAIT_SHARE = 0.2;
 
+    /** Callers who were refused are back or gone by then: more than a third of what callers bring along. */
+    private static final long CALM_MILLIS = 4_000;
+
     private static final double PLAIN_SERVICE_MILLIS = 30;
     private static final double PLAIN_START_MILLIS = 30;
     private static final double ENGINE_START_MILLIS = 120;
@@ -53,6 +58,7 @@
     private final Map<ExchangeId, RequestState> requests = new HashMap<>();
     private final Map<LineId, LineState> lines = new HashMap<>();
     private final Map<TargetId, TargetState> targets = new HashMap<>();
+    private final Map<String, CallerPatience> patiences = new HashMap<>();
     private RelayCatalogue catalogue;
     private long lastSequence;
     private long nowMillis;
@@ -131,15 +137,17 @@
 
     private void arrive(Arrival arrival) {
         LineState line = line(arrival.line());
-        RequestState request = new RequestState(arrival, line, ++lastSequence);
+        RequestState request = new RequestState(arrival, line, ++lastSequence, hasAskedBefore(line, arrival));
         budget.requested(nowMillis);
         if (line.usableSlots(nowMillis) == 0 && line.freeSlots(nowMillis) == 0) {
             refuse(request, RefusalReason.NO_TARGET, absentRetryMillis());
             return;
         }
         double waitMillis = line.predictWaitMillis(request, nowMillis);
-        if (waitMillis > mayWaitMillis(request)) {
-            refuse(request, RefusalReason.OVERLOAD, spread(waitMillis + line.serviceMillis.value()));
+        boolean lastSlots =
+                request.returned && line.keepsSlotsForNewcomers(nowMillis, arrival.route().objectiveMillis());
+        if (lastSlots || waitMillis > mayWaitMillis(request)) {
+            refuse(request, RefusalReason.OVERLOAD, returnMillis(request, waitMillis));
             return;
         }
         requests.put(arrival.id(), request);
@@ -147,9 +155,23 @@
         serve(line);
     }
 
-    /** Time that a request can wait and still start within its objective. */
+    /** What callers bring along is learned while no one is refused, for then no one comes back. */
+    private boolean hasAskedBefore(LineState line, Arrival arrival) {
+        CallerPatience patience = patiences.computeIfAbsent(arrival.route().name(), name -> new CallerPatience());
+        long remainingMillis = arrival.endMillis() - arrival.arrivedMillis();
+        if (nowMillis - line.refusedMillis > CALM_MILLIS) {
+            patience.learn(remainingMillis);
+            return false;
+        }
+        return patience.hasAskedBefore(remainingMillis);
+    }
+
+    /** Time that a newcomer can wait and still start within its objective; one who comes back has missed it anyway. */
     private static double mayWaitMillis(RequestState request) {
         long objective = request.arrival.route().objectiveMillis();
+        if (request.returned) {
+            return objective;
+        }
         return Math.max(objective * MIN_WAIT_SHARE, objective - request.line.startMillis.value());
     }
 
@@ -157,9 +179,12 @@
         return MIN_ABSENT_RETRY_MILLIS + random.nextLong(MAX_ABSENT_RETRY_MILLIS - MIN_ABSENT_RETRY_MILLIS);
     }
 
-    /** Spreads returns over half again the time, so that refused callers do not come back together. */
-    private long spread(double millis) {
-        return Math.min(MAX_RETRY_MILLIS, Math.round(millis * (1 + random.nextDouble() / 2)));
+    /** Chooses when a refused caller should come back: when a slot that is taken now is free again, or later. */
+    private long returnMillis(RequestState request, double waitMillis) {
+        LineState line = request.line;
+        double latestMillis = (request.arrival.endMillis() - nowMillis) * HONOURED_SHARE;
+        double earliestMillis = Math.min(latestMillis, waitMillis + line.serviceMillis.value());
+        return line.placeReturn(nowMillis, earliestMillis, latestMillis, random.nextDouble());
     }
 
     private LineState line(LineId id) {
@@ -337,6 +362,10 @@
     private void refuse(RequestState request, RefusalReason reason, long retryAfterMillis) {
         requests.remove(request.arrival.id());
         LineState line = request.line;
+        line.refusedMillis = nowMillis;
+        if (!request.returned && reason != RefusalReason.NO_TARGET) {
+            line.newcomerRefusedMillis = nowMillis;
+        }
         double waitMillis = line.predictWaitMillis(request, nowMillis);
         RefusalGrounds grounds = new RefusalGrounds(
                 line.waiting.size(),
@@ -404,13 +433,13 @@
         List<RequestState> late = new ArrayList<>();
         for (RequestState request : line.waiting) {
             long waitedMillis = nowMillis - request.arrival.arrivedMillis();
-            if (request.attempts == 0 && waitedMillis > request.arrival.route().objectiveMillis()) {
+            if (request.attempts == 0 && waitedMillis > mayWaitMillis(request)) {
                 late.add(request);
             }
         }
         for (RequestState request : late) {
             line.waiting.remove(request);
-            refuse(request, RefusalReason.WAITED_OUT, spread(line.serviceMillis.value()));
+            refuse(request, RefusalReason.WAITED_OUT, returnMillis(request, 0));
         }
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RequestState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RequestState.java
@@ -8,6 +8,10 @@
     final Arrival arrival;
     final LineState line;
     final long sequence;
+
+    /** The caller was refused before, here or at another node. */
+    final boolean returned;
+
     final Set<TargetId> tried = new HashSet<>();
     TargetState target;
     int attempts;
@@ -15,10 +19,11 @@
     boolean started;
     long dispatchedMillis;
 
-    RequestState(Arrival arrival, LineState line, long sequence) {
+    RequestState(Arrival arrival, LineState line, long sequence, boolean returned) {
         this.arrival = arrival;
         this.line = line;
         this.sequence = sequence;
+        this.returned = returned;
     }
 
     boolean running() {
