--- a/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
@@ -54,6 +54,7 @@
     private final AtomicBoolean begun = new AtomicBoolean();
     private UpstreamAttempt attempt;
     private volatile long progressMillis;
+    private volatile long begunMillis = -1;
     private volatile String lastEventId;
 
     Exchange(
@@ -98,6 +99,11 @@
         return progressMillis;
     }
 
+    /** Returns when the answer's first event came; -1 where none has, or the answer is no stream. */
+    long begunMillis() {
+        return begunMillis;
+    }
+
     void progressed(long nowMillis) {
         progressMillis = nowMillis;
     }
@@ -127,8 +133,9 @@
     }
 
     /** Begins an event stream with the first VM's status and headers; later VMs' are not shown. */
-    void beginStream(int status, HttpFields upstreamHeaders) {
+    void beginStream(int status, HttpFields upstreamHeaders, long nowMillis) {
         if (begun.compareAndSet(false, true)) {
+            begunMillis = nowMillis;
             head(status, upstreamHeaders);
             // Without chunks the answer would end with its connection, and one that is broken off would look whole.
             response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED);
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -128,6 +128,9 @@
     public void answered(UpstreamAttempt attempt, int status) {
         Exchange exchange = attempt.exchange();
         long tookMillis = clock.monotonicMillis() - exchange.arrival().arrivedMillis();
+        long beganMillis = exchange.begunMillis() < 0
+                ? tookMillis
+                : exchange.begunMillis() - exchange.arrival().arrivedMillis();
         metrics.histogram("answer.millis." + exchange.arrival().route().name()).update(tookMillis);
         metrics.counter("answered." + status).inc();
         log.request("answered")
@@ -135,6 +138,7 @@
                 .with("status", status)
                 .with("target", attempt.target().id())
                 .with("attempt", attempt.number())
+                .with("beganMillis", beganMillis)
                 .with("tookMillis", tookMillis)
                 .write();
         duty.put(new RelayEvent.Finished(exchange.arrival().id()));
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -178,7 +178,7 @@
         RouteEntry route = exchange.arrival().route();
         streaming = route.repeatability() == Repeatability.STREAM && response.getStatus() == HttpStatus.OK_200;
         if (streaming) {
-            exchange.beginStream(response.getStatus(), response.getHeaders());
+            exchange.beginStream(response.getStatus(), response.getHeaders(), clock.monotonicMillis());
             listener.started(this);
         }
     }
