Log what the VMs of each planner do, stranded ones among them

A state line vms_counted, when it changes and at most once a second for each planner: members that serve and that form, spares by model, VMs that load, rest, lack weights, part from a replica or are away.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
@@ -22,6 +22,7 @@
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.policy.PlannedOrder;
 import org.apricotdeal.relay.policy.ReplicaPlanner;
+import org.apricotdeal.relay.policy.VmCensus;
 import org.apricotdeal.relay.policy.VmTable;
 import org.apricotdeal.relay.port.OrderReply;
 import org.apricotdeal.relay.port.ReplicaOrder;
@@ -258,6 +259,10 @@
                 .toList();
         List<PlannedOrder> orders = planning.planner.plan(
                 new ReplicaPlanner.Turn(nowMillis, nowMillis, ENGINE, known, lost, beforeTraffic, 1));
+        VmCensus census = planning.planner.census();
+        if (census.stranded() + census.serving() + census.away() != known.size()) {
+            throw new AssertionError("at " + nowMillis + ": " + census + " does not count " + known.size() + " VMs");
+        }
         orders.forEach(order -> send(planning, order));
         Set<VmId> asked = new HashSet<>(planning.planner.uncounted());
         asked.addAll(planning.planner.watched());
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -27,6 +27,7 @@
 import org.apricotdeal.relay.policy.ReplicaPlanner;
 import org.apricotdeal.relay.policy.Target;
 import org.apricotdeal.relay.policy.TargetBuilder;
+import org.apricotdeal.relay.policy.VmCensus;
 import org.apricotdeal.relay.policy.VmTable;
 import org.apricotdeal.relay.port.ReplicaOrders;
 
@@ -58,6 +59,9 @@
     /** Nodes that start together have registered by then; until then each would take itself for the only one. */
     private static final long SETTLE_MILLIS = 1_500;
 
+    /** Least time between two lines that count the VMs of a planner. */
+    private static final long CENSUS_MILLIS = 1_000;
+
     private final RelaySettings settings;
     private final RelayDuty relay;
     private final ReplicaOrders orders;
@@ -68,6 +72,7 @@
     private final VmTable table = new VmTable();
     private final Map<VmId, Long> askedMillis = new HashMap<>();
     private final Map<PlannerKey, ReplicaPlanner> planners = new HashMap<>();
+    private final Map<PlannerKey, Noted> noted = new HashMap<>();
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, Long> heardMillis = new HashMap<>();
     private final long startedMillis;
@@ -80,6 +85,9 @@
     private volatile List<Peer> livePeers = List.of();
     private volatile boolean sawVms;
 
+    /** Counts that were logged, and when. */
+    private record Noted(VmCensus census, long atMillis) {}
+
     FleetDuty(
             RelaySettings settings,
             RelayDuty relay,
@@ -295,6 +303,7 @@
         for (PlannerKey key : List.copyOf(planners.keySet())) {
             if (!mine.contains(key)) {
                 planners.remove(key);
+                noted.remove(key);
                 log.state("planner_yielded").with("planner", key).write();
             }
         }
@@ -346,12 +355,33 @@
                 beforeTraffic,
                 1.0 / Math.max(1, settings.failureDomains().size())));
         planned.forEach(order -> send(key, order));
+        noteCensus(nowMillis, key, planner.census());
         planner.uncounted().forEach(vm -> ask(vm, REPORT_PERIOD_MILLIS));
         if (!beforeTraffic) {
             planner.watched().forEach(vm -> ask(vm, REPORT_PERIOD_MILLIS));
         }
     }
 
+    private void noteCensus(long nowMillis, PlannerKey key, VmCensus census) {
+        Noted noted = this.noted.get(key);
+        if (noted != null && (noted.census().equals(census) || nowMillis - noted.atMillis() < CENSUS_MILLIS)) {
+            return;
+        }
+        this.noted.put(key, new Noted(census, nowMillis));
+        log.state("vms_counted")
+                .with("planner", key)
+                .with("serving", census.serving())
+                .with("forming", census.forming())
+                .with("spares", census.spares())
+                .with("loading", census.loading())
+                .with("resting", census.resting())
+                .with("blank", census.blank())
+                .with("parting", census.parting())
+                .with("away", census.away())
+                .with("stranded", census.stranded())
+                .write();
+    }
+
     private void send(PlannerKey key, PlannedOrder order) {
         metrics.counter("orders.sent").inc();
         log.state("order_sent")
