--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -73,10 +73,6 @@
     private final Map<VmId, Staging> staging = new HashMap<>();
     private final Map<FormationId, Planned> planned = new HashMap<>();
     private final Set<VmId> uncounted = new HashSet<>();
-
-    /** Model of the first replica that was formed in a fabric domain. */
-    private final Map<FabricDomainId, ModelId> homes = new HashMap<>();
-
     private long lastNumber;
     private long startedMillis = -1;
     private boolean awaitsLoads;
@@ -388,7 +384,9 @@
             return;
         }
         List<UpstreamVm> left = new ArrayList<>();
-        free.forEach((domain, vms) -> left.addAll(formIn(domain, vms, counts)));
+        for (List<UpstreamVm> domain : free.values()) {
+            left.addAll(formIn(domain, counts));
+        }
         if (!turn.beforeTraffic()) {
             formAcross(left, counts);
         }
@@ -429,12 +427,12 @@
     }
 
     /** Forms what replicas it can within a fabric domain; returns the VMs left over. */
-    private List<UpstreamVm> formIn(FabricDomainId domain, List<UpstreamVm> free, Map<ModelId, Integer> counts) {
+    private List<UpstreamVm> formIn(List<UpstreamVm> free, Map<ModelId, Integer> counts) {
         List<UpstreamVm> left = new ArrayList<>(free);
         boolean formed = true;
         while (formed) {
             formed = false;
-            for (ModelSpec model : inOrder(domain, counts)) {
+            for (ModelSpec model : byDeficit(counts)) {
                 List<UpstreamVm> members = members(left, model);
                 if (members.size() < model.size() || !leavesSpares(left, model)) {
                     continue;
@@ -443,7 +441,6 @@
                     awaitsLoads = true;
                     return left;
                 }
-                settle(domain, model);
                 join(model, members);
                 left.removeAll(members);
                 counts.merge(model.id(), 1, Integer::sum);
@@ -460,34 +457,6 @@
                 || free.size() - model.size() >= turn.engine().models().size();
     }
 
-    /** Models in the order in which a fabric domain should get replicas: its own first, where it has one. */
-    private List<ModelSpec> inOrder(FabricDomainId domain, Map<ModelId, Integer> counts) {
-        List<ModelSpec> models = byDeficit(counts);
-        ModelId home = turn.beforeTraffic() ? homes.get(domain) : null;
-        models.sort(Comparator.comparing(model -> !model.id().equals(home)));
-        return models;
-    }
-
-    /**
-     * Keeps a fabric domain for the model of its first replica, so that survivors of one replica can repair another. As many
-     * whole domains are kept for a model as its share of the VMs fills; the others hold replicas of all.
-     */
-    private void settle(FabricDomainId domain, ModelSpec model) {
-        long domains = turn.vms().stream()
-                .flatMap(vm -> vm.fabricDomain().stream())
-                .distinct()
-                .count();
-        double shares =
-                turn.engine().models().stream().mapToDouble(ModelSpec::share).sum();
-        long kept = homes.values().stream().filter(model.id()::equals).count();
-        boolean first = turn.vms().stream()
-                .filter(vm -> vm.fabricDomain().filter(domain::equals).isPresent())
-                .allMatch(vm -> vm.group().isEmpty());
-        if (first && (kept + 1) * shares <= domains * model.share()) {
-            homes.putIfAbsent(domain, model.id());
-        }
-    }
-
     /** Models, the one furthest below its share of the VMs first. */
     private List<ModelSpec> byDeficit(Map<ModelId, Integer> counts) {
         List<ModelSpec> models = new ArrayList<>(turn.engine().models());
@@ -611,7 +580,6 @@
                 .toList();
         Comparator<ModelSpec> order = Comparator.comparing(
                         (ModelSpec model) -> !turn.beforeTraffic() || !lacksSpare(neighbours, model))
-                .thenComparing(model -> !turn.beforeTraffic() || !hasReplica(neighbours, model.id()))
                 .thenComparingDouble(model -> missingPart(neighbours, model) * fill(model, counts));
         return turn.engine().models().stream().min(order).orElseThrow();
     }
@@ -621,13 +589,7 @@
     }
 
     private boolean lacksSpare(List<UpstreamVm> neighbours, ModelSpec model) {
-        return spares(neighbours, model.id()) == 0 && hasReplica(neighbours, model.id());
-    }
-
-    private boolean hasReplica(List<UpstreamVm> neighbours, ModelId model) {
-        return neighbours.stream()
-                .anyMatch(other ->
-                        other.group().isPresent() && other.loaded().filter(model::equals).isPresent());
+        return spares(neighbours, model.id()) == 0;
     }
 
     private long spares(List<UpstreamVm> neighbours, ModelId model) {
