--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ReturningCallersTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ReturningCallersTest.java
@@ -82,7 +82,10 @@
         List<Caller> flood = replay(FLOOD_MILLIS, 2 * CAPACITY_PER_SECOND);
         long inTime = flood.stream().filter(caller -> caller.inTime).count();
         double possible = CAPACITY_PER_SECOND * FLOOD_MILLIS / 1_000;
-        assertTrue(inTime >= MIN_IN_TIME_OF_CAPACITY * possible, inTime + " in time of " + possible + " possible, " + flood.stream().filter(caller -> caller.served).count() + " served");
+        assertTrue(
+                inTime >= MIN_IN_TIME_OF_CAPACITY * possible,
+                inTime + " in time of " + possible + " possible, "
+                        + flood.stream().filter(caller -> caller.served).count() + " served");
     }
 
     /**
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -73,8 +73,7 @@
                 settings.name(), settings.failureDomain().value(), settings.peerAddress(), clock.wallMillis());
         registration = new Registration(self, store, fleet, clock, log);
         VmWatcher vms = new VmWatcher(store, adapter.codec(), fleet, clock, log);
-        storeThreads =
-                List.of(new CatalogueWatcher(store, adapter.codec(), catalogues, clock, log), vms, registration);
+        storeThreads = List.of(new CatalogueWatcher(store, adapter.codec(), catalogues, clock, log), vms, registration);
         heartbeats = new Heartbeats(self, client, relay, fleet, catalogues, vms, log, metrics);
         ingress = new IngressHandler(catalogues, adapter.headers(), relay, clock);
         server = new RelayServer(settings, threads, ingress, heartbeats, this::isReady, metrics, catalogues);
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -155,8 +155,8 @@
             return;
         }
         double waitMillis = line.predictWaitMillis(request, nowMillis);
-        boolean lastSlots =
-                request.returned && line.keepsSlotsForNewcomers(nowMillis, arrival.route().objectiveMillis());
+        boolean lastSlots = request.returned
+                && line.keepsSlotsForNewcomers(nowMillis, arrival.route().objectiveMillis());
         if (lastSlots || waitMillis > mayWaitMillis(request)) {
             refuse(request, RefusalReason.OVERLOAD, returnMillis(request, waitMillis));
             return;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -192,7 +192,12 @@
             Occupation occupation = occupation(vm, open);
             counts.merge(occupation, 1, Integer::sum);
             if (occupation == Occupation.SPARE) {
-                spares.merge(vm.staged().isEmpty() ? vm.loaded().orElseThrow() : vm.staged().getFirst(), 1, Integer::sum);
+                spares.merge(
+                        vm.staged().isEmpty()
+                                ? vm.loaded().orElseThrow()
+                                : vm.staged().getFirst(),
+                        1,
+                        Integer::sum);
             }
         }
         return new VmCensus(
