--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayDispatcherTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayDispatcherTest.java
@@ -34,15 +34,15 @@
         Target reading = RelayFixture.target("v2", 12);
         relay.targets(writing);
         for (int i = 0; i < 3; i++) {
-            ExchangeId id = RelayFixture.onlySend(relay.arrive(Repeatability.STREAM)).id();
+            ExchangeId id =
+                    RelayFixture.onlySend(relay.arrive(Repeatability.STREAM)).id();
             relay.step(new RelayEvent.Started(id));
         }
         relay.targets(reading);
         relay.arrive(Repeatability.STREAM);
         relay.arrive(Repeatability.STREAM);
         relay.targets(writing, reading);
-        assertEquals(
-                RelayFixture.onlySend(relay.arrive(Repeatability.STREAM)).target(), writing);
+        assertEquals(RelayFixture.onlySend(relay.arrive(Repeatability.STREAM)).target(), writing);
     }
 
     @Test
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -181,8 +181,7 @@
         for (TRelayLoad load : heartbeat.getLoads()) {
             running.put(new TargetId(new VmId(load.getVm()), load.getNumber()), load.getRunning());
         }
-        fleet.put(new FleetEvent.Heartbeat(
-                sender, heartbeat.getCatalogueVersion(), running, heartbeat.isStopping()));
+        fleet.put(new FleetEvent.Heartbeat(sender, heartbeat.getCatalogueVersion(), running, heartbeat.isStopping()));
     }
 
     @Override
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -67,8 +67,8 @@
     private final Map<LineId, LineState> lines = new HashMap<>();
     private final Map<TargetId, TargetState> targets = new HashMap<>();
     private final Map<String, CallerPatience> patiences = new HashMap<>();
-    private RelayCatalogue catalogue;
     private final Set<String> heardInRound = new HashSet<>();
+    private RelayCatalogue catalogue;
     private int nodes = 1;
     private long roundSinceMillis;
     private long lastSequence;
@@ -135,7 +135,7 @@
             case RelayEvent.Finished(ExchangeId id) -> finished(id);
             case RelayEvent.AttemptFailed(ExchangeId id, AttemptOutcome outcome) -> failed(id, outcome);
             case RelayEvent.CallerLeft(ExchangeId id) -> callerLeft(id);
-            case RelayEvent.CatalogueChanged(RelayCatalogue changed) -> catalogue = changed;
+            case RelayEvent.CatalogueChanged(RelayCatalogue changed) -> changeCatalogue(changed);
             case RelayEvent.TargetsChanged(List<Target> changed) -> changeTargets(changed);
             case RelayEvent.PeerLoad(String node, Map<TargetId, Integer> running) -> takePeerLoad(node, running);
             case RelayEvent.NodesCounted(int counted) -> {
@@ -474,7 +474,14 @@
         end(request, RefusalReason.TIMEOUT);
     }
 
-    // Targets and peers.
+    // Catalogue, targets and peers.
+
+    private void changeCatalogue(RelayCatalogue changed) {
+        catalogue = changed;
+        Set<String> routes = new HashSet<>();
+        changed.routes().forEach(route -> routes.add(route.name()));
+        patiences.keySet().retainAll(routes);
+    }
 
     /** A target that is no longer listed gets nothing new; it is kept until what it runs has ended. */
     private void changeTargets(List<Target> changed) {
