--- a/relay/src/main/java/org/apricotdeal/relay/model/RelayCatalogue.java
+++ b/relay/src/main/java/org/apricotdeal/relay/model/RelayCatalogue.java
@@ -7,6 +7,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.apricotdeal.kernel.id.UpstreamId;
 
@@ -58,6 +60,18 @@
         return version;
     }
 
+    /**
+     * Returns the names of the routes.
+     *
+     * @return the names, of all hosts
+     */
+    public Set<String> routeNames() {
+        return routesByHost.values().stream()
+                .flatMap(List::stream)
+                .map(RouteEntry::name)
+                .collect(Collectors.toSet());
+    }
+
     /**
      * Returns the bounds for callers.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -478,9 +478,7 @@
 
     private void changeCatalogue(RelayCatalogue changed) {
         catalogue = changed;
-        Set<String> routes = new HashSet<>();
-        changed.routes().forEach(route -> routes.add(route.name()));
-        patiences.keySet().retainAll(routes);
+        patiences.keySet().retainAll(changed.routeNames());
     }
 
     /** A target that is no longer listed gets nothing new; it is kept until what it runs has ended. */
