--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
@@ -23,6 +23,7 @@
 import org.apricotdeal.relay.policy.PlannedOrder;
 import org.apricotdeal.relay.policy.ReplicaPlanner;
 import org.apricotdeal.relay.policy.VmCensus;
+import org.apricotdeal.relay.policy.VmOccupation;
 import org.apricotdeal.relay.policy.VmTable;
 import org.apricotdeal.relay.port.OrderReply;
 import org.apricotdeal.relay.port.ReplicaOrder;
@@ -260,7 +261,8 @@
         List<PlannedOrder> orders = planning.planner.plan(
                 new ReplicaPlanner.Turn(nowMillis, nowMillis, ENGINE, known, lost, beforeTraffic, 1));
         VmCensus census = planning.planner.census();
-        if (census.stranded() + census.serving() + census.away() != known.size()) {
+        int served = census.count(VmOccupation.SERVING) + census.count(VmOccupation.AWAY);
+        if (census.stranded() + served != known.size()) {
             throw new AssertionError("at " + nowMillis + ": " + census + " does not count " + known.size() + " VMs");
         }
         orders.forEach(order -> send(planning, order));
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -28,6 +29,7 @@
 import org.apricotdeal.relay.policy.Target;
 import org.apricotdeal.relay.policy.TargetBuilder;
 import org.apricotdeal.relay.policy.VmCensus;
+import org.apricotdeal.relay.policy.VmOccupation;
 import org.apricotdeal.relay.policy.VmTable;
 import org.apricotdeal.relay.port.ReplicaOrders;
 
@@ -380,16 +382,11 @@
             return;
         }
         this.noted.put(key, new Noted(census, nowMillis));
-        log.state("vms_counted")
-                .with("planner", key)
-                .with("serving", census.serving())
-                .with("forming", census.forming())
-                .with("spares", census.spares())
-                .with("loading", census.loading())
-                .with("resting", census.resting())
-                .with("blank", census.blank())
-                .with("parting", census.parting())
-                .with("away", census.away())
+        var line = log.state("vms_counted").with("planner", key);
+        for (VmOccupation occupation : VmOccupation.values()) {
+            line.with(occupation.name().toLowerCase(Locale.ROOT), census.count(occupation));
+        }
+        line.with("spareModels", census.spares())
                 .with("stranded", census.stranded())
                 .write();
     }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -82,18 +81,6 @@
     /** A load of weights onto a host that this planner ordered. */
     private record Staging(ModelId model, long untilMillis) {}
 
-    /** What a VM does; see {@link VmCensus}. */
-    private enum Occupation {
-        SERVING,
-        FORMING,
-        SPARE,
-        LOADING,
-        RESTING,
-        BLANK,
-        PARTING,
-        AWAY
-    }
-
     /** A replica that this planner ordered its members to join. */
     private record Planned(ModelId model, long atMillis) {}
 
@@ -180,55 +167,33 @@
      * @return the counts
      */
     public VmCensus census() {
-        Map<ModelId, Integer> spares = new TreeMap<>(Comparator.comparing(ModelId::value));
-        Map<Occupation, Integer> counts = new EnumMap<>(Occupation.class);
         Set<FormationId> open = new HashSet<>();
         for (Formation formation : Formations.of(turn.vms(), turn.engine())) {
             if (formation.open() && formation.complete()) {
                 open.add(formation.id());
             }
         }
-        for (UpstreamVm vm : turn.vms()) {
-            Occupation occupation = occupation(vm, open);
-            counts.merge(occupation, 1, Integer::sum);
-            if (occupation == Occupation.SPARE) {
-                spares.merge(
-                        vm.staged().isEmpty()
-                                ? vm.loaded().orElseThrow()
-                                : vm.staged().getFirst(),
-                        1,
-                        Integer::sum);
-            }
-        }
-        return new VmCensus(
-                counts.getOrDefault(Occupation.SERVING, 0),
-                counts.getOrDefault(Occupation.FORMING, 0),
-                spares,
-                counts.getOrDefault(Occupation.LOADING, 0),
-                counts.getOrDefault(Occupation.RESTING, 0),
-                counts.getOrDefault(Occupation.BLANK, 0),
-                counts.getOrDefault(Occupation.PARTING, 0),
-                counts.getOrDefault(Occupation.AWAY, 0));
+        return VmCensus.of(turn.vms(), vm -> occupation(vm, open));
     }
 
-    private Occupation occupation(UpstreamVm vm, Set<FormationId> open) {
+    private VmOccupation occupation(UpstreamVm vm, Set<FormationId> open) {
         if (vm.leaving() || turn.lost().contains(vm.id())) {
-            return Occupation.AWAY;
+            return VmOccupation.AWAY;
         }
         Optional<FormationId> formation = vm.group().map(FormationId::of);
         if (formation.isPresent() && !released.contains(formation.get())) {
-            return open.contains(formation.get()) ? Occupation.SERVING : Occupation.FORMING;
+            return open.contains(formation.get()) ? VmOccupation.SERVING : VmOccupation.FORMING;
         }
         if (formation.isPresent()) {
-            return Occupation.PARTING;
+            return VmOccupation.PARTING;
         }
         if (staging.containsKey(vm.id())) {
-            return Occupation.LOADING;
+            return VmOccupation.LOADING;
         }
         if (turn.nowMillis() < restUntilMillis.getOrDefault(vm.id(), 0L)) {
-            return Occupation.RESTING;
+            return VmOccupation.RESTING;
         }
-        return vm.staged().isEmpty() && vm.loaded().isEmpty() ? Occupation.BLANK : Occupation.SPARE;
+        return vm.staged().isEmpty() && vm.loaded().isEmpty() ? VmOccupation.BLANK : VmOccupation.SPARE;
     }
 
     /**
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmCensus.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmCensus.java
@@ -1,42 +1,68 @@
 package org.apricotdeal.relay.policy;
 
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
 
 import org.apricotdeal.relay.model.ModelId;
+import org.apricotdeal.relay.model.UpstreamVm;
 
 /**
  * What the VMs of an upstream in a failure domain do, as its planner sees it. Each VM is counted once.
  *
- * @param serving members of replicas that are open
- * @param forming members of replicas that are not open yet
- * @param spares VMs in no replica that hold a model's weights, by model
- * @param loading VMs in no replica that load weights
- * @param resting VMs that must not join another replica before their former head has certainly stopped
- * @param blank VMs in no replica without weights
- * @param parting members of replicas that are being dissolved
- * @param away VMs that leave or do not answer
+ * @param counts number of VMs by what they do; an occupation without any is left out
+ * @param spares spares by the model whose weights they hold
  */
-public record VmCensus(
-        int serving,
-        int forming,
-        Map<ModelId, Integer> spares,
-        int loading,
-        int resting,
-        int blank,
-        int parting,
-        int away) {
-    /** Copies the map. */
+public record VmCensus(Map<VmOccupation, Integer> counts, Map<ModelId, Integer> spares) {
+    /** Copies the maps. */
     public VmCensus {
+        counts = Map.copyOf(counts);
         spares = Map.copyOf(spares);
     }
 
+    /**
+     * Counts VMs.
+     *
+     * @param vms the VMs
+     * @param occupation tells what a VM does
+     * @return the counts
+     */
+    static VmCensus of(Collection<UpstreamVm> vms, Function<UpstreamVm, VmOccupation> occupation) {
+        Map<VmOccupation, Integer> counts = new EnumMap<>(VmOccupation.class);
+        Map<ModelId, Integer> spares = new TreeMap<>(Comparator.comparing(ModelId::value));
+        for (UpstreamVm vm : vms) {
+            VmOccupation does = occupation.apply(vm);
+            counts.merge(does, 1, Integer::sum);
+            if (does == VmOccupation.SPARE) {
+                ModelId model = vm.staged().isEmpty()
+                        ? vm.loaded().orElseThrow()
+                        : vm.staged().getFirst();
+                spares.merge(model, 1, Integer::sum);
+            }
+        }
+        return new VmCensus(counts, spares);
+    }
+
+    /**
+     * Returns how many VMs do something.
+     *
+     * @param occupation what they do
+     * @return number of VMs
+     */
+    public int count(VmOccupation occupation) {
+        return counts.getOrDefault(occupation, 0);
+    }
+
     /**
      * Returns how many VMs could work but serve no one.
      *
      * @return number of VMs
      */
     public int stranded() {
-        int idle = spares.values().stream().mapToInt(Integer::intValue).sum();
-        return forming + idle + loading + resting + blank + parting;
+        int all = counts.values().stream().mapToInt(Integer::intValue).sum();
+        return all - count(VmOccupation.SERVING) - count(VmOccupation.AWAY);
     }
 }
