--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -23,10 +23,11 @@
  * works on at once, counted over all nodes as far as their heartbeats tell.
  *
  * <p><em>Admit:</em> a request that could not start within its objective, by the number ahead of it and the time that a
- * slot is kept, is refused at once. It certainly did not run, and the caller is told when to come back. One who comes back
- * has missed the objective and goes behind newcomers of its class, who can still be served in time; before them, callers
- * who come back would make each newcomer late in turn. <em>Place:</em>
- * the line's first request goes to the target with the smallest part of its slots taken, the own failure domain first.
+ * slot is kept, is refused at once. It certainly did not run, and the caller is told when to come back. A caller who comes
+ * back has missed the objective, so it goes behind newcomers of its class, who can still be served in time; in front of
+ * them it would make a newcomer late, who comes back in turn. <em>Place:</em> the line's first request goes to the target
+ * with the smallest part of its slots taken, where prompts that the engine has not read weigh more and the own failure
+ * domain goes first. Between the heartbeats of the other nodes this one takes an equal part of the slots that are free.
  * <em>Watch:</em> a target none of whose requests advances is in doubt: it gets nothing new, and what runs there and may
  * be repeated goes on elsewhere. <em>Repeat:</em> an attempt that failed is made again at another target where the route
  * allows it, within the route's number of attempts and the shared {@link RepeatBudget}; what may have run and must not be
