Count a line's slots once for a refusal, and a planner's VMs only when they may be logged

A refusal went over the line's targets up to ten times: LineOutlook counts slots and the wait once and is handed on. The census was made in each turn of a planner and logged once a second: CensusLog asks for it then. News of VMs are sorted as a list, not kept in a map keyed by changes. A change tells its revision itself. The stopping flag of heartbeats is the fleet duty's. The census' sorted spares were copied into an unsorted map. An unread field of the heartbeat event is gone; noteCaller says that it learns.

--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -28,8 +27,6 @@
 import org.apricotdeal.relay.policy.ReplicaPlanner;
 import org.apricotdeal.relay.policy.Target;
 import org.apricotdeal.relay.policy.TargetBuilder;
-import org.apricotdeal.relay.policy.VmCensus;
-import org.apricotdeal.relay.policy.VmOccupation;
 import org.apricotdeal.relay.policy.VmTable;
 import org.apricotdeal.relay.port.ReplicaOrders;
 
@@ -61,9 +58,6 @@
     /** Nodes that start together have registered by then; until then each would take itself for the only one. */
     private static final long SETTLE_MILLIS = 1_500;
 
-    /** Least time between two lines that count the VMs of a planner. */
-    private static final long CENSUS_MILLIS = 1_000;
-
     private final RelaySettings settings;
     private final RelayDuty relay;
     private final ReplicaOrders orders;
@@ -74,7 +68,7 @@
     private final VmTable table = new VmTable();
     private final Map<VmId, Long> askedMillis = new HashMap<>();
     private final Map<PlannerKey, ReplicaPlanner> planners = new HashMap<>();
-    private final Map<PlannerKey, Noted> noted = new HashMap<>();
+    private final CensusLog censuses;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, Long> heardMillis = new HashMap<>();
     private final Set<String> stoppingPeers = new HashSet<>();
@@ -84,12 +78,9 @@
     private List<Target> targets = List.of();
     private boolean changed;
     private boolean peersListed;
-    private boolean stopping;
     private volatile List<Peer> livePeers = List.of();
     private volatile boolean sawVms;
-
-    /** Counts that were logged, and when. */
-    private record Noted(VmCensus census, long atMillis) {}
+    private volatile boolean stopping;
 
     FleetDuty(
             RelaySettings settings,
@@ -103,6 +94,7 @@
         this.orders = orders;
         this.clock = clock;
         this.log = log;
+        this.censuses = new CensusLog(log);
         this.metrics = metrics;
         this.startedMillis = clock.monotonicMillis();
         this.plannerName = plannerName(settings.name(), clock.wallMillis());
@@ -131,6 +123,11 @@
         return livePeers;
     }
 
+    /** Tells whether this node plans no more, for heartbeats. */
+    boolean isStopping() {
+        return stopping;
+    }
+
     /** Tells whether the store's VMs have been listed once. */
     boolean sawVms() {
         return sawVms;
@@ -162,7 +159,7 @@
                 changed = true;
             }
             case FleetEvent.PeersListed(List<Peer> listed) -> takePeers(listed);
-            case FleetEvent.Heartbeat(Peer sender, long version, var running, boolean senderStops) -> {
+            case FleetEvent.Heartbeat(Peer sender, var running, boolean senderStops) -> {
                 heardMillis.put(sender.name(), clock.monotonicMillis());
                 noteStopping(sender, senderStops);
                 peers.putIfAbsent(sender.name(), sender);
@@ -317,7 +314,7 @@
         for (PlannerKey key : List.copyOf(planners.keySet())) {
             if (!mine.contains(key)) {
                 planners.remove(key);
-                noted.remove(key);
+                censuses.forget(key);
                 log.state("planner_yielded").with("planner", key).write();
             }
         }
@@ -369,28 +366,13 @@
                 beforeTraffic,
                 1.0 / Math.max(1, settings.failureDomains().size())));
         planned.forEach(order -> send(key, order));
-        noteCensus(nowMillis, key, planner.census());
+        censuses.note(nowMillis, key, planner::census);
         planner.uncounted().forEach(vm -> ask(vm, REPORT_PERIOD_MILLIS));
         if (!beforeTraffic) {
             planner.watched().forEach(vm -> ask(vm, REPORT_PERIOD_MILLIS));
         }
     }
 
-    private void noteCensus(long nowMillis, PlannerKey key, VmCensus census) {
-        Noted noted = this.noted.get(key);
-        if (noted != null && (noted.census().equals(census) || nowMillis - noted.atMillis() < CENSUS_MILLIS)) {
-            return;
-        }
-        this.noted.put(key, new Noted(census, nowMillis));
-        var line = log.state("vms_counted").with("planner", key);
-        for (VmOccupation occupation : VmOccupation.values()) {
-            line.with(occupation.name().toLowerCase(Locale.ROOT), census.count(occupation));
-        }
-        line.with("spareModels", census.spares())
-                .with("stranded", census.stranded())
-                .write();
-    }
-
     private void send(PlannerKey key, PlannedOrder order) {
         metrics.counter("orders.sent").inc();
         log.state("order_sent")
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetEvent.java
@@ -39,8 +39,7 @@
     record PeersListed(List<Peer> peers) implements FleetEvent {}
 
     /** A node sent a heartbeat; one that stops plans no more. */
-    record Heartbeat(Peer sender, long catalogueVersion, Map<TargetId, Integer> running, boolean stopping)
-            implements FleetEvent {}
+    record Heartbeat(Peer sender, Map<TargetId, Integer> running, boolean stopping) implements FleetEvent {}
 
     /** This node stops: it plans no more. */
     record Stopping() implements FleetEvent {}
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -57,7 +57,6 @@
 
     private final Map<String, Boolean> underWay = new ConcurrentHashMap<>();
     private Duty<Runnable> duty;
-    private volatile boolean stopping;
 
     Heartbeats(
             TRelayNode self,
@@ -82,11 +81,6 @@
         duty = new Duty<>("heartbeats", RING_SLOTS, PERIOD_MILLIS, Runnable::run, this::sendAll);
     }
 
-    /** Tells the other nodes from now on that this one stops, so that they take over its planning. */
-    void stopping() {
-        stopping = true;
-    }
-
     private void sendAll() {
         for (Peer peer : fleet.peers()) {
             // One at a time to each peer: a silent connection must not gather heartbeats.
@@ -124,7 +118,7 @@
         }
         heartbeat.setVmRevision(vms.revision());
         heartbeat.setStoreAway(vms.isAway());
-        heartbeat.setStopping(stopping);
+        heartbeat.setStopping(fleet.isStopping());
         Long knownRevision = awayPeers.get(peer.name());
         if (knownRevision != null) {
             vms.newsSince(knownRevision).map(VmNews::encode).ifPresent(heartbeat::setVmNews);
@@ -181,7 +175,7 @@
         for (TRelayLoad load : heartbeat.getLoads()) {
             running.put(new TargetId(new VmId(load.getVm()), load.getNumber()), load.getRunning());
         }
-        fleet.put(new FleetEvent.Heartbeat(sender, heartbeat.getCatalogueVersion(), running, heartbeat.isStopping()));
+        fleet.put(new FleetEvent.Heartbeat(sender, running, heartbeat.isStopping()));
     }
 
     @Override
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -120,7 +120,6 @@
         ingress.drain(startMillis + Math.min(TAKE_REQUESTS_MILLIS, settings.drainMillis() / 2));
         server.drain();
         fleet.put(new FleetEvent.Stopping());
-        heartbeats.stopping();
         registration.close();
         registration.deregister();
         sleep(Math.min(MIN_DRAIN_MILLIS, settings.drainMillis() / 2));
--- a/relay/src/main/java/org/apricotdeal/relay/node/StoreThread.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/StoreThread.java
@@ -7,6 +7,7 @@
 /** A thread with one matter at the store, which blocks in calls and pauses in between. */
 abstract class StoreThread implements AutoCloseable {
     private static final long FIRST_PAUSE_MILLIS = 150;
+
     /** The return of the store is noticed this much later at most; VMs that left meanwhile still count as there until then. */
     private static final long MAX_PAUSE_MILLIS = 500;
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
@@ -109,18 +109,11 @@
         }
         toldMillis = clock().monotonicMillis();
         List<StoreChange> fresh = new ArrayList<>(news.changes());
-        fresh.removeIf(change -> revision(change) <= entries.revision());
+        fresh.removeIf(change -> change.revision() <= entries.revision());
         take(fresh, toldMillis);
         entries.reached(news.revision());
     }
 
-    private static long revision(StoreChange change) {
-        return switch (change) {
-            case StoreChange.Written(Versioned item) -> item.revision();
-            case StoreChange.Deleted(String key, long atRevision) -> atRevision;
-        };
-    }
-
     private Optional<UpstreamVm> vm(Versioned item) {
         return id(item.key()).flatMap(id -> codec.vm(id.value(), item.value()));
     }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/LineState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/LineState.java
@@ -41,7 +41,7 @@
         this.startMillis = new Average(usualStartMillis);
     }
 
-    int usableSlots(long nowMillis) {
+    private int usableSlots(long nowMillis) {
         int sum = 0;
         for (TargetState target : targets) {
             if (!target.inDoubt(nowMillis)) {
@@ -60,23 +60,24 @@
     }
 
     /** Tells whether the last free slots are kept for newcomers, since some of these were refused a short time ago. */
-    boolean keepsSlotsForNewcomers(long nowMillis, long withinMillis) {
+    boolean keepsSlotsForNewcomers(LineOutlook outlook, long nowMillis, long withinMillis) {
         return nowMillis - newcomerRefusedMillis < withinMillis
-                && freeSlots(nowMillis) < usableSlots(nowMillis) * KEPT_SHARE;
+                && outlook.freeSlots() < outlook.usableSlots() * KEPT_SHARE;
     }
 
     /**
      * Chooses when a refused caller should come back. Returns are placed one after the other, as far apart as slots get free
      * for them, so that callers who were refused together do not come back together.
      *
+     * @param outlook the line's outlook now
      * @param nowMillis time
      * @param earliestMillis shortest time to come back
      * @param latestMillis longest time to come back
      * @param spread number from 0 to 1 that places the returns beyond the longest time
      * @return time from now
      */
-    long placeReturn(long nowMillis, double earliestMillis, double latestMillis, double spread) {
-        double apartMillis = serviceMillis.value() / Math.max(1, usableSlots(nowMillis) * RETURN_SHARE);
+    long placeReturn(LineOutlook outlook, long nowMillis, double earliestMillis, double latestMillis, double spread) {
+        double apartMillis = serviceMillis.value() / Math.max(1, outlook.usableSlots() * RETURN_SHARE);
         nextReturnMillis = Math.max(nextReturnMillis, nowMillis + Math.round(earliestMillis));
         long atMillis = nextReturnMillis;
         if (atMillis - nowMillis > latestMillis) {
@@ -86,14 +87,15 @@
         return atMillis - nowMillis;
     }
 
-    /** Predicts how long a request waits behind those that go before it. */
-    double predictWaitMillis(RequestState request, long nowMillis) {
+    /** Counts slots and predicts how long a request waits behind those that go before it. */
+    LineOutlook outlook(RequestState request, long nowMillis) {
         int ahead = waiting.headSet(request).size();
         int free = freeSlots(nowMillis);
-        if (ahead < free) {
-            return 0;
+        int usable = usableSlots(nowMillis);
+        double waitMillis = 0;
+        if (ahead >= free) {
+            waitMillis = usable == 0 ? Double.MAX_VALUE : (ahead - free + 1) * serviceMillis.value() / usable;
         }
-        int slots = usableSlots(nowMillis);
-        return slots == 0 ? Double.MAX_VALUE : (ahead - free + 1) * serviceMillis.value() / slots;
+        return new LineOutlook(waiting.size(), free, usable, waitMillis);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -152,17 +152,18 @@
 
     private void arrive(Arrival arrival) {
         LineState line = line(arrival.line());
-        RequestState request = new RequestState(arrival, line, ++lastSequence, hasAskedBefore(line, arrival));
+        RequestState request = new RequestState(arrival, line, ++lastSequence, noteCaller(line, arrival));
         budget.requested(nowMillis);
-        if (line.usableSlots(nowMillis) == 0 && line.freeSlots(nowMillis) == 0) {
-            refuse(request, RefusalReason.NO_TARGET, absentRetryMillis());
+        LineOutlook outlook = line.outlook(request, nowMillis);
+        if (outlook.hasNoTarget()) {
+            refuse(request, RefusalReason.NO_TARGET, absentRetryMillis(), outlook);
             return;
         }
-        double waitMillis = line.predictWaitMillis(request, nowMillis);
         boolean lastSlots = request.returned
-                && line.keepsSlotsForNewcomers(nowMillis, arrival.route().objectiveMillis());
-        if (lastSlots || waitMillis > mayWaitMillis(request)) {
-            refuse(request, RefusalReason.OVERLOAD, returnMillis(request, waitMillis));
+                && line.keepsSlotsForNewcomers(
+                        outlook, nowMillis, arrival.route().objectiveMillis());
+        if (lastSlots || outlook.waitMillis() > mayWaitMillis(request)) {
+            refuse(request, RefusalReason.OVERLOAD, returnMillis(request, outlook, outlook.waitMillis()), outlook);
             return;
         }
         requests.put(arrival.id(), request);
@@ -170,8 +171,11 @@
         serve(line);
     }
 
-    /** What callers bring along is learned while no one is refused, for then no one comes back. */
-    private boolean hasAskedBefore(LineState line, Arrival arrival) {
+    /**
+     * Learns how much time callers bring along while no one is refused, for then no one comes back; returns whether this one
+     * must have asked before.
+     */
+    private boolean noteCaller(LineState line, Arrival arrival) {
         CallerPatience patience = patiences.computeIfAbsent(arrival.route().name(), name -> new CallerPatience());
         long remainingMillis = arrival.endMillis() - arrival.arrivedMillis();
         if (nowMillis - line.refusedMillis > CALM_MILLIS) {
@@ -195,11 +199,11 @@
     }
 
     /** Chooses when a refused caller should come back: when a slot that is taken now is free again, or later. */
-    private long returnMillis(RequestState request, double waitMillis) {
+    private long returnMillis(RequestState request, LineOutlook outlook, double waitMillis) {
         LineState line = request.line;
         double latestMillis = (request.arrival.endMillis() - nowMillis) * HONOURED_SHARE;
         double earliestMillis = Math.min(latestMillis, waitMillis + line.serviceMillis.value());
-        return line.placeReturn(nowMillis, earliestMillis, latestMillis, random.nextDouble());
+        return line.placeReturn(outlook, nowMillis, earliestMillis, latestMillis, random.nextDouble());
     }
 
     private LineState line(LineId id) {
@@ -371,27 +375,22 @@
 
     private void end(RequestState request, RefusalReason reason) {
         if (!request.mayHaveRun) {
-            refuse(request, reason == RefusalReason.BROKEN ? RefusalReason.NOT_RUN : reason, absentRetryMillis());
+            RefusalReason notRun = reason == RefusalReason.BROKEN ? RefusalReason.NOT_RUN : reason;
+            refuse(request, notRun, absentRetryMillis(), request.line.outlook(request, nowMillis));
             return;
         }
         requests.remove(request.arrival.id());
         actions.add(new RelayAction.GiveUp(request.arrival.id(), reason));
     }
 
-    private void refuse(RequestState request, RefusalReason reason, long retryAfterMillis) {
+    private void refuse(RequestState request, RefusalReason reason, long retryAfterMillis, LineOutlook outlook) {
         requests.remove(request.arrival.id());
         LineState line = request.line;
         line.refusedMillis = nowMillis;
         if (!request.returned && reason != RefusalReason.NO_TARGET) {
             line.newcomerRefusedMillis = nowMillis;
         }
-        double waitMillis = line.predictWaitMillis(request, nowMillis);
-        RefusalGrounds grounds = new RefusalGrounds(
-                line.waiting.size(),
-                waitMillis == Double.MAX_VALUE ? -1 : Math.round(waitMillis),
-                line.freeSlots(nowMillis),
-                line.usableSlots(nowMillis),
-                nowMillis - request.arrival.arrivedMillis());
+        RefusalGrounds grounds = outlook.grounds(nowMillis - request.arrival.arrivedMillis());
         actions.add(new RelayAction.Refuse(request.arrival.id(), reason, retryAfterMillis, grounds));
     }
 
@@ -461,7 +460,8 @@
         }
         for (RequestState request : late) {
             line.waiting.remove(request);
-            refuse(request, RefusalReason.WAITED_OUT, returnMillis(request, 0));
+            LineOutlook outlook = line.outlook(request, nowMillis);
+            refuse(request, RefusalReason.WAITED_OUT, returnMillis(request, outlook, 0), outlook);
         }
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmCensus.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmCensus.java
@@ -1,9 +1,11 @@
 package org.apricotdeal.relay.policy;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.Function;
 
@@ -16,13 +18,7 @@
  * @param counts number of VMs by what they do; an occupation without any is left out
  * @param spares spares by the model whose weights they hold
  */
-public record VmCensus(Map<VmOccupation, Integer> counts, Map<ModelId, Integer> spares) {
-    /** Copies the maps. */
-    public VmCensus {
-        counts = Map.copyOf(counts);
-        spares = Map.copyOf(spares);
-    }
-
+public record VmCensus(Map<VmOccupation, Integer> counts, SortedMap<ModelId, Integer> spares) {
     /**
      * Counts VMs.
      *
@@ -32,7 +28,7 @@
      */
     static VmCensus of(Collection<UpstreamVm> vms, Function<UpstreamVm, VmOccupation> occupation) {
         Map<VmOccupation, Integer> counts = new EnumMap<>(VmOccupation.class);
-        Map<ModelId, Integer> spares = new TreeMap<>(Comparator.comparing(ModelId::value));
+        SortedMap<ModelId, Integer> spares = new TreeMap<>(Comparator.comparing(ModelId::value));
         for (UpstreamVm vm : vms) {
             VmOccupation does = occupation.apply(vm);
             counts.merge(does, 1, Integer::sum);
@@ -43,7 +39,7 @@
                 spares.merge(model, 1, Integer::sum);
             }
         }
-        return new VmCensus(counts, spares);
+        return new VmCensus(Map.copyOf(counts), Collections.unmodifiableSortedMap(spares));
     }
 
     /**
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmEntryLog.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmEntryLog.java
@@ -35,6 +35,9 @@
     /** An entry, the VM that it describes, if any, and the revision at which it last said something new. */
     private record Entry(Versioned item, Optional<UpstreamVm> vm, long newsRevision) {}
 
+    /** A change and the revision at which it was news; a later heartbeat of the VM may have raised the entry's own. */
+    private record News(long atRevision, StoreChange change) {}
+
     /**
      * Returns the revision of the store up to which the entries are known.
      *
@@ -105,19 +108,14 @@
      * @return the entries and removals, in the order of their revisions
      */
     public List<StoreChange> since(long afterRevision) {
-        Map<StoreChange, Long> news = new HashMap<>();
-        for (Entry entry : entries.values()) {
-            if (entry.newsRevision() > afterRevision) {
-                news.put(new StoreChange.Written(entry.item()), entry.newsRevision());
-            }
-        }
-        removed.forEach((key, atRevision) -> {
-            if (atRevision > afterRevision) {
-                news.put(new StoreChange.Deleted(key, atRevision), atRevision);
-            }
-        });
-        List<StoreChange> ordered = new ArrayList<>(news.keySet());
-        ordered.sort(Comparator.comparing(news::get));
-        return ordered;
+        List<News> news = new ArrayList<>();
+        entries.values()
+                .forEach(entry -> news.add(new News(entry.newsRevision(), new StoreChange.Written(entry.item()))));
+        removed.forEach((key, atRevision) -> news.add(new News(atRevision, new StoreChange.Deleted(key, atRevision))));
+        return news.stream()
+                .filter(item -> item.atRevision() > afterRevision)
+                .sorted(Comparator.comparingLong(News::atRevision))
+                .map(News::change)
+                .toList();
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/port/StoreChange.java
+++ b/relay/src/main/java/org/apricotdeal/relay/port/StoreChange.java
@@ -4,12 +4,24 @@
 
 /** A change that a watch has seen. */
 public sealed interface StoreChange {
+    /**
+     * Returns the store's revision of the change.
+     *
+     * @return the revision
+     */
+    long revision();
+
     /**
      * A key was written.
      *
      * @param item its new state
      */
-    record Written(Versioned item) implements StoreChange {}
+    record Written(Versioned item) implements StoreChange {
+        @Override
+        public long revision() {
+            return item.revision();
+        }
+    }
 
     /**
      * A key was deleted, or its lease ended.
