Share the replay of a load between two tests, and the outage of the store between three

ClassesUnderLoadTest and ReturningCallersTest had the same queue of steps and the same loop: RelayReplay.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ClassesUnderLoadTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ClassesUnderLoadTest.java
@@ -1,10 +1,8 @@
 package org.apricotdeal.proofs.relay;
 
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -45,15 +43,12 @@
         }
     }
 
-    /** What becomes of a request that was sent. */
-    private record Step(long atMillis, RelayEvent event) {}
-
     private final Map<ExchangeId, Arrival> arrivals = new HashMap<>();
     private final Map<ExchangeId, Kind> kinds = new HashMap<>();
     private final Map<Kind, Integer> asked = new HashMap<>();
     private final Map<Kind, Integer> inTime = new HashMap<>();
-    private PriorityQueue<Step> steps;
-    private RelayFixture relay;
+    private RelayReplay replay;
+    private UniformRandomProvider random;
 
     @DataProvider
     public Object[][] loads() {
@@ -88,46 +83,39 @@
     }
 
     private void replay(Map<Kind, Double> perSecond, long seed) {
-        relay = new RelayFixture();
-        relay.targets(RelayFixture.target("v1", SLOTS));
-        steps = new PriorityQueue<>(Comparator.comparingLong(Step::atMillis));
+        replay = new RelayReplay(SLOTS, this::follow);
+        random = RandomSource.SPLIT_MIX_64.create(seed);
         asked.clear();
         inTime.clear();
-        UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(seed);
-        for (long end = relay.nowMillis + RUN_MILLIS; relay.nowMillis < end; relay.nowMillis++) {
-            while (!steps.isEmpty() && steps.peek().atMillis() <= relay.nowMillis) {
-                follow(relay.step(steps.poll().event()), random);
-            }
+        replay.run(RUN_MILLIS, () -> {
             for (Kind kind : Kind.values()) {
                 if (random.nextDouble() * 1_000 < perSecond.get(kind)) {
-                    arrive(kind, random);
+                    arrive(kind);
                 }
             }
-            if (relay.nowMillis % 25 == 0) {
-                follow(relay.step(new RelayEvent.Tick()), random);
-            }
-        }
+        });
     }
 
-    private void arrive(Kind kind, UniformRandomProvider random) {
-        Arrival arrival = relay.arrival(kind.priority, kind.objectiveMillis);
+    private void arrive(Kind kind) {
+        Arrival arrival = replay.relay.arrival(kind.priority, kind.objectiveMillis);
         arrivals.put(arrival.id(), arrival);
         kinds.put(arrival.id(), kind);
         asked.merge(kind, 1, Integer::sum);
-        follow(relay.step(new RelayEvent.Arrived(arrival)), random);
+        replay.step(new RelayEvent.Arrived(arrival));
     }
 
     /** An answer's length is spread evenly between half and one and a half of its mean; events come all the time. */
-    private void follow(List<RelayAction> actions, UniformRandomProvider random) {
+    private void follow(List<RelayAction> actions) {
         for (RelayAction.Send sent : RelayFixture.of(actions, RelayAction.Send.class)) {
             Kind kind = kinds.get(sent.id());
-            long beginMillis = relay.nowMillis + FIRST_EVENT_MILLIS;
+            long nowMillis = replay.relay.nowMillis;
+            long beginMillis = nowMillis + FIRST_EVENT_MILLIS;
             if (beginMillis - arrivals.get(sent.id()).arrivedMillis() <= kind.objectiveMillis) {
                 inTime.merge(kind, 1, Integer::sum);
             }
-            long endMillis = relay.nowMillis + Math.round(kind.serviceMillis * (0.5 + random.nextDouble()));
-            steps.add(new Step(beginMillis, new RelayEvent.Started(sent.id())));
-            steps.add(new Step(Math.max(beginMillis, endMillis), new RelayEvent.Finished(sent.id())));
+            long endMillis = nowMillis + Math.round(kind.serviceMillis * (0.5 + random.nextDouble()));
+            replay.later(beginMillis, () -> replay.step(new RelayEvent.Started(sent.id())));
+            replay.later(Math.max(beginMillis, endMillis), () -> replay.step(new RelayEvent.Finished(sent.id())));
         }
     }
 }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayNodeTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayNodeTest.java
@@ -202,12 +202,21 @@
                 .noneMatch(run -> run.get("x-attempt-id").equals("r3")));
     }
 
-    /** A node that the store turns away learns from another one that a VM has left. */
-    @Test
-    public void nodeWithoutStoreIsToldOfAVmThatLeft() throws Exception {
+    private void startAndLoseStore() throws Exception {
         start(1, 1);
         fleet.store.setMode(UsersStoreStandin.Mode.BUSY);
         RelayFleet.pause(1_500);
+    }
+
+    private void regainStore() {
+        fleet.store.setMode(UsersStoreStandin.Mode.SERVING);
+        RelayFleet.pause(1_200);
+    }
+
+    /** A node that the store turns away learns from another one that a VM has left. */
+    @Test
+    public void nodeWithoutStoreIsToldOfAVmThatLeft() throws Exception {
+        startAndLoseStore();
         assertTrue(fleet.call("POST", "/book/x", "r1", RelayFleet.KEY).startsWith("HTTP/1.1 200"));
         fleet.tell(FAR_REVISION, new TRelayVmEntry("servers/s0", FAR_REVISION));
         RelayFleet.await(
@@ -217,13 +226,10 @@
     /** Entries lapse only while the store is away for all; what another node saw removed is gone at once. */
     @Test
     public void vmThatLeftWhileTheStoreTurnedOnlyThisNodeAwayIsGoneWithItsReturn() throws Exception {
-        start(1, 1);
-        fleet.store.setMode(UsersStoreStandin.Mode.BUSY);
-        RelayFleet.pause(1_500);
+        startAndLoseStore();
         fleet.store.remove("servers/s0");
         fleet.tell(1);
-        fleet.store.setMode(UsersStoreStandin.Mode.SERVING);
-        RelayFleet.pause(1_200);
+        regainStore();
         String answer = fleet.call("POST", "/book/x", "r1", RelayFleet.KEY);
         assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
     }
@@ -231,12 +237,9 @@
     /** Where no other node is heard, an entry that is missing may have lapsed, and comes back within two seconds. */
     @Test
     public void vmThatIsMissingAfterTheStoreWasAwayIsKeptForAWhile() throws Exception {
-        start(1, 1);
-        fleet.store.setMode(UsersStoreStandin.Mode.BUSY);
-        RelayFleet.pause(1_500);
+        startAndLoseStore();
         fleet.store.remove("servers/s0");
-        fleet.store.setMode(UsersStoreStandin.Mode.SERVING);
-        RelayFleet.pause(1_200);
+        regainStore();
         String answer = fleet.call("POST", "/book/x", "r1", RelayFleet.KEY);
         assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
         RelayFleet.await(
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ReturningCallersTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ReturningCallersTest.java
@@ -1,11 +1,9 @@
 package org.apricotdeal.proofs.relay;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -57,12 +55,8 @@
         }
     }
 
-    /** What happens later. */
-    private record Step(long atMillis, Runnable action) {}
-
     private final Map<ExchangeId, Caller> asking = new HashMap<>();
-    private PriorityQueue<Step> steps;
-    private RelayFixture relay;
+    private RelayReplay replay;
     private UniformRandomProvider random;
 
     @DataProvider
@@ -109,69 +103,58 @@
     }
 
     private void start(long seed) {
-        relay = new RelayFixture();
-        relay.targets(RelayFixture.target("v1", SLOTS));
+        replay = new RelayReplay(SLOTS, this::follow);
         random = RandomSource.SPLIT_MIX_64.create(seed);
-        steps = new PriorityQueue<>(Comparator.comparingLong(Step::atMillis));
         asking.clear();
     }
 
     private List<Caller> replay(long millis, double perSecond) {
         List<Caller> callers = new ArrayList<>();
-        for (long end = relay.nowMillis + millis; relay.nowMillis < end; relay.nowMillis++) {
-            while (!steps.isEmpty() && steps.peek().atMillis() <= relay.nowMillis) {
-                steps.poll().action().run();
-            }
+        replay.run(millis, () -> {
             if (random.nextDouble() * 1_000 < perSecond) {
                 double patience = 0.83 + Math.max(0, random.nextDouble() * 0.5 - 0.33);
-                Caller caller = new Caller(relay.nowMillis, Math.round(patience * RelayFixture.TIMEOUT_MILLIS));
+                Caller caller = new Caller(replay.relay.nowMillis, Math.round(patience * RelayFixture.TIMEOUT_MILLIS));
                 callers.add(caller);
                 ask(caller);
             }
-            if (relay.nowMillis % 25 == 0) {
-                follow(relay.step(new RelayEvent.Tick()));
-            }
-        }
+        });
         return callers;
     }
 
     private void ask(Caller caller) {
-        Arrival shape = relay.arrival(Repeatability.STREAM, 2);
+        Arrival shape = replay.relay.arrival(Repeatability.STREAM, 2);
         Arrival arrival = new Arrival(
                 shape.id(),
                 shape.line(),
                 shape.route(),
                 shape.customer(),
                 shape.priority(),
-                relay.nowMillis,
+                replay.relay.nowMillis,
                 caller.firstMillis + caller.patienceMillis);
         asking.put(arrival.id(), caller);
-        follow(relay.step(new RelayEvent.Arrived(arrival)));
+        replay.step(new RelayEvent.Arrived(arrival));
     }
 
     private void follow(List<RelayAction> actions) {
+        long nowMillis = replay.relay.nowMillis;
         for (RelayAction.Send sent : RelayFixture.of(actions, RelayAction.Send.class)) {
             Caller caller = asking.get(sent.id());
-            long beginMillis = relay.nowMillis + FIRST_EVENT_MILLIS;
+            long beginMillis = nowMillis + FIRST_EVENT_MILLIS;
             caller.served = true;
             caller.inTime = beginMillis - caller.firstMillis <= RelayFixture.OBJECTIVE_MILLIS;
-            long endMillis = relay.nowMillis + Math.round(SERVICE_MILLIS * (0.5 + random.nextDouble()));
-            later(beginMillis, () -> follow(relay.step(new RelayEvent.Started(sent.id()))));
+            long endMillis = nowMillis + Math.round(SERVICE_MILLIS * (0.5 + random.nextDouble()));
+            replay.later(beginMillis, () -> replay.step(new RelayEvent.Started(sent.id())));
             for (long at = beginMillis + EVENT_MILLIS; at < endMillis; at += EVENT_MILLIS) {
-                later(at, () -> relay.dispatcher.progressed(relay.nowMillis, sent.id()));
+                replay.later(at, () -> replay.relay.dispatcher.progressed(replay.relay.nowMillis, sent.id()));
             }
-            later(endMillis, () -> follow(relay.step(new RelayEvent.Finished(sent.id()))));
+            replay.later(endMillis, () -> replay.step(new RelayEvent.Finished(sent.id())));
         }
         for (RelayAction.Refuse refusal : RelayFixture.of(actions, RelayAction.Refuse.class)) {
             Caller caller = asking.get(refusal.id());
             if (!caller.returned) {
                 caller.returned = true;
-                later(relay.nowMillis + refusal.retryAfterMillis(), () -> ask(caller));
+                replay.later(nowMillis + refusal.retryAfterMillis(), () -> ask(caller));
             }
         }
     }
-
-    private void later(long atMillis, Runnable action) {
-        steps.add(new Step(atMillis, action));
-    }
 }
