--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -69,6 +69,7 @@
     private final Map<VmId, Long> askedMillis = new HashMap<>();
     private final Map<PlannerKey, ReplicaPlanner> planners = new HashMap<>();
     private final CensusLog censuses;
+    private final NodeLoadLog loads;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, Long> heardMillis = new HashMap<>();
     private final Set<String> stoppingPeers = new HashSet<>();
@@ -96,6 +97,7 @@
         this.log = log;
         this.censuses = new CensusLog(log);
         this.metrics = metrics;
+        this.loads = new NodeLoadLog(log, metrics);
         this.startedMillis = clock.monotonicMillis();
         this.plannerName = plannerName(settings.name(), clock.wallMillis());
         metrics.register("targets", (Gauge<Integer>) () -> targets.size());
@@ -233,6 +235,7 @@
             changed = true;
         }
         askSilent();
+        loads.tick(nowMillis);
         if (catalogue == null) {
             return;
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -91,6 +91,9 @@
     }
 
     private void send(Peer peer) {
+        byte[] body = encode(peer);
+        metrics.counter("heartbeats.sent").inc();
+        metrics.counter("heartbeats.sent.bytes").inc(body.length);
         int colon = peer.address().lastIndexOf(':');
         client.newRequest(
                         peer.address().substring(0, colon),
@@ -98,7 +101,7 @@
                 .method(HttpMethod.POST)
                 .path(PATH)
                 .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                .body(new BytesRequestContent(encode(peer)))
+                .body(new BytesRequestContent(body))
                 .send(result -> {
                     underWay.remove(peer.name());
                     if (result.isFailed()) {
@@ -114,7 +117,9 @@
         TRelayHeartbeat heartbeat = new TRelayHeartbeat(self, catalogues.version(), loads);
         Long theirs = peerVersions.get(peer.name());
         if (theirs != null && theirs < catalogues.version()) {
-            heartbeat.setCatalogue(catalogues.bytes());
+            ByteBuffer catalogue = catalogues.bytes();
+            metrics.counter("catalogues.sent.bytes").inc(catalogue.remaining());
+            heartbeat.setCatalogue(catalogue);
         }
         heartbeat.setVmRevision(vms.revision());
         heartbeat.setStoreAway(vms.isAway());
@@ -158,6 +163,7 @@
     }
 
     private void take(TRelayHeartbeat heartbeat) {
+        metrics.counter("heartbeats.taken").inc();
         Peer sender = Registration.peer(heartbeat.getSender());
         peerVersions.put(sender.name(), heartbeat.getCatalogueVersion());
         if (heartbeat.isSetCatalogue() && heartbeat.getCatalogueVersion() > catalogues.version()) {
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/node/NodeLoadLog.java
@@ -0,0 +1,87 @@
+package org.apricotdeal.relay.node;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadInfo;
+import java.lang.management.ThreadMXBean;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+
+/**
+ * Logs what a node spends on its own duties: processor time by thread since the last line, heartbeats and their bytes,
+ * catalogues sent along, calls to the store. A node that is late because it cannot keep up is told from one that was not told
+ * in time.
+ */
+final class NodeLoadLog {
+    /** Time between two lines; a day's troubles last about as long. */
+    private static final long PERIOD_MILLIS = 5_000;
+
+    private static final String[] COUNTERS = {
+        "heartbeats.sent",
+        "heartbeats.taken",
+        "heartbeats.failed",
+        "heartbeats.sent.bytes",
+        "catalogues.sent.bytes",
+        "store.calls",
+        "vm.reports.asked"
+    };
+
+    private final DecisionLog log;
+    private final MetricRegistry metrics;
+    private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    private final Map<String, Long> lastCounts = new TreeMap<>();
+    private Map<String, Long> lastCpuMillis = Map.of();
+    private long lastMillis;
+
+    NodeLoadLog(DecisionLog log, MetricRegistry metrics) {
+        this.log = log;
+        this.metrics = metrics;
+        metrics.register("processor.millis", (Gauge<Long>)
+                () -> cpuMillis().values().stream().mapToLong(Long::longValue).sum());
+    }
+
+    /** Writes a line where one is due. */
+    void tick(long nowMillis) {
+        if (lastMillis == 0) {
+            lastMillis = nowMillis;
+        }
+        long overMillis = nowMillis - lastMillis;
+        if (overMillis < PERIOD_MILLIS) {
+            return;
+        }
+        lastMillis = nowMillis;
+        Map<String, Long> cpuMillis = cpuMillis();
+        Map<String, Long> spent = new TreeMap<>();
+        cpuMillis.forEach((thread, millis) -> spent.put(thread, millis - lastCpuMillis.getOrDefault(thread, 0L)));
+        lastCpuMillis = cpuMillis;
+        DecisionLog.Line line = log.state("node_load").with("overMillis", overMillis);
+        for (String counter : COUNTERS) {
+            long count = metrics.counter(counter).getCount();
+            Long before = lastCounts.put(counter, count);
+            line.with(counter, count - (before == null ? 0 : before));
+        }
+        line.with("processorMillis", spent).write();
+    }
+
+    /** Sums processor time by the name of a thread without its number. */
+    private Map<String, Long> cpuMillis() {
+        Map<String, Long> millis = new TreeMap<>();
+        if (!threads.isThreadCpuTimeSupported()) {
+            return millis;
+        }
+        for (ThreadInfo thread : threads.getThreadInfo(threads.getAllThreadIds())) {
+            if (thread == null) {
+                continue;
+            }
+            long nanos = threads.getThreadCpuTime(thread.getThreadId());
+            if (nanos > 0) {
+                String name = thread.getThreadName().replaceAll("[0-9@-].*$", "");
+                millis.merge(name, TimeUnit.NANOSECONDS.toMillis(nanos), Long::sum);
+            }
+        }
+        return millis;
+    }
+}
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -56,7 +56,9 @@
         threads = RelayClients.threads();
         client = RelayClients.start(threads);
         PlatformAdapter adapter = adapter(settings.adapter());
-        WatchStore store = adapter.store(client, settings.storeAddress(), settings.storeTimeoutMillis());
+        WatchStore store = new CountedStore(
+                adapter.store(client, settings.storeAddress(), settings.storeTimeoutMillis()),
+                metrics.counter("store.calls"));
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create();
         RepeatBudget budget = new RepeatBudget(
                 settings.repeatWindowMillis(), settings.repeatRatio(), settings.repeatAllowance(), settings.nodes());
