--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ReplicaPlannerTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ReplicaPlannerTest.java
@@ -12,6 +12,12 @@
 public final class ReplicaPlannerTest {
     private static final int SEEDS = 40;
 
+    /** Time that a fleet has from its start to its first request, as the users' pages say for their large fleets. */
+    private static final long BEFORE_TRAFFIC_MILLIS = 19_000;
+
+    /** VMs of a fleet that starts register one after the other, over some five seconds. */
+    private static final long VM_EACH_MILLIS = 300;
+
     private static SimFleet started(long seed) {
         SimFleet fleet = new SimFleet(seed);
         fleet.beforeTraffic = true;
@@ -32,6 +38,29 @@
                 6);
     }
 
+    /**
+     * Stagings under way once left no room for a join of eight loads, and were never ended while it waited.
+     *
+     * @param seed seed of the entries' delays
+     */
+    @Test(dataProvider = "seeds")
+    public void largeReplicasAreFormedBeforeTrafficBesideStagings(long seed) {
+        SimFleet.Shape shape = SimFleet.Shape.GROWN;
+        SimFleet fleet = new SimFleet(seed, shape, 2);
+        fleet.beginStart();
+        long startedMillis = fleet.nowMillis;
+        for (int perFabric = 2; perFabric < shape.vmsPerFabric(); perFabric++) {
+            fleet.run(VM_EACH_MILLIS);
+            for (int fabric = 0; fabric < 3; fabric++) {
+                fleet.add(fabric);
+            }
+        }
+        fleet.run(startedMillis + BEFORE_TRAFFIC_MILLIS - fleet.nowMillis);
+        fleet.endStart();
+        assertEquals(fleet.serving("m0"), 3, fleet.describe());
+        assertEquals(fleet.serving("m1"), 12, fleet.describe());
+    }
+
     @Test
     public void replicaOfFourIsRepairedByItsSpareWithinSeconds() {
         SimFleet fleet = started(2);
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
@@ -38,24 +38,39 @@
     private static final long TICK_MILLIS = 100;
     private static final long LAPSE_MILLIS = 3_600;
     private static final int FABRICS = 3;
-    private static final int VMS_PER_FABRIC = 10;
-    private static final EngineProfile ENGINE = new EngineProfile(
-            12,
-            5,
-            7.8,
-            0.13,
-            0.01,
-            45.9,
-            979,
-            154,
-            200,
-            5,
-            7,
-            SimVm.FORM_MILLIS,
-            2.5,
-            List.of(
-                    new ModelSpec(new ModelId("m0"), 4, 0.5, 1, 16_000, 1_600),
-                    new ModelSpec(new ModelId("m1"), 2, 0.5, 0.6, 12_000, 1_100)));
+
+    /** Part of the usual time that a load takes before the first request. */
+    private static final int FIRST_LOADS_FASTER = 10;
+
+    /** Size of the fleet and of its large model's replicas; the small model's have two VMs. */
+    record Shape(int vmsPerFabric, int largeReplica, int slots) {
+        static final Shape SMALL = new Shape(10, 4, 12);
+        static final Shape GROWN = new Shape(18, 8, 14);
+
+        EngineProfile engine() {
+            return engine(1);
+        }
+
+        private EngineProfile engine(int loadsFaster) {
+            return new EngineProfile(
+                    slots,
+                    5,
+                    7.8,
+                    0.13,
+                    0.01,
+                    45.9,
+                    979,
+                    154,
+                    200,
+                    5,
+                    7,
+                    SimVm.FORM_MILLIS,
+                    2.5,
+                    List.of(
+                            new ModelSpec(new ModelId("m0"), largeReplica, 0.5, 1, 16_000 / loadsFaster, 1_600),
+                            new ModelSpec(new ModelId("m1"), 2, 0.5, 0.6, 12_000 / loadsFaster, 1_100)));
+        }
+    }
 
     final Map<VmId, SimVm> vms = new TreeMap<>();
     final UniformRandomProvider random;
@@ -63,6 +78,7 @@
     double lateOrders;
     double oldEntries;
     boolean beforeTraffic;
+    private final Shape shape;
     private final Set<String> readyOnce = new HashSet<>();
     private final Map<VmId, Long> deadSinceMillis = new TreeMap<>();
     private final Map<VmId, Long> leavesAtMillis = new TreeMap<>();
@@ -87,8 +103,18 @@
     private record Late(long atMillis, VmId vm, long startedMillis, long expected, ReplicaOrder order) {}
 
     SimFleet(long seed) {
+        this(seed, Shape.SMALL);
+    }
+
+    SimFleet(long seed, Shape shape) {
+        this(seed, shape, shape.vmsPerFabric());
+    }
+
+    /** Creates a fleet of which some VMs are there at first; others may be added. */
+    SimFleet(long seed, Shape shape, int firstPerFabric) {
+        this.shape = shape;
         random = RandomSource.SPLIT_MIX_64.create(seed);
-        for (int i = 0; i < FABRICS * VMS_PER_FABRIC; i++) {
+        for (int i = 0; i < FABRICS * firstPerFabric; i++) {
             add(i % FABRICS);
         }
         addPlanner();
@@ -96,7 +122,7 @@
 
     SimVm add(int fabric) {
         VmId id = new VmId("v" + ++lastVm);
-        SimVm vm = new SimVm(id, new FabricDomainId("f" + fabric), ENGINE.models(), readyOnce, nowMillis);
+        SimVm vm = new SimVm(id, new FabricDomainId("f" + fabric), models(), readyOnce, nowMillis);
         vms.put(id, vm);
         return vm;
     }
@@ -164,6 +190,21 @@
         return vm != null && !vm.dead && vm.group.isPresent() && vm.group.get().sameFormation(group);
     }
 
+    /** Begins the time before the first request, in which loads take a tenth of their time. */
+    void beginStart() {
+        beforeTraffic = true;
+        vms.values().forEach(vm -> vm.models = models());
+    }
+
+    void endStart() {
+        beforeTraffic = false;
+        vms.values().forEach(vm -> vm.models = models());
+    }
+
+    private List<ModelSpec> models() {
+        return shape.engine(beforeTraffic ? FIRST_LOADS_FASTER : 1).models();
+    }
+
     void run(long millis) {
         for (long end = nowMillis + millis; nowMillis < end; ) {
             nowMillis += TICK_MILLIS;
@@ -259,7 +300,7 @@
                 .sorted(Comparator.comparing(UpstreamVm::id))
                 .toList();
         List<PlannedOrder> orders = planning.planner.plan(
-                new ReplicaPlanner.Turn(nowMillis, nowMillis, ENGINE, known, lost, beforeTraffic, 1));
+                new ReplicaPlanner.Turn(nowMillis, nowMillis, shape.engine(), known, lost, beforeTraffic, 1));
         VmCensus census = planning.planner.census();
         int served = census.count(VmOccupation.SERVING) + census.count(VmOccupation.AWAY);
         if (census.stranded() + served != known.size()) {
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimVm.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimVm.java
@@ -29,7 +29,7 @@
 
     final VmId id;
     final FabricDomainId fabric;
-    final List<ModelSpec> models;
+    List<ModelSpec> models;
     long startedMillis;
     boolean dead;
     boolean leaving;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/Formations.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/Formations.java
@@ -133,7 +133,14 @@
         return formations;
     }
 
-    private static Optional<ModelSpec> model(ReplicaId replica, EngineProfile engine) {
+    /**
+     * Tells a replica's model from its name.
+     *
+     * @param replica the replica
+     * @param engine the upstream's engines
+     * @return the model, or nothing where this system did not name the replica
+     */
+    static Optional<ModelSpec> model(ReplicaId replica, EngineProfile engine) {
         int dot = replica.value().lastIndexOf('.');
         return dot <= 0
                 ? Optional.empty()
