--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -29,6 +29,7 @@
 import org.apricotdeal.relay.policy.TargetBuilder;
 import org.apricotdeal.relay.policy.VmTable;
 import org.apricotdeal.relay.port.ReplicaOrders;
+import org.apricotdeal.wire.gen.TRelayNodeSeen;
 
 /**
  * The duty that owns what the node believes of VMs and other nodes. It derives the targets for the dispatcher, asks VMs in
@@ -80,6 +81,8 @@
     private boolean changed;
     private boolean peersListed;
     private volatile List<Peer> livePeers = List.of();
+    private volatile Set<String> stoppingNow = Set.of();
+    private volatile Map<String, Long> seen = Map.of();
     private volatile boolean sawVms;
     private volatile boolean stopping;
 
@@ -125,6 +128,24 @@
         return livePeers;
     }
 
+    /** Returns the names of the other nodes that stop. */
+    Set<String> stoppingPeers() {
+        return stoppingNow;
+    }
+
+    /** Returns the other nodes that have been heard of late, for heartbeats. */
+    List<TRelayNodeSeen> seen() {
+        long nowMillis = clock.monotonicMillis();
+        Set<String> stops = stoppingNow;
+        List<TRelayNodeSeen> nodes = new ArrayList<>();
+        seen.forEach((name, atMillis) -> {
+            if (nowMillis - atMillis < PEER_SILENT_MILLIS) {
+                nodes.add(new TRelayNodeSeen(name, (int) (nowMillis - atMillis), stops.contains(name)));
+            }
+        });
+        return nodes;
+    }
+
     /** Tells whether this node plans no more, for heartbeats. */
     boolean isStopping() {
         return stopping;
@@ -161,25 +182,36 @@
                 changed = true;
             }
             case FleetEvent.PeersListed(List<Peer> listed) -> takePeers(listed);
-            case FleetEvent.Heartbeat(Peer sender, var running, boolean senderStops) -> {
-                heardMillis.put(sender.name(), clock.monotonicMillis());
-                noteStopping(sender, senderStops);
+            case FleetEvent.Heartbeat(Peer sender, List<FleetEvent.Seen> seen, boolean senderStops) -> {
                 peers.putIfAbsent(sender.name(), sender);
-                relay.put(new RelayEvent.PeerLoad(sender.name(), running));
+                heard(sender.name(), clock.monotonicMillis(), senderStops);
+                seen.forEach(node -> heard(node.name(), node.heardMillis(), node.stopping()));
+                publishPeers();
             }
             case FleetEvent.Stopping stop -> stopping = true;
         }
     }
 
-    private void noteStopping(Peer sender, boolean stops) {
-        boolean news = stops ? stoppingPeers.add(sender.name()) : stoppingPeers.remove(sender.name());
+    /** Notes when a node was heard, by this one or another; older word than what is known has no effect. */
+    private void heard(String name, long atMillis, boolean stops) {
+        if (name.equals(settings.name()) || atMillis <= heardMillis.getOrDefault(name, Long.MIN_VALUE)) {
+            return;
+        }
+        heardMillis.put(name, atMillis);
+        boolean news = stops ? stoppingPeers.add(name) : stoppingPeers.remove(name);
         if (news) {
             log.state(stops ? "node_stops" : "node_plans_again")
-                    .with("node", sender.name())
+                    .with("node", name)
                     .write();
         }
     }
 
+    private void publishPeers() {
+        livePeers = List.copyOf(peers.values());
+        stoppingNow = Set.copyOf(stoppingPeers);
+        seen = Map.copyOf(heardMillis);
+    }
+
     private void takeReport(VmId vm, Result<VmReport, String> report) {
         boolean silentBefore = table.isSilent(vm);
         switch (report) {
@@ -225,7 +257,8 @@
                 peers.put(peer.name(), peer);
             }
         }
-        livePeers = List.copyOf(peers.values());
+        heardMillis.keySet().removeIf(name -> !heard(name, nowMillis) && !peers.containsKey(name));
+        publishPeers();
         relay.put(new RelayEvent.NodesCounted(peers.size() + 1));
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetEvent.java
@@ -1,7 +1,6 @@
 package org.apricotdeal.relay.node;
 
 import java.util.List;
-import java.util.Map;
 
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.kernel.result.Result;
@@ -9,7 +8,6 @@
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.model.VmReport;
 import org.apricotdeal.relay.policy.PlannedOrder;
-import org.apricotdeal.relay.policy.TargetId;
 import org.apricotdeal.relay.port.OrderReply;
 
 /** What the fleet duty takes note of. */
@@ -38,8 +36,11 @@
     /** The store's list of nodes was read. */
     record PeersListed(List<Peer> peers) implements FleetEvent {}
 
-    /** A node sent a heartbeat; one that stops plans no more. */
-    record Heartbeat(Peer sender, Map<TargetId, Integer> running, boolean stopping) implements FleetEvent {}
+    /** A node sent a heartbeat and told which others it knows of; one that stops plans no more. */
+    record Heartbeat(Peer sender, List<Seen> seen, boolean stopping) implements FleetEvent {}
+
+    /** Another node as told by a third one, and when it was heard. */
+    record Seen(String name, long heardMillis, boolean stopping) {}
 
     /** This node stops: it plans no more. */
     record Stopping() implements FleetEvent {}
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -5,58 +5,88 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apricotdeal.kernel.duty.Duty;
+import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.relay.peer.FleetLoads;
+import org.apricotdeal.relay.peer.HeartbeatPartners;
+import org.apricotdeal.relay.peer.PlannerChoice;
+import org.apricotdeal.relay.policy.RelayEvent;
 import org.apricotdeal.relay.policy.TargetId;
 import org.apricotdeal.wire.gen.TRelayHeartbeat;
 import org.apricotdeal.wire.gen.TRelayLoad;
 import org.apricotdeal.wire.gen.TRelayNode;
+import org.apricotdeal.wire.gen.TRelayNodeSeen;
+import org.apricotdeal.wire.gen.TRelayScope;
 import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
-import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
 
 /**
- * Tells the other nodes what runs where, and takes their word. A node whose catalogue is older than the sender's gets the
- * newer one with the next heartbeat, and one that cannot follow the store gets the news of VMs, so that changes reach nodes
- * that the store turns away.
+ * Exchanges heartbeats with the nodes that {@link HeartbeatPartners} chooses: what runs where, which nodes are heard, the news
+ * of VMs for nodes that do not follow the store themselves, and the catalogue for one that stays behind. The answer to a
+ * heartbeat is the receiver's own.
  */
 final class Heartbeats extends Handler.Abstract implements AutoCloseable {
     /** Path of the heartbeats on the port for peers. */
     static final String PATH = "/heartbeat";
 
-    private static final long PERIOD_MILLIS = 250;
+    private static final long PERIOD_MILLIS = 200;
     private static final long TIMEOUT_MILLIS = 600;
     private static final int RING_SLOTS = 16;
+    private static final int MAX_HEARTBEAT_BYTES = 16 * 1024 * 1024;
+
+    /** Nodes that follow the store have a catalogue within this time by themselves; only then it is sent along. */
+    private static final long BEHIND_MILLIS = 500;
 
     private final HttpClient client;
     private final RelayDuty relay;
     private final FleetDuty fleet;
     private final CatalogueHolder catalogues;
     private final VmWatcher vms;
+    private final Clock clock;
     private final DecisionLog log;
     private final MetricRegistry metrics;
     private final TRelayNode self;
-    private final Map<String, Long> peerVersions = new ConcurrentHashMap<>();
+    private final FailureDomainId ownDomain;
+    private final HeartbeatPartners partners;
+    private final FleetLoads loads = new FleetLoads();
 
-    /** Revision up to which nodes that cannot follow the store know of VMs. */
-    private final Map<String, Long> awayPeers = new ConcurrentHashMap<>();
+    /** What each partner said last, by name. */
+    private final Map<String, Partner> known = new ConcurrentHashMap<>();
 
     private final Map<String, Boolean> underWay = new ConcurrentHashMap<>();
     private Duty<Runnable> duty;
+    private volatile boolean delegate = true;
+
+    /**
+     * What a partner said of itself.
+     *
+     * @param behindSinceMillis time since which its catalogue has been older than this node's; 0 where it is not
+     * @param storeAway whether it cannot follow the store
+     * @param vmRevision store's revision up to which it knows of VMs
+     */
+    private record Partner(long behindSinceMillis, boolean storeAway, long vmRevision) {}
 
     Heartbeats(
             TRelayNode self,
@@ -65,6 +95,7 @@
             FleetDuty fleet,
             CatalogueHolder catalogues,
             VmWatcher vms,
+            Clock clock,
             DecisionLog log,
             MetricRegistry metrics) {
         this.client = client;
@@ -72,62 +103,123 @@
         this.fleet = fleet;
         this.catalogues = catalogues;
         this.vms = vms;
+        this.clock = clock;
         this.log = log;
         this.metrics = metrics;
         this.self = self;
+        this.ownDomain = new FailureDomainId(self.getFailureDomain());
+        this.partners = new HeartbeatPartners(new PlannerChoice.Candidate(self.getName(), ownDomain));
     }
 
     void begin() {
+        metrics.register("delegate", (Gauge<Integer>) () -> delegate ? 1 : 0);
         duty = new Duty<>("heartbeats", RING_SLOTS, PERIOD_MILLIS, Runnable::run, this::sendAll);
     }
 
     private void sendAll() {
-        for (Peer peer : fleet.peers()) {
+        List<Peer> peers = fleet.peers();
+        Set<String> chosen;
+        synchronized (partners) {
+            chosen = partners.choose(
+                    peers.stream()
+                            .map(peer -> new PlannerChoice.Candidate(peer.name(), peer.failureDomain()))
+                            .toList(),
+                    fleet.stoppingPeers(),
+                    clock.monotonicMillis());
+            noteDelegate(partners.isDelegate());
+        }
+        vms.followStore(delegate);
+        if (delegate) {
+            relay.put(new RelayEvent.OthersRun(others()));
+        }
+        for (Peer peer : peers) {
             // One at a time to each peer: a silent connection must not gather heartbeats.
-            if (underWay.putIfAbsent(peer.name(), true) == null) {
+            if (chosen.contains(peer.name()) && underWay.putIfAbsent(peer.name(), true) == null) {
                 send(peer);
             }
         }
     }
 
+    private void noteDelegate(boolean now) {
+        if (delegate != now) {
+            log.state(now ? "delegate_took_over" : "delegate_yielded")
+                    .with("failureDomain", ownDomain)
+                    .write();
+        }
+        delegate = now;
+    }
+
+    private Map<TargetId, Integer> others() {
+        synchronized (loads) {
+            return Map.copyOf(loads.others(clock.monotonicMillis()));
+        }
+    }
+
     private void send(Peer peer) {
-        byte[] body = encode(peer);
+        boolean sameDomain = peer.failureDomain().equals(ownDomain);
+        TRelayHeartbeat heartbeat = sameDomain
+                ? heartbeat(TRelayScope.NODE, relay.running())
+                : heartbeat(TRelayScope.DOMAIN, domainLoads());
+        Partner partner = known.get(peer.name());
+        if (partner != null) {
+            addWhatLacks(heartbeat, partner, !sameDomain && partner.storeAway());
+        }
+        byte[] body = encode(heartbeat);
         metrics.counter("heartbeats.sent").inc();
         metrics.counter("heartbeats.sent.bytes").inc(body.length);
         int colon = peer.address().lastIndexOf(':');
-        client.newRequest(
+        Request request = client.newRequest(
                         peer.address().substring(0, colon),
                         Integer.parseInt(peer.address().substring(colon + 1)))
                 .method(HttpMethod.POST)
                 .path(PATH)
                 .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                .body(new BytesRequestContent(body))
-                .send(result -> {
+                .body(new BytesRequestContent(body));
+        var unused = new CompletableResponseListener(request, MAX_HEARTBEAT_BYTES)
+                .send()
+                .whenComplete((response, failure) -> {
                     underWay.remove(peer.name());
-                    if (result.isFailed()) {
+                    if (failure != null || response.getStatus() != HttpStatus.OK_200 || !take(response.getContent())) {
                         metrics.counter("heartbeats.failed").inc();
                     }
                 });
     }
 
-    private byte[] encode(Peer peer) {
-        List<TRelayLoad> loads = new ArrayList<>();
-        relay.running()
-                .forEach((target, count) -> loads.add(new TRelayLoad(target.vm().value(), target.number(), count)));
-        TRelayHeartbeat heartbeat = new TRelayHeartbeat(self, catalogues.version(), loads);
-        Long theirs = peerVersions.get(peer.name());
-        if (theirs != null && theirs < catalogues.version()) {
+    private TRelayHeartbeat heartbeat(TRelayScope scope, Map<TargetId, Integer> running) {
+        List<TRelayLoad> list = new ArrayList<>(running.size());
+        running.forEach((target, count) -> list.add(new TRelayLoad(target.vm().value(), target.number(), count)));
+        TRelayHeartbeat heartbeat = new TRelayHeartbeat(self, catalogues.version(), list);
+        heartbeat.setScope(scope);
+        heartbeat.setSeen(fleet.seen());
+        heartbeat.setVmRevision(vms.revision());
+        heartbeat.setVmAgeMillis((int) Math.min(Integer.MAX_VALUE, vms.ageMillis()));
+        heartbeat.setStoreAway(vms.isAway());
+        heartbeat.setStopping(fleet.isStopping());
+        return heartbeat;
+    }
+
+    private Map<TargetId, Integer> domainLoads() {
+        synchronized (loads) {
+            return loads.domain(relay.running(), clock.monotonicMillis());
+        }
+    }
+
+    /** Adds the catalogue where the receiver stays behind, and the news of VMs that it does not read in the store itself. */
+    private void addWhatLacks(TRelayHeartbeat heartbeat, Partner receiver, boolean needsNews) {
+        long behindSinceMillis = receiver.behindSinceMillis();
+        boolean staysBehind = behindSinceMillis > 0
+                && (receiver.storeAway() || clock.monotonicMillis() - behindSinceMillis >= BEHIND_MILLIS);
+        if (staysBehind) {
             ByteBuffer catalogue = catalogues.bytes();
             metrics.counter("catalogues.sent.bytes").inc(catalogue.remaining());
             heartbeat.setCatalogue(catalogue);
         }
-        heartbeat.setVmRevision(vms.revision());
-        heartbeat.setStoreAway(vms.isAway());
-        heartbeat.setStopping(fleet.isStopping());
-        Long knownRevision = awayPeers.get(peer.name());
-        if (knownRevision != null) {
-            vms.newsSince(knownRevision).map(VmNews::encode).ifPresent(heartbeat::setVmNews);
+        if (needsNews) {
+            vms.newsSince(receiver.vmRevision()).map(VmNews::encode).ifPresent(heartbeat::setVmNews);
         }
+    }
+
+    private static byte[] encode(TRelayHeartbeat heartbeat) {
         try {
             return new TSerializer(new TCompactProtocol.Factory()).serialize(heartbeat);
         } catch (TException e) {
@@ -136,52 +228,117 @@
     }
 
     @Override
-    public boolean handle(Request request, Response response, Callback callback) {
+    public boolean handle(org.eclipse.jetty.server.Request request, Response response, Callback callback) {
         Content.Source.asByteBuffer(
                 request,
-                org.eclipse.jetty.util.Promise.from(
+                Promise.from(
                         bytes -> {
-                            response.setStatus(take(bytes) ? HttpStatus.NO_CONTENT_204 : HttpStatus.BAD_REQUEST_400);
-                            response.write(true, null, callback);
+                            byte[] copy = new byte[bytes.remaining()];
+                            bytes.get(copy);
+                            answer(decode(copy), response, callback);
                         },
                         callback::failed));
         return true;
     }
 
-    private boolean take(ByteBuffer bytes) {
-        byte[] copy = new byte[bytes.remaining()];
-        bytes.get(copy);
+    private void answer(Optional<TRelayHeartbeat> heartbeat, Response response, Callback callback) {
+        if (heartbeat.isEmpty()) {
+            response.setStatus(HttpStatus.BAD_REQUEST_400);
+            response.write(true, null, callback);
+            return;
+        }
+        Peer sender = take(heartbeat.get());
+        byte[] body = encode(answerTo(sender));
+        metrics.counter("heartbeats.sent.bytes").inc(body.length);
+        response.setStatus(HttpStatus.OK_200);
+        response.write(true, ByteBuffer.wrap(body), callback);
+    }
+
+    private TRelayHeartbeat answerTo(Peer sender) {
+        boolean sameDomain = sender.failureDomain().equals(ownDomain);
+        TRelayHeartbeat answer;
+        if (sameDomain) {
+            Map<TargetId, Integer> allBut;
+            synchronized (loads) {
+                allBut = loads.allBut(relay.running(), sender.name(), clock.monotonicMillis());
+            }
+            answer = heartbeat(TRelayScope.FLEET, allBut);
+        } else {
+            answer = heartbeat(TRelayScope.DOMAIN, domainLoads());
+        }
+        Partner partner = known.get(sender.name());
+        addWhatLacks(answer, partner, sameDomain || partner.storeAway());
+        return answer;
+    }
+
+    private Optional<TRelayHeartbeat> decode(byte[] bytes) {
         try {
             TRelayHeartbeat heartbeat = new TRelayHeartbeat();
-            new TDeserializer(new TCompactProtocol.Factory()).deserialize(heartbeat, copy);
-            take(heartbeat);
-            return true;
-        } catch (TException | IllegalArgumentException e) {
+            new TDeserializer(new TCompactProtocol.Factory()).deserialize(heartbeat, bytes);
+            return Optional.of(heartbeat);
+        } catch (TException e) {
             log.state("heartbeat_unreadable").with("reason", e).write();
-            return false;
+            return Optional.empty();
         }
     }
 
-    private void take(TRelayHeartbeat heartbeat) {
+    private boolean take(byte[] bytes) {
+        Optional<TRelayHeartbeat> heartbeat = decode(bytes);
+        heartbeat.ifPresent(this::take);
+        return heartbeat.isPresent();
+    }
+
+    private Peer take(TRelayHeartbeat heartbeat) {
         metrics.counter("heartbeats.taken").inc();
+        long nowMillis = clock.monotonicMillis();
         Peer sender = Registration.peer(heartbeat.getSender());
-        peerVersions.put(sender.name(), heartbeat.getCatalogueVersion());
+        synchronized (partners) {
+            partners.heard(sender.name(), nowMillis);
+        }
         if (heartbeat.isSetCatalogue() && heartbeat.getCatalogueVersion() > catalogues.version()) {
             catalogues.offer(heartbeat.getCatalogue(), sender.name());
         }
-        if (heartbeat.isStoreAway()) {
-            awayPeers.put(sender.name(), heartbeat.getVmRevision());
-        } else {
-            awayPeers.remove(sender.name());
-        }
         if (heartbeat.isSetVmNews()) {
-            vms.told(VmNews.decode(heartbeat.getVmNews()));
+            vms.told(VmNews.decode(heartbeat.getVmNews()), heartbeat.getVmAgeMillis());
         }
+        note(sender, heartbeat, nowMillis);
+        takeLoads(sender, heartbeat, nowMillis);
+        List<FleetEvent.Seen> seen = new ArrayList<>();
+        if (heartbeat.isSetSeen()) {
+            for (TRelayNodeSeen node : heartbeat.getSeen()) {
+                seen.add(new FleetEvent.Seen(node.getName(), nowMillis - node.getAgeMillis(), node.isStopping()));
+            }
+        }
+        fleet.put(new FleetEvent.Heartbeat(sender, List.copyOf(seen), heartbeat.isStopping()));
+        return sender;
+    }
+
+    private void note(Peer sender, TRelayHeartbeat heartbeat, long nowMillis) {
+        boolean behind = heartbeat.getCatalogueVersion() < catalogues.version();
+        known.compute(sender.name(), (name, before) -> {
+            long sinceMillis =
+                    before == null || before.behindSinceMillis() == 0 ? nowMillis : before.behindSinceMillis();
+            return new Partner(behind ? sinceMillis : 0, heartbeat.isStoreAway(), heartbeat.getVmRevision());
+        });
+    }
+
+    private void takeLoads(Peer sender, TRelayHeartbeat heartbeat, long nowMillis) {
         Map<TargetId, Integer> running = new HashMap<>();
         for (TRelayLoad load : heartbeat.getLoads()) {
             running.put(new TargetId(new VmId(load.getVm()), load.getNumber()), load.getRunning());
         }
-        fleet.put(new FleetEvent.Heartbeat(sender, running, heartbeat.isStopping()));
+        TRelayScope scope = heartbeat.isSetScope() ? heartbeat.getScope() : TRelayScope.NODE;
+        synchronized (loads) {
+            switch (scope) {
+                case NODE -> loads.ofNode(sender.name(), running, nowMillis);
+                case DOMAIN -> loads.ofDomain(sender.failureDomain(), running, nowMillis);
+                case FLEET -> loads.ofRest(running, nowMillis);
+                default -> throw new IllegalStateException("scope " + scope);
+            }
+        }
+        if (scope == TRelayScope.FLEET) {
+            relay.put(new RelayEvent.OthersRun(running));
+        }
     }
 
     @Override
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -76,7 +76,7 @@
         registration = new Registration(self, store, fleet, clock, log);
         VmWatcher vms = new VmWatcher(store, adapter.codec(), fleet, clock, log);
         storeThreads = List.of(new CatalogueWatcher(store, adapter.codec(), catalogues, clock, log), vms, registration);
-        heartbeats = new Heartbeats(self, client, relay, fleet, catalogues, vms, log, metrics);
+        heartbeats = new Heartbeats(self, client, relay, fleet, catalogues, vms, clock, log, metrics);
         ingress = new IngressHandler(catalogues, adapter.headers(), relay, clock);
         server = new RelayServer(settings, threads, ingress, heartbeats, this::isReady, metrics, catalogues);
     }
--- a/relay/src/main/java/org/apricotdeal/relay/node/StoreWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/StoreWatcher.java
@@ -7,6 +7,9 @@
 
 /** Follows the keys with a prefix: lists them once, then watches for changes, and lists again after each fault. */
 abstract class StoreWatcher extends StoreThread {
+    /** Time after which a watcher that stands by looks whether it still may. */
+    private static final long STAND_BY_MILLIS = 100;
+
     private final WatchStore store;
     private final String prefix;
     private final long waitMillis;
@@ -33,9 +36,26 @@
     /** Takes changes in their order; returns how long to pause before the next call. */
     abstract long changed(WatchStore.Changes changes);
 
+    /** Tells whether another source serves as well now, so that no call is made. */
+    boolean standsBy() {
+        return false;
+    }
+
+    /** Returns the revision up to which another source has told the changes meanwhile. */
+    long toldRevision() {
+        return -1;
+    }
+
     @Override
     final long turn() {
-        return revision < 0 ? list() : watch();
+        if (standsBy()) {
+            return STAND_BY_MILLIS;
+        }
+        if (revision < 0) {
+            return list();
+        }
+        revision = Math.max(revision, toldRevision());
+        return watch();
     }
 
     private long list() {
--- a/relay/src/main/java/org/apricotdeal/relay/peer/PlannerChoice.java
+++ b/relay/src/main/java/org/apricotdeal/relay/peer/PlannerChoice.java
@@ -29,11 +29,19 @@
      * @return name of the planner, or nothing where no node lives
      */
     public static Optional<String> planner(FailureDomainId domain, Collection<Candidate> live) {
-        return live.stream()
-                .min(Comparator.comparing((Candidate candidate) ->
-                                !candidate.failureDomain().equals(domain))
-                        .thenComparingInt(candidate -> (domain.value() + "/" + candidate.name()).hashCode())
-                        .thenComparing(Candidate::name))
-                .map(Candidate::name);
+        return live.stream().min(order(domain)).map(Candidate::name);
+    }
+
+    /**
+     * Returns the order in which nodes are chosen for a failure domain.
+     *
+     * @param domain the failure domain
+     * @return the domain's own nodes first
+     */
+    static Comparator<Candidate> order(FailureDomainId domain) {
+        return Comparator.comparing(
+                        (Candidate candidate) -> !candidate.failureDomain().equals(domain))
+                .thenComparingInt(candidate -> (domain.value() + "/" + candidate.name()).hashCode())
+                .thenComparing(Candidate::name);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -3,10 +3,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apricotdeal.kernel.duty.Machine;
@@ -68,7 +66,6 @@
     private final Map<LineId, LineState> lines = new HashMap<>();
     private final Map<TargetId, TargetState> targets = new HashMap<>();
     private final Map<String, CallerPatience> patiences = new HashMap<>();
-    private final Set<String> heardInRound = new HashSet<>();
     private RelayCatalogue catalogue;
     private int nodes = 1;
     private long roundSinceMillis;
@@ -138,7 +135,7 @@
             case RelayEvent.CallerLeft(ExchangeId id) -> callerLeft(id);
             case RelayEvent.CatalogueChanged(RelayCatalogue changed) -> changeCatalogue(changed);
             case RelayEvent.TargetsChanged(List<Target> changed) -> changeTargets(changed);
-            case RelayEvent.PeerLoad(String node, Map<TargetId, Integer> running) -> takePeerLoad(node, running);
+            case RelayEvent.OthersRun(Map<TargetId, Integer> running) -> takeOthersLoad(running);
             case RelayEvent.NodesCounted(int counted) -> {
                 nodes = counted;
                 budget.setNodes(counted);
@@ -494,28 +491,20 @@
         lines.values().forEach(this::serve);
     }
 
-    /** What other nodes send to a new target shows only when all of them have been heard again. */
     private TargetState newTarget(Target target, LineState line) {
-        heardInRound.clear();
         TargetState state = new TargetState(target, line);
-        state.beginRound(nodes, nowMillis);
+        state.beginRound(nodes, random.nextDouble(), nowMillis);
         return state;
     }
 
     private void beginRound() {
-        heardInRound.clear();
         roundSinceMillis = nowMillis;
-        targets.values().forEach(state -> state.beginRound(nodes, nowMillis));
+        targets.values().forEach(state -> state.beginRound(nodes, random.nextDouble(), nowMillis));
     }
 
-    private void takePeerLoad(String node, Map<TargetId, Integer> running) {
-        for (TargetState state : targets.values()) {
-            state.peerRuns(node, running.getOrDefault(state.target.id(), 0), nowMillis);
-        }
-        heardInRound.add(node);
-        if (heardInRound.size() >= nodes - 1) {
-            beginRound();
-        }
+    private void takeOthersLoad(Map<TargetId, Integer> running) {
+        targets.values().forEach(state -> state.othersRun(running.getOrDefault(state.target.id(), 0), nowMillis));
+        beginRound();
         lines.values().forEach(this::serve);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
@@ -58,12 +58,11 @@
     record TargetsChanged(List<Target> targets) implements RelayEvent {}
 
     /**
-     * Another node has told what it runs.
+     * The other nodes have told what they run.
      *
-     * @param node name of the node
-     * @param running number of its requests at each target
+     * @param running number of their requests at each target
      */
-    record PeerLoad(String node, Map<TargetId, Integer> running) implements RelayEvent {}
+    record OthersRun(Map<TargetId, Integer> running) implements RelayEvent {}
 
     /**
      * The registered nodes were counted.
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -49,12 +49,6 @@
     /** A first member may take so long to show up after the others have. */
     private static final long ASSEMBLE_MILLIS = 4_000;
 
-    /** Least bound on the loads under way at once before traffic, when they are short. */
-    private static final int FIRST_LOADS = 8;
-
-    /** Replicas that may load at once before traffic: one more than the one whose members are just getting ready. */
-    private static final int FIRST_REPLICAS = 2;
-
     /** Time beyond the forming of a replica after which a head that does not say open is told again. */
     private static final long OPEN_MARGIN_MILLIS = 1_500;
 
@@ -425,49 +419,8 @@
         return left;
     }
 
-    /**
-     * Tells whether a fleet that starts keeps a spare of each model in the fabric domain beside a new replica, and room for
-     * the larger replicas that the domain should have.
-     */
     private boolean leavesRoom(List<UpstreamVm> free, ModelSpec model) {
-        if (!turn.beforeTraffic()) {
-            return true;
-        }
-        int kept = turn.engine().models().size();
-        for (ModelSpec larger : turn.engine().models()) {
-            if (larger.size() > model.size()) {
-                kept += missingMembers(free.getFirst().fabricDomain(), larger);
-            }
-        }
-        return free.size() - model.size() >= kept;
-    }
-
-    /** Counts the VMs that a fabric domain's replicas of a model lack, as far as its share of the domain makes whole ones. */
-    private int missingMembers(Optional<FabricDomainId> domain, ModelSpec model) {
-        int all = 0;
-        int members = 0;
-        for (UpstreamVm vm : turn.vms()) {
-            if (vm.leaving() || !vm.fabricDomain().equals(domain)) {
-                continue;
-            }
-            all++;
-            if (isMemberOf(vm, model)) {
-                members++;
-            }
-        }
-        long wanted = Math.round(all * model.share() / model.size()) * model.size();
-        return (int) Math.max(0, wanted - members);
-    }
-
-    private boolean isMemberOf(UpstreamVm vm, ModelSpec model) {
-        PlannedOrder pending = orders.pending(vm.id());
-        if (pending != null && pending.order() instanceof ReplicaOrder.Join join) {
-            return join.model().equals(model.id());
-        }
-        return vm.group()
-                .flatMap(group -> Formations.model(group.replica(), turn.engine()))
-                .filter(model::equals)
-                .isPresent();
+        return !turn.beforeTraffic() || StartLayout.leavesRoom(turn, orders, free, model);
     }
 
     /** Models, the one furthest below its share of the VMs first. */
@@ -507,14 +460,7 @@
             return true;
         }
         long toLoad = members.stream().filter(vm -> !holds(vm, model.id())).count();
-        return toLoad == 0 || loading() + toLoad <= firstLoads();
-    }
-
-    /** Bounds the loads under way before traffic; the largest replica always finds room beside a few stagings. */
-    private int firstLoads() {
-        int largest =
-                turn.engine().models().stream().mapToInt(ModelSpec::size).max().orElse(1);
-        return Math.max(FIRST_LOADS, FIRST_REPLICAS * largest);
+        return toLoad == 0 || loading() + toLoad <= StartLayout.maxLoads(turn.engine());
     }
 
     private int loading() {
@@ -554,7 +500,7 @@
         }
         int loading = loading();
         int concurrent = turn.beforeTraffic()
-                ? firstLoads()
+                ? StartLayout.maxLoads(turn.engine())
                 : (int) Math.max(1, Math.ceil(turn.engine().concurrentLoads() * turn.loadShare()));
         double perSecond = turn.engine().loadsPerSecond() * turn.loadShare();
         for (UpstreamVm vm : turn.vms()) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -1,14 +1,15 @@
 package org.apricotdeal.relay.policy;
 
-import java.util.HashMap;
 import java.util.LinkedHashSet;
-import java.util.Map;
 import java.util.Set;
 
 /** A target and what the dispatcher knows of its load and health. */
 final class TargetState {
-    /** Age beyond which another node's count is no longer believed; several heartbeats. */
-    private static final long PEER_LOAD_MILLIS = 1_500;
+    /** Age beyond which the other nodes' count is no longer believed; several heartbeats. */
+    private static final long OTHERS_LOAD_MILLIS = 1_500;
+
+    /** Requests beyond the free slots that all nodes together may send in a round; an engine's queue takes a few. */
+    private static final double OVERSHOOT = 1.5;
 
     /** First time that a target in doubt is left out, before one request tries it again. */
     private static final long FIRST_DOUBT_MILLIS = 1_000;
@@ -23,16 +24,14 @@
     long lastProgressMillis;
 
     private final LineState line;
-    private final Map<String, PeerCount> peers = new HashMap<>();
+    private int othersRunning;
+    private long othersAtMillis = Long.MIN_VALUE / 2;
     private int stalls;
     private long doubtedMillis;
     private long doubtUntilMillis;
     private long doubtMillis;
     private int mayRun = Integer.MAX_VALUE;
 
-    /** Another node's count and when it was told. */
-    private record PeerCount(int running, long atMillis) {}
-
     TargetState(Target target, LineState line) {
         this.target = target;
         this.line = line;
@@ -42,22 +41,13 @@
         return line;
     }
 
-    void peerRuns(String node, int count, long nowMillis) {
-        if (count == 0) {
-            peers.remove(node);
-        } else {
-            peers.put(node, new PeerCount(count, nowMillis));
-        }
+    void othersRun(int count, long nowMillis) {
+        othersRunning = count;
+        othersAtMillis = nowMillis;
     }
 
     int load(long nowMillis) {
-        int sum = running.size();
-        for (PeerCount peer : peers.values()) {
-            if (nowMillis - peer.atMillis() < PEER_LOAD_MILLIS) {
-                sum += peer.running();
-            }
-        }
-        return sum;
+        return running.size() + (nowMillis - othersAtMillis < OTHERS_LOAD_MILLIS ? othersRunning : 0);
     }
 
     /** Counts this node's requests there whose answers have not begun. */
@@ -71,16 +61,10 @@
         return count;
     }
 
-    /** Returns the age of the oldest count of another node that the load rests on. */
+    /** Returns the age of the other nodes' count that the load rests on. */
     long loadAgeMillis(long nowMillis) {
-        long oldestMillis = 0;
-        for (PeerCount peer : peers.values()) {
-            long ageMillis = nowMillis - peer.atMillis();
-            if (ageMillis < PEER_LOAD_MILLIS) {
-                oldestMillis = Math.max(oldestMillis, ageMillis);
-            }
-        }
-        return oldestMillis;
+        long ageMillis = nowMillis - othersAtMillis;
+        return ageMillis < OTHERS_LOAD_MILLIS ? ageMillis : 0;
     }
 
     int freeSlots(long nowMillis) {
@@ -95,13 +79,16 @@
 
     /**
      * Begins a round of heartbeats. What other nodes send within it is not known before its end, so each node takes an equal
-     * part of the slots that are free now. A slot whose request ends within the round is its node's to use again.
+     * part of the slots that are free now, and a last whole one as often as its part says. A slot whose request ends within
+     * the round is its node's to use again.
      *
      * @param nodes nodes that send to the target, this one among them
+     * @param draw random number from 0 to 1
      */
-    void beginRound(int nodes, long nowMillis) {
+    void beginRound(int nodes, double draw, long nowMillis) {
         int free = Math.max(0, target.slots() - load(nowMillis));
-        mayRun = nodes == 1 ? Integer.MAX_VALUE : running.size() + (free + nodes - 1) / nodes;
+        double part = free == 0 ? 0 : (free + OVERSHOOT) / nodes;
+        mayRun = nodes == 1 ? Integer.MAX_VALUE : running.size() + (int) Math.floor(part + draw);
     }
 
     boolean inDoubt(long nowMillis) {
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayHeartbeat.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayHeartbeat.java
@@ -18,6 +18,9 @@
   private static final org.apache.thrift.protocol.TField STORE_AWAY_FIELD_DESC = new org.apache.thrift.protocol.TField("storeAway", org.apache.thrift.protocol.TType.BOOL, (short)6);
   private static final org.apache.thrift.protocol.TField VM_NEWS_FIELD_DESC = new org.apache.thrift.protocol.TField("vmNews", org.apache.thrift.protocol.TType.STRUCT, (short)7);
   private static final org.apache.thrift.protocol.TField STOPPING_FIELD_DESC = new org.apache.thrift.protocol.TField("stopping", org.apache.thrift.protocol.TType.BOOL, (short)8);
+  private static final org.apache.thrift.protocol.TField SCOPE_FIELD_DESC = new org.apache.thrift.protocol.TField("scope", org.apache.thrift.protocol.TType.I32, (short)9);
+  private static final org.apache.thrift.protocol.TField SEEN_FIELD_DESC = new org.apache.thrift.protocol.TField("seen", org.apache.thrift.protocol.TType.LIST, (short)10);
+  private static final org.apache.thrift.protocol.TField VM_AGE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("vmAgeMillis", org.apache.thrift.protocol.TType.I32, (short)11);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TRelayHeartbeatStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TRelayHeartbeatTupleSchemeFactory();
@@ -30,6 +33,13 @@
   public boolean storeAway; // optional
   public @org.apache.thrift.annotation.Nullable TRelayVmNews vmNews; // optional
   public boolean stopping; // optional
+  /**
+   * 
+   * @see TRelayScope
+   */
+  public @org.apache.thrift.annotation.Nullable TRelayScope scope; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<TRelayNodeSeen> seen; // optional
+  public int vmAgeMillis; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -40,7 +50,14 @@
     VM_REVISION((short)5, "vmRevision"),
     STORE_AWAY((short)6, "storeAway"),
     VM_NEWS((short)7, "vmNews"),
-    STOPPING((short)8, "stopping");
+    STOPPING((short)8, "stopping"),
+    /**
+     * 
+     * @see TRelayScope
+     */
+    SCOPE((short)9, "scope"),
+    SEEN((short)10, "seen"),
+    VM_AGE_MILLIS((short)11, "vmAgeMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -72,6 +89,12 @@
           return VM_NEWS;
         case 8: // STOPPING
           return STOPPING;
+        case 9: // SCOPE
+          return SCOPE;
+        case 10: // SEEN
+          return SEEN;
+        case 11: // VM_AGE_MILLIS
+          return VM_AGE_MILLIS;
         default:
           return null;
       }
@@ -119,8 +142,9 @@
   private static final int __VMREVISION_ISSET_ID = 1;
   private static final int __STOREAWAY_ISSET_ID = 2;
   private static final int __STOPPING_ISSET_ID = 3;
+  private static final int __VMAGEMILLIS_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.CATALOGUE,_Fields.VM_REVISION,_Fields.STORE_AWAY,_Fields.VM_NEWS,_Fields.STOPPING};
+  private static final _Fields optionals[] = {_Fields.CATALOGUE,_Fields.VM_REVISION,_Fields.STORE_AWAY,_Fields.VM_NEWS,_Fields.STOPPING,_Fields.SCOPE,_Fields.SEEN,_Fields.VM_AGE_MILLIS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -141,6 +165,13 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayVmNews.class)));
     tmpMap.put(_Fields.STOPPING, new org.apache.thrift.meta_data.FieldMetaData("stopping", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.SCOPE, new org.apache.thrift.meta_data.FieldMetaData("scope", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, TRelayScope.class)));
+    tmpMap.put(_Fields.SEEN, new org.apache.thrift.meta_data.FieldMetaData("seen", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayNodeSeen.class))));
+    tmpMap.put(_Fields.VM_AGE_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("vmAgeMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TRelayHeartbeat.class, metaDataMap);
   }
@@ -185,6 +216,17 @@
       this.vmNews = new TRelayVmNews(other.vmNews);
     }
     this.stopping = other.stopping;
+    if (other.isSetScope()) {
+      this.scope = other.scope;
+    }
+    if (other.isSetSeen()) {
+      java.util.List<TRelayNodeSeen> __this__seen = new java.util.ArrayList<TRelayNodeSeen>(other.seen.size());
+      for (TRelayNodeSeen other_element : other.seen) {
+        __this__seen.add(new TRelayNodeSeen(other_element));
+      }
+      this.seen = __this__seen;
+    }
+    this.vmAgeMillis = other.vmAgeMillis;
   }
 
   @Override
@@ -206,6 +248,10 @@
     this.vmNews = null;
     setStoppingIsSet(false);
     this.stopping = false;
+    this.scope = null;
+    this.seen = null;
+    setVmAgeMillisIsSet(false);
+    this.vmAgeMillis = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -425,6 +471,103 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STOPPING_ISSET_ID, value);
   }
 
+  /**
+   * 
+   * @see TRelayScope
+   */
+  @org.apache.thrift.annotation.Nullable
+  public TRelayScope getScope() {
+    return this.scope;
+  }
+
+  /**
+   * 
+   * @see TRelayScope
+   */
+  public TRelayHeartbeat setScope(@org.apache.thrift.annotation.Nullable TRelayScope scope) {
+    this.scope = scope;
+    return this;
+  }
+
+  public void unsetScope() {
+    this.scope = null;
+  }
+
+  /** Returns true if field scope is set (has been assigned a value) and false otherwise */
+  public boolean isSetScope() {
+    return this.scope != null;
+  }
+
+  public void setScopeIsSet(boolean value) {
+    if (!value) {
+      this.scope = null;
+    }
+  }
+
+  public int getSeenSize() {
+    return (this.seen == null) ? 0 : this.seen.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<TRelayNodeSeen> getSeenIterator() {
+    return (this.seen == null) ? null : this.seen.iterator();
+  }
+
+  public void addToSeen(TRelayNodeSeen elem) {
+    if (this.seen == null) {
+      this.seen = new java.util.ArrayList<TRelayNodeSeen>();
+    }
+    this.seen.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<TRelayNodeSeen> getSeen() {
+    return this.seen;
+  }
+
+  public TRelayHeartbeat setSeen(@org.apache.thrift.annotation.Nullable java.util.List<TRelayNodeSeen> seen) {
+    this.seen = seen;
+    return this;
+  }
+
+  public void unsetSeen() {
+    this.seen = null;
+  }
+
+  /** Returns true if field seen is set (has been assigned a value) and false otherwise */
+  public boolean isSetSeen() {
+    return this.seen != null;
+  }
+
+  public void setSeenIsSet(boolean value) {
+    if (!value) {
+      this.seen = null;
+    }
+  }
+
+  public int getVmAgeMillis() {
+    return this.vmAgeMillis;
+  }
+
+  public TRelayHeartbeat setVmAgeMillis(int vmAgeMillis) {
+    this.vmAgeMillis = vmAgeMillis;
+    setVmAgeMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetVmAgeMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VMAGEMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field vmAgeMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetVmAgeMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VMAGEMILLIS_ISSET_ID);
+  }
+
+  public void setVmAgeMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VMAGEMILLIS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -496,6 +639,30 @@
       }
       break;
 
+    case SCOPE:
+      if (value == null) {
+        unsetScope();
+      } else {
+        setScope((TRelayScope)value);
+      }
+      break;
+
+    case SEEN:
+      if (value == null) {
+        unsetSeen();
+      } else {
+        setSeen((java.util.List<TRelayNodeSeen>)value);
+      }
+      break;
+
+    case VM_AGE_MILLIS:
+      if (value == null) {
+        unsetVmAgeMillis();
+      } else {
+        setVmAgeMillis((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -527,6 +694,15 @@
     case STOPPING:
       return isStopping();
 
+    case SCOPE:
+      return getScope();
+
+    case SEEN:
+      return getSeen();
+
+    case VM_AGE_MILLIS:
+      return getVmAgeMillis();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -555,6 +731,12 @@
       return isSetVmNews();
     case STOPPING:
       return isSetStopping();
+    case SCOPE:
+      return isSetScope();
+    case SEEN:
+      return isSetSeen();
+    case VM_AGE_MILLIS:
+      return isSetVmAgeMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -644,6 +826,33 @@
         return false;
     }
 
+    boolean this_present_scope = true && this.isSetScope();
+    boolean that_present_scope = true && that.isSetScope();
+    if (this_present_scope || that_present_scope) {
+      if (!(this_present_scope && that_present_scope))
+        return false;
+      if (!this.scope.equals(that.scope))
+        return false;
+    }
+
+    boolean this_present_seen = true && this.isSetSeen();
+    boolean that_present_seen = true && that.isSetSeen();
+    if (this_present_seen || that_present_seen) {
+      if (!(this_present_seen && that_present_seen))
+        return false;
+      if (!this.seen.equals(that.seen))
+        return false;
+    }
+
+    boolean this_present_vmAgeMillis = true && this.isSetVmAgeMillis();
+    boolean that_present_vmAgeMillis = true && that.isSetVmAgeMillis();
+    if (this_present_vmAgeMillis || that_present_vmAgeMillis) {
+      if (!(this_present_vmAgeMillis && that_present_vmAgeMillis))
+        return false;
+      if (this.vmAgeMillis != that.vmAgeMillis)
+        return false;
+    }
+
     return true;
   }
 
@@ -681,6 +890,18 @@
     if (isSetStopping())
       hashCode = hashCode * 8191 + ((stopping) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetScope()) ? 131071 : 524287);
+    if (isSetScope())
+      hashCode = hashCode * 8191 + scope.getValue();
+
+    hashCode = hashCode * 8191 + ((isSetSeen()) ? 131071 : 524287);
+    if (isSetSeen())
+      hashCode = hashCode * 8191 + seen.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetVmAgeMillis()) ? 131071 : 524287);
+    if (isSetVmAgeMillis())
+      hashCode = hashCode * 8191 + vmAgeMillis;
+
     return hashCode;
   }
 
@@ -772,6 +993,36 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetScope(), other.isSetScope());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetScope()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.scope, other.scope);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSeen(), other.isSetSeen());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSeen()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.seen, other.seen);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetVmAgeMillis(), other.isSetVmAgeMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVmAgeMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.vmAgeMillis, other.vmAgeMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -853,6 +1104,32 @@
       sb.append(this.stopping);
       first = false;
     }
+    if (isSetScope()) {
+      if (!first) sb.append(", ");
+      sb.append("scope:");
+      if (this.scope == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.scope);
+      }
+      first = false;
+    }
+    if (isSetSeen()) {
+      if (!first) sb.append(", ");
+      sb.append("seen:");
+      if (this.seen == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.seen);
+      }
+      first = false;
+    }
+    if (isSetVmAgeMillis()) {
+      if (!first) sb.append(", ");
+      sb.append("vmAgeMillis:");
+      sb.append(this.vmAgeMillis);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -990,6 +1267,41 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 9: // SCOPE
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.scope = org.apricotdeal.wire.gen.TRelayScope.findByValue(iprot.readI32());
+              struct.setScopeIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 10: // SEEN
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list11 = iprot.readListBegin();
+                struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list11.size);
+                @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem12;
+                for (int _i13 = 0; _i13 < _list11.size; ++_i13)
+                {
+                  _elem12 = new TRelayNodeSeen();
+                  _elem12.read(iprot);
+                  struct.seen.add(_elem12);
+                }
+                iprot.readListEnd();
+              }
+              struct.setSeenIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 11: // VM_AGE_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.vmAgeMillis = iprot.readI32();
+              struct.setVmAgeMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1021,9 +1333,9 @@
         oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-          for (TRelayLoad _iter11 : struct.loads)
+          for (TRelayLoad _iter14 : struct.loads)
           {
-            _iter11.write(oprot);
+            _iter14.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1058,6 +1370,32 @@
         oprot.writeBool(struct.stopping);
         oprot.writeFieldEnd();
       }
+      if (struct.scope != null) {
+        if (struct.isSetScope()) {
+          oprot.writeFieldBegin(SCOPE_FIELD_DESC);
+          oprot.writeI32(struct.scope.getValue());
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.seen != null) {
+        if (struct.isSetSeen()) {
+          oprot.writeFieldBegin(SEEN_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.seen.size()));
+            for (TRelayNodeSeen _iter15 : struct.seen)
+            {
+              _iter15.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.isSetVmAgeMillis()) {
+        oprot.writeFieldBegin(VM_AGE_MILLIS_FIELD_DESC);
+        oprot.writeI32(struct.vmAgeMillis);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1080,9 +1418,9 @@
       oprot.writeI64(struct.catalogueVersion);
       {
         oprot.writeI32(struct.loads.size());
-        for (TRelayLoad _iter12 : struct.loads)
+        for (TRelayLoad _iter16 : struct.loads)
         {
-          _iter12.write(oprot);
+          _iter16.write(oprot);
         }
       }
       java.util.BitSet optionals = new java.util.BitSet();
@@ -1101,7 +1439,16 @@
       if (struct.isSetStopping()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetScope()) {
+        optionals.set(5);
+      }
+      if (struct.isSetSeen()) {
+        optionals.set(6);
+      }
+      if (struct.isSetVmAgeMillis()) {
+        optionals.set(7);
+      }
+      oprot.writeBitSet(optionals, 8);
       if (struct.isSetCatalogue()) {
         oprot.writeBinary(struct.catalogue);
       }
@@ -1117,6 +1464,21 @@
       if (struct.isSetStopping()) {
         oprot.writeBool(struct.stopping);
       }
+      if (struct.isSetScope()) {
+        oprot.writeI32(struct.scope.getValue());
+      }
+      if (struct.isSetSeen()) {
+        {
+          oprot.writeI32(struct.seen.size());
+          for (TRelayNodeSeen _iter17 : struct.seen)
+          {
+            _iter17.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetVmAgeMillis()) {
+        oprot.writeI32(struct.vmAgeMillis);
+      }
     }
 
     @Override
@@ -1128,18 +1490,18 @@
       struct.catalogueVersion = iprot.readI64();
       struct.setCatalogueVersionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.loads = new java.util.ArrayList<TRelayLoad>(_list13.size);
-        @org.apache.thrift.annotation.Nullable TRelayLoad _elem14;
-        for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+        org.apache.thrift.protocol.TList _list18 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.loads = new java.util.ArrayList<TRelayLoad>(_list18.size);
+        @org.apache.thrift.annotation.Nullable TRelayLoad _elem19;
+        for (int _i20 = 0; _i20 < _list18.size; ++_i20)
         {
-          _elem14 = new TRelayLoad();
-          _elem14.read(iprot);
-          struct.loads.add(_elem14);
+          _elem19 = new TRelayLoad();
+          _elem19.read(iprot);
+          struct.loads.add(_elem19);
         }
       }
       struct.setLoadsIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(8);
       if (incoming.get(0)) {
         struct.catalogue = iprot.readBinary();
         struct.setCatalogueIsSet(true);
@@ -1161,6 +1523,28 @@
         struct.stopping = iprot.readBool();
         struct.setStoppingIsSet(true);
       }
+      if (incoming.get(5)) {
+        struct.scope = org.apricotdeal.wire.gen.TRelayScope.findByValue(iprot.readI32());
+        struct.setScopeIsSet(true);
+      }
+      if (incoming.get(6)) {
+        {
+          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list21.size);
+          @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem22;
+          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+          {
+            _elem22 = new TRelayNodeSeen();
+            _elem22.read(iprot);
+            struct.seen.add(_elem22);
+          }
+        }
+        struct.setSeenIsSet(true);
+      }
+      if (incoming.get(7)) {
+        struct.vmAgeMillis = iprot.readI32();
+        struct.setVmAgeMillisIsSet(true);
+      }
     }
   }
 
--- a/wire-gen/src/main/thrift/relay.thrift
+++ b/wire-gen/src/main/thrift/relay.thrift
@@ -29,13 +29,31 @@
   2: required list<TRelayVmEntry> entries;
 }
 
+// Whose requests the loads of a heartbeat are.
+enum TRelayScope {
+  NODE = 1,                           // the sender's
+  DOMAIN = 2,                         // those of all nodes of the sender's failure domain
+  FLEET = 3                           // those of all nodes but the receiver
+}
+
+// Another node as the sender knows it.
+struct TRelayNodeSeen {
+  1: required string name;
+  2: required i32 ageMillis;          // time since the node was heard, by whomever
+  3: required bool stopping;
+}
+
+// Sent to a few nodes, and given back by them as the answer.
 struct TRelayHeartbeat {
   1: required TRelayNode sender;
   2: required i64 catalogueVersion;   // 0: none
   3: required list<TRelayLoad> loads;
   4: optional binary catalogue;       // operator's bytes, where the receiver is behind
   5: optional i64 vmRevision;         // store revision up to which the sender knows the VMs' entries
-  6: optional bool storeAway;         // the sender cannot follow the store and asks for news of VMs
-  7: optional TRelayVmNews vmNews;    // where the receiver asked for it
+  6: optional bool storeAway;         // the sender cannot follow the store
+  7: optional TRelayVmNews vmNews;    // what is new since the receiver's revision
   8: optional bool stopping;          // the sender plans no more; what it has in progress goes on
+  9: optional TRelayScope scope;
+  10: optional list<TRelayNodeSeen> seen;
+  11: optional i32 vmAgeMillis;       // time since the store confirmed the sender's revision
 }
