Tell other nodes which VMs do not answer

Class of fault: what one node finds out, each other finds out again at a caller's cost; so the cost of a loss grows with the nodes.

Ruled out: late detection by the node itself (two calls of 250 ms).

Change: heartbeats name the VMs that did not answer the sender's own calls within the last second, or those of which it was told so with their age. A node that is told leaves targets with such a VM out at once, asks the VM itself, and goes by that; planners go by own calls alone. Not believed: a VM that answered this node within 3 s, and a node to which more than a quarter of all VMs are silent.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
@@ -345,7 +345,7 @@
     private void ask(Planning planning, VmId id) {
         SimVm vm = vms.get(id);
         if (vm == null || vm.dead) {
-            planning.table.missed(id);
+            planning.table.missed(id, nowMillis);
         } else {
             planning.table.reported(id, vm.report(), nowMillis);
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -53,6 +53,9 @@
     /** A node that has not been heard for so long is not counted on for planning; several heartbeats. */
     private static final long PEER_SILENT_MILLIS = 2_000;
 
+    /** So many silent VMs are believed of another node in any case. */
+    private static final int MIN_TOLD_SILENT = 4;
+
     /** A fleet that starts gets its first requests later than this; loads are short until then. */
     private static final long START_MILLIS = 12_000;
 
@@ -83,6 +86,7 @@
     private volatile List<Peer> livePeers = List.of();
     private volatile Set<String> stoppingNow = Set.of();
     private volatile Map<String, Long> seen = Map.of();
+    private volatile Map<VmId, Long> silentVms = Map.of();
     private volatile boolean sawVms;
     private volatile boolean stopping;
 
@@ -146,6 +150,11 @@
         return nodes;
     }
 
+    /** Returns when VMs last did not answer a call, for those that are silent. */
+    Map<VmId, Long> silentVms() {
+        return silentVms;
+    }
+
     /** Tells whether this node plans no more, for heartbeats. */
     boolean isStopping() {
         return stopping;
@@ -188,6 +197,7 @@
                 seen.forEach(node -> heard(node.name(), node.heardMillis(), node.stopping()));
                 publishPeers();
             }
+            case FleetEvent.ToldSilent(Map<VmId, Long> missedMillis) -> takeSilent(missedMillis);
             case FleetEvent.Stopping stop -> stopping = true;
         }
     }
@@ -212,12 +222,26 @@
         seen = Map.copyOf(heardMillis);
     }
 
+    private void takeSilent(Map<VmId, Long> missedMillis) {
+        // A node to which most VMs are silent is itself cut off, or too slow to tell.
+        if (missedMillis.size() > Math.max(MIN_TOLD_SILENT, table.all().size() / 4)) {
+            return;
+        }
+        missedMillis.forEach((vm, atMillis) -> {
+            if (table.toldSilent(vm, atMillis, clock.monotonicMillis())) {
+                metrics.counter("vms.suspected").inc();
+                ask(vm, 0);
+                changed = true;
+            }
+        });
+    }
+
     private void takeReport(VmId vm, Result<VmReport, String> report) {
         boolean silentBefore = table.isSilent(vm);
         switch (report) {
             case Result.Ok<VmReport, String>(VmReport state) -> table.reported(vm, state, clock.monotonicMillis());
             case Result.Err<VmReport, String>(String reason) -> {
-                table.missed(vm);
+                table.missed(vm, clock.monotonicMillis());
                 metrics.counter("vm.reports.missed").inc();
             }
         }
@@ -268,6 +292,7 @@
             changed = true;
         }
         askSilent();
+        silentVms = table.silentOfLate(nowMillis);
         loads.tick(nowMillis);
         if (catalogue == null) {
             return;
@@ -311,7 +336,7 @@
 
     private void publishTargets() {
         askedMillis.keySet().removeIf(id -> table.find(id).isEmpty());
-        List<Target> built = TargetBuilder.targets(table, catalogue);
+        List<Target> built = TargetBuilder.targets(table, catalogue, clock.monotonicMillis());
         if (Set.copyOf(built).equals(Set.copyOf(targets))) {
             return;
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetEvent.java
@@ -1,6 +1,7 @@
 package org.apricotdeal.relay.node;
 
 import java.util.List;
+import java.util.Map;
 
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.kernel.result.Result;
@@ -39,6 +40,9 @@
     /** A node sent a heartbeat and told which others it knows of; one that stops plans no more. */
     record Heartbeat(Peer sender, List<Seen> seen, boolean stopping) implements FleetEvent {}
 
+    /** Another node told which VMs did not answer, and when. */
+    record ToldSilent(Map<VmId, Long> missedMillis) implements FleetEvent {}
+
     /** Another node as told by a third one, and when it was heard. */
     record Seen(String name, long heardMillis, boolean stopping) {}
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -30,6 +30,7 @@
 import org.apricotdeal.wire.gen.TRelayNode;
 import org.apricotdeal.wire.gen.TRelayNodeSeen;
 import org.apricotdeal.wire.gen.TRelayScope;
+import org.apricotdeal.wire.gen.TRelaySilentVm;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.HttpClient;
@@ -195,6 +196,10 @@
         heartbeat.setVmAgeMillis((int) Math.min(Integer.MAX_VALUE, vms.ageMillis()));
         heartbeat.setStoreAway(vms.isAway());
         heartbeat.setStopping(fleet.isStopping());
+        long nowMillis = clock.monotonicMillis();
+        fleet.silentVms()
+                .forEach((vm, missedMillis) ->
+                        heartbeat.addToSilentVms(new TRelaySilentVm(vm.value(), (int) (nowMillis - missedMillis))));
         return heartbeat;
     }
 
@@ -303,6 +308,13 @@
         }
         note(sender, heartbeat, nowMillis);
         takeLoads(sender, heartbeat, nowMillis);
+        if (heartbeat.isSetSilentVms()) {
+            Map<VmId, Long> missedMillis = new HashMap<>();
+            heartbeat
+                    .getSilentVms()
+                    .forEach(silent -> missedMillis.put(new VmId(silent.getVm()), nowMillis - silent.getAgeMillis()));
+            fleet.put(new FleetEvent.ToldSilent(missedMillis));
+        }
         List<FleetEvent.Seen> seen = new ArrayList<>();
         if (heartbeat.isSetSeen()) {
             for (TRelayNodeSeen node : heartbeat.getSeen()) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetBuilder.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetBuilder.java
@@ -19,27 +19,33 @@
      *
      * @param table the VMs
      * @param catalogue the catalogue in force
+     * @param nowMillis time
      * @return the targets
      */
-    public static List<Target> targets(VmTable table, RelayCatalogue catalogue) {
+    public static List<Target> targets(VmTable table, RelayCatalogue catalogue, long nowMillis) {
         List<Target> targets = new ArrayList<>();
         for (UpstreamEntry upstream : catalogue.upstreams().values()) {
             List<UpstreamVm> vms = table.all().stream()
                     .filter(vm -> vm.upstream().equals(upstream.id()))
                     .toList();
             if (upstream.engine().isPresent()) {
-                addReplicas(table, upstream, upstream.engine().get(), vms, targets);
+                addReplicas(table, upstream, upstream.engine().get(), vms, nowMillis, targets);
             } else {
-                addServices(table, upstream, vms, targets);
+                addServices(table, upstream, vms, nowMillis, targets);
             }
         }
         return targets;
     }
 
     private static void addReplicas(
-            VmTable table, UpstreamEntry upstream, EngineProfile engine, List<UpstreamVm> vms, List<Target> targets) {
+            VmTable table,
+            UpstreamEntry upstream,
+            EngineProfile engine,
+            List<UpstreamVm> vms,
+            long nowMillis,
+            List<Target> targets) {
         for (Formations.Formation formation : Formations.of(vms, engine)) {
-            if (!formation.open() || !formation.ready() || !allWell(table, formation)) {
+            if (!formation.open() || !formation.ready() || !allWell(table, formation, nowMillis)) {
                 continue;
             }
             UpstreamVm head = formation.head().orElseThrow();
@@ -53,18 +59,19 @@
         }
     }
 
-    private static boolean allWell(VmTable table, Formations.Formation formation) {
+    private static boolean allWell(VmTable table, Formations.Formation formation, long nowMillis) {
         for (UpstreamVm member : formation.members()) {
-            if (member.leaving() || table.isSilent(member.id())) {
+            if (member.leaving() || table.isSilent(member.id()) || table.isSuspected(member.id(), nowMillis)) {
                 return false;
             }
         }
         return true;
     }
 
-    private static void addServices(VmTable table, UpstreamEntry upstream, List<UpstreamVm> vms, List<Target> targets) {
+    private static void addServices(
+            VmTable table, UpstreamEntry upstream, List<UpstreamVm> vms, long nowMillis, List<Target> targets) {
         for (UpstreamVm vm : vms) {
-            if (vm.leaving() || table.isSilent(vm.id())) {
+            if (vm.leaving() || table.isSilent(vm.id()) || table.isSuspected(vm.id(), nowMillis)) {
                 continue;
             }
             List<VmId> members = List.of(vm.id());
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -30,6 +30,12 @@
     /** A report may be this old: the platform's lag, and the way. */
     private static final long REPORT_AGE_MILLIS = 600;
 
+    /** Another node's word that a VM is silent is passed on, and left out of account without an own call, for so long. */
+    private static final long SUSPICION_MILLIS = 1_000;
+
+    /** A VM that has answered this node of late is not suspected on the word of another, which may be the one cut off. */
+    private static final long ANSWERED_MILLIS = 3_000;
+
     private final Map<VmId, Known> vms = new HashMap<>();
 
     /** A VM and how its state was learned. */
@@ -38,6 +44,9 @@
         private long groupLearnedMillis;
         private long leftNumber = -1;
         private int misses;
+        private long answeredMillis = Long.MIN_VALUE / 2;
+        private long missedMillis = Long.MIN_VALUE / 2;
+        private long suspectedMillis = Long.MIN_VALUE / 2;
         private long removeAtMillis = Long.MAX_VALUE;
 
         Known(UpstreamVm vm) {
@@ -124,6 +133,8 @@
             return;
         }
         known.misses = 0;
+        known.answeredMillis = nowMillis;
+        known.suspectedMillis = Long.MIN_VALUE / 2;
         if (report.startedWallMillis() != 0 && report.startedWallMillis() != known.vm.startedWallMillis()) {
             return;
         }
@@ -216,12 +227,69 @@
      * Notes that a VM did not answer a call for its state.
      *
      * @param id the VM
+     * @param nowMillis time
      */
-    public void missed(VmId id) {
+    public void missed(VmId id, long nowMillis) {
         Known known = vms.get(id);
         if (known != null) {
             known.misses++;
+            if (known.misses >= LOST_AFTER_MISSES) {
+                known.missedMillis = nowMillis;
+            }
+        }
+    }
+
+    /**
+     * Takes another node's word that a VM does not answer. The VM counts as suspected until this node's own calls show what
+     * is so.
+     *
+     * @param id the VM
+     * @param missedMillis time of the last call that it did not answer
+     * @param nowMillis time
+     * @return true where the VM should be asked
+     */
+    public boolean toldSilent(VmId id, long missedMillis, long nowMillis) {
+        Known known = vms.get(id);
+        if (known == null
+                || missedMillis <= known.missedMillis
+                || nowMillis - missedMillis >= SUSPICION_MILLIS
+                || nowMillis - known.answeredMillis < ANSWERED_MILLIS) {
+            return false;
+        }
+        known.missedMillis = missedMillis;
+        if (isSilent(id) || isSuspected(id, nowMillis)) {
+            return false;
         }
+        known.suspectedMillis = nowMillis;
+        return true;
+    }
+
+    /**
+     * Tells whether a VM is taken for silent on another node's word, and this node has not found out yet.
+     *
+     * @param id the VM
+     * @param nowMillis time
+     * @return true for a short time after the word came
+     */
+    public boolean isSuspected(VmId id, long nowMillis) {
+        Known known = vms.get(id);
+        return known != null && nowMillis - known.suspectedMillis < SUSPICION_MILLIS;
+    }
+
+    /**
+     * Returns the VMs that lately did not answer this node or another, for other nodes.
+     *
+     * @param nowMillis time
+     * @return time of the last call without an answer, by VM
+     */
+    public Map<VmId, Long> silentOfLate(long nowMillis) {
+        Map<VmId, Long> silent = new HashMap<>();
+        vms.forEach((id, known) -> {
+            if (nowMillis - known.missedMillis < SUSPICION_MILLIS && known.answeredMillis < known.missedMillis) {
+                silent.put(id, known.missedMillis);
+            }
+        });
+        return silent;
     }
 
     /**
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayHeartbeat.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayHeartbeat.java
@@ -21,6 +21,7 @@
   private static final org.apache.thrift.protocol.TField SCOPE_FIELD_DESC = new org.apache.thrift.protocol.TField("scope", org.apache.thrift.protocol.TType.I32, (short)9);
   private static final org.apache.thrift.protocol.TField SEEN_FIELD_DESC = new org.apache.thrift.protocol.TField("seen", org.apache.thrift.protocol.TType.LIST, (short)10);
   private static final org.apache.thrift.protocol.TField VM_AGE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("vmAgeMillis", org.apache.thrift.protocol.TType.I32, (short)11);
+  private static final org.apache.thrift.protocol.TField SILENT_VMS_FIELD_DESC = new org.apache.thrift.protocol.TField("silentVms", org.apache.thrift.protocol.TType.LIST, (short)12);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TRelayHeartbeatStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TRelayHeartbeatTupleSchemeFactory();
@@ -40,6 +41,7 @@
   public @org.apache.thrift.annotation.Nullable TRelayScope scope; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<TRelayNodeSeen> seen; // optional
   public int vmAgeMillis; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<TRelaySilentVm> silentVms; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -57,7 +59,8 @@
      */
     SCOPE((short)9, "scope"),
     SEEN((short)10, "seen"),
-    VM_AGE_MILLIS((short)11, "vmAgeMillis");
+    VM_AGE_MILLIS((short)11, "vmAgeMillis"),
+    SILENT_VMS((short)12, "silentVms");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -95,6 +98,8 @@
           return SEEN;
         case 11: // VM_AGE_MILLIS
           return VM_AGE_MILLIS;
+        case 12: // SILENT_VMS
+          return SILENT_VMS;
         default:
           return null;
       }
@@ -144,7 +149,7 @@
   private static final int __STOPPING_ISSET_ID = 3;
   private static final int __VMAGEMILLIS_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.CATALOGUE,_Fields.VM_REVISION,_Fields.STORE_AWAY,_Fields.VM_NEWS,_Fields.STOPPING,_Fields.SCOPE,_Fields.SEEN,_Fields.VM_AGE_MILLIS};
+  private static final _Fields optionals[] = {_Fields.CATALOGUE,_Fields.VM_REVISION,_Fields.STORE_AWAY,_Fields.VM_NEWS,_Fields.STOPPING,_Fields.SCOPE,_Fields.SEEN,_Fields.VM_AGE_MILLIS,_Fields.SILENT_VMS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -172,6 +177,9 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayNodeSeen.class))));
     tmpMap.put(_Fields.VM_AGE_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("vmAgeMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.SILENT_VMS, new org.apache.thrift.meta_data.FieldMetaData("silentVms", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelaySilentVm.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TRelayHeartbeat.class, metaDataMap);
   }
@@ -227,6 +235,13 @@
       this.seen = __this__seen;
     }
     this.vmAgeMillis = other.vmAgeMillis;
+    if (other.isSetSilentVms()) {
+      java.util.List<TRelaySilentVm> __this__silentVms = new java.util.ArrayList<TRelaySilentVm>(other.silentVms.size());
+      for (TRelaySilentVm other_element : other.silentVms) {
+        __this__silentVms.add(new TRelaySilentVm(other_element));
+      }
+      this.silentVms = __this__silentVms;
+    }
   }
 
   @Override
@@ -252,6 +267,7 @@
     this.seen = null;
     setVmAgeMillisIsSet(false);
     this.vmAgeMillis = 0;
+    this.silentVms = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -568,6 +584,47 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VMAGEMILLIS_ISSET_ID, value);
   }
 
+  public int getSilentVmsSize() {
+    return (this.silentVms == null) ? 0 : this.silentVms.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<TRelaySilentVm> getSilentVmsIterator() {
+    return (this.silentVms == null) ? null : this.silentVms.iterator();
+  }
+
+  public void addToSilentVms(TRelaySilentVm elem) {
+    if (this.silentVms == null) {
+      this.silentVms = new java.util.ArrayList<TRelaySilentVm>();
+    }
+    this.silentVms.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<TRelaySilentVm> getSilentVms() {
+    return this.silentVms;
+  }
+
+  public TRelayHeartbeat setSilentVms(@org.apache.thrift.annotation.Nullable java.util.List<TRelaySilentVm> silentVms) {
+    this.silentVms = silentVms;
+    return this;
+  }
+
+  public void unsetSilentVms() {
+    this.silentVms = null;
+  }
+
+  /** Returns true if field silentVms is set (has been assigned a value) and false otherwise */
+  public boolean isSetSilentVms() {
+    return this.silentVms != null;
+  }
+
+  public void setSilentVmsIsSet(boolean value) {
+    if (!value) {
+      this.silentVms = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -663,6 +720,14 @@
       }
       break;
 
+    case SILENT_VMS:
+      if (value == null) {
+        unsetSilentVms();
+      } else {
+        setSilentVms((java.util.List<TRelaySilentVm>)value);
+      }
+      break;
+
     }
   }
 
@@ -703,6 +768,9 @@
     case VM_AGE_MILLIS:
       return getVmAgeMillis();
 
+    case SILENT_VMS:
+      return getSilentVms();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -737,6 +805,8 @@
       return isSetSeen();
     case VM_AGE_MILLIS:
       return isSetVmAgeMillis();
+    case SILENT_VMS:
+      return isSetSilentVms();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -853,6 +923,15 @@
         return false;
     }
 
+    boolean this_present_silentVms = true && this.isSetSilentVms();
+    boolean that_present_silentVms = true && that.isSetSilentVms();
+    if (this_present_silentVms || that_present_silentVms) {
+      if (!(this_present_silentVms && that_present_silentVms))
+        return false;
+      if (!this.silentVms.equals(that.silentVms))
+        return false;
+    }
+
     return true;
   }
 
@@ -902,6 +981,10 @@
     if (isSetVmAgeMillis())
       hashCode = hashCode * 8191 + vmAgeMillis;
 
+    hashCode = hashCode * 8191 + ((isSetSilentVms()) ? 131071 : 524287);
+    if (isSetSilentVms())
+      hashCode = hashCode * 8191 + silentVms.hashCode();
+
     return hashCode;
   }
 
@@ -1023,6 +1106,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSilentVms(), other.isSetSilentVms());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSilentVms()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.silentVms, other.silentVms);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1130,6 +1223,16 @@
       sb.append(this.vmAgeMillis);
       first = false;
     }
+    if (isSetSilentVms()) {
+      if (!first) sb.append(", ");
+      sb.append("silentVms:");
+      if (this.silentVms == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.silentVms);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1302,6 +1405,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 12: // SILENT_VMS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list14 = iprot.readListBegin();
+                struct.silentVms = new java.util.ArrayList<TRelaySilentVm>(_list14.size);
+                @org.apache.thrift.annotation.Nullable TRelaySilentVm _elem15;
+                for (int _i16 = 0; _i16 < _list14.size; ++_i16)
+                {
+                  _elem15 = new TRelaySilentVm();
+                  _elem15.read(iprot);
+                  struct.silentVms.add(_elem15);
+                }
+                iprot.readListEnd();
+              }
+              struct.setSilentVmsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1333,9 +1455,9 @@
         oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-          for (TRelayLoad _iter14 : struct.loads)
+          for (TRelayLoad _iter17 : struct.loads)
           {
-            _iter14.write(oprot);
+            _iter17.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1382,9 +1504,9 @@
           oprot.writeFieldBegin(SEEN_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.seen.size()));
-            for (TRelayNodeSeen _iter15 : struct.seen)
+            for (TRelayNodeSeen _iter18 : struct.seen)
             {
-              _iter15.write(oprot);
+              _iter18.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1396,6 +1518,20 @@
         oprot.writeI32(struct.vmAgeMillis);
         oprot.writeFieldEnd();
       }
+      if (struct.silentVms != null) {
+        if (struct.isSetSilentVms()) {
+          oprot.writeFieldBegin(SILENT_VMS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.silentVms.size()));
+            for (TRelaySilentVm _iter19 : struct.silentVms)
+            {
+              _iter19.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1418,9 +1554,9 @@
       oprot.writeI64(struct.catalogueVersion);
       {
         oprot.writeI32(struct.loads.size());
-        for (TRelayLoad _iter16 : struct.loads)
+        for (TRelayLoad _iter20 : struct.loads)
         {
-          _iter16.write(oprot);
+          _iter20.write(oprot);
         }
       }
       java.util.BitSet optionals = new java.util.BitSet();
@@ -1448,7 +1584,10 @@
       if (struct.isSetVmAgeMillis()) {
         optionals.set(7);
       }
-      oprot.writeBitSet(optionals, 8);
+      if (struct.isSetSilentVms()) {
+        optionals.set(8);
+      }
+      oprot.writeBitSet(optionals, 9);
       if (struct.isSetCatalogue()) {
         oprot.writeBinary(struct.catalogue);
       }
@@ -1470,15 +1609,24 @@
       if (struct.isSetSeen()) {
         {
           oprot.writeI32(struct.seen.size());
-          for (TRelayNodeSeen _iter17 : struct.seen)
+          for (TRelayNodeSeen _iter21 : struct.seen)
           {
-            _iter17.write(oprot);
+            _iter21.write(oprot);
           }
         }
       }
       if (struct.isSetVmAgeMillis()) {
         oprot.writeI32(struct.vmAgeMillis);
       }
+      if (struct.isSetSilentVms()) {
+        {
+          oprot.writeI32(struct.silentVms.size());
+          for (TRelaySilentVm _iter22 : struct.silentVms)
+          {
+            _iter22.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
@@ -1490,18 +1638,18 @@
       struct.catalogueVersion = iprot.readI64();
       struct.setCatalogueVersionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list18 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.loads = new java.util.ArrayList<TRelayLoad>(_list18.size);
-        @org.apache.thrift.annotation.Nullable TRelayLoad _elem19;
-        for (int _i20 = 0; _i20 < _list18.size; ++_i20)
+        org.apache.thrift.protocol.TList _list23 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.loads = new java.util.ArrayList<TRelayLoad>(_list23.size);
+        @org.apache.thrift.annotation.Nullable TRelayLoad _elem24;
+        for (int _i25 = 0; _i25 < _list23.size; ++_i25)
         {
-          _elem19 = new TRelayLoad();
-          _elem19.read(iprot);
-          struct.loads.add(_elem19);
+          _elem24 = new TRelayLoad();
+          _elem24.read(iprot);
+          struct.loads.add(_elem24);
         }
       }
       struct.setLoadsIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(8);
+      java.util.BitSet incoming = iprot.readBitSet(9);
       if (incoming.get(0)) {
         struct.catalogue = iprot.readBinary();
         struct.setCatalogueIsSet(true);
@@ -1529,14 +1677,14 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list21.size);
-          @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem22;
-          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+          org.apache.thrift.protocol.TList _list26 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list26.size);
+          @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem27;
+          for (int _i28 = 0; _i28 < _list26.size; ++_i28)
           {
-            _elem22 = new TRelayNodeSeen();
-            _elem22.read(iprot);
-            struct.seen.add(_elem22);
+            _elem27 = new TRelayNodeSeen();
+            _elem27.read(iprot);
+            struct.seen.add(_elem27);
           }
         }
         struct.setSeenIsSet(true);
@@ -1545,6 +1693,20 @@
         struct.vmAgeMillis = iprot.readI32();
         struct.setVmAgeMillisIsSet(true);
       }
+      if (incoming.get(8)) {
+        {
+          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.silentVms = new java.util.ArrayList<TRelaySilentVm>(_list29.size);
+          @org.apache.thrift.annotation.Nullable TRelaySilentVm _elem30;
+          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+          {
+            _elem30 = new TRelaySilentVm();
+            _elem30.read(iprot);
+            struct.silentVms.add(_elem30);
+          }
+        }
+        struct.setSilentVmsIsSet(true);
+      }
     }
   }
 
--- a/wire-gen/src/main/thrift/relay.thrift
+++ b/wire-gen/src/main/thrift/relay.thrift
@@ -43,6 +43,12 @@
   3: required bool stopping;
 }
 
+// A VM that answers no calls for its state.
+struct TRelaySilentVm {
+  1: required string vm;
+  2: required i32 ageMillis;          // time since the last call that it did not answer
+}
+
 // Sent to a few nodes, and given back by them as the answer.
 struct TRelayHeartbeat {
   1: required TRelayNode sender;
@@ -56,4 +62,5 @@
   9: optional TRelayScope scope;
   10: optional list<TRelayNodeSeen> seen;
   11: optional i32 vmAgeMillis;       // time since the store confirmed the sender's revision
+  12: optional list<TRelaySilentVm> silentVms;
 }
