Let each node of a large fleet look at some targets, and use services that are mostly free at once

Change: a node may send one request in a round to a target half of whose slots are free; the part is never more than it was, rounded up. Of the open targets a node compares 4/nodes of all, two at least: fleets of up to four nodes compare all, as before.

The bounds of the tests that were there stand.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/NodesShareTargetsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/NodesShareTargetsTest.java
@@ -10,15 +10,19 @@
 import org.apricotdeal.relay.policy.RelayAction;
 import org.apricotdeal.relay.policy.RelayEvent;
 import org.apricotdeal.relay.policy.Target;
+import org.apricotdeal.relay.policy.TargetId;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 /** Replays nodes whose requests wait when a replica opens: together they send it about what it works on at once. */
 public final class NodesShareTargetsTest {
     private static final int SLOTS = 17;
     private static final int WAITING = 30;
+    private static final int MANY_NODES = 30;
+    private static final int MANY_TARGETS = 40;
     private static final long HEARTBEAT_MILLIS = 250;
 
     @DataProvider
@@ -59,6 +63,48 @@
         assertTrue(total(sent) >= Math.min(SLOTS, waiting(fleet)), "slots used: " + total(sent));
     }
 
+    /** A service of few slots, most of them free, once made callers of a large fleet wait for a round in which a slot was drawn. */
+    @Test
+    public void requestsOfALargeFleetDoNotWaitForAServiceThatIsMostlyFree() {
+        Target service = RelayFixture.target("v1", 6);
+        for (int i = 0; i < MANY_NODES; i++) {
+            RelayFixture node = manyNodes(i);
+            node.targets(service);
+            node.step(new RelayEvent.OthersRun(Map.of(service.id(), 1)));
+            assertEquals(sends(node.arrive(Repeatability.IDEMPOTENT)).size(), 1, "node " + i);
+        }
+    }
+
+    /** The emptiest target would get a request of each node within one round of heartbeats. */
+    @Test
+    public void nodesThatPlaceAtOnceDoNotAllChooseTheEmptiestTarget() {
+        Target empty = RelayFixture.target("v0", SLOTS);
+        List<Target> targets = new ArrayList<>(List.of(empty));
+        Map<TargetId, Integer> others = new HashMap<>();
+        for (int i = 1; i < MANY_TARGETS; i++) {
+            Target target = RelayFixture.target("v" + i, SLOTS);
+            targets.add(target);
+            others.put(target.id(), SLOTS / 2);
+        }
+        int sentToEmpty = 0;
+        for (int i = 0; i < MANY_NODES; i++) {
+            RelayFixture node = manyNodes(i);
+            node.targets(targets.toArray(Target[]::new));
+            node.step(new RelayEvent.OthersRun(others));
+            for (int request = 0; request < 3; request++) {
+                RelayAction.Send sent = RelayFixture.onlySend(node.arrive(Repeatability.STREAM));
+                sentToEmpty += sent.target().equals(empty) ? 1 : 0;
+            }
+        }
+        assertTrue(sentToEmpty <= SLOTS, sentToEmpty + " requests to " + SLOTS + " slots");
+    }
+
+    private static RelayFixture manyNodes(int seed) {
+        RelayFixture node = new RelayFixture(100, seed);
+        node.step(new RelayEvent.NodesCounted(MANY_NODES));
+        return node;
+    }
+
     private static int waiting(List<RelayFixture> fleet) {
         return fleet.stream().mapToInt(node -> node.dispatcher.waiting()).sum();
     }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFixture.java
@@ -39,8 +39,12 @@
     }
 
     RelayFixture(double repeats) {
+        this(repeats, 7);
+    }
+
+    RelayFixture(double repeats, long seed) {
         dispatcher = new RelayDispatcher(
-                HOME, new RepeatBudget(10_000, 0.2, repeats, 1), RandomSource.SPLIT_MIX_64.create(7));
+                HOME, new RepeatBudget(10_000, 0.2, repeats, 1), RandomSource.SPLIT_MIX_64.create(seed));
     }
 
     static Target target(String vm, int slots) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -1,6 +1,7 @@
 package org.apricotdeal.relay.policy;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -25,7 +26,7 @@
  * back has missed the objective, so it goes behind newcomers of its class, who can still be served in time; in front of
  * them it would make a newcomer late, who comes back in turn. <em>Place:</em> the line's first request goes to the target
  * with the smallest part of its slots taken, where prompts that the engine has not read weigh more and the own failure
- * domain goes first. Between the heartbeats of the other nodes this one takes an equal part of the slots that are free.
+ * domain goes first; a node among many looks at some targets only. Between the heartbeats of the other nodes this one takes an equal part of the slots that are free.
  * <em>Watch:</em> a target none of whose requests advances is in doubt: it gets nothing new, and what runs there and may
  * be repeated goes on elsewhere. <em>Repeat:</em> an attempt that failed is made again at another target where the route
  * allows it, within the route's number of attempts and the shared {@link RepeatBudget}; what may have run and must not be
@@ -55,6 +56,12 @@
     /** A round of heartbeats ends by then, also where one was lost or a node is gone; more than their period. */
     private static final long ROUND_MILLIS = 400;
 
+    /** A target is looked at by about so many nodes for each request that all of them place; small fleets look at all. */
+    private static final int LOOKS_OF_ALL = 4;
+
+    /** Two random choices spread load about as well as more do where counts are old. */
+    private static final int MIN_LOOKS = 2;
+
     private static final double PLAIN_SERVICE_MILLIS = 30;
     private static final double PLAIN_START_MILLIS = 30;
     private static final double ENGINE_START_MILLIS = 120;
@@ -235,16 +242,24 @@
         }
     }
 
+    /** Chooses the best of some targets. Where many nodes choose at once, each looks at few, so that they do not all agree. */
     private TargetState choose(LineState line, RequestState request) {
+        List<TargetState> open = new ArrayList<>();
+        for (TargetState state : line.targets) {
+            if (state.freeSlots(nowMillis) > 0 && !request.tried.contains(state.target.id())) {
+                open.add(state);
+            }
+        }
+        int looks = Math.max(MIN_LOOKS, (open.size() * LOOKS_OF_ALL + nodes - 1) / nodes);
         TargetState best = null;
         double bestScore = Double.MAX_VALUE;
-        for (TargetState state : line.targets) {
-            if (state.freeSlots(nowMillis) <= 0 || request.tried.contains(state.target.id())) {
-                continue;
+        for (int i = 0; i < Math.min(looks, open.size()); i++) {
+            if (looks < open.size()) {
+                Collections.swap(open, i, i + random.nextInt(open.size() - i));
             }
-            double score = score(state);
+            double score = score(open.get(i));
             if (score < bestScore) {
-                best = state;
+                best = open.get(i);
                 bestScore = score;
             }
         }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -79,16 +79,24 @@
 
     /**
      * Begins a round of heartbeats. What other nodes send within it is not known before its end, so each node takes an equal
-     * part of the slots that are free now, and a last whole one as often as its part says. A slot whose request ends within
-     * the round is its node's to use again.
+     * part of the slots that are free now, and a last whole one as often as its part says; at least one while half of the slots
+     * are free. A slot whose request ends within the round is its node's to use again.
      *
      * @param nodes nodes that send to the target, this one among them
      * @param draw random number from 0 to 1
      */
     void beginRound(int nodes, double draw, long nowMillis) {
+        if (nodes == 1) {
+            mayRun = Integer.MAX_VALUE;
+            return;
+        }
         int free = Math.max(0, target.slots() - load(nowMillis));
         double part = free == 0 ? 0 : (free + OVERSHOOT) / nodes;
-        mayRun = nodes == 1 ? Integer.MAX_VALUE : running.size() + (int) Math.floor(part + draw);
+        if (2 * free >= target.slots()) {
+            part = Math.max(1, part);
+        }
+        int roundedUp = (free + nodes - 1) / nodes;
+        mayRun = running.size() + Math.min(roundedUp, (int) Math.floor(part + draw));
     }
 
     boolean inDoubt(long nowMillis) {
