Let nodes that hear a delegate wait longer for a new catalogue at the store

Each node asked for changes of the catalogue every 2 s, so that a connection that went silent is noticed in time. A node that hears a delegate is told by it within a second in that case, so it waits 6 s; delegates, and nodes that hear none, wait 2 s as before. RelayNodesTest.heartbeatsAndStoreCallsOfANodeDoNotGrowWithTheFleet and catalogueReachesNodesWhileTheStoreIsLost hold.

--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -64,6 +64,7 @@
     private final RelayDuty relay;
     private final FleetDuty fleet;
     private final CatalogueHolder catalogues;
+    private final CatalogueWatcher catalogueWatcher;
     private final VmWatcher vms;
     private final Clock clock;
     private final DecisionLog log;
@@ -95,6 +96,7 @@
             RelayDuty relay,
             FleetDuty fleet,
             CatalogueHolder catalogues,
+            CatalogueWatcher catalogueWatcher,
             VmWatcher vms,
             Clock clock,
             DecisionLog log,
@@ -103,6 +105,7 @@
         this.relay = relay;
         this.fleet = fleet;
         this.catalogues = catalogues;
+        this.catalogueWatcher = catalogueWatcher;
         this.vms = vms;
         this.clock = clock;
         this.log = log;
@@ -130,6 +133,7 @@
             noteDelegate(partners.isDelegate());
         }
         vms.followStore(delegate);
+        catalogueWatcher.hearsDelegate(!delegate);
         if (delegate) {
             relay.put(new RelayEvent.OthersRun(others()));
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -75,8 +75,9 @@
                 settings.name(), settings.failureDomain().value(), settings.peerAddress(), clock.wallMillis());
         registration = new Registration(self, store, fleet, clock, log);
         VmWatcher vms = new VmWatcher(store, adapter.codec(), fleet, clock, log);
-        storeThreads = List.of(new CatalogueWatcher(store, adapter.codec(), catalogues, clock, log), vms, registration);
-        heartbeats = new Heartbeats(self, client, relay, fleet, catalogues, vms, clock, log, metrics);
+        CatalogueWatcher watcher = new CatalogueWatcher(store, adapter.codec(), catalogues, clock, log);
+        storeThreads = List.of(watcher, vms, registration);
+        heartbeats = new Heartbeats(self, client, relay, fleet, catalogues, watcher, vms, clock, log, metrics);
         ingress = new IngressHandler(catalogues, adapter.headers(), relay, clock);
         server = new RelayServer(settings, threads, ingress, heartbeats, this::isReady, metrics, catalogues);
     }
--- a/relay/src/main/java/org/apricotdeal/relay/node/StoreWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/StoreWatcher.java
@@ -12,7 +12,6 @@
 
     private final WatchStore store;
     private final String prefix;
-    private final long waitMillis;
     private long revision = -1;
 
     /**
@@ -21,15 +20,16 @@
      * @param matter what it follows, for the log and the thread's name
      * @param store the store
      * @param prefix prefix of the keys
-     * @param waitMillis longest wait of a watch
      */
-    StoreWatcher(String matter, WatchStore store, String prefix, long waitMillis, Clock clock, DecisionLog log) {
+    StoreWatcher(String matter, WatchStore store, String prefix, Clock clock, DecisionLog log) {
         super(matter, clock, log);
         this.store = store;
         this.prefix = prefix;
-        this.waitMillis = waitMillis;
     }
 
+    /** Returns the longest wait of a watch. */
+    abstract long waitMillis();
+
     /** Takes all items at once; returns how long to pause before the next call. */
     abstract long listed(WatchStore.Range range);
 
@@ -71,7 +71,7 @@
     }
 
     private long watch() {
-        return switch (store.watch(prefix, revision, waitMillis)) {
+        return switch (store.watch(prefix, revision, waitMillis())) {
             case Result.Err<WatchStore.Changes, StoreFault>(StoreFault fault) -> {
                 // Read again: a watch sent while the store is away would wait in vain beyond its return.
                 revision = -1;
--- a/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
@@ -48,7 +48,7 @@
     private volatile boolean followsStore = true;
 
     VmWatcher(WatchStore store, RecordCodec codec, FleetDuty fleet, Clock clock, DecisionLog log) {
-        super("vms", store, codec.vmPrefix(), WAIT_MILLIS, clock, log);
+        super("vms", store, codec.vmPrefix(), clock, log);
         this.codec = codec;
         this.fleet = fleet;
     }
@@ -79,6 +79,11 @@
         followsStore = follows;
     }
 
+    @Override
+    long waitMillis() {
+        return WAIT_MILLIS;
+    }
+
     @Override
     boolean standsBy() {
         return !followsStore && ageMillis() < STALE_MILLIS && wasToldOfLate();
