Cut off answers whose head or body never ends, and bound what is held of all answers

Class of fault: input without a bound. The node read a head of any length, so such an attempt ended only with the caller's time (504), and took memory at the speed of the link; an answer was held up to 8 MB, with no bound over all answers, in a heap of 128 MB; an event of a stream could grow without any bound.

An attempt beyond that is cut off as broken, which is repeated elsewhere where the route allows it.

Not proved: a node of 128 MB heap under such workers.

--- a/relay/src/main/java/org/apricotdeal/relay/node/EventFramer.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/EventFramer.java
@@ -68,6 +68,11 @@
         return Optional.ofNullable(lastId);
     }
 
+    /** Returns how many bytes of an event that has not ended are held. */
+    int pendingBytes() {
+        return pending.size();
+    }
+
     /**
      * Tells whether an event has begun and not ended.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayClients.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayClients.java
@@ -17,6 +17,9 @@
     private static final int MAX_THREADS = 12;
     private static final int BUFFER_BYTES = 4 * 1024;
 
+    /** Longest head of an answer; as long as that of a request may be. */
+    private static final int MAX_HEAD_BYTES = 16 * 1024;
+
     /** Addresses are near; one that does not answer so long is not reached. */
     private static final long CONNECT_TIMEOUT_MILLIS = 500;
 
@@ -47,6 +50,7 @@
         client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_ADDRESS);
         client.setRequestBufferSize(BUFFER_BYTES);
         client.setResponseBufferSize(BUFFER_BYTES);
+        client.setMaxResponseHeadersSize(MAX_HEAD_BYTES);
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
         client.setHttpCookieStore(new HttpCookieStore.Empty());
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -42,6 +42,7 @@
     private final DecisionLog log;
     private final MetricRegistry metrics;
     private final Map<ExchangeId, Exchange> exchanges = new ConcurrentHashMap<>();
+    private final HeldBytes held = new HeldBytes();
     private volatile Map<TargetId, Integer> running = Map.of();
     private volatile BiConsumer<List<VmId>, String> doubtListener = (vms, reason) -> {};
 
@@ -206,7 +207,8 @@
         if (exchange == null) {
             return;
         }
-        UpstreamAttempt attempt = new UpstreamAttempt(exchange, send.target(), send.attempt(), names, clock, this);
+        UpstreamAttempt attempt =
+                new UpstreamAttempt(exchange, send.target(), send.attempt(), names, clock, this, held);
         exchange.setAttempt(attempt);
         long nowMillis = clock.monotonicMillis();
         log.request("sent")
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -28,8 +28,8 @@
  * passed on. Once cut off, it has no effect on the exchange any more.
  */
 final class UpstreamAttempt {
-    /** Longest answer that is held back until it is whole. */
-    private static final int MAX_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024;
+    /** Longest answer that is held back until it is whole, and longest event of a stream. */
+    private static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
 
     private final Exchange exchange;
     private final Target target;
@@ -37,6 +37,7 @@
     private final ExchangeHeaders names;
     private final Clock clock;
     private final Listener listener;
+    private final HeldBytes held;
     private final EventFramer framer = new EventFramer();
     private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
     private Request request;
@@ -44,6 +45,7 @@
     private boolean cutOff;
     private boolean streaming;
     private boolean notThisAnswer;
+    private int heldBytes;
 
     /** Takes what becomes of an attempt, on a thread of the client. */
     interface Listener {
@@ -74,13 +76,20 @@
     }
 
     UpstreamAttempt(
-            Exchange exchange, Target target, int number, ExchangeHeaders names, Clock clock, Listener listener) {
+            Exchange exchange,
+            Target target,
+            int number,
+            ExchangeHeaders names,
+            Clock clock,
+            Listener listener,
+            HeldBytes held) {
         this.exchange = exchange;
         this.target = target;
         this.number = number;
         this.names = names;
         this.clock = clock;
         this.listener = listener;
+        this.held = held;
     }
 
     Exchange exchange() {
@@ -149,6 +158,7 @@
     void cutOff() {
         synchronized (this) {
             cutOff = true;
+            releaseHeld();
         }
         abort(request, "cut off");
     }
@@ -192,8 +202,9 @@
             exchange.progressed(clock.monotonicMillis());
             if (streaming) {
                 events = framer.feed(chunk.getByteBuffer());
-            } else {
-                keep(response, chunk.getByteBuffer());
+                hold(response, framer.pendingBytes());
+            } else if (hold(response, whole.size() + chunk.remaining())) {
+                keep(chunk.getByteBuffer());
             }
             if (events != null && events.hasRemaining()) {
                 exchange.passEvents(events, framer.lastId(), demander);
@@ -203,13 +214,26 @@
         demander.run();
     }
 
-    private void keep(Response response, ByteBuffer bytes) {
+    private void keep(ByteBuffer bytes) {
         byte[] copy = new byte[bytes.remaining()];
         bytes.get(copy);
         whole.writeBytes(copy);
-        if (whole.size() > MAX_WHOLE_ANSWER_BYTES) {
+    }
+
+    /** Accounts for the bytes held now; ends the attempt and returns false where they are too many. */
+    private boolean hold(Response response, int nowBytes) {
+        boolean room = nowBytes <= MAX_ANSWER_BYTES && held.tryHold(nowBytes - heldBytes);
+        if (room) {
+            heldBytes = nowBytes;
+        } else {
             abort(response.getRequest(), "the answer is too long");
         }
+        return room;
+    }
+
+    private void releaseHeld() {
+        held.release(heldBytes);
+        heldBytes = 0;
     }
 
     private void complete(Result result) {
@@ -218,6 +242,7 @@
                 return;
             }
             cutOff = true;
+            releaseHeld();
         }
         Response response = result.getResponse();
         if (notThisAnswer) {
