Bound repeats for each upstream, and keep the parts of nodes that are no longer counted for a window

Faults, of one class, a bound that is shared by counting what is seen: (1) one budget for all upstreams, so that requests for the model let those for the service be repeated 0.2 times as often as all, while the bound is one for each service; (2) when a failure domain is cut, the nodes of each side see fewer others and take larger parts of the allowance, while what was sent before stays in the window: 20 nodes with 252/20 and 10 with 252/30 are 336 of 252; (3) a node that starts takes 252/4 until it has read who is registered, and has forgotten what it sent in an earlier life.

Change: windows by upstream; the largest number of nodes within the window divides the allowance; a node that starts counts 400 nodes for its first window. Tests: RepeatBudgetTest.requestsForOneUpstreamAreNoLeaveToRepeatThoseForAnother and partsOfNodesThatAreNoLongerCountedAreFreeAfterAWindow (new arguments; by the rule before the first made 106 repeats in place of 6).

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RepeatBudgetTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RepeatBudgetTest.java
@@ -1,5 +1,6 @@
 package org.apricotdeal.proofs.relay;
 
+import org.apricotdeal.kernel.id.UpstreamId;
 import org.apricotdeal.relay.policy.RepeatBudget;
 import org.testng.annotations.Test;
 
@@ -11,16 +12,18 @@
     private static final long WINDOW_MILLIS = 10_000;
     private static final double RATIO = 0.1;
     private static final int ALLOWANCE = 24;
+    private static final UpstreamId SHOP = new UpstreamId("shop");
+    private static final UpstreamId CHAT = new UpstreamId("chat");
 
     private static int repeats(int expectedNodes, int registered, int requests) {
         int sum = 0;
         for (int node = 0; node < registered; node++) {
             RepeatBudget budget = new RepeatBudget(WINDOW_MILLIS, RATIO, ALLOWANCE, expectedNodes);
-            budget.setNodes(registered);
+            budget.setNodes(registered, 0);
             for (int i = 0; i < requests / registered; i++) {
-                budget.requested(0);
+                budget.requested(SHOP, 0);
             }
-            while (budget.tryRepeat(0)) {
+            while (budget.tryRepeat(SHOP, 0)) {
                 sum++;
             }
         }
@@ -43,11 +46,37 @@
         assertEquals(repeats(4, 1, 0), ALLOWANCE / 4);
     }
 
+    /** Requests for a busy upstream once let another one's be repeated as often as they were many. */
+    @Test
+    public void requestsForOneUpstreamAreNoLeaveToRepeatThoseForAnother() {
+        RepeatBudget budget = new RepeatBudget(WINDOW_MILLIS, RATIO, ALLOWANCE, 4);
+        for (int i = 0; i < 1_000; i++) {
+            budget.requested(CHAT, 0);
+        }
+        int repeats = 0;
+        while (budget.tryRepeat(SHOP, 0)) {
+            repeats++;
+        }
+        assertEquals(repeats, ALLOWANCE / 4);
+    }
+
+    /** Nodes that are cut off keep their part, and what they sent counts for a window; so the others may not take it at once. */
+    @Test
+    public void partsOfNodesThatAreNoLongerCountedAreFreeAfterAWindow() {
+        RepeatBudget budget = new RepeatBudget(WINDOW_MILLIS, RATIO, ALLOWANCE, 4);
+        budget.setNodes(12, 0);
+        budget.setNodes(8, 1_000);
+        assertTrue(budget.tryRepeat(SHOP, 2_000), "a first repeat of 24 / 12");
+        assertTrue(budget.tryRepeat(SHOP, 2_000), "a second repeat of 24 / 12");
+        assertTrue(!budget.tryRepeat(SHOP, 2_000), "a third repeat of 24 / 12");
+        assertTrue(budget.tryRepeat(SHOP, 11_500), "a third repeat of 24 / 8");
+    }
+
     @Test
     public void windowSlides() {
         RepeatBudget budget = new RepeatBudget(WINDOW_MILLIS, RATIO, 1, 1);
-        assertTrue(budget.tryRepeat(0));
-        assertTrue(!budget.tryRepeat(WINDOW_MILLIS - 1));
-        assertTrue(budget.tryRepeat(WINDOW_MILLIS));
+        assertTrue(budget.tryRepeat(SHOP, 0));
+        assertTrue(!budget.tryRepeat(SHOP, WINDOW_MILLIS - 1));
+        assertTrue(budget.tryRepeat(SHOP, WINDOW_MILLIS));
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -30,6 +30,9 @@
     /** Margin before the platform ends the process. */
     private static final long END_MARGIN_MILLIS = 700;
 
+    /** A node that starts knows neither how many share the bound on repeats nor what it has sent in an earlier life. */
+    private static final int UNKNOWN_NODES = 400;
+
     private final RelaySettings settings;
     private final Clock clock = new SystemClock();
     private final MetricRegistry metrics = new MetricRegistry();
@@ -62,6 +65,7 @@
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create();
         RepeatBudget budget = new RepeatBudget(
                 settings.repeatWindowMillis(), settings.repeatRatio(), settings.repeatAllowance(), settings.nodes());
+        budget.setNodes(UNKNOWN_NODES, clock.monotonicMillis());
         RelayDispatcher dispatcher = new RelayDispatcher(settings.failureDomain(), budget, random);
         relay = new RelayDuty(dispatcher, client, adapter.headers(), clock, random, log, metrics);
         fleet = new FleetDuty(settings, relay, adapter.orders(client), clock, log, metrics);
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -145,7 +145,7 @@
             case RelayEvent.OthersRun(Map<TargetId, Integer> running) -> takeOthersLoad(running);
             case RelayEvent.NodesCounted(int counted) -> {
                 nodes = counted;
-                budget.setNodes(counted);
+                budget.setNodes(counted, nowMillis);
             }
             case RelayEvent.Tick tick -> tick();
         }
@@ -157,7 +157,7 @@
     private void arrive(Arrival arrival) {
         LineState line = line(arrival.line());
         RequestState request = new RequestState(arrival, line, ++lastSequence, noteCaller(line, arrival));
-        budget.requested(nowMillis);
+        budget.requested(arrival.line().upstream(), nowMillis);
         LineOutlook outlook = line.outlook(request, nowMillis);
         if (outlook.hasNoTarget()) {
             refuse(request, RefusalReason.NO_TARGET, absentRetryMillis(), outlook);
@@ -378,7 +378,7 @@
         boolean allowed = !request.mayHaveRun || request.arrival.route().repeatable();
         boolean inTime = nowMillis < request.arrival.endMillis();
         boolean left = request.attempts < request.arrival.route().maxAttempts();
-        if (allowed && inTime && left && budget.tryRepeat(nowMillis)) {
+        if (allowed && inTime && left && budget.tryRepeat(request.line.id.upstream(), nowMillis)) {
             request.line.waiting.add(request);
             return;
         }
@@ -451,7 +451,7 @@
         return request.arrival.route().repeatable()
                 && request.attempts < request.arrival.route().maxAttempts()
                 && request.line.freeSlots(nowMillis) > 0
-                && budget.tryRepeat(nowMillis);
+                && budget.tryRepeat(request.line.id.upstream(), nowMillis);
     }
 
     private void doubt(TargetState state, String reason) {
