--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RepeatBudgetTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RepeatBudgetTest.java
@@ -72,6 +72,16 @@
         assertTrue(budget.tryRepeat(SHOP, 11_500), "a third repeat of 24 / 8");
     }
 
+    /** A node that starts does not know the fleet; its first count replaces what it took for granted. */
+    @Test
+    public void firstCountReplacesACautiousGuess() {
+        RepeatBudget budget = new RepeatBudget(WINDOW_MILLIS, RATIO, ALLOWANCE, 4);
+        budget.setNodes(400, Long.MIN_VALUE / 2);
+        assertTrue(!budget.tryRepeat(SHOP, 0));
+        budget.setNodes(12, 0);
+        assertTrue(budget.tryRepeat(SHOP, 0));
+    }
+
     @Test
     public void windowSlides() {
         RepeatBudget budget = new RepeatBudget(WINDOW_MILLIS, RATIO, 1, 1);
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -30,7 +30,7 @@
     /** Margin before the platform ends the process. */
     private static final long END_MARGIN_MILLIS = 700;
 
-    /** A node that starts knows neither how many share the bound on repeats nor what it has sent in an earlier life. */
+    /** Until the registered nodes have been counted, a node takes a part of the bound on repeats as in the largest fleet. */
     private static final int UNKNOWN_NODES = 400;
 
     private final RelaySettings settings;
@@ -65,7 +65,7 @@
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create();
         RepeatBudget budget = new RepeatBudget(
                 settings.repeatWindowMillis(), settings.repeatRatio(), settings.repeatAllowance(), settings.nodes());
-        budget.setNodes(UNKNOWN_NODES, clock.monotonicMillis());
+        budget.setNodes(UNKNOWN_NODES, Long.MIN_VALUE / 2);
         RelayDispatcher dispatcher = new RelayDispatcher(settings.failureDomain(), budget, random);
         relay = new RelayDuty(dispatcher, client, adapter.headers(), clock, random, log, metrics);
         fleet = new FleetDuty(settings, relay, adapter.orders(client), clock, log, metrics);
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -26,7 +26,8 @@
  * back has missed the objective, so it goes behind newcomers of its class, who can still be served in time; in front of
  * them it would make a newcomer late, who comes back in turn. <em>Place:</em> the line's first request goes to the target
  * with the smallest part of its slots taken, where prompts that the engine has not read weigh more and the own failure
- * domain goes first; a node among many looks at some targets only. Between the heartbeats of the other nodes this one takes an equal part of the slots that are free.
+ * domain goes first; a node among many looks at some targets only. Between the heartbeats of the other nodes this one
+ * takes an equal part of the slots that are free.
  * <em>Watch:</em> a target none of whose requests advances is in doubt: it gets nothing new, and what runs there and may
  * be repeated goes on elsewhere. <em>Repeat:</em> an attempt that failed is made again at another target where the route
  * allows it, within the route's number of attempts and the shared {@link RepeatBudget}; what may have run and must not be
