Take answers on the selector's thread

Cause: Jetty took what reads answers for blocking, so each read woke another thread to go on selecting; on one processor that is two switches for each event of a stream. What takes answers hands them on through rings and never waits.

--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayClients.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayClients.java
@@ -4,6 +4,7 @@
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.util.SocketAddressResolver;
+import org.eclipse.jetty.util.thread.Invocable;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 
@@ -39,7 +40,10 @@
     static HttpClient start(QueuedThreadPool threads) {
         UpstreamConnector connector = new UpstreamConnector();
         connector.setSelectors(1);
-        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
+        // What takes answers never waits, so that the selector's thread may run it without waking another.
+        transport.setInvocationType(Invocable.InvocationType.NON_BLOCKING);
+        HttpClient client = new HttpClient(transport);
         client.setExecutor(threads);
         client.setScheduler(new ScheduledExecutorScheduler("client-timer", true));
         client.setName("client");
