Refuse a heartbeat whose fields cannot be read, as one whose bytes cannot

Read over as a newcomer: the names in a heartbeat were checked outside of what answers 400, so a node with an invalid name in its heartbeat would have left the exchange open until it timed out. No caller has seen it. One method takes and checks a heartbeat now, for requests and answers alike. In the fleet duty a method and a pattern no longer share names with others.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
@@ -191,17 +191,21 @@
         heartbeat.setVmRevision(upToRevision);
         heartbeat.setStoreAway(false);
         heartbeat.setVmNews(new TRelayVmNews(upToRevision, List.of(news)));
-        byte[] body = new TSerializer(new TCompactProtocol.Factory()).serialize(heartbeat);
+        String answer = tell(new TSerializer(new TCompactProtocol.Factory()).serialize(heartbeat));
+        if (!answer.startsWith("HTTP/1.1 200")) {
+            throw new AssertionError("the heartbeat was not taken: " + answer);
+        }
+    }
+
+    /** Sends the node bytes in place of a heartbeat; returns the answer. */
+    String tell(byte[] body) throws IOException {
         try (Socket socket = connect(peerAddress)) {
             OutputStream out = socket.getOutputStream();
             String head = "POST /heartbeat HTTP/1.1\r\nHost: n\r\nConnection: close\r\nContent-Length: " + body.length
                     + "\r\n\r\n";
             out.write(head.getBytes(StandardCharsets.UTF_8));
             out.write(body);
-            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-            if (!answer.startsWith("HTTP/1.1 200")) {
-                throw new AssertionError("the heartbeat was not taken: " + answer);
-            }
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         }
     }
 
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayNodeTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayNodeTest.java
@@ -5,8 +5,12 @@
 import java.util.List;
 import java.util.Map;
 
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
 import org.apricotdeal.standins.users.UsersStoreStandin;
 import org.apricotdeal.standins.users.UsersWorkerStandin;
+import org.apricotdeal.wire.gen.TRelayHeartbeat;
+import org.apricotdeal.wire.gen.TRelayNode;
 import org.apricotdeal.wire.gen.TRelayVmEntry;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
@@ -223,6 +227,18 @@
                 1, () -> fleet.call("POST", "/book/x", "r2", RelayFleet.KEY).startsWith("HTTP/1.1 503"));
     }
 
+    /** A heartbeat that cannot be read is refused at once, and the next one is taken. */
+    @Test
+    public void unreadableHeartbeatIsRefused() throws Exception {
+        fleet = new RelayFleet(1, 1);
+        assertTrue(fleet.tell(new byte[] {1, 2, 3}).startsWith("HTTP/1.1 400"));
+        TRelayNode nameless = new TRelayNode("", "b", "127.0.0.1:1", 1);
+        byte[] bytes =
+                new TSerializer(new TCompactProtocol.Factory()).serialize(new TRelayHeartbeat(nameless, 0, List.of()));
+        assertTrue(fleet.tell(bytes).startsWith("HTTP/1.1 400"));
+        fleet.tell(1);
+    }
+
     /** Entries lapse only while the store is away for all; what another node saw removed is gone at once. */
     @Test
     public void vmThatLeftWhileTheStoreTurnedOnlyThisNodeAwayIsGoneWithItsReturn() throws Exception {
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -191,10 +191,10 @@
                 changed = true;
             }
             case FleetEvent.PeersListed(List<Peer> listed) -> takePeers(listed);
-            case FleetEvent.Heartbeat(Peer sender, List<FleetEvent.Seen> seen, boolean senderStops) -> {
+            case FleetEvent.Heartbeat(Peer sender, List<FleetEvent.Seen> others, boolean senderStops) -> {
                 peers.putIfAbsent(sender.name(), sender);
-                heard(sender.name(), clock.monotonicMillis(), senderStops);
-                seen.forEach(node -> heard(node.name(), node.heardMillis(), node.stopping()));
+                noteHeard(sender.name(), clock.monotonicMillis(), senderStops);
+                others.forEach(node -> noteHeard(node.name(), node.heardMillis(), node.stopping()));
                 publishPeers();
             }
             case FleetEvent.ToldSilent(Map<VmId, Long> missedMillis) -> takeSilent(missedMillis);
@@ -203,7 +203,7 @@
     }
 
     /** Notes when a node was heard, by this one or another; older word than what is known has no effect. */
-    private void heard(String name, long atMillis, boolean stops) {
+    private void noteHeard(String name, long atMillis, boolean stops) {
         if (name.equals(settings.name()) || atMillis <= heardMillis.getOrDefault(name, Long.MIN_VALUE)) {
             return;
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -184,7 +184,9 @@
                 .send()
                 .whenComplete((response, failure) -> {
                     underWay.remove(peer.name());
-                    if (failure != null || response.getStatus() != HttpStatus.OK_200 || !take(response.getContent())) {
+                    if (failure != null
+                            || response.getStatus() != HttpStatus.OK_200
+                            || take(response.getContent()).isEmpty()) {
                         metrics.counter("heartbeats.failed").inc();
                     }
                 });
@@ -244,20 +246,19 @@
                         bytes -> {
                             byte[] copy = new byte[bytes.remaining()];
                             bytes.get(copy);
-                            answer(decode(copy), response, callback);
+                            answer(take(copy), response, callback);
                         },
                         callback::failed));
         return true;
     }
 
-    private void answer(Optional<TRelayHeartbeat> heartbeat, Response response, Callback callback) {
-        if (heartbeat.isEmpty()) {
+    private void answer(Optional<Peer> sender, Response response, Callback callback) {
+        if (sender.isEmpty()) {
             response.setStatus(HttpStatus.BAD_REQUEST_400);
             response.write(true, null, callback);
             return;
         }
-        Peer sender = take(heartbeat.get());
-        byte[] body = encode(answerTo(sender));
+        byte[] body = encode(answerTo(sender.get()));
         metrics.counter("heartbeats.sent.bytes").inc(body.length);
         response.setStatus(HttpStatus.OK_200);
         response.write(true, ByteBuffer.wrap(body), callback);
@@ -280,23 +281,18 @@
         return answer;
     }
 
-    private Optional<TRelayHeartbeat> decode(byte[] bytes) {
+    /** Takes a heartbeat; returns its sender, or nothing where it cannot be read. */
+    private Optional<Peer> take(byte[] bytes) {
         try {
             TRelayHeartbeat heartbeat = new TRelayHeartbeat();
             new TDeserializer(new TCompactProtocol.Factory()).deserialize(heartbeat, bytes);
-            return Optional.of(heartbeat);
-        } catch (TException e) {
+            return Optional.of(take(heartbeat));
+        } catch (TException | IllegalArgumentException e) {
             log.state("heartbeat_unreadable").with("reason", e).write();
             return Optional.empty();
         }
     }
 
-    private boolean take(byte[] bytes) {
-        Optional<TRelayHeartbeat> heartbeat = decode(bytes);
-        heartbeat.ifPresent(this::take);
-        return heartbeat.isPresent();
-    }
-
     private Peer take(TRelayHeartbeat heartbeat) {
         metrics.counter("heartbeats.taken").inc();
         long nowMillis = clock.monotonicMillis();
