Read the heartbeat code as a newcomer: one record of the neighbours, one scripted server in the tests

HeldBytes: a negative count, by which bytes are given back, could be refused where the total was over the bound. No decision changes.

--- a/proofs/src/test/java/org/apricotdeal/proofs/http/ScriptedServer.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/http/ScriptedServer.java
@@ -10,29 +10,48 @@
 import java.util.Locale;
 
 /** A server that a test scripts byte by byte, for answers that no well-behaved server gives. */
-final class ScriptedServer implements AutoCloseable {
+public final class ScriptedServer implements AutoCloseable {
     private final ServerSocket socket;
     private final Script script;
 
     /** What the server does with one connection, which is closed afterwards. */
-    interface Script {
+    public interface Script {
+        /**
+         * Serves a connection.
+         *
+         * @param connection the connection
+         * @throws IOException where the client has closed it
+         */
         void serve(Connection connection) throws IOException;
     }
 
-    /** One request: its head with header names in lower case, and its body. */
-    record Received(String head, String body) {}
+    /**
+     * One request.
+     *
+     * @param head its head in lower case
+     * @param body its body
+     */
+    public record Received(String head, String body) {}
 
     /** One connection. */
-    static final class Connection {
+    public static final class Connection {
+        private final Socket socket;
         private final InputStream input;
         private final OutputStream output;
 
         private Connection(Socket socket) throws IOException {
+            this.socket = socket;
             this.input = socket.getInputStream();
             this.output = socket.getOutputStream();
         }
 
-        Received read() throws IOException {
+        /**
+         * Reads a request whose body has a length, if any.
+         *
+         * @return the request
+         * @throws IOException where the client has closed the connection
+         */
+        public Received read() throws IOException {
             StringBuilder head = new StringBuilder();
             while (head.indexOf("\r\n\r\n") < 0) {
                 int next = input.read();
@@ -52,11 +71,27 @@
             return new Received(text, new String(input.readNBytes(bodyBytes), StandardCharsets.UTF_8));
         }
 
-        void write(String text) throws IOException {
+        /**
+         * Writes text.
+         *
+         * @param text the text
+         * @throws IOException where the client has closed the connection
+         */
+        public void write(String text) throws IOException {
             output.write(text.getBytes(StandardCharsets.UTF_8));
             output.flush();
         }
 
+        /**
+         * Bounds what the system takes off the writer before the client has read it.
+         *
+         * @param bytes size of the send buffer
+         * @throws IOException where the connection is closed
+         */
+        public void setSendBufferBytes(int bytes) throws IOException {
+            socket.setSendBufferSize(bytes);
+        }
+
         void writeByteByByte(String text) throws IOException {
             for (byte next : text.getBytes(StandardCharsets.UTF_8)) {
                 output.write(next);
@@ -65,13 +100,24 @@
         }
     }
 
-    ScriptedServer(Script script) throws IOException {
+    /**
+     * Starts a server on loopback.
+     *
+     * @param script what it does with each connection
+     * @throws IOException where no port is free
+     */
+    public ScriptedServer(Script script) throws IOException {
         this.script = script;
         this.socket = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
         Thread.ofVirtual().start(this::acceptAll);
     }
 
-    String address() {
+    /**
+     * Returns where the server listens.
+     *
+     * @return host and port
+     */
+    public String address() {
         return "127.0.0.1:" + socket.getLocalPort();
     }
 
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/EndlessAnswerTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/EndlessAnswerTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.apricotdeal.proofs.http.ScriptedServer;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -21,7 +22,7 @@
 
     /** What the node may hold of all answers, and the largest receive and send buffers of the sockets. */
     private static final long MAX_BYTES_OF_ALL =
-            16L * 1024 * 1024 + CALLERS * (6L * 1024 * 1024 + EndlessServer.SEND_BUFFER_BYTES);
+            16L * 1024 * 1024 + CALLERS * (6L * 1024 * 1024 + EndlessAnswer.SEND_BUFFER_BYTES);
 
     private RelayFleet fleet;
 
@@ -40,11 +41,11 @@
     @DataProvider
     public Object[][] parts() {
         return new Object[][] {
-            {EndlessServer.Part.STATUS_LINE},
-            {EndlessServer.Part.HEADER},
-            {EndlessServer.Part.HEADERS},
-            {EndlessServer.Part.BODY},
-            {EndlessServer.Part.CHUNKED_BODY}
+            {EndlessAnswer.Part.STATUS_LINE},
+            {EndlessAnswer.Part.HEADER},
+            {EndlessAnswer.Part.HEADERS},
+            {EndlessAnswer.Part.BODY},
+            {EndlessAnswer.Part.CHUNKED_BODY}
         };
     }
 
@@ -54,20 +55,22 @@
      * @param part where the bytes without end come
      */
     @Test(dataProvider = "parts")
-    public void endlessAnswerIsCutOffSoon(EndlessServer.Part part) throws Exception {
-        try (EndlessServer worker = new EndlessServer(part)) {
+    public void endlessAnswerIsCutOffSoon(EndlessAnswer.Part part) throws Exception {
+        EndlessAnswer endless = new EndlessAnswer(part);
+        try (ScriptedServer worker = new ScriptedServer(endless)) {
             replaceService(worker);
             String answer = fleet.call("POST", "/book/x", "r1", RelayFleet.KEY);
             assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
-            RelayFleet.await(1, () -> worker.endless.get() == 0);
-            assertTrue(worker.writtenBytes.get() <= MAX_BYTES, worker.writtenBytes + " bytes");
+            RelayFleet.await(1, () -> endless.underWay.get() == 0);
+            assertTrue(endless.writtenBytes.get() <= MAX_BYTES, endless.writtenBytes + " bytes");
         }
     }
 
     /** Several at once: what the node holds of all answers together is bounded. */
     @Test
     public void manyEndlessAnswersAreCutOffSoon() throws Exception {
-        try (EndlessServer worker = new EndlessServer(EndlessServer.Part.BODY)) {
+        EndlessAnswer endless = new EndlessAnswer(EndlessAnswer.Part.BODY);
+        try (ScriptedServer worker = new ScriptedServer(endless)) {
             replaceService(worker);
             List<Socket> callers = new ArrayList<>();
             for (int i = 0; i < CALLERS; i++) {
@@ -81,12 +84,12 @@
                     assertTrue(answer.startsWith("HTTP/1.1 50"), answer);
                 }
             }
-            RelayFleet.await(1, () -> worker.endless.get() == 0);
-            assertTrue(worker.writtenBytes.get() <= MAX_BYTES_OF_ALL, worker.writtenBytes + " bytes");
+            RelayFleet.await(1, () -> endless.underWay.get() == 0);
+            assertTrue(endless.writtenBytes.get() <= MAX_BYTES_OF_ALL, endless.writtenBytes + " bytes");
         }
     }
 
-    private void replaceService(EndlessServer worker) {
+    private void replaceService(ScriptedServer worker) {
         fleet.store.remove("servers/s0");
         fleet.store.put(
                 "servers/endless",
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
@@ -5,20 +5,17 @@
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
-import com.google.common.flogger.FluentLogger;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apricotdeal.kernel.id.FailureDomainId;
+import org.apricotdeal.proofs.standins.StandinFixture;
 import org.apricotdeal.relay.node.RelayNode;
 import org.apricotdeal.relay.node.RelaySettings;
 import org.apricotdeal.standins.users.UsersStoreStandin;
@@ -33,13 +30,6 @@
     static final String KEY = "key-1";
     static final long DRAIN_MILLIS = 3_000;
     private static final int READ_TIMEOUT_MILLIS = 8_000;
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    private static final int FIRST_PORT = 20_000;
-    private static final int PORTS = 12_000;
-
-    /** Starts anywhere, so that test runs side by side rarely ask for the same ports. */
-    private static final AtomicInteger NEXT_PORT =
-            new AtomicInteger(ThreadLocalRandom.current().nextInt(PORTS));
 
     final UsersStoreStandin store = new UsersStoreStandin();
     final List<UsersWorkerStandin> engines = new ArrayList<>();
@@ -255,17 +245,8 @@
         return read < 0 ? "" : new String(bytes, 0, read, StandardCharsets.UTF_8);
     }
 
-    /** Finds a port below those that the system gives to outgoing connections, which could take it before it is bound. */
     private static String freeAddress() {
-        for (int tries = 0; tries < PORTS; tries++) {
-            int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
-            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                return "127.0.0.1:" + socket.getLocalPort();
-            } catch (IOException e) {
-                LOGGER.atFine().withCause(e).log("port %d is taken", port);
-            }
-        }
-        throw new IllegalStateException("no free port");
+        return "127.0.0.1:" + StandinFixture.freePort();
     }
 
     @Override
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RepeatBudgetTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RepeatBudgetTest.java
@@ -76,7 +76,7 @@
     @Test
     public void firstCountReplacesACautiousGuess() {
         RepeatBudget budget = new RepeatBudget(WINDOW_MILLIS, RATIO, ALLOWANCE, 4);
-        budget.setNodes(400, Long.MIN_VALUE / 2);
+        budget.guessNodes(400);
         assertTrue(!budget.tryRepeat(SHOP, 0));
         budget.setNodes(12, 0);
         assertTrue(budget.tryRepeat(SHOP, 0));
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -29,7 +29,6 @@
 import org.apricotdeal.relay.policy.TargetBuilder;
 import org.apricotdeal.relay.policy.VmTable;
 import org.apricotdeal.relay.port.ReplicaOrders;
-import org.apricotdeal.wire.gen.TRelayNodeSeen;
 
 /**
  * The duty that owns what the node believes of VMs and other nodes. It derives the targets for the dispatcher, asks VMs in
@@ -73,7 +72,7 @@
     private final Map<VmId, Long> askedMillis = new HashMap<>();
     private final Map<PlannerKey, ReplicaPlanner> planners = new HashMap<>();
     private final CensusLog censuses;
-    private final NodeLoadLog loads;
+    private final NodeLoadLog nodeLoads;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, Long> heardMillis = new HashMap<>();
     private final Set<String> stoppingPeers = new HashSet<>();
@@ -83,9 +82,7 @@
     private List<Target> targets = List.of();
     private boolean changed;
     private boolean peersListed;
-    private volatile List<Peer> livePeers = List.of();
-    private volatile Set<String> stoppingNow = Set.of();
-    private volatile Map<String, Long> seen = Map.of();
+    private volatile Neighbours neighbours = new Neighbours(List.of(), Set.of(), Map.of());
     private volatile Map<VmId, Long> silentVms = Map.of();
     private volatile boolean sawVms;
     private volatile boolean stopping;
@@ -104,7 +101,7 @@
         this.log = log;
         this.censuses = new CensusLog(log);
         this.metrics = metrics;
-        this.loads = new NodeLoadLog(log, metrics);
+        this.nodeLoads = new NodeLoadLog(log, metrics);
         this.startedMillis = clock.monotonicMillis();
         this.plannerName = plannerName(settings.name(), clock.wallMillis());
         metrics.register("targets", (Gauge<Integer>) () -> targets.size());
@@ -128,23 +125,19 @@
         }
     }
 
-    List<Peer> peers() {
-        return livePeers;
+    /** Returns the other nodes as they are known now. */
+    Neighbours neighbours() {
+        return neighbours;
     }
 
-    /** Returns the names of the other nodes that stop. */
-    Set<String> stoppingPeers() {
-        return stoppingNow;
-    }
-
-    /** Returns the other nodes that have been heard of late, for heartbeats. */
-    List<TRelayNodeSeen> seen() {
+    /** Returns the other nodes that have been heard of late, by whomever. */
+    List<FleetEvent.Seen> seenOfLate() {
         long nowMillis = clock.monotonicMillis();
-        Set<String> stops = stoppingNow;
-        List<TRelayNodeSeen> nodes = new ArrayList<>();
-        seen.forEach((name, atMillis) -> {
+        Neighbours now = neighbours;
+        List<FleetEvent.Seen> nodes = new ArrayList<>();
+        now.heardMillis().forEach((name, atMillis) -> {
             if (nowMillis - atMillis < PEER_SILENT_MILLIS) {
-                nodes.add(new TRelayNodeSeen(name, (int) (nowMillis - atMillis), stops.contains(name)));
+                nodes.add(new FleetEvent.Seen(name, atMillis, now.stopping().contains(name)));
             }
         });
         return nodes;
@@ -195,7 +188,7 @@
                 peers.putIfAbsent(sender.name(), sender);
                 noteHeard(sender.name(), clock.monotonicMillis(), senderStops);
                 others.forEach(node -> noteHeard(node.name(), node.heardMillis(), node.stopping()));
-                publishPeers();
+                publishNeighbours();
             }
             case FleetEvent.ToldSilent(Map<VmId, Long> missedMillis) -> takeSilent(missedMillis);
             case FleetEvent.Stopping stop -> stopping = true;
@@ -216,10 +209,8 @@
         }
     }
 
-    private void publishPeers() {
-        livePeers = List.copyOf(peers.values());
-        stoppingNow = Set.copyOf(stoppingPeers);
-        seen = Map.copyOf(heardMillis);
+    private void publishNeighbours() {
+        neighbours = new Neighbours(List.copyOf(peers.values()), Set.copyOf(stoppingPeers), Map.copyOf(heardMillis));
     }
 
     private void takeSilent(Map<VmId, Long> missedMillis) {
@@ -282,7 +273,7 @@
             }
         }
         heardMillis.keySet().removeIf(name -> !heard(name, nowMillis) && !peers.containsKey(name));
-        publishPeers();
+        publishNeighbours();
         relay.put(new RelayEvent.NodesCounted(peers.size() + 1));
     }
 
@@ -293,7 +284,7 @@
         }
         askSilent();
         silentVms = table.silentOfLate(nowMillis);
-        loads.tick(nowMillis);
+        nodeLoads.tick(nowMillis);
         if (catalogue == null) {
             return;
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -52,9 +52,13 @@
     /** Path of the heartbeats on the port for peers. */
     static final String PATH = "/heartbeat";
 
+    /** Time between two heartbeats; counts of requests go through three of them and are believed for 1.5 s. */
     private static final long PERIOD_MILLIS = 200;
+
     private static final long TIMEOUT_MILLIS = 600;
     private static final int RING_SLOTS = 16;
+
+    /** A catalogue with thousands of routes and the entries of thousands of VMs fit in. */
     private static final int MAX_HEARTBEAT_BYTES = 16 * 1024 * 1024;
 
     /** Nodes that follow the store have a catalogue within this time by themselves; only then it is sent along. */
@@ -121,14 +125,14 @@
     }
 
     private void sendAll() {
-        List<Peer> peers = fleet.peers();
+        Neighbours neighbours = fleet.neighbours();
         Set<String> chosen;
         synchronized (partners) {
             chosen = partners.choose(
-                    peers.stream()
+                    neighbours.peers().stream()
                             .map(peer -> new PlannerChoice.Candidate(peer.name(), peer.failureDomain()))
                             .toList(),
-                    fleet.stoppingPeers(),
+                    neighbours.stopping(),
                     clock.monotonicMillis());
             noteDelegate(partners.isDelegate());
         }
@@ -137,7 +141,7 @@
         if (delegate) {
             relay.put(new RelayEvent.OthersRun(others()));
         }
-        for (Peer peer : peers) {
+        for (Peer peer : neighbours.peers()) {
             // One at a time to each peer: a silent connection must not gather heartbeats.
             if (chosen.contains(peer.name()) && underWay.putIfAbsent(peer.name(), true) == null) {
                 send(peer);
@@ -172,10 +176,7 @@
         byte[] body = encode(heartbeat);
         metrics.counter("heartbeats.sent").inc();
         metrics.counter("heartbeats.sent.bytes").inc(body.length);
-        int colon = peer.address().lastIndexOf(':');
-        Request request = client.newRequest(
-                        peer.address().substring(0, colon),
-                        Integer.parseInt(peer.address().substring(colon + 1)))
+        Request request = client.newRequest(RelaySettings.host(peer.address()), RelaySettings.port(peer.address()))
                 .method(HttpMethod.POST)
                 .path(PATH)
                 .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
@@ -197,12 +198,14 @@
         running.forEach((target, count) -> list.add(new TRelayLoad(target.vm().value(), target.number(), count)));
         TRelayHeartbeat heartbeat = new TRelayHeartbeat(self, catalogues.version(), list);
         heartbeat.setScope(scope);
-        heartbeat.setSeen(fleet.seen());
         heartbeat.setVmRevision(vms.revision());
         heartbeat.setVmAgeMillis((int) Math.min(Integer.MAX_VALUE, vms.ageMillis()));
         heartbeat.setStoreAway(vms.isAway());
         heartbeat.setStopping(fleet.isStopping());
         long nowMillis = clock.monotonicMillis();
+        fleet.seenOfLate()
+                .forEach(node -> heartbeat.addToSeen(
+                        new TRelayNodeSeen(node.name(), (int) (nowMillis - node.heardMillis()), node.stopping())));
         fleet.silentVms()
                 .forEach((vm, missedMillis) ->
                         heartbeat.addToSilentVms(new TRelaySilentVm(vm.value(), (int) (nowMillis - missedMillis))));
--- a/relay/src/main/java/org/apricotdeal/relay/node/HeldBytes.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/HeldBytes.java
@@ -9,9 +9,9 @@
 
     private final AtomicLong bytes = new AtomicLong();
 
-    /** Takes bytes into account; returns whether there is room for them, else takes none. */
+    /** Takes bytes, fewer where negative, into account; returns whether there is room for them, else takes none. */
     boolean tryHold(int count) {
-        if (bytes.addAndGet(count) <= MAX_BYTES) {
+        if (bytes.addAndGet(count) <= MAX_BYTES || count <= 0) {
             return true;
         }
         bytes.addAndGet(-count);
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -65,7 +65,7 @@
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create();
         RepeatBudget budget = new RepeatBudget(
                 settings.repeatWindowMillis(), settings.repeatRatio(), settings.repeatAllowance(), settings.nodes());
-        budget.setNodes(UNKNOWN_NODES, Long.MIN_VALUE / 2);
+        budget.guessNodes(UNKNOWN_NODES);
         RelayDispatcher dispatcher = new RelayDispatcher(settings.failureDomain(), budget, random);
         relay = new RelayDuty(dispatcher, client, adapter.headers(), clock, random, log, metrics);
         fleet = new FleetDuty(settings, relay, adapter.orders(client), clock, log, metrics);
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -28,7 +28,7 @@
  * passed on. Once cut off, it has no effect on the exchange any more.
  */
 final class UpstreamAttempt {
-    /** Longest answer that is held back until it is whole, and longest event of a stream. */
+    /** Longest answer that is held back until it is whole, and longest event of a stream; a quarter of all held bytes. */
     private static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
 
     private final Exchange exchange;
@@ -106,9 +106,8 @@
 
     void send(HttpClient client) {
         String address = target.address();
-        int colon = address.lastIndexOf(':');
         org.eclipse.jetty.server.Request incoming = exchange.request();
-        request = client.newRequest(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))
+        request = client.newRequest(RelaySettings.host(address), RelaySettings.port(address))
                 .method(incoming.getMethod())
                 .path(incoming.getHttpURI().getPathQuery());
         request.headers(this::copyHeaders);
--- a/relay/src/main/java/org/apricotdeal/relay/peer/HeartbeatPartners.java
+++ b/relay/src/main/java/org/apricotdeal/relay/peer/HeartbeatPartners.java
@@ -72,11 +72,9 @@
             domains.computeIfAbsent(peer.failureDomain(), domain -> new ArrayList<>())
                     .add(peer);
         }
-        domains.forEach((domain, nodes) -> nodes.sort(PlannerChoice.order(domain)));
         Set<String> chosen = new HashSet<>();
-        delegate = !reaches(domains.get(self.failureDomain()), stopping, nowMillis, chosen);
+        delegate = !reaches(domains.remove(self.failureDomain()), stopping, nowMillis, chosen);
         if (delegate) {
-            domains.remove(self.failureDomain());
             domains.values().forEach(nodes -> reaches(nodes, stopping, nowMillis, chosen));
         }
         askedSinceMillis.keySet().retainAll(chosen);
@@ -86,9 +84,10 @@
         return chosen;
     }
 
-    /** Chooses nodes up to the first that answers, or up to this node; returns whether one answers. */
+    /** Chooses nodes of a failure domain up to the first that answers, or up to this node; returns whether one answers. */
     private boolean reaches(
             List<PlannerChoice.Candidate> nodes, Set<String> stopping, long nowMillis, Set<String> chosen) {
+        nodes.sort(PlannerChoice.order(nodes.getFirst().failureDomain()));
         for (PlannerChoice.Candidate node : nodes) {
             if (node.name().equals(self.name())) {
                 return false;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RepeatBudget.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RepeatBudget.java
@@ -57,6 +57,15 @@
         counts.addLast(new NodeCount(registered, nowMillis));
     }
 
+    /**
+     * Sets how many nodes are taken to share the allowance until they have been counted.
+     *
+     * @param guessed number of nodes
+     */
+    public void guessNodes(int guessed) {
+        counts.addFirst(new NodeCount(guessed, Long.MIN_VALUE / 2));
+    }
+
     /** Returns the largest number of nodes that was counted within the window or last. */
     private int nodes(long nowMillis) {
         while (counts.size() > 1 && counts.peekFirst().untilMillis() <= nowMillis - windowMillis) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetBuilder.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetBuilder.java
@@ -61,17 +61,21 @@
 
     private static boolean allWell(VmTable table, Formations.Formation formation, long nowMillis) {
         for (UpstreamVm member : formation.members()) {
-            if (member.leaving() || table.isSilent(member.id()) || table.isSuspected(member.id(), nowMillis)) {
+            if (!isWell(table, member, nowMillis)) {
                 return false;
             }
         }
         return true;
     }
 
+    private static boolean isWell(VmTable table, UpstreamVm vm, long nowMillis) {
+        return !vm.leaving() && !table.isSilent(vm.id()) && !table.isSuspected(vm.id(), nowMillis);
+    }
+
     private static void addServices(
             VmTable table, UpstreamEntry upstream, List<UpstreamVm> vms, long nowMillis, List<Target> targets) {
         for (UpstreamVm vm : vms) {
-            if (vm.leaving() || table.isSilent(vm.id()) || table.isSuspected(vm.id(), nowMillis)) {
+            if (!isWell(table, vm, nowMillis)) {
                 continue;
             }
             List<VmId> members = List.of(vm.id());
