Suspect a VM by its silence after a probe was due, not by the time between two probes

Cause (of the flapping; see below what is not shown): Membership judged its own probes without their period, only by what the period exceeds 500 ms. With suspectMillis = 500, as the tests have and the catalogue's bounds (50 to 60,000) allow, a VM that answers each probe at once was SUSPECT from one probe until the next tick after its answer, each half second, and a planner sends no order to a suspected VM. Change: one period of the probes is no silence yet, as it is for heartbeats. A loss is found one period (500 ms) later by its own prober; MembershipTest's bounds (6 s for all nodes) hold. Not shown: that the flapping is what kept the replica closed.

--- a/policy/src/main/java/org/apricotdeal/policy/membership/Membership.java
+++ b/policy/src/main/java/org/apricotdeal/policy/membership/Membership.java
@@ -280,7 +280,7 @@
 
     private Health ownVerdict(long nowMillis, VmId vm) {
         Sighting seen = ownSightings.get(vm);
-        return judge(nowMillis, seen == null ? 0 : seen.observedMillis(), probeMillis() - PROBE_MILLIS);
+        return judge(nowMillis, seen == null ? 0 : seen.observedMillis(), probeMillis());
     }
 
     private void heartbeat(long nowMillis, List<MembershipAction> actions) {
--- a/proofs/src/test/java/org/apricotdeal/proofs/membership/MembershipTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/membership/MembershipTest.java
@@ -2,10 +2,14 @@
 
 import java.util.Set;
 
+import org.apricotdeal.catalogue.model.CallerWeighting;
+import org.apricotdeal.catalogue.model.PolicyEntry;
 import org.apricotdeal.engine.EngineState;
 import org.apricotdeal.kernel.id.NodeId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.policy.membership.Health;
+import org.apricotdeal.policy.membership.Membership;
+import org.apricotdeal.policy.membership.MembershipEvent;
 import org.apricotdeal.policy.membership.MembershipFault;
 import org.apricotdeal.policy.membership.VmReport;
 import org.testng.annotations.Test;
@@ -20,6 +24,10 @@
     private static final long DETECT_MILLIS = 6_000;
     private static final long CONTROL_BYTES_PER_SECOND = 5_000;
 
+    /** A VM counts as suspect after a silence as long as the time between two probes. */
+    private static final PolicyEntry PROBE_PERIOD_POLICY =
+            new PolicyEntry("test", CallerWeighting.WEIGHTED, 0.1, Membership.PROBE_MILLIS, 1_500, 2.0);
+
     @Test
     public void everyNodeSeesEveryVmAliveThroughFewProbers() {
         MembershipFleet fleet = new MembershipFleet(12, 48);
@@ -99,6 +107,18 @@
         }
     }
 
+    /** Guards against VMs suspected between two probes, whose replicas got no orders. */
+    @Test
+    public void vmThatAnswersEachProbeIsNeverSuspect() {
+        MembershipFleet fleet = new MembershipFleet(1, 3);
+        NodeId node = fleet.nodes().getFirst();
+        fleet.node(node).step(fleet.nowMillis(), new MembershipEvent.PolicyChanged(PROBE_PERIOD_POLICY));
+        fleet.run(SETTLE_MILLIS);
+        fleet.clearVerdicts();
+        fleet.run(SETTLE_MILLIS);
+        assertEquals(fleet.verdicts(node), Set.of(Health.ALIVE));
+    }
+
     @Test
     public void pausedNodeHoldsNobodyForFailedWhenItWakes() {
         assertEquals(verdictsAfterPause(), Set.of(Health.ALIVE));
