Say in a refusal that the connection closes where the request's body has not come yet

Cause: a request is refused (401, 404, 413, 503) when its head is read. Where its body came later, Jetty ended the connection with the answer, which did not say so; a caller that used the connection again lost that request, and one whose request may not be repeated does not know whether it ran. Class of fault: an end of a connection that is not announced. Looked for elsewhere: the relay's IngressHandler had the same fault for each refusal at once; answers after the body was read do not (answers of upstreams, Heartbeats).

--- a/node/src/main/java/org/apricotdeal/node/caller/FailureWriter.java
+++ b/node/src/main/java/org/apricotdeal/node/caller/FailureWriter.java
@@ -7,6 +7,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
@@ -17,7 +20,8 @@
     private FailureWriter() {}
 
     /**
-     * Writes a failure and completes the exchange.
+     * Writes a failure and completes the exchange. Where the request's body has not come yet, the connection closes, and the
+     * answer says so.
      *
      * @param failure the failure
      * @param response the response, not committed
@@ -31,6 +35,11 @@
             long seconds = TimeUnit.MILLISECONDS.toSeconds(failure.retryAfterMillis() + 999);
             response.getHeaders().put(HttpHeader.RETRY_AFTER, Long.toString(seconds));
         }
+        Request request = response.getRequest();
+        boolean one = request.getConnectionMetaData().getHttpVersion().getVersion() < HttpVersion.HTTP_2.getVersion();
+        if (one && !request.consumeAvailable()) {
+            response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
+        }
         response.write(true, ByteBuffer.wrap(body(failure)), callback);
     }
 
--- a/proofs/src/test/java/org/apricotdeal/proofs/node/WholePathTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/node/WholePathTest.java
@@ -1,8 +1,13 @@
 package org.apricotdeal.proofs.node;
 
+import java.net.InetAddress;
+import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.apricotdeal.proofs.standins.StandinFixture;
 import org.apricotdeal.standins.engine.ExpectedAnswer;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
@@ -115,4 +120,24 @@
         assertEquals(response.statusCode(), 401);
         assertEquals(response.headers().firstValue("apricotdeal-outcome").orElse(""), "not-run");
     }
+
+    /** Guards against connections closed unannounced after a refusal, on which the caller's next request was lost. */
+    @Test
+    public void refusalBeforeTheBodyCameTellsThatTheConnectionCloses() throws Exception {
+        String head = """
+                POST /v1/completions HTTP/1.1
+                Host: n
+                Authorization: Bearer other
+                Content-Length: 2
+
+                """.replace("\n", "\r\n");
+        try (Socket socket =
+                new Socket(InetAddress.getLoopbackAddress(), fixture.node(0).callerPort())) {
+            socket.setSoTimeout((int) StandinFixture.PATIENCE_MILLIS);
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertTrue(answer.startsWith("HTTP/1.1 401"), answer);
+            assertTrue(answer.toLowerCase(Locale.ROOT).contains("connection: close"), answer);
+        }
+    }
 }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayNodeTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayNodeTest.java
@@ -3,6 +3,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 import org.apache.thrift.TSerializer;
@@ -95,6 +96,24 @@
         assertEquals(fleet.service.runs(), List.of());
     }
 
+    /** Guards against connections closed unannounced after a refusal, on which the caller's next request was lost. */
+    @Test
+    public void refusalBeforeTheBodyCameTellsThatTheConnectionCloses() throws Exception {
+        start(1, 1);
+        String head = """
+                POST /nowhere HTTP/1.1
+                Host: h.example
+                Content-Length: 2
+
+                """.replace("\n", "\r\n");
+        try (Socket socket = fleet.connect(fleet.callerAddress)) {
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertTrue(answer.startsWith("HTTP/1.1 404"), answer);
+            assertTrue(answer.toLowerCase(Locale.ROOT).contains("connection: close"), answer);
+        }
+    }
+
     @Test
     public void streamGoesOnAtTheOtherReplicaAfterTheLastWholeEvent() throws Exception {
         start(8, 20);
--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -145,7 +145,8 @@
     private void answer(Response response, Callback callback, int status, String reason) {
         response.setStatus(status);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
-        if (draining) {
+        // Closed unannounced, a connection whose body has not come yet would lose the caller's next request.
+        if (draining || !response.getRequest().consumeAvailable()) {
             response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
         }
         duty.answeredAtOnce(status, reason);
