Keep events that are published while a node's plug-ins start for those that subscribe later

What callers saw: a node that refused every request with 403 "the catalogue does not allow this combination", for as long as its catalogue did not change. Cause: plug-ins start one after the other and subscribe as they start. CataloguePlugin's duty could read the catalogue from the store and publish it before the fleet, planning, dispatch and live plug-ins had subscribed; the event was lost, and it comes once. With it the planner had no models and the dispatcher no classes. Class of fault: a change told once, before its listeners are there. Evidence: a loop of starts of one node (3 at a time in one process each, load 9 on 8 cores): 3 of 12 starts served nothing in 45 s, 2,742 to 2,967 calls, each answered 403; in each of them the line "catalogue version 1 is in force" stands before "node1 serves on port", in the others after "is the planner". Change: the kernel keeps what is published until all plug-ins have started and delivers it then, in order; events that these lead to come after them. Looked for elsewhere: RelayNode subscribes all before it starts any thread.

--- a/node/src/main/java/org/apricotdeal/node/Node.java
+++ b/node/src/main/java/org/apricotdeal/node/Node.java
@@ -37,6 +37,7 @@
         ServiceLoader.load(NodePlugin.class).forEach(plugins::add);
         plugins.forEach(plugin -> plugin.register(kernel));
         plugins.forEach(plugin -> plugin.start(kernel));
+        kernel.pluginsStarted();
         server = new NodeServer(kernel);
     }
 
--- a/node/src/main/java/org/apricotdeal/node/kernel/NodeKernel.java
+++ b/node/src/main/java/org/apricotdeal/node/kernel/NodeKernel.java
@@ -1,11 +1,13 @@
 package org.apricotdeal.node.kernel;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -37,6 +39,7 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final Timeline timeline;
     private final String bootId;
+    private final Queue<NodeEvent> eventsBeforeStart = new ArrayDeque<>();
     private final List<Consumer<NodeEvent>> subscribers = new CopyOnWriteArrayList<>();
     private final List<Duty<?>> duties = new ArrayList<>();
     private final List<Route> callerRoutes = new ArrayList<>();
@@ -45,6 +48,7 @@
     private final List<Supplier<Optional<String>>> readinessChecks = new CopyOnWriteArrayList<>();
     private final Map<Class<?>, Object> services = new HashMap<>();
     private final AtomicBoolean draining = new AtomicBoolean();
+    private volatile boolean started;
 
     /**
      * A handler of all paths with a prefix.
@@ -131,11 +135,34 @@
     }
 
     /**
-     * Publishes an event to all subscribers; each takes it on the publishing thread and hands it to its own duty.
+     * Publishes an event to all subscribers; each takes it on the publishing thread and hands it to its own duty. While
+     * plug-ins start, events are kept, so that those that have not subscribed yet get them too.
      *
      * @param event the event
      */
     public void publish(NodeEvent event) {
+        if (!started) {
+            synchronized (eventsBeforeStart) {
+                if (!started) {
+                    eventsBeforeStart.add(event);
+                    return;
+                }
+            }
+        }
+        deliver(event);
+    }
+
+    /** Delivers, in their order, the events that were published while plug-ins started; called once when all have. */
+    public void pluginsStarted() {
+        synchronized (eventsBeforeStart) {
+            while (!eventsBeforeStart.isEmpty()) {
+                deliver(eventsBeforeStart.remove());
+            }
+            started = true;
+        }
+    }
+
+    private void deliver(NodeEvent event) {
         for (Consumer<NodeEvent> subscriber : subscribers) {
             subscriber.accept(event);
         }
