--- a/node/src/main/java/org/apricotdeal/node/caller/FailureWriter.java
+++ b/node/src/main/java/org/apricotdeal/node/caller/FailureWriter.java
@@ -36,13 +36,18 @@
             response.getHeaders().put(HttpHeader.RETRY_AFTER, Long.toString(seconds));
         }
         Request request = response.getRequest();
-        boolean one = request.getConnectionMetaData().getHttpVersion().getVersion() < HttpVersion.HTTP_2.getVersion();
-        if (one && !request.consumeAvailable()) {
+        if (hasConnectionHeader(request) && !request.consumeAvailable()) {
             response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
         }
         response.write(true, ByteBuffer.wrap(body(failure)), callback);
     }
 
+    /** HTTP/2 has none: there the end of a stream leaves the connection open. */
+    private static boolean hasConnectionHeader(Request request) {
+        HttpVersion version = request.getConnectionMetaData().getHttpVersion();
+        return version.getVersion() < HttpVersion.HTTP_2.getVersion();
+    }
+
     /**
      * Renders a failure.
      *
