Forget a failed call to the store once another node tells how things stand

Nothing was lost; the VM still ran it. Cause: a node that is not its failure domain's delegate stands by and goes by the delegate's word. When the delegate is lost, the node's first call counts as the store's return, and entries that are missing are awaited for 2,200 ms, since those that lapsed in an outage come back in that time. A VM whose entry was removed meanwhile got requests. Class of fault: an old failure taken for news. Looked for elsewhere: registration and catalogue never stand by; told() and the heartbeat's storeAway go by the same flag and are true again now. Ruled out: the delegate's stalled call (the node turns to the store itself when the delegate's word is 1.5 s old), the step between two watches (0.5 s). Change: a watcher that stands by ends its time away, with a line store_left_to_others.

--- a/relay/src/main/java/org/apricotdeal/relay/node/StoreThread.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/StoreThread.java
@@ -90,7 +90,19 @@
         pauseMillis = FIRST_PAUSE_MILLIS;
     }
 
-    /** Tells whether the last call failed. */
+    /** Notes that others tell as well how things stand, so that an earlier failure says nothing about the store any more. */
+    void leftToOthers() {
+        if (awaySinceMillis >= 0) {
+            log.state("store_left_to_others")
+                    .with("matter", matter)
+                    .with("awayMillis", clock.monotonicMillis() - awaySinceMillis)
+                    .write();
+        }
+        awaySinceMillis = -1;
+        pauseMillis = FIRST_PAUSE_MILLIS;
+    }
+
+    /** Tells whether the last call failed, and nobody else has told since how things stand. */
     boolean isAway() {
         return awaySinceMillis >= 0;
     }
--- a/relay/src/main/java/org/apricotdeal/relay/node/StoreWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/StoreWatcher.java
@@ -49,6 +49,7 @@
     @Override
     final long turn() {
         if (standsBy()) {
+            leftToOthers();
             return STAND_BY_MILLIS;
         }
         if (revision < 0) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
@@ -122,7 +122,8 @@
         last.values().forEach(fleet::put);
     }
 
-    private long removeAtMillis() {
+    /** Returns when a VM whose entry is missing now counts as gone. */
+    long removeAtMillis() {
         return Math.max(clock().monotonicMillis(), keepMissingUntilMillis);
     }
 
