--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
@@ -0,0 +1,86 @@
+package org.apricotdeal.relay.node;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import com.codahale.metrics.MetricRegistry;
+import org.apache.commons.rng.simple.RandomSource;
+import org.apricotdeal.kernel.id.FailureDomainId;
+import org.apricotdeal.kernel.result.Result;
+import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.relay.model.UpstreamVm;
+import org.apricotdeal.relay.model.VmReport;
+import org.apricotdeal.relay.policy.RelayDispatcher;
+import org.apricotdeal.relay.policy.RepeatBudget;
+import org.apricotdeal.relay.port.OrderReply;
+import org.apricotdeal.relay.port.ReplicaOrder;
+import org.apricotdeal.relay.port.ReplicaOrders;
+
+/** The fleet duty of node {@code n1} of failure domain {@code b}, whose VMs take no orders, and its log. */
+final class FleetDutyFixture implements AutoCloseable {
+    static final FailureDomainId PLANNED_DOMAIN = new FailureDomainId("a");
+    private static final FailureDomainId OWN_DOMAIN = new FailureDomainId("b");
+
+    final FleetDuty fleet;
+    final DecisionLog log;
+    private final RelayDuty relay;
+    private final ByteArrayOutputStream written = new ByteArrayOutputStream();
+
+    FleetDutyFixture(Clock clock) {
+        MetricRegistry metrics = new MetricRegistry();
+        log = new DecisionLog(new PrintStream(written, true, StandardCharsets.UTF_8), metrics);
+        RelayDispatcher dispatcher = new RelayDispatcher(
+                OWN_DOMAIN, new RepeatBudget(10_000, 0.2, 20, 1), RandomSource.SPLIT_MIX_64.create(1));
+        relay = new RelayDuty(dispatcher, null, null, clock, RandomSource.SPLIT_MIX_64.create(2), log, metrics);
+        fleet = new FleetDuty(settings(), relay, new NoVms(), clock, log, metrics);
+    }
+
+    String logText() {
+        return written.toString(StandardCharsets.UTF_8);
+    }
+
+    private static RelaySettings settings() {
+        return new RelaySettings(
+                "n1",
+                OWN_DOMAIN,
+                List.of(PLANNED_DOMAIN),
+                false,
+                "127.0.0.1:1",
+                "127.0.0.1:2",
+                "127.0.0.1:3",
+                4,
+                "users",
+                "127.0.0.1:5",
+                500,
+                1_000,
+                3_000,
+                10_000,
+                0.2,
+                20,
+                1);
+    }
+
+    @Override
+    public void close() {
+        fleet.close();
+        relay.close();
+        log.close();
+    }
+
+    /** Takes no orders and gives no reports. */
+    private static final class NoVms implements ReplicaOrders {
+        @Override
+        public CompletableFuture<OrderReply> order(
+                UpstreamVm vm, long expected, ReplicaOrder order, long timeoutMillis) {
+            return CompletableFuture.completedFuture(OrderReply.UNKNOWN);
+        }
+
+        @Override
+        public CompletableFuture<Result<VmReport, String>> report(UpstreamVm vm, long timeoutMillis) {
+            return CompletableFuture.completedFuture(Result.err("no VM"));
+        }
+    }
+}
--- a/proofs/src/test/java/org/apricotdeal/relay/node/VmWatcherTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/VmWatcherTest.java
@@ -1,25 +1,11 @@
 package org.apricotdeal.relay.node;
 
-import java.io.ByteArrayOutputStream;
-import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 
-import com.codahale.metrics.MetricRegistry;
-import org.apache.commons.rng.simple.RandomSource;
 import org.apricotdeal.adapter.UsersPlatform;
-import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.kernel.time.Clock;
-import org.apricotdeal.relay.model.UpstreamVm;
-import org.apricotdeal.relay.model.VmReport;
-import org.apricotdeal.relay.policy.RelayDispatcher;
-import org.apricotdeal.relay.policy.RepeatBudget;
-import org.apricotdeal.relay.port.OrderReply;
-import org.apricotdeal.relay.port.ReplicaOrder;
-import org.apricotdeal.relay.port.ReplicaOrders;
 import org.apricotdeal.relay.port.StoreFault;
 import org.apricotdeal.relay.port.WatchStore;
 import org.testng.annotations.Test;
@@ -29,8 +15,6 @@
 
 /** When a VM counts as gone for a node that follows the store, or goes by the word of its delegate. */
 public final class VmWatcherTest {
-    private static final FailureDomainId DOMAIN = new FailureDomainId("a");
-
     /** Time for which entries are awaited that lapsed while the store was away. */
     private static final long COME_BACK_MILLIS = 2_200;
 
@@ -88,55 +72,17 @@
         }
     }
 
-    /** Takes no orders and gives no reports. */
-    private static final class NoVms implements ReplicaOrders {
-        @Override
-        public CompletableFuture<OrderReply> order(
-                UpstreamVm vm, long expected, ReplicaOrder order, long timeoutMillis) {
-            return CompletableFuture.completedFuture(OrderReply.UNKNOWN);
-        }
-
-        @Override
-        public CompletableFuture<Result<VmReport, String>> report(UpstreamVm vm, long timeoutMillis) {
-            return CompletableFuture.completedFuture(Result.err("no VM"));
-        }
-    }
-
     /** What a test does with a watcher of VMs. */
     private interface Story {
         void tell(VmWatcher watcher, EmptyStore store, SetClock clock);
     }
 
     private static void tell(Story story) {
-        MetricRegistry metrics = new MetricRegistry();
         SetClock clock = new SetClock();
         EmptyStore store = new EmptyStore();
-        PrintStream out = new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8);
-        RelayDispatcher dispatcher =
-                new RelayDispatcher(DOMAIN, new RepeatBudget(10_000, 0.2, 20, 1), RandomSource.SPLIT_MIX_64.create(1));
-        RelaySettings settings = new RelaySettings(
-                "n1",
-                DOMAIN,
-                List.of(DOMAIN),
-                false,
-                "127.0.0.1:1",
-                "127.0.0.1:2",
-                "127.0.0.1:3",
-                4,
-                "users",
-                "127.0.0.1:5",
-                500,
-                1_000,
-                3_000,
-                10_000,
-                0.2,
-                20,
-                1);
-        try (DecisionLog log = new DecisionLog(out, metrics);
-                RelayDuty relay = new RelayDuty(
-                        dispatcher, null, null, clock, RandomSource.SPLIT_MIX_64.create(2), log, metrics);
-                FleetDuty fleet = new FleetDuty(settings, relay, new NoVms(), clock, log, metrics)) {
-            story.tell(new VmWatcher(store, new UsersPlatform().codec(), fleet, clock, log), store, clock);
+        try (FleetDutyFixture fixture = new FleetDutyFixture(clock)) {
+            story.tell(
+                    new VmWatcher(store, new UsersPlatform().codec(), fixture.fleet, clock, fixture.log), store, clock);
         }
     }
 
