Split host and port in one place

An address without host or port is refused in every place with IllegalArgumentException, as Destinations did; the others threw its subclasses or StringIndexOutOfBounds. Test: HostPortTest.

--- a/http/src/main/java/org/apricotdeal/http/Destinations.java
+++ b/http/src/main/java/org/apricotdeal/http/Destinations.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
+import org.apricotdeal.kernel.misc.HostPort;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 
@@ -42,11 +43,7 @@
     }
 
     private Request create(String address) {
-        int colon = address.lastIndexOf(':');
-        if (colon <= 0) {
-            throw new IllegalArgumentException("no host and port: " + address);
-        }
-        int port = Integer.parseInt(address.substring(colon + 1));
-        return client.newRequest(address.substring(0, colon), port);
+        HostPort parts = HostPort.parse(address);
+        return client.newRequest(parts.host(), parts.port());
     }
 }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
@@ -15,6 +15,7 @@
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apricotdeal.kernel.id.FailureDomainId;
+import org.apricotdeal.kernel.misc.HostPort;
 import org.apricotdeal.proofs.standins.StandinFixture;
 import org.apricotdeal.relay.node.RelayNode;
 import org.apricotdeal.relay.node.RelaySettings;
@@ -100,7 +101,7 @@
                 callers,
                 readiness,
                 peers,
-                port(metrics),
+                HostPort.parse(metrics).port(),
                 "users",
                 store.address(),
                 500,
@@ -208,13 +209,10 @@
         }
     }
 
-    private static int port(String address) {
-        return Integer.parseInt(address.substring(address.indexOf(':') + 1));
-    }
-
     Socket connect(String address) throws IOException {
         Socket socket = new Socket();
-        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port(address)));
+        socket.connect(new InetSocketAddress(
+                InetAddress.getLoopbackAddress(), HostPort.parse(address).port()));
         socket.setSoTimeout(READ_TIMEOUT_MILLIS);
         return socket;
     }
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -19,6 +19,7 @@
 import org.apricotdeal.kernel.duty.Duty;
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.kernel.misc.HostPort;
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.peer.FleetLoads;
 import org.apricotdeal.relay.peer.HeartbeatPartners;
@@ -176,7 +177,8 @@
         byte[] body = encode(heartbeat);
         metrics.counter("heartbeats.sent").inc();
         metrics.counter("heartbeats.sent.bytes").inc(body.length);
-        Request request = client.newRequest(RelaySettings.host(peer.address()), RelaySettings.port(peer.address()))
+        HostPort address = HostPort.parse(peer.address());
+        Request request = client.newRequest(address.host(), address.port())
                 .method(HttpMethod.POST)
                 .path(PATH)
                 .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
@@ -5,6 +5,7 @@
 import java.util.function.BooleanSupplier;
 
 import com.codahale.metrics.MetricRegistry;
+import org.apricotdeal.kernel.misc.HostPort;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.UriCompliance;
@@ -55,7 +56,7 @@
         listen(callers, settings.callerAddress());
         readiness = connector(settings.readinessAddress());
         connector(settings.peerAddress());
-        connector(RelaySettings.host(settings.peerAddress()) + ":" + settings.metricsPort());
+        connector(HostPort.parse(settings.peerAddress()).host() + ":" + settings.metricsPort());
         server.setHandler(new PortRouter());
         server.setErrorHandler(new OwnErrors());
         catalogues.subscribe(catalogue -> {
@@ -84,8 +85,9 @@
     }
 
     private void listen(ServerConnector connector, String address) {
-        connector.setHost(RelaySettings.host(address));
-        connector.setPort(RelaySettings.port(address));
+        HostPort parts = HostPort.parse(address);
+        connector.setHost(parts.host());
+        connector.setPort(parts.port());
         connector.setAcceptQueueSize(ACCEPT_QUEUE);
         connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
         server.addConnector(connector);
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelaySettings.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelaySettings.java
@@ -1,7 +1,6 @@
 package org.apricotdeal.relay.node;
 
 import java.util.List;
-import java.util.Locale;
 
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.message.Findings;
@@ -112,12 +111,4 @@
         }
         return settings;
     }
-
-    static String host(String address) {
-        return address.substring(0, Math.max(0, address.lastIndexOf(':')));
-    }
-
-    static int port(String address) {
-        return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1).toLowerCase(Locale.ROOT));
-    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.kernel.misc.HostPort;
 import org.apricotdeal.kernel.misc.Names;
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.model.Repeatability;
@@ -105,9 +106,9 @@
     }
 
     void send(HttpClient client) {
-        String address = target.address();
+        HostPort address = HostPort.parse(target.address());
         org.eclipse.jetty.server.Request incoming = exchange.request();
-        request = client.newRequest(RelaySettings.host(address), RelaySettings.port(address))
+        request = client.newRequest(address.host(), address.port())
                 .method(incoming.getMethod())
                 .path(incoming.getHttpURI().getPathQuery());
         request.headers(this::copyHeaders);
