Let FleetLoads guard its own state and drop what is old

Heartbeats locked FleetLoads in four places, copied what it returned, and decided by the scope of a heartbeat twice. FleetLoads is now safe by itself, and the scope is looked at once. Words of nodes that are gone for good were skipped at each sum and never dropped; so were the times at which HeartbeatPartners had heard them. Both drop them now. What is summed and chosen is the same.

--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -140,7 +140,7 @@
         vms.followStore(delegate);
         catalogueWatcher.hearsDelegate(!delegate);
         if (delegate) {
-            relay.put(new RelayEvent.OthersRun(others()));
+            relay.put(new RelayEvent.OthersRun(loads.others(clock.monotonicMillis())));
         }
         for (Peer peer : neighbours.peers()) {
             // One at a time to each peer: a silent connection must not gather heartbeats.
@@ -159,12 +159,6 @@
         delegate = now;
     }
 
-    private Map<TargetId, Integer> others() {
-        synchronized (loads) {
-            return Map.copyOf(loads.others(clock.monotonicMillis()));
-        }
-    }
-
     private void send(Peer peer) {
         boolean sameDomain = peer.failureDomain().equals(ownDomain);
         TRelayHeartbeat heartbeat = sameDomain
@@ -215,9 +209,7 @@
     }
 
     private Map<TargetId, Integer> domainLoads() {
-        synchronized (loads) {
-            return loads.domain(relay.running(), clock.monotonicMillis());
-        }
+        return loads.domain(relay.running(), clock.monotonicMillis());
     }
 
     /** Adds the catalogue where the receiver stays behind, and the news of VMs that it does not read in the store itself. */
@@ -271,16 +263,9 @@
 
     private TRelayHeartbeat answerTo(Peer sender) {
         boolean sameDomain = sender.failureDomain().equals(ownDomain);
-        TRelayHeartbeat answer;
-        if (sameDomain) {
-            Map<TargetId, Integer> allBut;
-            synchronized (loads) {
-                allBut = loads.allBut(relay.running(), sender.name(), clock.monotonicMillis());
-            }
-            answer = heartbeat(TRelayScope.FLEET, allBut);
-        } else {
-            answer = heartbeat(TRelayScope.DOMAIN, domainLoads());
-        }
+        TRelayHeartbeat answer = sameDomain
+                ? heartbeat(TRelayScope.FLEET, loads.allBut(relay.running(), sender.name(), clock.monotonicMillis()))
+                : heartbeat(TRelayScope.DOMAIN, domainLoads());
         Partner partner = known.get(sender.name());
         addWhatLacks(answer, partner, sameDomain || partner.storeAway());
         return answer;
@@ -345,16 +330,14 @@
             running.put(new TargetId(new VmId(load.getVm()), load.getNumber()), load.getRunning());
         }
         TRelayScope scope = heartbeat.isSetScope() ? heartbeat.getScope() : TRelayScope.NODE;
-        synchronized (loads) {
-            switch (scope) {
-                case NODE -> loads.ofNode(sender.name(), running, nowMillis);
-                case DOMAIN -> loads.ofDomain(sender.failureDomain(), running, nowMillis);
-                case FLEET -> loads.ofRest(running, nowMillis);
-                default -> throw new IllegalStateException("scope " + scope);
+        switch (scope) {
+            case NODE -> loads.ofNode(sender.name(), running, nowMillis);
+            case DOMAIN -> loads.ofDomain(sender.failureDomain(), running, nowMillis);
+            case FLEET -> {
+                loads.ofRest(running, nowMillis);
+                relay.put(new RelayEvent.OthersRun(running));
             }
-        }
-        if (scope == TRelayScope.FLEET) {
-            relay.put(new RelayEvent.OthersRun(running));
+            default -> throw new IllegalStateException("scope " + scope);
         }
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/peer/FleetLoads.java
+++ b/relay/src/main/java/org/apricotdeal/relay/peer/FleetLoads.java
@@ -9,7 +9,7 @@
 /**
  * What the other nodes run at each target, put together from heartbeats: a delegate hears the nodes of its failure domain
  * one by one and the other domains as sums; any other node hears the rest of the fleet as one sum from its delegate. Words
- * that have grown old count no more. Not safe for use by several threads.
+ * that have grown old are dropped. Safe for use by several threads.
  */
 public final class FleetLoads {
     /** Age beyond which a count is no longer believed; several heartbeats. */
@@ -33,7 +33,7 @@
      * @param running number of its requests at each target
      * @param nowMillis time
      */
-    public void ofNode(String name, Map<TargetId, Integer> running, long nowMillis) {
+    public synchronized void ofNode(String name, Map<TargetId, Integer> running, long nowMillis) {
         nodes.put(name, new Heard(running, nowMillis));
     }
 
@@ -44,7 +44,7 @@
      * @param running number of its requests at each target
      * @param nowMillis time
      */
-    public void ofDomain(FailureDomainId domain, Map<TargetId, Integer> running, long nowMillis) {
+    public synchronized void ofDomain(FailureDomainId domain, Map<TargetId, Integer> running, long nowMillis) {
         domains.put(domain, new Heard(running, nowMillis));
     }
 
@@ -54,7 +54,7 @@
      * @param running number of their requests at each target
      * @param nowMillis time
      */
-    public void ofRest(Map<TargetId, Integer> running, long nowMillis) {
+    public synchronized void ofRest(Map<TargetId, Integer> running, long nowMillis) {
         rest = new Heard(running, nowMillis);
     }
 
@@ -64,13 +64,13 @@
      * @param nowMillis time
      * @return number of requests at each target
      */
-    public Map<TargetId, Integer> others(long nowMillis) {
+    public synchronized Map<TargetId, Integer> others(long nowMillis) {
         if (rest.holds(nowMillis)) {
             return rest.running();
         }
         Map<TargetId, Integer> sum = new HashMap<>();
-        nodes.values().forEach(heard -> add(sum, heard, nowMillis));
-        domains.values().forEach(heard -> add(sum, heard, nowMillis));
+        add(sum, nodes, nowMillis);
+        add(sum, domains, nowMillis);
         return sum;
     }
 
@@ -81,9 +81,9 @@
      * @param nowMillis time
      * @return number of requests at each target
      */
-    public Map<TargetId, Integer> domain(Map<TargetId, Integer> own, long nowMillis) {
+    public synchronized Map<TargetId, Integer> domain(Map<TargetId, Integer> own, long nowMillis) {
         Map<TargetId, Integer> sum = new HashMap<>(own);
-        nodes.values().forEach(heard -> add(sum, heard, nowMillis));
+        add(sum, nodes, nowMillis);
         return sum;
     }
 
@@ -95,7 +95,7 @@
      * @param nowMillis time
      * @return number of requests at each target
      */
-    public Map<TargetId, Integer> allBut(Map<TargetId, Integer> own, String name, long nowMillis) {
+    public synchronized Map<TargetId, Integer> allBut(Map<TargetId, Integer> own, String name, long nowMillis) {
         Map<TargetId, Integer> sum = new HashMap<>(others(nowMillis));
         own.forEach((target, count) -> sum.merge(target, count, Integer::sum));
         Heard left = nodes.get(name);
@@ -107,9 +107,11 @@
         return sum;
     }
 
-    private static void add(Map<TargetId, Integer> sum, Heard heard, long nowMillis) {
-        if (heard.holds(nowMillis)) {
-            heard.running().forEach((target, count) -> sum.merge(target, count, Integer::sum));
+    /** Adds what was heard of late; what is old is dropped, as its node may be gone for good. */
+    private static void add(Map<TargetId, Integer> sum, Map<?, Heard> heard, long nowMillis) {
+        heard.values().removeIf(word -> !word.holds(nowMillis));
+        for (Heard word : heard.values()) {
+            word.running().forEach((target, count) -> sum.merge(target, count, Integer::sum));
         }
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/peer/HeartbeatPartners.java
+++ b/relay/src/main/java/org/apricotdeal/relay/peer/HeartbeatPartners.java
@@ -65,6 +65,7 @@
      * @return names of the nodes
      */
     public Set<String> choose(Collection<PlannerChoice.Candidate> peers, Set<String> stopping, long nowMillis) {
+        answeredMillis.values().removeIf(atMillis -> nowMillis - atMillis >= SUSPECT_MILLIS);
         Map<FailureDomainId, List<PlannerChoice.Candidate>> domains = new TreeMap<>();
         domains.computeIfAbsent(self.failureDomain(), domain -> new ArrayList<>())
                 .add(self);
