Tell what each fabric domain holds of each model, and what is asked and refused of it, in the planner's log

For the incident of the large model's urgent class: vms_counted is by failure domain and cannot tell survivors scattered over fabric domains from weights in the wrong place; no line showed demand beside replicas. New lines: fabric_counted (planner, fabric domain, model: replicas that serve and form, idle VMs that hold the weights, loads, members of other models' replicas that hold them), model_demand every 2 s (requests asked by callers who had not asked before, slots that they want, slots there are, refusals by priority, age). No decision reads them yet. Counting moved from ReplicaPlanner into CensusTaker; ReplicaPlannerTest, RelayNodeTest, RelayNodesTest, RelayDispatcherTest: 126 run, none failed.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
@@ -301,7 +301,7 @@
                 .toList();
         List<PlannedOrder> orders = planning.planner.plan(
                 new ReplicaPlanner.Turn(nowMillis, nowMillis, shape.engine(), known, lost, beforeTraffic, 1));
-        VmCensus census = planning.planner.census();
+        VmCensus census = planning.planner.census().ofVms();
         int served = census.count(VmOccupation.SERVING) + census.count(VmOccupation.AWAY);
         if (census.stranded() + served != known.size()) {
             throw new AssertionError("at " + nowMillis + ": " + census + " does not count " + known.size() + " VMs");
--- a/relay/src/main/java/org/apricotdeal/relay/node/CensusLog.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CensusLog.java
@@ -1,20 +1,32 @@
 package org.apricotdeal.relay.node;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.function.Supplier;
+import java.util.Set;
+import java.util.SortedMap;
 
+import org.apricotdeal.relay.policy.CensusTaker;
+import org.apricotdeal.relay.policy.FabricCensus;
+import org.apricotdeal.relay.policy.LineDemand;
+import org.apricotdeal.relay.policy.LineId;
+import org.apricotdeal.relay.policy.ReplicaPlanner;
 import org.apricotdeal.relay.policy.VmCensus;
 import org.apricotdeal.relay.policy.VmOccupation;
 
-/** Logs what the VMs of each planner do, when it changes, in a bounded number of lines. */
+/** Logs what the VMs of each planner do and what is asked of its models, in a bounded number of lines. */
 final class CensusLog {
-    /** Least time between two lines on a planner. */
+    /** Least time between two lines on a planner's VMs. */
     private static final long PERIOD_MILLIS = 1_000;
 
+    /** Time between two lines on the demand. */
+    private static final long DEMAND_PERIOD_MILLIS = 2_000;
+
     private final DecisionLog log;
     private final Map<PlannerKey, Noted> noted = new HashMap<>();
+    private final Map<PlannerKey, Set<FabricCensus>> notedFabrics = new HashMap<>();
+    private final Map<PlannerKey, Long> notedDemandMillis = new HashMap<>();
 
     /** Counts that were logged, and when. */
     private record Noted(VmCensus census, long atMillis) {}
@@ -24,12 +36,13 @@
     }
 
     /** Counts and logs, unless the last line of the planner is too young or says the same. */
-    void note(long nowMillis, PlannerKey key, Supplier<VmCensus> count) {
+    void note(long nowMillis, PlannerKey key, ReplicaPlanner planner) {
         Noted last = noted.get(key);
         if (last != null && nowMillis - last.atMillis() < PERIOD_MILLIS) {
             return;
         }
-        VmCensus census = count.get();
+        CensusTaker taker = planner.census();
+        VmCensus census = taker.ofVms();
         if (last != null && last.census().equals(census)) {
             return;
         }
@@ -41,10 +54,66 @@
         line.with("spareModels", census.spares())
                 .with("stranded", census.stranded())
                 .write();
+        noteFabrics(key, taker.ofFabrics());
+    }
+
+    private void noteFabrics(PlannerKey key, List<FabricCensus> counts) {
+        Set<FabricCensus> before = notedFabrics.getOrDefault(key, Set.of());
+        notedFabrics.put(key, Set.copyOf(counts));
+        for (FabricCensus count : counts) {
+            if (!before.contains(count)) {
+                log.state("fabric_counted")
+                        .with("planner", key)
+                        .with("fabricDomain", count.fabricDomain())
+                        .with("model", count.model())
+                        .with("serving", count.serving())
+                        .with("forming", count.forming())
+                        .with("idle", count.idle())
+                        .with("loading", count.loading())
+                        .with("elsewhere", count.elsewhere())
+                        .write();
+            }
+        }
+    }
+
+    /** Logs what is asked of the models, as the planner's node counts it. */
+    void noteDemand(long nowMillis, PlannerKey key, Map<LineId, LineDemand> demand) {
+        if (nowMillis - notedDemandMillis.getOrDefault(key, Long.MIN_VALUE / 2) < DEMAND_PERIOD_MILLIS) {
+            return;
+        }
+        notedDemandMillis.put(key, nowMillis);
+        demand.forEach((id, asked) -> {
+            if (id.upstream().equals(key.upstream())) {
+                log.state("model_demand")
+                        .with("planner", key)
+                        .with("model", id.model().orElseThrow())
+                        .with("askedPerSecond", rounded(asked.askedPerSecond()))
+                        .with("wantedSlots", rounded(asked.wantedSlots()))
+                        .with("usableSlots", asked.usableSlots())
+                        .with("refusedPerSecond", byPriority(asked.refusedPerSecond()))
+                        .with("ageMillis", nowMillis - asked.atMillis())
+                        .write();
+            }
+        });
+    }
+
+    private static String byPriority(SortedMap<Integer, Double> perSecond) {
+        StringBuilder text = new StringBuilder();
+        perSecond.forEach((priority, rate) -> text.append(text.isEmpty() ? "" : ",")
+                .append(priority)
+                .append(':')
+                .append(rounded(rate)));
+        return text.isEmpty() ? "-" : text.toString();
+    }
+
+    private static String rounded(double value) {
+        return String.format(Locale.ROOT, "%.1f", value);
     }
 
     /** Forgets a planner that this node has yielded. */
     void forget(PlannerKey key) {
         noted.remove(key);
+        notedFabrics.remove(key);
+        notedDemandMillis.remove(key);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -418,7 +418,8 @@
                 beforeTraffic,
                 1.0 / Math.max(1, settings.failureDomains().size())));
         planned.forEach(order -> send(key, order));
-        censuses.note(nowMillis, key, planner::census);
+        censuses.note(nowMillis, key, planner);
+        censuses.noteDemand(nowMillis, key, relay.demand());
         planner.uncounted().forEach(vm -> ask(vm, REPORT_PERIOD_MILLIS));
         if (!beforeTraffic) {
             planner.watched().forEach(vm -> ask(vm, REPORT_PERIOD_MILLIS));
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -18,6 +18,8 @@
 import org.apricotdeal.relay.model.WeightedUpstream;
 import org.apricotdeal.relay.policy.AttemptOutcome;
 import org.apricotdeal.relay.policy.ExchangeId;
+import org.apricotdeal.relay.policy.LineDemand;
+import org.apricotdeal.relay.policy.LineId;
 import org.apricotdeal.relay.policy.RefusalGrounds;
 import org.apricotdeal.relay.policy.RefusalReason;
 import org.apricotdeal.relay.policy.RelayAction;
@@ -33,6 +35,9 @@
     private static final int RING_SLOTS = 4_096;
     private static final long TICK_MILLIS = 25;
 
+    /** Time between two readings of the demand; plans change over seconds. */
+    private static final long DEMAND_PERIOD_MILLIS = 500;
+
     private final Duty<RelayEvent> duty;
     private final RelayDispatcher dispatcher;
     private final HttpClient client;
@@ -44,6 +49,8 @@
     private final Map<ExchangeId, Exchange> exchanges = new ConcurrentHashMap<>();
     private final HeldBytes held = new HeldBytes();
     private volatile Map<TargetId, Integer> running = Map.of();
+    private volatile Map<LineId, LineDemand> demand = Map.of();
+    private long demandReadMillis;
     private volatile BiConsumer<List<VmId>, String> doubtListener = (vms, reason) -> {};
 
     RelayDuty(
@@ -81,6 +88,11 @@
         return running;
     }
 
+    /** Returns what is asked of each line of an engine. */
+    Map<LineId, LineDemand> demand() {
+        return demand;
+    }
+
     int inProgress() {
         return exchanges.size();
     }
@@ -187,6 +199,11 @@
         }
         carryOut(dispatcher.step(clock.monotonicMillis(), new RelayEvent.Tick()));
         running = dispatcher.running();
+        long nowMillis = clock.monotonicMillis();
+        if (nowMillis - demandReadMillis >= DEMAND_PERIOD_MILLIS) {
+            demandReadMillis = nowMillis;
+            demand = dispatcher.demand(nowMillis);
+        }
     }
 
     private void carryOut(List<RelayAction> actions) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/LineState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/LineState.java
@@ -24,6 +24,7 @@
     final List<TargetState> targets = new ArrayList<>();
     final Average serviceMillis;
     final Average startMillis;
+    final DemandMeter demand = new DemandMeter();
     long refusedMillis = Long.MIN_VALUE / 2;
     long newcomerRefusedMillis = Long.MIN_VALUE / 2;
     long nextReturnMillis;
@@ -51,6 +52,10 @@
         return sum;
     }
 
+    LineDemand readDemand(long nowMillis) {
+        return demand.read(nowMillis, serviceMillis.value(), usableSlots(nowMillis));
+    }
+
     int freeSlots(long nowMillis) {
         int sum = 0;
         for (TargetState target : targets) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -118,6 +118,22 @@
         return lines.values().stream().mapToInt(line -> line.waiting.size()).sum();
     }
 
+    /**
+     * Returns what is asked of each line of an engine.
+     *
+     * @param atMillis time
+     * @return the demand by line
+     */
+    public Map<LineId, LineDemand> demand(long atMillis) {
+        Map<LineId, LineDemand> demand = new HashMap<>();
+        lines.forEach((id, line) -> {
+            if (id.model().isPresent()) {
+                demand.put(id, line.readDemand(atMillis));
+            }
+        });
+        return demand;
+    }
+
     /**
      * Notes that bytes of an answer came from a target; called for each piece, so it makes no decisions.
      *
@@ -159,6 +175,9 @@
         LineState line = line(arrival.line());
         RequestState request = new RequestState(arrival, line, ++lastSequence, noteCaller(line, arrival));
         budget.requested(arrival.line().upstream(), nowMillis);
+        if (!request.returned) {
+            line.demand.asked(nowMillis);
+        }
         LineOutlook outlook = line.outlook(request, nowMillis);
         if (outlook.hasNoTarget()) {
             refuse(request, RefusalReason.NO_TARGET, absentRetryMillis(), outlook);
@@ -400,6 +419,7 @@
         requests.remove(request.arrival.id());
         LineState line = request.line;
         line.refusedMillis = nowMillis;
+        line.demand.refused(nowMillis, request.arrival.priority());
         if (!request.returned && reason != RefusalReason.NO_TARGET) {
             line.newcomerRefusedMillis = nowMillis;
         }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -76,7 +76,7 @@
     private Turn turn;
 
     /** A load of weights onto a host that this planner ordered. */
-    private record Staging(ModelId model, long untilMillis) {}
+    record Staging(ModelId model, long untilMillis) {}
 
     /** A replica that this planner ordered its members to join. */
     private record Planned(ModelId model, long atMillis) {}
@@ -159,38 +159,12 @@
     }
 
     /**
-     * Counts the VMs by what they do, as of the last turn.
+     * Counts what the VMs do, as of the last turn.
      *
      * @return the counts
      */
-    public VmCensus census() {
-        Set<FormationId> open = new HashSet<>();
-        for (Formation formation : Formations.of(turn.vms(), turn.engine())) {
-            if (formation.open() && formation.complete()) {
-                open.add(formation.id());
-            }
-        }
-        return VmCensus.of(turn.vms(), vm -> occupation(vm, open));
-    }
-
-    private VmOccupation occupation(UpstreamVm vm, Set<FormationId> open) {
-        if (vm.leaving() || turn.lost().contains(vm.id())) {
-            return VmOccupation.AWAY;
-        }
-        Optional<FormationId> formation = vm.group().map(FormationId::of);
-        if (formation.isPresent() && !released.contains(formation.get())) {
-            return open.contains(formation.get()) ? VmOccupation.SERVING : VmOccupation.FORMING;
-        }
-        if (formation.isPresent()) {
-            return VmOccupation.PARTING;
-        }
-        if (staging.containsKey(vm.id())) {
-            return VmOccupation.LOADING;
-        }
-        if (turn.nowMillis() < restUntilMillis.getOrDefault(vm.id(), 0L)) {
-            return VmOccupation.RESTING;
-        }
-        return vm.staged().isEmpty() && vm.loaded().isEmpty() ? VmOccupation.BLANK : VmOccupation.SPARE;
+    public CensusTaker census() {
+        return new CensusTaker(turn, released, staging, restUntilMillis);
     }
 
     /**
@@ -444,7 +418,7 @@
                 .toList();
     }
 
-    private static boolean holds(UpstreamVm vm, ModelId model) {
+    static boolean holds(UpstreamVm vm, ModelId model) {
         return vm.staged().contains(model) || vm.loaded().filter(model::equals).isPresent();
     }
 
