--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
@@ -78,6 +78,8 @@
     double lateOrders;
     double oldEntries;
     boolean beforeTraffic;
+    double loadShare = 1;
+    private long loadsBegun;
     private final Shape shape;
     private final Set<String> readyOnce = new HashSet<>();
     private final Map<VmId, Long> deadSinceMillis = new TreeMap<>();
@@ -160,6 +162,11 @@
         return vms.values().stream().filter(vm -> !vm.dead).toList();
     }
 
+    /** Returns the loads from the weight store that VMs have been ordered to begin as spares. */
+    long loadsBegun() {
+        return loadsBegun;
+    }
+
     /** Counts replicas that serve with all members. */
     long serving(String model) {
         return live().stream()
@@ -262,6 +269,7 @@
 
     private OrderReply apply(SimVm vm, long expected, ReplicaOrder order) {
         Optional<GroupMembership> before = vm.group;
+        loadsBegun += order instanceof ReplicaOrder.Stage ? 1 : 0;
         OrderReply reply = vm.take(nowMillis, expected, order);
         if (reply == OrderReply.BEGUN && order instanceof ReplicaOrder.Join join && before.isPresent()) {
             checkFree(vm, before.get(), join);
@@ -300,7 +308,7 @@
                 .sorted(Comparator.comparing(UpstreamVm::id))
                 .toList();
         List<PlannedOrder> orders = planning.planner.plan(
-                new ReplicaPlanner.Turn(nowMillis, nowMillis, shape.engine(), known, lost, beforeTraffic, 1));
+                new ReplicaPlanner.Turn(nowMillis, nowMillis, shape.engine(), known, lost, beforeTraffic, loadShare));
         VmCensus census = planning.planner.census().ofVms();
         int served = census.count(VmOccupation.SERVING) + census.count(VmOccupation.AWAY);
         if (census.stranded() + served != known.size()) {
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimVm.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimVm.java
@@ -140,7 +140,10 @@
         boolean warm = staged.filter(join.model()::equals).isPresent();
         phaseAtMillis = nowMillis + (again ? REJOIN_MILLIS : warm ? spec.warmMillis() : spec.loadMillis());
         loaded = Optional.of(join.model());
-        staged = loaded;
+        // Only a load puts weights onto the host; a VM that was a member of the model's replica before needs none.
+        if (!again && !warm) {
+            staged = loaded;
+        }
         return OrderReply.BEGUN;
     }
 
