Divide the VMs between models by what callers ask for, over the whole fleet

Cause: share is the model's share of the work at the start; no planner heard what is asked. And each planner balanced its own failure domain of 20 VMs, in which one replica of four is a quarter of all that serves, though requests go to all of them.

Ruled out for now: weights by priority, and sums over nodes (each planner goes by its own node's callers).

Figures: DemandSharesTest.

--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/DemandSharesTest.java
@@ -0,0 +1,91 @@
+package org.apricotdeal.proofs.relay;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.apricotdeal.kernel.id.UpstreamId;
+import org.apricotdeal.relay.model.EngineProfile;
+import org.apricotdeal.relay.model.ModelId;
+import org.apricotdeal.relay.model.Repeatability;
+import org.apricotdeal.relay.policy.DemandShares;
+import org.apricotdeal.relay.policy.LineDemand;
+import org.apricotdeal.relay.policy.LineId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** VMs are divided between models by what callers ask for, whether it is served or refused. */
+public final class DemandSharesTest {
+    private static final UpstreamId UPSTREAM = new UpstreamId("chat");
+    private static final ModelId LARGE = new ModelId("m0");
+    private static final ModelId SMALL = new ModelId("m1");
+    private static final double MANY = 100_000;
+
+    /**
+     * Requests counted, slots wanted of the large model (4 VMs a replica of 12 slots) and of the small one (2 VMs), share
+     * of the large model; the configuration says a half each.
+     *
+     * @return the rows
+     */
+    @DataProvider
+    public Object[][] demands() {
+        return new Object[][] {
+            {MANY, 12, 24, 0.5},
+            {MANY, 12, 72, 0.25},
+            {MANY, 36, 24, 0.75},
+            {MANY, 0, 24, 0.125},
+            {MANY, 0, 0, 0.5},
+            {0, 36, 24, 0.5},
+            {50, 36, 24, 0.625},
+        };
+    }
+
+    /**
+     * Checks a row.
+     *
+     * @param counted requests counted
+     * @param large slots wanted of the large model
+     * @param small slots wanted of the small model
+     * @param share expected share of the large model
+     */
+    @Test(dataProvider = "demands")
+    public void sharesFollowWhatIsAsked(double counted, double large, double small, double share) {
+        Map<LineId, LineDemand> demand = new HashMap<>();
+        demand.put(line(LARGE), demand(counted / 2, large));
+        demand.put(line(SMALL), demand(counted / 2, small));
+        EngineProfile engine = SimFleet.Shape.SMALL.engine();
+        assertEquals(DemandShares.of(UPSTREAM, engine, demand).get(LARGE), share, 0.001);
+    }
+
+    @Test
+    public void nothingKnownLeavesTheConfiguredShares() {
+        Map<ModelId, Double> shares = DemandShares.of(UPSTREAM, SimFleet.Shape.SMALL.engine(), Map.of());
+        assertEquals(shares, Map.of(LARGE, 0.5, SMALL, 0.5));
+    }
+
+    /** Callers who are refused count once, however often they come back. */
+    @Test
+    public void refusedRequestsAreAskedForAndCountedByPriority() {
+        RelayFixture relay = new RelayFixture();
+        relay.targets(RelayFixture.target("v1", 1));
+        for (int i = 0; i < 20; i++) {
+            relay.arrive(Repeatability.STREAM);
+            relay.pass(500);
+        }
+        LineDemand demand = relay.dispatcher.demand(relay.nowMillis).get(RelayFixture.LINE);
+        assertEquals(demand.askedPerSecond(), 2, 0.3, demand.toString());
+        assertTrue(demand.refusedPerSecond().get(1) > 1, demand.toString());
+    }
+
+    private static LineId line(ModelId model) {
+        return new LineId(UPSTREAM, Optional.of(model));
+    }
+
+    private static LineDemand demand(double counted, double wantedSlots) {
+        return new LineDemand(counted, wantedSlots, new TreeMap<>(), 1_000, 100, 0);
+    }
+}
--- a/relay/src/main/java/org/apricotdeal/relay/node/CensusLog.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CensusLog.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.SortedMap;
 
+import org.apricotdeal.relay.model.ModelId;
 import org.apricotdeal.relay.policy.CensusTaker;
 import org.apricotdeal.relay.policy.FabricCensus;
 import org.apricotdeal.relay.policy.LineDemand;
@@ -76,17 +77,19 @@
         }
     }
 
-    /** Logs what is asked of the models, as the planner's node counts it. */
-    void noteDemand(long nowMillis, PlannerKey key, Map<LineId, LineDemand> demand) {
+    /** Logs what is asked of the models, as the planner's node counts it, and the shares of the VMs that follow from it. */
+    void noteDemand(long nowMillis, PlannerKey key, Map<LineId, LineDemand> demand, Map<ModelId, Double> shares) {
         if (nowMillis - notedDemandMillis.getOrDefault(key, Long.MIN_VALUE / 2) < DEMAND_PERIOD_MILLIS) {
             return;
         }
         notedDemandMillis.put(key, nowMillis);
         demand.forEach((id, asked) -> {
             if (id.upstream().equals(key.upstream())) {
+                ModelId model = id.model().orElseThrow();
                 log.state("model_demand")
                         .with("planner", key)
-                        .with("model", id.model().orElseThrow())
+                        .with("model", model)
+                        .with("sharePercent", Math.round(100 * shares.getOrDefault(model, 0.0)))
                         .with("askedPerSecond", rounded(asked.askedPerSecond()))
                         .with("wantedSlots", rounded(asked.wantedSlots()))
                         .with("usableSlots", asked.usableSlots())
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -17,11 +17,16 @@
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.relay.model.EngineProfile;
+import org.apricotdeal.relay.model.ModelId;
 import org.apricotdeal.relay.model.RelayCatalogue;
 import org.apricotdeal.relay.model.UpstreamEntry;
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.model.VmReport;
 import org.apricotdeal.relay.peer.PlannerChoice;
+import org.apricotdeal.relay.policy.DemandShares;
+import org.apricotdeal.relay.policy.LineDemand;
+import org.apricotdeal.relay.policy.LineId;
 import org.apricotdeal.relay.policy.PlannedOrder;
 import org.apricotdeal.relay.policy.RelayEvent;
 import org.apricotdeal.relay.policy.ReplicaPlanner;
@@ -401,6 +406,7 @@
             log.state("planner_took_over").with("planner", key).write();
         }
         UpstreamEntry upstream = catalogue.upstreams().get(key.upstream());
+        EngineProfile engine = upstream.engine().orElseThrow();
         List<UpstreamVm> vms = table.all().stream()
                 .filter(vm -> vm.upstream().equals(key.upstream())
                         && vm.failureDomain().equals(key.failureDomain()))
@@ -409,25 +415,39 @@
         Set<VmId> lost = new HashSet<>();
         vms.stream().map(UpstreamVm::id).filter(table::isSilent).forEach(lost::add);
         boolean beforeTraffic = settings.firstStart() && nowMillis - startedMillis < START_MILLIS;
+        Map<LineId, LineDemand> demand = relay.demand();
+        Map<ModelId, Double> shares = beforeTraffic ? Map.of() : DemandShares.of(upstream.id(), engine, demand);
         List<PlannedOrder> planned = planner.plan(new ReplicaPlanner.Turn(
                 nowMillis,
                 clock.wallMillis(),
-                upstream.engine().orElseThrow(),
+                engine,
                 vms,
                 lost,
                 beforeTraffic,
                 1.0 / Math.max(1, settings.failureDomains().size()),
-                Map.of(),
-                Map.of()));
+                shares,
+                beforeTraffic ? Map.of() : servingElsewhere(key)));
         planned.forEach(order -> send(key, order));
         censuses.note(nowMillis, key, planner);
-        censuses.noteDemand(nowMillis, key, relay.demand());
+        censuses.noteDemand(nowMillis, key, demand, shares);
         planner.uncounted().forEach(vm -> ask(vm, REPORT_PERIOD_MILLIS));
         if (!beforeTraffic) {
             planner.watched().forEach(vm -> ask(vm, REPORT_PERIOD_MILLIS));
         }
     }
 
+    /** Counts the replicas that serve in other failure domains, which take requests of all. */
+    private Map<ModelId, Integer> servingElsewhere(PlannerKey key) {
+        Map<ModelId, Integer> counts = new HashMap<>();
+        for (Target target : targets) {
+            if (target.line().upstream().equals(key.upstream())
+                    && !target.failureDomain().equals(key.failureDomain())) {
+                target.line().model().ifPresent(model -> counts.merge(model, 1, Integer::sum));
+            }
+        }
+        return counts;
+    }
+
     private void send(PlannerKey key, PlannedOrder order) {
         metrics.counter("orders.sent").inc();
         log.state("order_sent")
--- a/relay/src/main/java/org/apricotdeal/relay/policy/DemandMeter.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/DemandMeter.java
@@ -5,8 +5,8 @@
 
 /** Counts what is asked of a line, and what is refused there by priority, as rates over the last seconds. */
 final class DemandMeter {
-    /** Time over which the rates are taken; bursts of a second or two weigh little in it. */
-    private static final double WINDOW_MILLIS = 8_000;
+    /** Time over which the rates are taken: a load of weights takes about as long, and bursts are over by then. */
+    private static final double WINDOW_MILLIS = 15_000;
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -34,7 +34,7 @@
         double perSecond = weight <= 0 ? 0 : MILLIS_PER_SECOND / weight;
         SortedMap<Integer, Double> refusedPerSecond = new TreeMap<>();
         refused.forEach((priority, count) -> refusedPerSecond.put(priority, count * perSecond));
-        return new LineDemand(asked * perSecond, refusedPerSecond, serviceMillis, usableSlots, nowMillis);
+        return new LineDemand(asked, asked * perSecond, refusedPerSecond, serviceMillis, usableSlots, nowMillis);
     }
 
     private void decay(long nowMillis) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/LineDemand.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/LineDemand.java
@@ -7,6 +7,7 @@
 /**
  * What is asked of a line at one node.
  *
+ * @param counted number of requests that the rates were taken from; older ones count less
  * @param askedPerSecond requests a second of callers who had not asked before
  * @param refusedPerSecond refusals a second by priority, also of callers who came back
  * @param serviceMillis time that a request keeps a slot
@@ -14,6 +15,7 @@
  * @param atMillis monotonic time at which this was counted
  */
 public record LineDemand(
+        double counted,
         double askedPerSecond,
         SortedMap<Integer, Double> refusedPerSecond,
         double serviceMillis,
