Say in heartbeats that the store turns a node away also where only its catalogue watcher is

Cause: storeAway went by the watcher of VMs, which makes no calls while the node stands by. Test: RelayNodeTest.nodeThatGoesByItsDelegate... fails without the change (storeAway:false after 3 s of refusals), passes with it; RelayNodeTest 21 run, none failed.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
+import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apricotdeal.kernel.id.FailureDomainId;
@@ -182,10 +183,7 @@
         heartbeat.setVmRevision(upToRevision);
         heartbeat.setStoreAway(false);
         heartbeat.setVmNews(new TRelayVmNews(upToRevision, List.of(news)));
-        String answer = tell(new TSerializer(new TCompactProtocol.Factory()).serialize(heartbeat));
-        if (!answer.startsWith("HTTP/1.1 200")) {
-            throw new AssertionError("the heartbeat was not taken: " + answer);
-        }
+        exchange(heartbeat);
     }
 
     /** Sends the node bytes in place of a heartbeat; returns the answer. */
@@ -196,8 +194,21 @@
                     + "\r\n\r\n";
             out.write(head.getBytes(StandardCharsets.UTF_8));
             out.write(body);
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            // One character for each byte, as the body of an answer is no text.
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    /** Sends the node a heartbeat; returns the node's own, with which it answers. */
+    TRelayHeartbeat exchange(TRelayHeartbeat heartbeat) throws Exception {
+        String answer = tell(new TSerializer(new TCompactProtocol.Factory()).serialize(heartbeat));
+        if (!answer.startsWith("HTTP/1.1 200")) {
+            throw new AssertionError("the heartbeat was not taken: " + answer);
         }
+        TRelayHeartbeat own = new TRelayHeartbeat();
+        byte[] body = answer.substring(answer.indexOf("\r\n\r\n") + 4).getBytes(StandardCharsets.ISO_8859_1);
+        new TDeserializer(new TCompactProtocol.Factory()).deserialize(own, body);
+        return own;
     }
 
     String readiness() throws IOException {
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayNodeTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayNodeTest.java
@@ -8,11 +8,14 @@
 
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
+import org.apricotdeal.kernel.id.FailureDomainId;
+import org.apricotdeal.relay.peer.PlannerChoice;
 import org.apricotdeal.standins.users.UsersStoreStandin;
 import org.apricotdeal.standins.users.UsersWorkerStandin;
 import org.apricotdeal.wire.gen.TRelayHeartbeat;
 import org.apricotdeal.wire.gen.TRelayNode;
 import org.apricotdeal.wire.gen.TRelayVmEntry;
+import org.apricotdeal.wire.gen.TRelayVmNews;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 
@@ -246,6 +249,36 @@
                 1, () -> fleet.call("POST", "/book/x", "r2", RelayFleet.KEY).startsWith("HTTP/1.1 503"));
     }
 
+    /** Guards against a node that others hold for one that follows the store, and get to the newest catalogue late. */
+    @Test
+    public void nodeThatGoesByItsDelegateStillSaysThatTheStoreTurnsItAway() throws Exception {
+        start(1, 1);
+        fleet.store.setMode(UsersStoreStandin.Mode.BUSY);
+        TRelayHeartbeat heartbeat =
+                new TRelayHeartbeat(new TRelayNode(delegateBefore("n1"), "a", "127.0.0.1:9", 1), 3, List.of());
+        heartbeat.setVmRevision(FAR_REVISION);
+        heartbeat.setVmAgeMillis(0);
+        heartbeat.setVmNews(new TRelayVmNews(FAR_REVISION, List.of()));
+        TRelayHeartbeat own = fleet.exchange(heartbeat);
+        for (int beat = 0; beat < 15; beat++) {
+            RelayFleet.pause(200);
+            own = fleet.exchange(heartbeat);
+        }
+        assertTrue(own.isStoreAway(), own.toString());
+    }
+
+    /** Returns the name of a node that is asked before another one of the same failure domain. */
+    private static String delegateBefore(String node) {
+        FailureDomainId domain = new FailureDomainId("a");
+        for (int i = 0; ; i++) {
+            List<PlannerChoice.Candidate> both =
+                    List.of(new PlannerChoice.Candidate(node, domain), new PlannerChoice.Candidate("p" + i, domain));
+            if (PlannerChoice.planner(domain, both).orElseThrow().equals("p" + i)) {
+                return "p" + i;
+            }
+        }
+    }
+
     /** A heartbeat that cannot be read is refused at once, and the next one is taken. */
     @Test
     public void unreadableHeartbeatIsRefused() throws Exception {
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -196,7 +196,7 @@
         heartbeat.setScope(scope);
         heartbeat.setVmRevision(vms.revision());
         heartbeat.setVmAgeMillis((int) Math.min(Integer.MAX_VALUE, vms.ageMillis()));
-        heartbeat.setStoreAway(vms.isAway());
+        heartbeat.setStoreAway(vms.isAway() || catalogueWatcher.isAway());
         heartbeat.setStopping(fleet.isStopping());
         long nowMillis = clock.monotonicMillis();
         fleet.seenOfLate()
