Make room only for a model that refuses callers, and load idle VMs that lose nothing by it

The first two replicas of the small model were closed at 0.5 s, before any loss.

Cause: making room compared the two models only with each other. The large model had 72 slots for 16 wanted ones then; at 8 s it had six replicas again and the small one 8 of 12. Second: nine idle VMs held the large model's weights only, each alone in its fabric domain, while the small model refused; the rule that protects spares also held for VMs that were members of a large replica before and lose nothing by a load.

Change: ModelDemand (formerly DemandShares) also says which models refuse more than 5 % of what is asked of them; only for these is room made. A VM whose last replica's model stays with it may be loaded with the other one at any time; loads for idle VMs leave one for VMs without weights.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ModelBalanceTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ModelBalanceTest.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.apricotdeal.relay.model.ModelId;
+import org.apricotdeal.relay.policy.ModelDemand;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -16,6 +18,8 @@
  * have to go back together, as their shares of the work are equal.
  */
 public final class ModelBalanceTest {
+    private static final ModelId LARGE = new ModelId("m0");
+    private static final ModelId SMALL = new ModelId("m1");
     private static final int SEEDS = 20;
     private static final long START_MILLIS = 19_000;
     private static final long LOSS_EACH_MILLIS = 5_000;
@@ -84,7 +88,7 @@
     @Test
     public void replicasFollowTheDemand() {
         SimFleet fleet = started(2, SimFleet.Shape.SMALL);
-        fleet.shares = Map.of(new ModelId("m0"), 0.8, new ModelId("m1"), 0.2);
+        fleet.demand = new ModelDemand(Map.of(LARGE, 0.8, SMALL, 0.2), Set.of(LARGE));
         fleet.run(2 * END_MILLIS);
         assertTrue(fleet.serving("m0") > 3, fleet.describe());
         assertTrue(fleet.serving("m1") >= 1, fleet.describe());
@@ -93,6 +97,15 @@
         assertEquals(fleet.closes(), closes, "replicas given up while nothing changes");
     }
 
+    /** A replica is not closed for a model whose callers are all served. */
+    @Test
+    public void modelThatRefusesNobodyTakesNoReplica() {
+        SimFleet fleet = started(2, SimFleet.Shape.SMALL);
+        fleet.demand = new ModelDemand(Map.of(LARGE, 0.8, SMALL, 0.2), Set.of());
+        fleet.run(END_MILLIS);
+        assertEquals(fleet.closes(), 0);
+    }
+
     private static SimFleet started(long seed, SimFleet.Shape shape) {
         SimFleet fleet = new SimFleet(seed, shape);
         fleet.loadShare = LOAD_SHARE;
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/DemandSharesTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ModelDemandTest.java
@@ -3,15 +3,16 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.apricotdeal.kernel.id.UpstreamId;
 import org.apricotdeal.relay.model.EngineProfile;
 import org.apricotdeal.relay.model.ModelId;
 import org.apricotdeal.relay.model.Repeatability;
-import org.apricotdeal.relay.policy.DemandShares;
 import org.apricotdeal.relay.policy.LineDemand;
 import org.apricotdeal.relay.policy.LineId;
+import org.apricotdeal.relay.policy.ModelDemand;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -19,7 +20,7 @@
 import static org.testng.Assert.assertTrue;
 
 /** VMs are divided between models by what callers ask for, whether it is served or refused. */
-public final class DemandSharesTest {
+public final class ModelDemandTest {
     private static final UpstreamId UPSTREAM = new UpstreamId("chat");
     private static final ModelId LARGE = new ModelId("m0");
     private static final ModelId SMALL = new ModelId("m1");
@@ -58,13 +59,14 @@
         demand.put(line(LARGE), demand(counted / 2, large));
         demand.put(line(SMALL), demand(counted / 2, small));
         EngineProfile engine = SimFleet.Shape.SMALL.engine();
-        assertEquals(DemandShares.of(UPSTREAM, engine, demand).get(LARGE), share, 0.001);
+        assertEquals(ModelDemand.of(UPSTREAM, engine, demand).shares().get(LARGE), share, 0.001);
     }
 
     @Test
     public void nothingKnownLeavesTheConfiguredShares() {
-        Map<ModelId, Double> shares = DemandShares.of(UPSTREAM, SimFleet.Shape.SMALL.engine(), Map.of());
-        assertEquals(shares, Map.of(LARGE, 0.5, SMALL, 0.5));
+        ModelDemand demand = ModelDemand.of(UPSTREAM, SimFleet.Shape.SMALL.engine(), Map.of());
+        assertEquals(demand.shares(), Map.of(LARGE, 0.5, SMALL, 0.5));
+        assertEquals(demand.refusing(), Set.of());
     }
 
     /** Callers who are refused count once, however often they come back. */
@@ -81,6 +83,16 @@
         assertTrue(demand.refusedPerSecond().get(1) > 1, demand.toString());
     }
 
+    /** Single refusals, as with every loss, do not make a model short. */
+    @Test
+    public void modelIsShortWhereMoreThanAFewAreRefused() {
+        Map<LineId, LineDemand> demand = new HashMap<>();
+        demand.put(line(LARGE), new LineDemand(MANY, 10, new TreeMap<>(Map.of(1, 0.4)), 1_000, 100, 0));
+        demand.put(line(SMALL), new LineDemand(MANY, 10, new TreeMap<>(Map.of(0, 0.4, 2, 0.4)), 1_000, 100, 0));
+        EngineProfile engine = SimFleet.Shape.SMALL.engine();
+        assertEquals(ModelDemand.of(UPSTREAM, engine, demand).refusing(), Set.of(SMALL));
+    }
+
     private static LineId line(ModelId model) {
         return new LineId(UPSTREAM, Optional.of(model));
     }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
@@ -20,6 +20,7 @@
 import org.apricotdeal.relay.model.ModelId;
 import org.apricotdeal.relay.model.ModelSpec;
 import org.apricotdeal.relay.model.UpstreamVm;
+import org.apricotdeal.relay.policy.ModelDemand;
 import org.apricotdeal.relay.policy.PlannedOrder;
 import org.apricotdeal.relay.policy.ReplicaPlanner;
 import org.apricotdeal.relay.policy.VmCensus;
@@ -79,7 +80,9 @@
     double oldEntries;
     boolean beforeTraffic;
     double loadShare = 1;
-    Map<ModelId, Double> shares = Map.of();
+    /** Callers ask for the configured shares, and some are refused at each model. */
+    ModelDemand demand = new ModelDemand(Map.of(), Set.of(new ModelId("m0"), new ModelId("m1")));
+
     private long loadsBegun;
     private long closes;
     private final Shape shape;
@@ -316,7 +319,7 @@
                 .sorted(Comparator.comparing(UpstreamVm::id))
                 .toList();
         List<PlannedOrder> orders = planning.planner.plan(new ReplicaPlanner.Turn(
-                nowMillis, nowMillis, shape.engine(), known, lost, beforeTraffic, loadShare, shares, Map.of()));
+                nowMillis, nowMillis, shape.engine(), known, lost, beforeTraffic, loadShare, demand, Map.of()));
         VmCensus census = planning.planner.census().ofVms();
         int served = census.count(VmOccupation.SERVING) + census.count(VmOccupation.AWAY);
         if (census.stranded() + served != known.size()) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -24,9 +24,9 @@
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.model.VmReport;
 import org.apricotdeal.relay.peer.PlannerChoice;
-import org.apricotdeal.relay.policy.DemandShares;
 import org.apricotdeal.relay.policy.LineDemand;
 import org.apricotdeal.relay.policy.LineId;
+import org.apricotdeal.relay.policy.ModelDemand;
 import org.apricotdeal.relay.policy.PlannedOrder;
 import org.apricotdeal.relay.policy.RelayEvent;
 import org.apricotdeal.relay.policy.ReplicaPlanner;
@@ -415,8 +415,8 @@
         Set<VmId> lost = new HashSet<>();
         vms.stream().map(UpstreamVm::id).filter(table::isSilent).forEach(lost::add);
         boolean beforeTraffic = settings.firstStart() && nowMillis - startedMillis < START_MILLIS;
-        Map<LineId, LineDemand> demand = relay.demand();
-        Map<ModelId, Double> shares = beforeTraffic ? Map.of() : DemandShares.of(upstream.id(), engine, demand);
+        Map<LineId, LineDemand> lines = relay.demand();
+        ModelDemand demand = beforeTraffic ? ModelDemand.UNKNOWN : ModelDemand.of(upstream.id(), engine, lines);
         List<PlannedOrder> planned = planner.plan(new ReplicaPlanner.Turn(
                 nowMillis,
                 clock.wallMillis(),
@@ -425,11 +425,11 @@
                 lost,
                 beforeTraffic,
                 1.0 / Math.max(1, settings.failureDomains().size()),
-                shares,
+                demand,
                 beforeTraffic ? Map.of() : servingElsewhere(key)));
         planned.forEach(order -> send(key, order));
         censuses.note(nowMillis, key, planner);
-        censuses.noteDemand(nowMillis, key, demand, shares);
+        censuses.noteDemand(nowMillis, key, lines, demand.shares());
         planner.uncounted().forEach(vm -> ask(vm, REPORT_PERIOD_MILLIS));
         if (!beforeTraffic) {
             planner.watched().forEach(vm -> ask(vm, REPORT_PERIOD_MILLIS));
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -92,7 +92,7 @@
      * @param lost VMs that are listed and do not answer
      * @param beforeTraffic true while the fleet starts and loads are short
      * @param loadShare this planner's part of the weight store's rate and concurrency, 0 to 1
-     * @param shares the models' shares of the VMs
+     * @param demand what callers ask of the models
      * @param elsewhere replicas that serve the same requests from other failure domains, by model
      */
     public record Turn(
@@ -103,7 +103,7 @@
             Set<VmId> lost,
             boolean beforeTraffic,
             double loadShare,
-            Map<ModelId, Double> shares,
+            ModelDemand demand,
             Map<ModelId, Integer> elsewhere) {}
 
     /**
@@ -189,7 +189,8 @@
         staging.beginTurn(now);
         List<Formation> formations = Formations.of(now.vms(), now.engine());
         List<Formation> kept = formations.stream().filter(this::keep).toList();
-        ModelBalance balance = new ModelBalance(now.engine().models(), now.shares(), now.elsewhere());
+        ModelBalance balance =
+                new ModelBalance(now.engine().models(), now.demand().shares(), now.elsewhere());
         kept.forEach(formation -> balance.add(formation.model()));
         forgetGone(formations);
         countUnseen(formations, balance);
@@ -345,6 +346,9 @@
     /** Closes replicas of models that are better off where that makes a replica of the model furthest below its share. */
     private void preempt(Map<FabricDomainId, List<UpstreamVm>> free, List<Formation> kept, ModelBalance balance) {
         ModelSpec model = balance.byDeficit().getFirst();
+        if (!turn.demand().refusing().contains(model.id())) {
+            return;
+        }
         Set<FabricDomainId> fabrics = new TreeSet<>(free.keySet());
         kept.forEach(formation -> formation.members().getFirst().fabricDomain().ifPresent(fabrics::add));
         List<Formation> best = List.of();
--- a/relay/src/main/java/org/apricotdeal/relay/policy/WeightStaging.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/WeightStaging.java
@@ -93,9 +93,9 @@
 
     /** Chooses the next load of so many; nothing where none is useful or the weight store's rate does not allow one. */
     Optional<Choice> next(Situation now, int freeLoads) {
-        Optional<Choice> choice = blank(now).or(() -> idle(now));
+        Optional<Choice> choice = blank(now);
         if (choice.isEmpty() && (now.turn().beforeTraffic() || freeLoads > RESERVED_LOADS)) {
-            choice = reserve(now);
+            choice = idle(now).or(() -> reserve(now));
         }
         boolean allowed = choice.isPresent()
                 && (now.turn().beforeTraffic()
@@ -162,14 +162,14 @@
                 + others.stream()
                         .filter(other -> isIdle(now, other) && !other.holds(model.id()) && !isLoading(other))
                         .count();
-        return have > 0 && missing > 0 && missing <= candidates && isFurtherBelow(now, model, vm);
+        return have > 0 && missing > 0 && missing <= candidates && isWorthMore(now, model, vm);
     }
 
-    /** Spares of a model are not spent on another one that is hardly worse off. */
-    private boolean isFurtherBelow(Situation now, ModelSpec model, UpstreamVm vm) {
-        return now.turn().engine().models().stream()
-                .filter(own -> vm.holds(own.id()))
-                .allMatch(own -> now.balance().staysBehind(model, Map.of(own.id(), 1)));
+    /** Weights that the VM would lose are not given for a model that is hardly worse off than theirs. */
+    private boolean isWorthMore(Situation now, ModelSpec model, UpstreamVm vm) {
+        return vm.staged().stream()
+                .filter(lost -> !vm.loaded().equals(Optional.of(lost)))
+                .allMatch(lost -> now.balance().staysBehind(model, Map.of(lost, 1)));
     }
 
     private Optional<Choice> reserve(Situation now) {
