Keep weights of both models at hand, and do not spend on one model what the one further behind is about to use

Survivors of a large replica held its weights only, so three of them waited for a fourth; loads for reserves took the weight store's time in traffic.

Change: before traffic members of large replicas get the small model's weights too, so survivors serve the small model at once; under load, reserves are for larger replicas only. What the model furthest behind can use now or shortly in a fabric domain is formed first, then room is made, then the rest is formed of what is not awaited. At a tie the model with the larger replicas goes first, as it does in byDeficit, so nothing goes back and forth.

ModelBalanceTest and ReplicaPlannerTest: 126 run, none failed.

--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -335,12 +335,21 @@
             awaitsLoads = true;
             return;
         }
-        Map<FabricDomainId, List<UpstreamVm>> left = new TreeMap<>();
-        free.forEach((fabric, vms) -> left.put(fabric, formIn(vms, balance)));
-        if (!turn.beforeTraffic()) {
-            formAcross(left.values().stream().flatMap(List::stream).toList(), balance);
-            preempt(left, kept, balance);
+        if (turn.beforeTraffic()) {
+            free.values().forEach(vms -> formIn(vms, turn.engine().models(), balance));
+            return;
         }
+        // What the model furthest below its share can use now or shortly is not spent on another one.
+        free.values().forEach(vms -> formIn(vms, List.of(balance.byDeficit().getFirst()), balance));
+        preempt(free, kept, balance);
+        ModelSpec behind = balance.byDeficit().getFirst();
+        free.forEach((fabric, vms) -> {
+            if (turn.demand().refusing().contains(behind.id()) && isAwaited(fabric, behind)) {
+                vms.removeIf(vm -> vm.holds(behind.id()));
+            }
+            formIn(vms, turn.engine().models(), balance);
+        });
+        formAcross(free.values().stream().flatMap(List::stream).toList(), balance);
     }
 
     /** Closes replicas of models that are better off where that makes a replica of the model furthest below its share. */
@@ -423,29 +432,27 @@
         return released.contains(id) && !headed.contains(id);
     }
 
-    /** Forms what replicas it can within a fabric domain; returns the VMs left over. */
-    private List<UpstreamVm> formIn(List<UpstreamVm> free, ModelBalance balance) {
-        List<UpstreamVm> left = new ArrayList<>(free);
+    /** Forms what replicas of some models it can within a fabric domain, and takes their members from the free VMs. */
+    private void formIn(List<UpstreamVm> free, List<ModelSpec> models, ModelBalance balance) {
         boolean formed = true;
         while (formed) {
             formed = false;
             for (ModelSpec model : balance.byDeficit()) {
-                List<UpstreamVm> members = members(left, model);
-                if (members.size() < model.size() || !leavesRoom(left, model)) {
+                List<UpstreamVm> members = models.contains(model) ? members(free, model) : List.of();
+                if (members.size() < model.size() || !leavesRoom(free, model)) {
                     continue;
                 }
                 if (!mayLoad(members, model)) {
                     awaitsLoads = true;
-                    return left;
+                    return;
                 }
                 join(model, members);
-                left.removeAll(members);
+                free.removeAll(members);
                 balance.add(model.id());
                 formed = true;
                 break;
             }
         }
-        return left;
     }
 
     private boolean leavesRoom(List<UpstreamVm> free, ModelSpec model) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/WeightStaging.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/WeightStaging.java
@@ -173,21 +173,28 @@
     }
 
     private Optional<Choice> reserve(Situation now) {
-        for (UpstreamVm vm : now.turn().vms()) {
-            ModelId place = now.places().get(vm.id());
-            if (place == null || !now.serving().test(vm) || !mayLoad(now, vm)) {
-                continue;
-            }
-            int size = now.turn().engine().model(place).orElseThrow().size();
-            for (ModelSpec larger : now.turn().engine().models()) {
-                if (larger.size() > size && !vm.holds(larger.id()) && reserves(now, vm, larger) < larger.size()) {
-                    return Optional.of(new Choice(vm, larger, "reserve"));
+        List<ModelSpec> largestFirst = now.turn().engine().models().stream()
+                .sorted(Comparator.comparingInt(ModelSpec::size).reversed())
+                .toList();
+        for (ModelSpec model : largestFirst) {
+            for (UpstreamVm vm : now.turn().vms()) {
+                if (now.serving().test(vm)
+                        && mayReserve(now, vm, model)
+                        && mayLoad(now, vm)
+                        && reserves(now, vm, model) < largestFirst.getFirst().size()) {
+                    return Optional.of(new Choice(vm, model, "reserve"));
                 }
             }
         }
         return Optional.empty();
     }
 
+    /** Under load, reserves are for larger replicas only: any two survivors make a small one. */
+    private static boolean mayReserve(Situation now, UpstreamVm vm, ModelSpec model) {
+        ModelSpec own = now.turn().engine().model(now.places().get(vm.id())).orElseThrow();
+        return !vm.holds(model.id()) && !own.equals(model) && (now.turn().beforeTraffic() || model.size() > own.size());
+    }
+
     private long reserves(Situation now, UpstreamVm vm, ModelSpec model) {
         return neighbours(now, vm).stream()
                 .filter(other -> !model.id().equals(now.places().get(other.id())))
