Take members of a replica over fabric domains from the free VMs, and form one where a failure domain has none

Found by reading: formAcross no longer took its members from the free VMs, so that two models could be given the same VM in one turn and half of a replica was ordered; and with replicas counted over the fleet it formed none where another failure domain had one. SimFleet now asserts that all members of a new replica are ordered to join in the same turn; ReplicaPlannerTest failed with it on (1 order for a replica of two) and passes now, 126 run.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
@@ -9,6 +9,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -100,6 +101,7 @@
         private final ReplicaPlanner planner;
         private final VmTable table = new VmTable();
         private final List<Runnable> replies = new ArrayList<>();
+        private final Set<Long> joined = new HashSet<>();
 
         Planning(int number) {
             planner = new ReplicaPlanner("p" + number, STALL_MILLIS);
@@ -325,12 +327,27 @@
         if (census.stranded() + served != known.size()) {
             throw new AssertionError("at " + nowMillis + ": " + census + " does not count " + known.size() + " VMs");
         }
+        checkWholeJoins(planning, orders);
         orders.forEach(order -> send(planning, order));
         Set<VmId> asked = new HashSet<>(planning.planner.uncounted());
         asked.addAll(planning.planner.watched());
         asked.forEach(id -> ask(planning, id));
     }
 
+    /** All members of a new replica are ordered to join in the same turn. */
+    private void checkWholeJoins(Planning planning, List<PlannedOrder> orders) {
+        Map<ReplicaOrder.Join, Long> joins = orders.stream()
+                .map(PlannedOrder::order)
+                .filter(ReplicaOrder.Join.class::isInstance)
+                .map(ReplicaOrder.Join.class::cast)
+                .collect(Collectors.groupingBy(join -> join, Collectors.counting()));
+        joins.forEach((join, count) -> {
+            if (planning.joined.add(join.number()) && count != join.members().size()) {
+                throw new AssertionError("at " + nowMillis + ": " + count + " orders for " + join);
+            }
+        });
+    }
+
     /** Entries come in steps, and each may be half a second old. */
     private void learn(Planning planning) {
         for (SimVm vm : vms.values()) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ModelBalance.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ModelBalance.java
@@ -12,6 +12,7 @@
 final class ModelBalance {
     private final List<ModelSpec> models;
     private final Map<ModelId, Double> shares;
+    private final Map<ModelId, Integer> elsewhere;
     private final Map<ModelId, Integer> counts = new HashMap<>();
 
     /**
@@ -24,13 +25,14 @@
     ModelBalance(List<ModelSpec> models, Map<ModelId, Double> shares, Map<ModelId, Integer> elsewhere) {
         this.models = models;
         this.shares = shares;
-        counts.putAll(elsewhere);
+        this.elsewhere = elsewhere;
     }
 
     void add(ModelId model) {
         counts.merge(model, 1, Integer::sum);
     }
 
+    /** Returns the replicas of the own failure domain. */
     int count(ModelId model) {
         return counts.getOrDefault(model, 0);
     }
@@ -46,7 +48,8 @@
     /** Returns a model's VMs against its share, with so many replicas fewer. */
     double fill(ModelSpec model, int fewer) {
         double share = Math.max(shares.getOrDefault(model.id(), model.share()), Double.MIN_NORMAL);
-        return (count(model.id()) - fewer) * model.size() / share;
+        int all = count(model.id()) + elsewhere.getOrDefault(model.id(), 0);
+        return (all - fewer) * model.size() / share;
     }
 
     /** Tells whether a model still comes first in {@link #byDeficit} after others have given up replicas for it. */
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -349,7 +349,9 @@
             }
             formIn(vms, turn.engine().models(), balance);
         });
-        formAcross(free.values().stream().flatMap(List::stream).toList(), balance);
+        List<UpstreamVm> left = new ArrayList<>();
+        free.values().forEach(left::addAll);
+        formAcross(left, balance);
     }
 
     /** Closes replicas of models that are better off where that makes a replica of the model furthest below its share. */
@@ -402,12 +404,13 @@
         return soon >= model.size();
     }
 
-    /** Lets a replica span fabric domains where its model would have none otherwise: slow, but better than none. */
+    /** Lets a replica span fabric domains where the failure domain would have none otherwise: slow, but better than none. */
     private void formAcross(List<UpstreamVm> free, ModelBalance balance) {
         for (ModelSpec model : turn.engine().models()) {
             List<UpstreamVm> members = members(free, model);
             if (balance.count(model.id()) == 0 && members.size() == model.size()) {
                 join(model, members);
+                free.removeAll(members);
                 balance.add(model.id());
             }
         }
