--- a/relay/src/main/java/org/apricotdeal/relay/policy/WeightStaging.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/WeightStaging.java
@@ -13,13 +13,13 @@
 import org.apricotdeal.relay.model.UpstreamVm;
 
 /**
- * Chooses which weights are loaded onto which hosts, beside what their VMs do. A VM remembers the model of its last replica without
- * its host, so a member of a replica can hold a second model.
+ * Chooses which weights are loaded onto which hosts, beside what their VMs do. A VM keeps the model of its last replica beside
+ * what lies on its host, so a member of a replica can hold a second model.
  *
- * <p>First come VMs without weights: they get those of the model that is furthest below its share and lacks the smallest
- * part of a replica in their fabric domain. Then idle VMs that complete a replica of a model further below its share than theirs.
- * Last, members of smaller replicas get the weights of larger ones as a reserve, so that a large replica that loses members
- * needs no load; before the first request that costs next to nothing.
+ * <p>First come VMs without weights: they get those of the model that is furthest below its share and lacks the smallest part of a
+ * replica in their fabric domain. Then idle VMs that complete a replica of a model further below its share than theirs. Last,
+ * members of replicas get another model's weights as a reserve, so that replicas are formed of survivors without a load: before the first
+ * request, when loads are short and free, those of each model, later those of larger replicas only.
  */
 final class WeightStaging {
     /** Loads that are kept for VMs that serve nobody, as one under way cannot be ended. */
