Take back: weights of both models at hand before traffic, and the order of a turn

Cause: a host keeps one model.

ModelBalanceTest, ReplicaPlannerTest, ModelDemandTest, UsersOrdersTest: 137 run, none failed.

--- a/relay/src/main/java/org/apricotdeal/relay/policy/ModelBalance.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ModelBalance.java
@@ -52,13 +52,12 @@
         return (all - fewer) * model.size() / share;
     }
 
-    /** Tells whether a model still comes first in {@link #byDeficit} after others have given up replicas for it. */
+    /** Tells whether a model is still the one further below its share after others have given up replicas for it. */
     boolean staysBehind(ModelSpec model, Map<ModelId, Integer> givenUp) {
         double fill = fill(model, 0);
         for (ModelSpec giver : models) {
             int fewer = givenUp.getOrDefault(giver.id(), 0);
-            double left = fill(giver, fewer);
-            if (fewer > 0 && (left < fill || (left == fill && giver.size() >= model.size()))) {
+            if (fewer > 0 && fill(giver, fewer) <= fill) {
                 return false;
             }
         }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -335,23 +335,15 @@
             awaitsLoads = true;
             return;
         }
-        if (turn.beforeTraffic()) {
-            free.values().forEach(vms -> formIn(vms, turn.engine().models(), balance));
-            return;
+        Map<FabricDomainId, List<UpstreamVm>> left = new TreeMap<>();
+        free.forEach((fabric, vms) -> left.put(fabric, formIn(vms, balance)));
+        if (!turn.beforeTraffic()) {
+            List<UpstreamVm> all = new ArrayList<>();
+            left.values().forEach(all::addAll);
+            formAcross(all, balance);
+            left.values().forEach(vms -> vms.retainAll(all));
+            preempt(left, kept, balance);
         }
-        // What the model furthest below its share can use now or shortly is not spent on another one.
-        free.values().forEach(vms -> formIn(vms, List.of(balance.byDeficit().getFirst()), balance));
-        preempt(free, kept, balance);
-        ModelSpec behind = balance.byDeficit().getFirst();
-        free.forEach((fabric, vms) -> {
-            if (turn.demand().refusing().contains(behind.id()) && isAwaited(fabric, behind)) {
-                vms.removeIf(vm -> vm.holds(behind.id()));
-            }
-            formIn(vms, turn.engine().models(), balance);
-        });
-        List<UpstreamVm> left = new ArrayList<>();
-        free.values().forEach(left::addAll);
-        formAcross(left, balance);
     }
 
     /** Closes replicas of models that are better off where that makes a replica of the model furthest below its share. */
@@ -435,27 +427,29 @@
         return released.contains(id) && !headed.contains(id);
     }
 
-    /** Forms what replicas of some models it can within a fabric domain, and takes their members from the free VMs. */
-    private void formIn(List<UpstreamVm> free, List<ModelSpec> models, ModelBalance balance) {
+    /** Forms what replicas it can within a fabric domain; returns the VMs left over. */
+    private List<UpstreamVm> formIn(List<UpstreamVm> free, ModelBalance balance) {
+        List<UpstreamVm> left = new ArrayList<>(free);
         boolean formed = true;
         while (formed) {
             formed = false;
             for (ModelSpec model : balance.byDeficit()) {
-                List<UpstreamVm> members = models.contains(model) ? members(free, model) : List.of();
-                if (members.size() < model.size() || !leavesRoom(free, model)) {
+                List<UpstreamVm> members = members(left, model);
+                if (members.size() < model.size() || !leavesRoom(left, model)) {
                     continue;
                 }
                 if (!mayLoad(members, model)) {
                     awaitsLoads = true;
-                    return;
+                    return left;
                 }
                 join(model, members);
-                free.removeAll(members);
+                left.removeAll(members);
                 balance.add(model.id());
                 formed = true;
                 break;
             }
         }
+        return left;
     }
 
     private boolean leavesRoom(List<UpstreamVm> free, ModelSpec model) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/WeightStaging.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/WeightStaging.java
@@ -13,13 +13,13 @@
 import org.apricotdeal.relay.model.UpstreamVm;
 
 /**
- * Chooses which weights are loaded onto which hosts, beside what their VMs do. A VM keeps the model of its last replica beside
- * what lies on its host, so a member of a replica can hold a second model.
+ * Chooses which weights are loaded onto which hosts, beside what their VMs do. A VM remembers the model of its last replica without
+ * its host, so a member of a replica can hold a second model.
  *
- * <p>First come VMs without weights: they get those of the model that is furthest below its share and lacks the smallest part of a
- * replica in their fabric domain. Then idle VMs that complete a replica of a model further below its share than theirs. Last,
- * members of replicas get another model's weights as a reserve, so that replicas are formed of survivors without a load: before the first
- * request, when loads are short and free, those of each model, later those of larger replicas only.
+ * <p>First come VMs without weights: they get those of the model that is furthest below its share and lacks the smallest
+ * part of a replica in their fabric domain. Then idle VMs that complete a replica of a model further below its share than theirs.
+ * Last, members of smaller replicas get the weights of larger ones as a reserve, so that a large replica that loses members
+ * needs no load; before the first request that costs next to nothing.
  */
 final class WeightStaging {
     /** Loads that are kept for VMs that serve nobody, as one under way cannot be ended. */
@@ -173,28 +173,21 @@
     }
 
     private Optional<Choice> reserve(Situation now) {
-        List<ModelSpec> largestFirst = now.turn().engine().models().stream()
-                .sorted(Comparator.comparingInt(ModelSpec::size).reversed())
-                .toList();
-        for (ModelSpec model : largestFirst) {
-            for (UpstreamVm vm : now.turn().vms()) {
-                if (now.serving().test(vm)
-                        && mayReserve(now, vm, model)
-                        && mayLoad(now, vm)
-                        && reserves(now, vm, model) < largestFirst.getFirst().size()) {
-                    return Optional.of(new Choice(vm, model, "reserve"));
+        for (UpstreamVm vm : now.turn().vms()) {
+            ModelId place = now.places().get(vm.id());
+            if (place == null || !now.serving().test(vm) || !mayLoad(now, vm)) {
+                continue;
+            }
+            int size = now.turn().engine().model(place).orElseThrow().size();
+            for (ModelSpec larger : now.turn().engine().models()) {
+                if (larger.size() > size && !vm.holds(larger.id()) && reserves(now, vm, larger) < larger.size()) {
+                    return Optional.of(new Choice(vm, larger, "reserve"));
                 }
             }
         }
         return Optional.empty();
     }
 
-    /** Under load, reserves are for larger replicas only: any two survivors make a small one. */
-    private static boolean mayReserve(Situation now, UpstreamVm vm, ModelSpec model) {
-        ModelSpec own = now.turn().engine().model(now.places().get(vm.id())).orElseThrow();
-        return !vm.holds(model.id()) && !own.equals(model) && (now.turn().beforeTraffic() || model.size() > own.size());
-    }
-
     private long reserves(Situation now, UpstreamVm vm, ModelSpec model) {
         return neighbours(now, vm).stream()
                 .filter(other -> !model.id().equals(now.places().get(other.id())))
