Log which parts a failed attempt's prompt had, and whether its answer had begun

Cause: after a crash the logs could not tell a request that crashed the VM from those lost with it. Change: the parts of a prompt are read from the header that lists them; attempt_failed names those that other requests may share, and the time since the first event of the answer.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ReturningCallersTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ReturningCallersTest.java
@@ -131,6 +131,7 @@
                 template.id(),
                 template.queue(),
                 template.route(),
+                template.sharedParts(),
                 template.customer(),
                 template.priority(),
                 replay.relay.nowMillis,
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimPlacement.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimPlacement.java
@@ -173,6 +173,7 @@
                 new ExchangeId(++lastId),
                 QUEUE,
                 route,
+                List.of(),
                 "customer",
                 1,
                 nowMillis,
--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
@@ -12,6 +13,7 @@
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.model.Customer;
 import org.apricotdeal.relay.model.ModelId;
+import org.apricotdeal.relay.model.PromptPartId;
 import org.apricotdeal.relay.model.RelayCatalogue;
 import org.apricotdeal.relay.model.RouteEntry;
 import org.apricotdeal.relay.model.UpstreamEntry;
@@ -19,6 +21,7 @@
 import org.apricotdeal.relay.policy.ExchangeId;
 import org.apricotdeal.relay.policy.QueueId;
 import org.apricotdeal.relay.port.ExchangeHeaders;
+import org.apricotdeal.relay.port.PlatformAdapter;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpStatus;
@@ -36,6 +39,7 @@
     private static final String STOP_RETRY_SECONDS = "0.05";
 
     private final CatalogueHolder catalogues;
+    private final PlatformAdapter adapter;
     private final ExchangeHeaders headerNames;
     private final RelayDuty duty;
     private final Clock clock;
@@ -43,9 +47,10 @@
     private volatile boolean draining;
     private volatile long refuseFromMillis = Long.MAX_VALUE;
 
-    IngressHandler(CatalogueHolder catalogues, ExchangeHeaders headerNames, RelayDuty duty, Clock clock) {
+    IngressHandler(CatalogueHolder catalogues, PlatformAdapter adapter, RelayDuty duty, Clock clock) {
         this.catalogues = catalogues;
-        this.headerNames = headerNames;
+        this.adapter = adapter;
+        this.headerNames = adapter.headers();
         this.duty = duty;
         this.clock = clock;
     }
@@ -129,12 +134,18 @@
                 new ExchangeId(lastId.incrementAndGet()),
                 new QueueId(upstream, model),
                 route,
+                model.isEmpty() ? List.of() : sharedParts(request),
                 customer.map(Customer::name).orElse(""),
                 priority,
                 arrivedMillis,
                 arrivedMillis + waitMillis);
     }
 
+    private List<PromptPartId> sharedParts(Request request) {
+        String parts = request.getHeaders().get(headerNames.promptParts());
+        return parts == null ? List.of() : adapter.sharedPromptParts(parts);
+    }
+
     private long remainingMillis(Request request) {
         String text = request.getHeaders().get(headerNames.remainingMillis());
         if (text == null) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -180,6 +180,8 @@
                 .with("outcome", outcome)
                 .with("reason", reason)
                 .with("faultyVm", faultyAddress.orElse("-"))
+                .with("answeringMillis", attempt.answeringMillis())
+                .with("sharedParts", exchange.arrival().sharedParts())
                 .write();
         if (outcome == AttemptOutcome.NOT_RUN) {
             suspicionListener.suspect(attempt.target().members(), faultyAddress, "answered " + reason);
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -84,7 +84,7 @@
         CatalogueWatcher watcher = new CatalogueWatcher(store, adapter.codec(), catalogues, clock, log);
         storeThreads = List.of(watcher, vms, registration);
         heartbeats = new Heartbeats(self, client, relay, fleet, catalogues, watcher, vms, clock, log, metrics);
-        ingress = new IngressHandler(catalogues, adapter.headers(), relay, clock);
+        ingress = new IngressHandler(catalogues, adapter, relay, clock);
         server = new RelayServer(settings, threads, ingress, heartbeats, this::isReady, metrics, catalogues);
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -48,6 +48,7 @@
     private boolean streaming;
     private boolean foreignResponse;
     private int reservedBytes;
+    private volatile long firstEventMillis = -1;
 
     /** Receives the progress of an attempt, on client threads. */
     interface Listener {
@@ -106,6 +107,12 @@
         return id;
     }
 
+    /** Returns the time since the first complete event of the answer; -1 if there was none. */
+    long answeringMillis() {
+        long firstMillis = firstEventMillis;
+        return firstMillis < 0 ? -1 : clock.monotonicMillis() - firstMillis;
+    }
+
     void send(HttpClient client) {
         HostPort address = HostPort.parse(target.address());
         org.eclipse.jetty.server.Request incoming = exchange.request();
@@ -212,6 +219,9 @@
                 exchange.recordProgress(clock.monotonicMillis());
             }
             if (events != null && events.hasRemaining()) {
+                if (firstEventMillis < 0) {
+                    firstEventMillis = clock.monotonicMillis();
+                }
                 exchange.writeEvents(events, framer.lastId(), demandNext);
                 return;
             }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/Arrival.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/Arrival.java
@@ -1,5 +1,8 @@
 package org.apricotdeal.relay.policy;
 
+import java.util.List;
+
+import org.apricotdeal.relay.model.PromptPartId;
 import org.apricotdeal.relay.model.RouteEntry;
 
 /**
@@ -8,6 +11,7 @@
  * @param id exchange of the request
  * @param queue queue that the request waits in
  * @param route route that matched the request
+ * @param sharedParts parts of the prompt that other requests may have in common; empty for plain services
  * @param customer name of the customer; empty if none is required
  * @param priority priority of the request; 0 is the highest
  * @param arrivedMillis monotonic time at which the headers had been read
@@ -17,7 +21,13 @@
         ExchangeId id,
         QueueId queue,
         RouteEntry route,
+        List<PromptPartId> sharedParts,
         String customer,
         int priority,
         long arrivedMillis,
-        long deadlineMillis) {}
+        long deadlineMillis) {
+    /** Copies the list. */
+    public Arrival {
+        sharedParts = List.copyOf(sharedParts);
+    }
+}
--- a/relay/src/main/java/org/apricotdeal/relay/port/ExchangeHeaders.java
+++ b/relay/src/main/java/org/apricotdeal/relay/port/ExchangeHeaders.java
@@ -8,6 +8,7 @@
  * @param lastEventId id of the last stream event that the caller has received
  * @param model model that the request is for
  * @param tokenCounts number of prompt tokens and maximum number of response tokens
+ * @param promptParts parts of the prompt, in order
  * @param customer customer that owns the key
  * @param targetVm the only VM that may run the request
  * @param priority scheduling priority at the engine; 0 runs first
@@ -23,6 +24,7 @@
         String lastEventId,
         String model,
         String tokenCounts,
+        String promptParts,
         String customer,
         String targetVm,
         String priority,
--- a/relay/src/main/java/org/apricotdeal/relay/port/PlatformAdapter.java
+++ b/relay/src/main/java/org/apricotdeal/relay/port/PlatformAdapter.java
@@ -1,5 +1,8 @@
 package org.apricotdeal.relay.port;
 
+import java.util.List;
+
+import org.apricotdeal.relay.model.PromptPartId;
 import org.eclipse.jetty.client.HttpClient;
 
 /** Adapter for a platform, loaded by {@link java.util.ServiceLoader} and selected by name in the settings. */
@@ -18,6 +21,15 @@
      */
     ExchangeHeaders headers();
 
+    /**
+     * Parses the header that lists the parts of a prompt.
+     *
+     * @param header value of the header {@link ExchangeHeaders#promptParts}
+     * @return the parts that other requests may have in common; without the last one, which belongs to the request itself
+     * or to its session, and empty if the header is invalid
+     */
+    List<PromptPartId> sharedPromptParts(String header);
+
     /**
      * Returns the codec for the records in the platform's store.
      *
