--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/PoisonedFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/PoisonedFleet.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.function.BiPredicate;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -13,6 +15,7 @@
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.PromptPartId;
 import org.apricotdeal.relay.model.RetrySafety;
+import org.apricotdeal.relay.poison.CrashNews;
 import org.apricotdeal.relay.policy.Arrival;
 import org.apricotdeal.relay.policy.AttemptId;
 import org.apricotdeal.relay.policy.AttemptOutcome;
@@ -38,15 +41,19 @@
     private static final long RESTART_MILLIS = 3_000;
     private static final long CRASH_SEEN_MILLIS = 100;
     private static final long TICK_MILLIS = 25;
+    private static final long HEARTBEAT_MILLIS = 200;
     private static final int CRASHES_TO_LEARN = 5;
 
     private final UniformRandomProvider random;
-    private final BiPredicate<List<PromptPartId>, TargetId> deadly;
+    private final long seed;
+    private final List<FleetNode> fleet = new ArrayList<>();
+    private final BiPredicate<List<PromptPartId>, String> deadly;
     private final List<RelayDispatcher> nodes = new ArrayList<>();
     private final List<Replica> replicas = new ArrayList<>();
     private final Map<ExchangeId, Call> calls = new HashMap<>();
     private final PriorityQueue<Step> steps =
             new PriorityQueue<>(Comparator.comparingLong(Step::atMillis).thenComparingLong(Step::sequence));
+    private final Set<Integer> cutOff = new HashSet<>();
     private final List<Long> crashMillis = new ArrayList<>();
     private long nowMillis = 1_000;
     private long lastId;
@@ -61,6 +68,7 @@
         private final VmId vm;
         private final Map<AttemptId, Call> running = new HashMap<>();
         private long epoch = 1;
+        private String release = "v1";
         private boolean up = true;
 
         Replica(VmId vm) {
@@ -69,7 +77,13 @@
 
         Target target() {
             return new Target(
-                    new TargetId(vm, epoch), RelayFixture.QUEUE, vm + ":80", RelayFixture.HOME, SLOTS, List.of(vm));
+                    new TargetId(vm, epoch),
+                    RelayFixture.QUEUE,
+                    vm + ":80",
+                    release,
+                    RelayFixture.HOME,
+                    SLOTS,
+                    List.of(vm));
         }
     }
 
@@ -77,17 +91,15 @@
     static final class Call {
         final Arrival arrival;
         final int node;
-        final boolean isDeadly;
         AttemptId current;
         int sends;
-        boolean begun;
+        long begunMillis = -1;
         boolean refused;
         boolean failed;
 
-        Call(Arrival arrival, int node, boolean isDeadly) {
+        Call(Arrival arrival, int node) {
             this.arrival = arrival;
             this.node = node;
-            this.isDeadly = isDeadly;
         }
     }
 
@@ -97,23 +109,20 @@
      * @param nodeCount number of nodes
      * @param replicaCount number of replicas
      * @param seed seed of the nodes that requests arrive at and of the dispatchers
-     * @param deadly whether a request with the given parts crashes a target
+     * @param deadly whether a request with the given parts crashes a target of the given release
      */
-    PoisonedFleet(int nodeCount, int replicaCount, long seed, BiPredicate<List<PromptPartId>, TargetId> deadly) {
+    PoisonedFleet(int nodeCount, int replicaCount, long seed, BiPredicate<List<PromptPartId>, String> deadly) {
         this.random = RandomSource.SPLIT_MIX_64.create(seed);
         this.deadly = deadly;
         for (int i = 0; i < replicaCount; i++) {
             replicas.add(new Replica(new VmId("v" + i)));
         }
-        List<FleetNode> fleet = new ArrayList<>();
+        this.seed = seed;
         for (int i = 0; i < nodeCount; i++) {
             fleet.add(new FleetNode("n" + i, RelayFixture.HOME));
         }
-        for (FleetNode node : fleet) {
-            nodes.add(new RelayDispatcher(
-                    node,
-                    new RetryBudget(10_000, 0.2, 100, 1),
-                    RandomSource.SPLIT_MIX_64.create(seed * nodeCount + nodes.size())));
+        for (int i = 0; i < nodeCount; i++) {
+            nodes.add(newNode(i));
         }
         for (int i = 0; i < nodeCount; i++) {
             step(i, new RelayEvent.NodesChanged(fleet));
@@ -121,6 +130,13 @@
         announceTargets();
     }
 
+    private RelayDispatcher newNode(int index) {
+        return new RelayDispatcher(
+                fleet.get(index),
+                new RetryBudget(10_000, 0.2, 100, 1),
+                RandomSource.SPLIT_MIX_64.create(seed * fleet.size() + index));
+    }
+
     /** Returns the times of the crashes so far. */
     List<Long> crashMillis() {
         return List.copyOf(crashMillis);
@@ -153,8 +169,7 @@
                 1,
                 nowMillis,
                 nowMillis + RelayFixture.TIMEOUT_MILLIS);
-        Call call = new Call(
-                arrival, node, deadly.test(shared, replicas.getFirst().target().id()));
+        Call call = new Call(arrival, node);
         calls.put(arrival.id(), call);
         step(node, new RelayEvent.RequestArrived(arrival));
         return call;
@@ -172,14 +187,66 @@
                     step(i, new RelayEvent.Tick());
                 }
             }
+            if (nowMillis % HEARTBEAT_MILLIS == 0) {
+                exchangeNews();
+            }
         }
     }
 
+    /** Lets a replica run another release of the software, with a new epoch. */
+    void setRelease(int replica, String release) {
+        replicas.get(replica).release = release;
+        replicas.get(replica).epoch++;
+        announceTargets();
+    }
+
+    /** Replaces a node by one that knows nothing. */
+    void restart(int node) {
+        nodes.set(node, newNode(node));
+        step(node, new RelayEvent.NodesChanged(fleet));
+        announceTargets();
+    }
+
+    /** Returns the dispatcher of a node. */
+    RelayDispatcher node(int index) {
+        return nodes.get(index);
+    }
+
     /** Crashes a replica for a reason of its own. */
     void crash(int replica) {
         crash(replicas.get(replica));
     }
 
+    /** Exchanges news between the first node, as the delegate, and each other node, as heartbeats and their replies do. */
+    private void exchangeNews() {
+        for (int i = 1; i < nodes.size(); i++) {
+            if (!isCutOff(i) && !isCutOff(0)) {
+                passNews(i, 0);
+                passNews(0, i);
+            }
+        }
+    }
+
+    private void passNews(int from, int to) {
+        CrashNews news = nodes.get(from).crashNews();
+        if (news.digest() != nodes.get(to).crashNews().digest()) {
+            step(to, new RelayEvent.CrashNewsReceived(news));
+        }
+    }
+
+    private boolean isCutOff(int node) {
+        return cutOff.contains(node);
+    }
+
+    /** Cuts a node off from the others, or connects it again. */
+    void setCutOff(int node, boolean cut) {
+        if (cut) {
+            cutOff.add(node);
+        } else {
+            cutOff.remove(node);
+        }
+    }
+
     private void schedule(long delayMillis, Runnable action) {
         steps.add(new Step(nowMillis + delayMillis, ++lastStep, action));
     }
@@ -197,8 +264,9 @@
     private void reportProgress(int node) {
         for (Replica replica : replicas) {
             for (Call call : replica.running.values()) {
-                if (call.node == node && call.begun) {
+                if (call.node == node && call.begunMillis >= 0) {
                     nodes.get(node).recordProgress(nowMillis, call.arrival.id());
+                    nodes.get(node).recordAnswering(nowMillis, call.current, nowMillis - call.begunMillis);
                 }
             }
         }
@@ -221,12 +289,13 @@
         Call call = calls.get(send.id());
         call.current = send.attempt();
         call.sends++;
+        call.begunMillis = -1;
         Replica replica = replica(send.target().id());
         if (replica == null) {
             schedule(1, () -> fail(call, send.attempt(), AttemptOutcome.NOT_SENT));
             return;
         }
-        if (call.isDeadly
+        if (deadly.test(call.arrival.sharedParts(), replica.release)
                 && crashMillis.size() >= CRASHES_TO_LEARN
                 && nowMillis > crashMillis.get(CRASHES_TO_LEARN - 1) + CONTACT_MILLIS) {
             lateDeadlySends++;
@@ -248,11 +317,11 @@
         if (!replica.running.containsKey(attempt)) {
             return;
         }
-        if (deadly.test(call.arrival.sharedParts(), replica.target().id())) {
+        if (deadly.test(call.arrival.sharedParts(), replica.release)) {
             crash(replica);
             return;
         }
-        call.begun = true;
+        call.begunMillis = nowMillis;
         step(call.node, new RelayEvent.AnswerStarted(attempt));
         schedule(ANSWER_MILLIS, () -> {
             if (replica.running.remove(attempt) != null) {
@@ -266,7 +335,8 @@
         replica.up = false;
         Map<AttemptId, Call> lost = new HashMap<>(replica.running);
         replica.running.clear();
-        lost.forEach((attempt, call) -> fail(call, attempt, AttemptOutcome.BROKEN));
+        lost.forEach((attempt, call) ->
+                fail(call, attempt, call.begunMillis < 0 ? AttemptOutcome.LOST_BEFORE_ANSWER : AttemptOutcome.BROKEN));
         schedule(CRASH_SEEN_MILLIS, this::announceTargets);
         schedule(RESTART_MILLIS, () -> {
             replica.epoch++;
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayDispatcherTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayDispatcherTest.java
@@ -248,7 +248,7 @@
         RelayFixture relay = new RelayFixture();
         QueueId shop = new QueueId(new UpstreamId("shop"), Optional.empty());
         Target target = new Target(
-                new TargetId(new VmId("s1"), 1), shop, "s1:80", RelayFixture.HOME, 6, List.of(new VmId("s1")));
+                new TargetId(new VmId("s1"), 1), shop, "s1:80", "v1", RelayFixture.HOME, 6, List.of(new VmId("s1")));
         relay.setTargets(target);
         relay.step(new RelayEvent.RequestArrived(relay.arrival(shop, RetrySafety.ONCE, 1)));
         assertEquals(RelayFixture.actionsOfType(relay.advance(700), RelayAction.SuspectTarget.class), List.of());
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFixture.java
@@ -66,7 +66,7 @@
 
     static Target target(String vm, int slots) {
         VmId id = new VmId(vm);
-        return new Target(new TargetId(id, 1), QUEUE, vm + ":80", HOME, slots, List.of(id));
+        return new Target(new TargetId(id, 1), QUEUE, vm + ":80", "v1", HOME, slots, List.of(id));
     }
 
     static RouteEntry route(RetrySafety retrySafety, int maxAttempts) {
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ReplicaPlannerTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ReplicaPlannerTest.java
@@ -84,6 +84,7 @@
                 "v1:80",
                 new FailureDomainId("a"),
                 Optional.of(new FabricDomainId("f0")),
+                "v1",
                 12,
                 false,
                 1,
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimPlacement.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimPlacement.java
@@ -114,7 +114,7 @@
         List<Target> targets = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             VmId vm = new VmId("v" + i);
-            targets.add(new Target(new TargetId(vm, 1), QUEUE, vm + ":80", domain(i), SLOTS, List.of(vm)));
+            targets.add(new Target(new TargetId(vm, 1), QUEUE, vm + ":80", "v1", domain(i), SLOTS, List.of(vm)));
         }
         return targets;
     }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimVm.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimVm.java
@@ -79,6 +79,7 @@
                 id + ":80",
                 new FailureDomainId("a"),
                 Optional.of(fabric),
+                "v1",
                 12,
                 leaving,
                 startedMillis,
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SuspectedVmTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SuspectedVmTest.java
@@ -40,6 +40,7 @@
                         "v1:80",
                         new FailureDomainId("a"),
                         Optional.empty(),
+                        "v1",
                         6,
                         false,
                         1,
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/VmEntryLogTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/VmEntryLogTest.java
@@ -33,6 +33,7 @@
                 id + ":80",
                 new FailureDomainId("a"),
                 Optional.empty(),
+                "v1",
                 4,
                 leaving,
                 1,
--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/CrashNewsCodecTest.java
@@ -0,0 +1,45 @@
+package org.apricotdeal.relay.node;
+
+import java.util.List;
+import java.util.Set;
+
+import org.apricotdeal.kernel.id.UpstreamId;
+import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.relay.model.ModelId;
+import org.apricotdeal.relay.model.PromptPartId;
+import org.apricotdeal.relay.poison.CrashId;
+import org.apricotdeal.relay.poison.CrashNews;
+import org.apricotdeal.relay.poison.CrashReport;
+import org.apricotdeal.relay.poison.ModelRelease;
+import org.apricotdeal.relay.poison.PartTrial;
+import org.apricotdeal.wire.gen.TRelayHeartbeat;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+/** Tests that what nodes tell each other about crashes arrives whole, on the clock of the receiver. */
+public final class CrashNewsCodecTest {
+    private static final PromptPartId FIRST = new PromptPartId("a1");
+    private static final PromptPartId DEADLY = new PromptPartId("b2");
+    private static final ModelRelease SERVED = new ModelRelease(new UpstreamId("chat"), new ModelId("m1"), "v1");
+
+    private static CrashNews news(long offsetMillis) {
+        CrashReport crash = new CrashReport(
+                new CrashId(new VmId("e1"), 7),
+                SERVED,
+                1_000 + offsetMillis,
+                Set.of(List.of(FIRST, DEADLY), List.of(FIRST)),
+                Set.of(FIRST),
+                Set.of(FIRST));
+        PartTrial trial = new PartTrial(SERVED, DEADLY, 2_000 + offsetMillis, 3, true);
+        return new CrashNews(42, List.of(crash), List.of(trial));
+    }
+
+    @Test
+    public void newsArriveOnTheClockOfTheReceiver() {
+        TRelayHeartbeat heartbeat = new TRelayHeartbeat();
+        heartbeat.setCrashDigest(42);
+        CrashNewsCodec.encode(news(0), heartbeat, 5_000);
+        assertEquals(CrashNewsCodec.decode(heartbeat, 905_000), news(900_000));
+    }
+}
--- a/proofs/src/test/java/org/apricotdeal/relay/node/OwnDelayTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/OwnDelayTest.java
@@ -88,6 +88,7 @@
                 "127.0.0.1:1",
                 FleetDutyFixture.PLANNED_DOMAIN,
                 Optional.of(new FabricDomainId("f0")),
+                "v1",
                 12,
                 false,
                 1,
--- a/relay/src/main/java/org/apricotdeal/relay/model/UpstreamVm.java
+++ b/relay/src/main/java/org/apricotdeal/relay/model/UpstreamVm.java
@@ -16,6 +16,7 @@
  * @param address host and port
  * @param failureDomain failure domain of the VM
  * @param fabricDomain fabric domain of the VM; empty for plain services
+ * @param release release of the software that the VM runs; empty if it reports none
  * @param slots maximum number of concurrent requests
  * @param leaving true once the VM has announced that it leaves
  * @param startedWallMillis wall-clock time of its start; identifies the incarnation
@@ -30,6 +31,7 @@
         String address,
         FailureDomainId failureDomain,
         Optional<FabricDomainId> fabricDomain,
+        String release,
         int slots,
         boolean leaving,
         long startedWallMillis,
@@ -69,6 +71,7 @@
                 address,
                 failureDomain,
                 fabricDomain,
+                release,
                 slots,
                 leaving,
                 startedWallMillis,
@@ -91,6 +94,7 @@
                 address,
                 failureDomain,
                 report.fabricDomain().or(() -> fabricDomain),
+                release,
                 slots,
                 leaving,
                 startedWallMillis,
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -24,6 +24,7 @@
 import org.apricotdeal.relay.peer.FleetLoads;
 import org.apricotdeal.relay.peer.HeartbeatPartners;
 import org.apricotdeal.relay.peer.PlannerChoice;
+import org.apricotdeal.relay.poison.CrashNews;
 import org.apricotdeal.relay.policy.RelayEvent;
 import org.apricotdeal.relay.policy.TargetId;
 import org.apricotdeal.wire.gen.TRelayHeartbeat;
@@ -93,8 +94,9 @@
      * @param behindSinceMillis time since which its catalogue has been older than this node's; 0 if it is not older
      * @param storeAway whether it cannot reach the store
      * @param vmRevision revision of the store up to which it knows the VM entries
+     * @param crashDigest digest of the crashes and trials that it knows of
      */
-    private record PeerState(long behindSinceMillis, boolean storeAway, long vmRevision) {}
+    private record PeerState(long behindSinceMillis, boolean storeAway, long vmRevision, long crashDigest) {}
 
     Heartbeats(
             TRelayNode self,
@@ -201,6 +203,7 @@
         heartbeat.setVmAgeMillis((int) Math.min(Integer.MAX_VALUE, vms.ageMillis()));
         heartbeat.setStoreAway(vms.isStoreFailing() || catalogueWatcher.isStoreFailing());
         heartbeat.setStopping(fleet.isStopping());
+        heartbeat.setCrashDigest(relay.crashNews().digest());
         long nowMillis = clock.monotonicMillis();
         fleet.recentlySeenNodes()
                 .forEach(node -> heartbeat.addToSeen(
@@ -215,7 +218,10 @@
         return loads.sumOfOwnDomain(relay.running(), clock.monotonicMillis());
     }
 
-    /** Adds the catalogue if the receiver has an older one, and changes of VMs if it does not watch them in the store. */
+    /**
+     * Adds the catalogue if the receiver has an older one, changes of VMs if it does not watch them in the store, and
+     * crashes if it does not know the same ones.
+     */
     private void addMissingUpdates(TRelayHeartbeat heartbeat, PeerState receiver, boolean needsVmUpdates) {
         long behindSinceMillis = receiver.behindSinceMillis();
         boolean sendCatalogue = behindSinceMillis > 0
@@ -225,6 +231,11 @@
             metrics.counter("catalogues.sent.bytes").inc(catalogue.remaining());
             heartbeat.setCatalogue(catalogue);
         }
+        CrashNews crashNews = relay.crashNews();
+        if (receiver.crashDigest() != crashNews.digest()) {
+            heartbeat.setCrashDigest(crashNews.digest());
+            CrashNewsCodec.encode(crashNews, heartbeat, clock.monotonicMillis());
+        }
         if (needsVmUpdates) {
             vms.changesSince(receiver.vmRevision()).map(VmUpdateCodec::encode).ifPresent(heartbeat::setVmNews);
         }
@@ -300,6 +311,9 @@
         if (heartbeat.isSetVmNews()) {
             vms.applyPeerUpdate(VmUpdateCodec.decode(heartbeat.getVmNews()), heartbeat.getVmAgeMillis());
         }
+        if (heartbeat.isSetCrashes() || heartbeat.isSetTrials()) {
+            relay.put(new RelayEvent.CrashNewsReceived(CrashNewsCodec.decode(heartbeat, nowMillis)));
+        }
         recordPeerState(sender, heartbeat, nowMillis);
         recordLoads(sender, heartbeat, nowMillis);
         if (heartbeat.isSetSilentVms()) {
@@ -324,7 +338,11 @@
         peerStates.compute(sender.name(), (name, previous) -> {
             long sinceMillis =
                     previous == null || previous.behindSinceMillis() == 0 ? nowMillis : previous.behindSinceMillis();
-            return new PeerState(behind ? sinceMillis : 0, heartbeat.isStoreAway(), heartbeat.getVmRevision());
+            return new PeerState(
+                    behind ? sinceMillis : 0,
+                    heartbeat.isStoreAway(),
+                    heartbeat.getVmRevision(),
+                    heartbeat.getCrashDigest());
         });
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -15,6 +15,8 @@
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.model.RouteEntry;
 import org.apricotdeal.relay.model.WeightedUpstream;
+import org.apricotdeal.relay.poison.BlamedParts;
+import org.apricotdeal.relay.poison.CrashNews;
 import org.apricotdeal.relay.policy.AttemptId;
 import org.apricotdeal.relay.policy.AttemptOutcome;
 import org.apricotdeal.relay.policy.ExchangeId;
@@ -38,6 +40,9 @@
     /** Interval of demand updates; plans change over seconds. */
     private static final long DEMAND_PERIOD_MILLIS = 500;
 
+    /** Difference by which the clocks may drift apart between two ticks. */
+    private static final long MAX_CLOCK_DRIFT_MILLIS = 500;
+
     private final Duty<RelayEvent> duty;
     private final RelayDispatcher dispatcher;
     private final HttpClient client;
@@ -52,6 +57,9 @@
     private volatile Map<QueueId, QueueDemand> demand = Map.of();
     private long demandUpdatedMillis;
     private volatile SuspicionListener suspicionListener = (vms, faultyAddress, reason) -> {};
+    private volatile CrashNews crashNews = CrashNews.NONE;
+    private List<BlamedParts> loggedBlame = List.of();
+    private long clockOffsetMillis = Long.MAX_VALUE / 2;
 
     /** Receives VMs that may have failed. */
     interface SuspicionListener {
@@ -90,6 +98,11 @@
         suspicionListener = listener;
     }
 
+    /** Returns the crashes and trials that this node knows of. */
+    CrashNews crashNews() {
+        return crashNews;
+    }
+
     /** Queues an event that must not be dropped; blocks the calling thread while the ring is full. */
     void put(RelayEvent event) {
         duty.put(event);
@@ -211,9 +224,16 @@
         for (Exchange exchange : exchanges.values()) {
             dispatcher.recordProgress(
                     exchange.progressMillis(), exchange.arrival().id());
+            UpstreamAttempt attempt = exchange.attempt();
+            if (attempt != null) {
+                dispatcher.recordAnswering(clock.monotonicMillis(), attempt.id(), attempt.answeringMillis());
+            }
         }
+        detectSuspension();
         execute(dispatcher.step(clock.monotonicMillis(), new RelayEvent.Tick()));
         running = dispatcher.runningRequests();
+        crashNews = dispatcher.crashNews();
+        logBlame(dispatcher.blamedParts());
         long nowMillis = clock.monotonicMillis();
         if (nowMillis - demandUpdatedMillis >= DEMAND_PERIOD_MILLIS) {
             demandUpdatedMillis = nowMillis;
@@ -221,6 +241,40 @@
         }
     }
 
+    /** Compares the clocks: the wall clock goes on while the process is suspended, the monotonic clock does not. */
+    private void detectSuspension() {
+        long offsetMillis = clock.wallMillis() - clock.monotonicMillis();
+        if (offsetMillis - clockOffsetMillis > MAX_CLOCK_DRIFT_MILLIS) {
+            execute(dispatcher.step(clock.monotonicMillis(), new RelayEvent.ProcessSuspended()));
+        }
+        clockOffsetMillis = offsetMillis;
+    }
+
+    private void logBlame(List<BlamedParts> blamed) {
+        for (BlamedParts blame : blamed) {
+            if (loggedBlame.stream().noneMatch(blame::hasSameParts)) {
+                metrics.counter("parts.blamed").inc();
+                logBlame("parts_blamed", blame);
+            }
+        }
+        for (BlamedParts blame : loggedBlame) {
+            if (blamed.stream().noneMatch(blame::hasSameParts)) {
+                logBlame("parts_cleared", blame);
+            }
+        }
+        loggedBlame = blamed;
+    }
+
+    private void logBlame(String event, BlamedParts blame) {
+        log.state(event)
+                .with("served", blame.served())
+                .with("parts", blame.parts())
+                .with("lastCrashAgeMillis", clock.monotonicMillis() - blame.lastCrashMillis())
+                .with("certain", blame.certain())
+                .with("crashesKnown", crashNews.crashes().size())
+                .write();
+    }
+
     private void execute(List<RelayAction> actions) {
         for (RelayAction action : actions) {
             switch (action) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -1,6 +1,8 @@
 package org.apricotdeal.relay.node;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 
@@ -32,6 +34,9 @@
     /** Maximum size of a buffered response and of a stream event; a quarter of the limit for all buffers. */
     private static final int MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 
+    /** Time after the first event in which the loss of the connection may still be due to the request. */
+    private static final long MAX_BEGINNING_MILLIS = 100;
+
     private final Exchange exchange;
     private final AttemptId id;
     private final Target target;
@@ -263,10 +268,7 @@
         if (foreignResponse) {
             fail(AttemptOutcome.BROKEN, "response to a different request", response);
         } else if (result.isFailed()) {
-            fail(
-                    sent ? AttemptOutcome.BROKEN : AttemptOutcome.NOT_SENT,
-                    result.getFailure().getClass().getSimpleName(),
-                    response);
+            fail(outcomeOf(result.getFailure()), result.getFailure().getClass().getSimpleName(), response);
         } else if (streaming) {
             completeStream(response);
         } else {
@@ -274,9 +276,21 @@
         }
     }
 
+    private AttemptOutcome outcomeOf(Throwable failure) {
+        if (!sent) {
+            return AttemptOutcome.NOT_SENT;
+        }
+        boolean connectionEnded = failure instanceof IOException && !(failure instanceof InterruptedIOException);
+        return connectionEnded ? outcomeOfLostConnection() : AttemptOutcome.BROKEN;
+    }
+
+    private AttemptOutcome outcomeOfLostConnection() {
+        return answeringMillis() < MAX_BEGINNING_MILLIS ? AttemptOutcome.LOST_BEFORE_ANSWER : AttemptOutcome.BROKEN;
+    }
+
     private void completeStream(Response response) {
         if (framer.hasPartialEvent()) {
-            fail(AttemptOutcome.BROKEN, "the stream ended within an event", response);
+            fail(outcomeOfLostConnection(), "the stream ended within an event", response);
             return;
         }
         exchange.endStream();
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/BlameInference.java
@@ -0,0 +1,178 @@
+package org.apricotdeal.relay.poison;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.apricotdeal.relay.model.PromptPartId;
+
+/**
+ * Infers which parts of prompts crash the VMs of one model release.
+ *
+ * <p>A VM that crashes loses all its requests, each with several parts; a deadly part is among those of the requests that
+ * were not being answered yet. Any answer to a prompt with a part clears the part of the crashes before it. What remains is
+ * explained by as few parts as possible: the part with the most uncleared crashes is blamed, the crashes that it explains
+ * are set aside, and the rest is considered again. So the parts of requests that were lost beside a deadly one stay free.
+ *
+ * <p>Parts that were answered before the crashes need more crashes than unknown ones, and time for other nodes to clear
+ * them. Crashes at nearly the same time count once, since the loss of a rack or of a node's connections has another cause.
+ * Parts that occur in the same lost prompts only are blamed together: a request is held back if it has all of them.
+ */
+final class BlameInference {
+    /** A request that crashed a VM is repeated once, so one request can crash two. */
+    private static final int MIN_CRASHES = 2;
+
+    private static final int MIN_CRASHES_OF_SOUND_PART = 3;
+
+    /** Crashes within this time of each other have a common cause. */
+    private static final long COMMON_CAUSE_MILLIS = 100;
+
+    /** Time in which an answer at any node becomes known to all; several heartbeat periods. */
+    private static final long CLEARING_MILLIS = 1_000;
+
+    private final List<CrashReport> crashes;
+    private final Set<PromptPartId> blamedElsewhere;
+    private final long nowMillis;
+    private final Map<CrashId, Integer> causes = new HashMap<>();
+
+    /** A lost request, as the evidence against one of its parts. */
+    private record Evidence(CrashReport crash, List<PromptPartId> prompt) {}
+
+    /** A part with the evidence against it. */
+    private record Suspect(PromptPartId part, Set<Evidence> evidence, boolean sound, int crashCount) {}
+
+    private BlameInference(Collection<CrashReport> crashes, Set<PromptPartId> blamedElsewhere, long nowMillis) {
+        this.crashes = new ArrayList<>(crashes);
+        this.crashes.sort(Comparator.comparingLong(CrashReport::atMillis)
+                .thenComparing(crash -> crash.id().vm())
+                .thenComparingLong(crash -> crash.id().epoch()));
+        this.blamedElsewhere = blamedElsewhere;
+        this.nowMillis = nowMillis;
+        numberCauses();
+    }
+
+    /**
+     * Infers the blamed parts.
+     *
+     * @param crashes crashes of VMs that serve the same model release
+     * @param blamedElsewhere parts that crash other models or releases of the upstream; a single crash confirms them
+     * @param nowMillis monotonic time
+     * @return the blamed parts, the best explanation first
+     */
+    static List<BlamedParts> infer(Collection<CrashReport> crashes, Set<PromptPartId> blamedElsewhere, long nowMillis) {
+        return new BlameInference(crashes, blamedElsewhere, nowMillis).blame();
+    }
+
+    private void numberCauses() {
+        long firstMillis = 0;
+        int cause = 0;
+        for (CrashReport crash : crashes) {
+            if (cause == 0 || crash.atMillis() - firstMillis > COMMON_CAUSE_MILLIS) {
+                cause++;
+                firstMillis = crash.atMillis();
+            }
+            causes.put(crash.id(), cause);
+        }
+    }
+
+    private List<BlamedParts> blame() {
+        List<BlamedParts> blamed = new ArrayList<>();
+        List<CrashReport> unexplained = new ArrayList<>(crashes);
+        while (true) {
+            List<Suspect> strongest = strongestSuspects(unexplained);
+            if (strongest.isEmpty()) {
+                return blamed;
+            }
+            List<BlamedParts> groups = groupByEvidence(strongest);
+            blamed.addAll(groups);
+            unexplained.removeIf(crash -> groups.stream().anyMatch(group -> crash.isExplainedBy(group.parts())));
+        }
+    }
+
+    /** Returns the unknown parts with the most crashes, or else the sound ones, if there are enough crashes. */
+    private List<Suspect> strongestSuspects(List<CrashReport> unexplained) {
+        List<Suspect> suspects = suspects(unexplained);
+        List<Suspect> unknown = suspects.stream()
+                .filter(suspect -> !suspect.sound() && suspect.crashCount() >= minCrashes(suspect.part()))
+                .toList();
+        return mostCrashes(
+                unknown.isEmpty() ? suspects.stream().filter(this::isRefuted).toList() : unknown);
+    }
+
+    private int minCrashes(PromptPartId part) {
+        return blamedElsewhere.contains(part) ? 1 : MIN_CRASHES;
+    }
+
+    /** Returns whether a part that used to be sound has crashed several VMs since, with time to be answered again. */
+    private boolean isRefuted(Suspect suspect) {
+        return suspect.sound()
+                && suspect.crashCount() >= MIN_CRASHES_OF_SOUND_PART
+                && nowMillis - lastCrashMillis(suspect.evidence()) >= CLEARING_MILLIS;
+    }
+
+    private static List<Suspect> mostCrashes(List<Suspect> suspects) {
+        int most = suspects.stream().mapToInt(Suspect::crashCount).max().orElse(0);
+        return suspects.stream().filter(suspect -> suspect.crashCount() == most).toList();
+    }
+
+    private List<Suspect> suspects(List<CrashReport> unexplained) {
+        Map<PromptPartId, Set<Evidence>> evidenceByPart = new HashMap<>();
+        Set<PromptPartId> sound = new HashSet<>();
+        for (CrashReport crash : unexplained) {
+            sound.addAll(crash.soundParts());
+            for (List<PromptPartId> prompt : crash.prompts()) {
+                for (PromptPartId part : prompt) {
+                    if (!crash.clearedParts().contains(part)) {
+                        evidenceByPart
+                                .computeIfAbsent(part, id -> new HashSet<>())
+                                .add(new Evidence(crash, prompt));
+                    }
+                }
+            }
+        }
+        List<Suspect> suspects = new ArrayList<>();
+        evidenceByPart.forEach((part, evidence) ->
+                suspects.add(new Suspect(part, evidence, sound.contains(part), countCauses(evidence))));
+        suspects.sort(Comparator.comparing(Suspect::part));
+        return suspects;
+    }
+
+    private int countCauses(Set<Evidence> evidence) {
+        Set<Integer> distinct = new HashSet<>();
+        evidence.forEach(item -> distinct.add(causes.get(item.crash().id())));
+        return distinct.size();
+    }
+
+    private static long lastCrashMillis(Set<Evidence> evidence) {
+        long lastMillis = Long.MIN_VALUE;
+        for (Evidence item : evidence) {
+            lastMillis = Math.max(lastMillis, item.crash().atMillis());
+        }
+        return lastMillis;
+    }
+
+    private static List<BlamedParts> groupByEvidence(List<Suspect> suspects) {
+        Map<Set<Evidence>, Set<PromptPartId>> partsByEvidence = new HashMap<>();
+        List<Set<Evidence>> order = new ArrayList<>();
+        for (Suspect suspect : suspects) {
+            if (!partsByEvidence.containsKey(suspect.evidence())) {
+                order.add(suspect.evidence());
+            }
+            partsByEvidence
+                    .computeIfAbsent(suspect.evidence(), evidence -> new HashSet<>())
+                    .add(suspect.part());
+        }
+        List<BlamedParts> groups = new ArrayList<>();
+        for (Set<Evidence> evidence : order) {
+            ModelRelease served = evidence.iterator().next().crash().served();
+            groups.add(new BlamedParts(
+                    served, partsByEvidence.get(evidence), lastCrashMillis(evidence), order.size() == 1));
+        }
+        return groups;
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
@@ -0,0 +1,385 @@
+package org.apricotdeal.relay.poison;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import org.apricotdeal.kernel.id.UpstreamId;
+import org.apricotdeal.relay.model.PromptPartId;
+
+/**
+ * Decides whether a request may be sent, given the crashes that this node and the others have seen.
+ *
+ * <p>Load pattern: requests with a part that crashes VMs come at any node, each only at a few of them, and cost up to two
+ * VMs each. The nodes therefore exchange their crash reports ({@link CrashNews}), and each draws the same conclusions from
+ * them ({@link BlameInference}). Without contact to the others a node decides by what it has seen itself.
+ *
+ * <p>Requests with blamed parts are held for a time that doubles with each trial. Afterwards a single request is sent as a
+ * trial: the nodes become entitled to it one after the other, in an order that differs between parts, and hear of each
+ * other's trials. An answer clears the parts, so a part that is blamed wrongly or has been mended is served again, and one
+ * that is still deadly costs one VM.
+ */
+public final class PoisonDetector {
+    private static final long FIRST_HOLD_MILLIS = 20_000;
+    private static final int MAX_DOUBLINGS = 3;
+
+    /** Time between the entitlements of two nodes to a trial; longer than news takes to reach all nodes. */
+    private static final long TRIAL_TURN_MILLIS = 1_000;
+
+    /** Time in which a trial is answered or crashes its VM, unless its caller leaves. */
+    private static final long TRIAL_MILLIS = 5_000;
+
+    /** Age from which a crash that supports no blame is forgotten. */
+    private static final long MAX_CRASH_AGE_MILLIS = 120_000;
+
+    /** The same for crashes that support blame; longer than the longest hold. */
+    private static final long MAX_BLAME_AGE_MILLIS = 600_000;
+
+    private static final int MAX_CRASHES = 128;
+    private static final int MAX_TRIALS = 256;
+
+    /** Interval of conclusions that change with time only. */
+    private static final long REVIEW_PERIOD_MILLIS = 250;
+
+    private static final PartVerdict FREE = new PartVerdict.Free();
+
+    private final String self;
+    private final SoundParts soundParts = new SoundParts();
+    private final Map<CrashId, CrashReport> crashes = new HashMap<>();
+    private final Map<PartTrial.Key, PartTrial> trials = new HashMap<>();
+    private List<String> nodes;
+    private List<BlamedParts> blamed = List.of();
+    private CrashNews news = CrashNews.NONE;
+    private long reviewedMillis;
+
+    /**
+     * Creates a detector that knows of no crash.
+     *
+     * @param self name of this node
+     */
+    public PoisonDetector(String self) {
+        this.self = self;
+        this.nodes = List.of(self);
+    }
+
+    /**
+     * Sets the nodes that take turns with trials.
+     *
+     * @param names names of the nodes, including this one
+     */
+    public void setNodes(Collection<String> names) {
+        nodes = List.copyOf(names);
+    }
+
+    /**
+     * Returns what this node knows, for the other nodes.
+     *
+     * @return crashes and trials
+     */
+    public CrashNews news() {
+        return news;
+    }
+
+    /**
+     * Returns the blamed parts.
+     *
+     * @return blamed parts of all upstreams
+     */
+    public List<BlamedParts> blamed() {
+        return blamed;
+    }
+
+    /**
+     * Records that a request was lost by a crash before it was answered.
+     *
+     * @param id identifies the crash
+     * @param served what the VM served
+     * @param prompt shared parts of the request
+     * @param nowMillis monotonic time
+     */
+    public void recordCrash(CrashId id, ModelRelease served, List<PromptPartId> prompt, long nowMillis) {
+        if (prompt.isEmpty()) {
+            return;
+        }
+        addCrash(CrashReport.of(id, served, nowMillis, prompt));
+        review(nowMillis);
+    }
+
+    /**
+     * Records that a request is being answered, which clears its parts of the crashes so far.
+     *
+     * @param served what the VM serves
+     * @param prompt shared parts of the request
+     * @param nowMillis monotonic time
+     */
+    public void recordAnswer(ModelRelease served, List<PromptPartId> prompt, long nowMillis) {
+        boolean changed = false;
+        for (PromptPartId part : prompt) {
+            soundParts.record(served, part, nowMillis);
+            changed |= passTrial(new PartTrial.Key(served, part));
+        }
+        for (Map.Entry<CrashId, CrashReport> entry : crashes.entrySet()) {
+            for (PromptPartId part : prompt) {
+                CrashReport crash = entry.getValue();
+                if (crash.served().equals(served) && crash.isSuspect(part)) {
+                    entry.setValue(crash.withCleared(part));
+                    changed = true;
+                }
+            }
+        }
+        if (changed) {
+            review(nowMillis);
+        }
+    }
+
+    /**
+     * Forgets when parts were answered. After a suspension of the process, whose duration the monotonic clock does not
+     * count, these times cannot be compared with those of crashes that other nodes report.
+     */
+    public void forgetAnswers() {
+        soundParts.clear();
+    }
+
+    /**
+     * Merges what another node knows.
+     *
+     * @param received crashes and trials, with times converted to this node's monotonic clock
+     * @param nowMillis monotonic time
+     */
+    public void merge(CrashNews received, long nowMillis) {
+        received.crashes().forEach(this::addCrash);
+        for (PartTrial trial : received.trials()) {
+            if (trials.containsKey(trial.key()) || trials.size() < MAX_TRIALS) {
+                trials.merge(trial.key(), trial, PartTrial::merge);
+            }
+        }
+        review(nowMillis);
+    }
+
+    /**
+     * Draws conclusions again if time alone may have changed them.
+     *
+     * @param nowMillis monotonic time
+     */
+    public void tick(long nowMillis) {
+        if (!crashes.isEmpty() && nowMillis - reviewedMillis >= REVIEW_PERIOD_MILLIS) {
+            review(nowMillis);
+        }
+    }
+
+    /**
+     * Returns whether a request has blamed parts, for any model or release.
+     *
+     * @param upstream upstream of the request
+     * @param prompt shared parts of the request
+     * @return true if some VMs may have to be spared
+     */
+    public boolean isSuspect(UpstreamId upstream, List<PromptPartId> prompt) {
+        for (BlamedParts blame : blamed) {
+            if (blame.served().upstream().equals(upstream) && prompt.containsAll(blame.parts())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Decides whether a request may be sent.
+     *
+     * @param served what the VM serves
+     * @param prompt shared parts of the request
+     * @param nowMillis monotonic time
+     * @return the decision
+     */
+    public PartVerdict verdict(ModelRelease served, List<PromptPartId> prompt, long nowMillis) {
+        PartVerdict verdict = FREE;
+        for (BlamedParts blame : blamed) {
+            boolean applies = blame.served().upstream().equals(served.upstream()) && prompt.containsAll(blame.parts());
+            if (!applies || (!blame.served().equals(served) && isServed(served, blame.parts()))) {
+                continue;
+            }
+            long heldUntilMillis = heldUntilMillis(served, blame);
+            if (nowMillis < heldUntilMillis) {
+                boolean certain = blame.certain() && blame.served().equals(served);
+                return new PartVerdict.Held(heldUntilMillis, certain);
+            }
+            verdict = new PartVerdict.OnTrial();
+        }
+        return verdict;
+    }
+
+    /**
+     * Records that a request is sent as a trial of its blamed parts.
+     *
+     * @param served what the VM serves
+     * @param prompt shared parts of the request
+     * @param nowMillis monotonic time
+     */
+    public void startTrial(ModelRelease served, List<PromptPartId> prompt, long nowMillis) {
+        for (BlamedParts blame : blamed) {
+            if (!blame.served().upstream().equals(served.upstream()) || !prompt.containsAll(blame.parts())) {
+                continue;
+            }
+            for (PromptPartId part : blame.parts()) {
+                PartTrial.Key key = new PartTrial.Key(served, part);
+                int count = trials.containsKey(key) ? trials.get(key).count() + 1 : 1;
+                trials.put(key, new PartTrial(served, part, nowMillis, count, false));
+            }
+        }
+        review(nowMillis);
+    }
+
+    /** Returns whether parts that are blamed for another model or release have been answered by this one. */
+    private boolean isServed(ModelRelease served, Set<PromptPartId> parts) {
+        for (PromptPartId part : parts) {
+            PartTrial trial = trials.get(new PartTrial.Key(served, part));
+            boolean passed = trial != null && trial.passed();
+            if (!passed && soundParts.lastAnsweredMillis(served, part).isEmpty()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns the time from which this node may send a trial. */
+    private long heldUntilMillis(ModelRelease served, BlamedParts blame) {
+        int trialCount = 0;
+        long trialEndMillis = Long.MIN_VALUE;
+        for (PromptPartId part : blame.parts()) {
+            PartTrial trial = trials.get(new PartTrial.Key(served, part));
+            if (trial != null) {
+                trialCount = Math.max(trialCount, trial.count());
+                trialEndMillis = Math.max(trialEndMillis, trial.startedMillis() + TRIAL_MILLIS);
+            }
+        }
+        long holdMillis = blame.served().equals(served) ? FIRST_HOLD_MILLIS << Math.min(trialCount, MAX_DOUBLINGS) : 0;
+        long firstTurnMillis = Math.max(blame.lastCrashMillis() + holdMillis, trialEndMillis);
+        return firstTurnMillis + turn(blame.parts()) * TRIAL_TURN_MILLIS;
+    }
+
+    /** Returns this node's position in the order of the nodes for trials of the given parts. */
+    private int turn(Set<PromptPartId> parts) {
+        String key = new TreeSet<>(parts).toString();
+        long own = rank(self, key);
+        int preceding = 0;
+        for (String node : nodes) {
+            preceding += !node.equals(self) && Long.compareUnsigned(rank(node, key), own) < 0 ? 1 : 0;
+        }
+        return preceding;
+    }
+
+    private static long rank(String node, String key) {
+        return Hashing.komihash4_3().hashCharsToLong(node + "/" + key);
+    }
+
+    private void addCrash(CrashReport report) {
+        CrashReport known = crashes.get(report.id());
+        crashes.put(report.id(), withOwnAnswers(known == null ? report : known.merge(report)));
+    }
+
+    /** Returns a crash report with the answers that this node has seen. */
+    private CrashReport withOwnAnswers(CrashReport report) {
+        CrashReport result = report;
+        for (PromptPartId part : report.parts()) {
+            OptionalLong answeredMillis = soundParts.lastAnsweredMillis(report.served(), part);
+            if (answeredMillis.isPresent()) {
+                boolean answeredSince = answeredMillis.getAsLong() > report.atMillis();
+                result = answeredSince ? result.withCleared(part) : result.withSound(part);
+            }
+        }
+        return result;
+    }
+
+    private boolean passTrial(PartTrial.Key key) {
+        PartTrial trial = trials.get(key);
+        if (trial == null || trial.passed()) {
+            return false;
+        }
+        trials.put(key, new PartTrial(trial.served(), trial.part(), trial.startedMillis(), trial.count(), true));
+        return true;
+    }
+
+    private void review(long nowMillis) {
+        reviewedMillis = nowMillis;
+        crashes.values().removeIf(crash -> nowMillis - crash.atMillis() >= maxAgeMillis(crash));
+        trials.values().removeIf(trial -> nowMillis - trial.startedMillis() >= MAX_BLAME_AGE_MILLIS);
+        dropExcessCrashes();
+        blamed = inferBlame(nowMillis);
+        news = new CrashNews(digest(), List.copyOf(crashes.values()), List.copyOf(trials.values()));
+    }
+
+    private long maxAgeMillis(CrashReport crash) {
+        return supportsBlame(crash) ? MAX_BLAME_AGE_MILLIS : MAX_CRASH_AGE_MILLIS;
+    }
+
+    private boolean supportsBlame(CrashReport crash) {
+        return blamed.stream()
+                .anyMatch(blame -> blame.served().equals(crash.served()) && crash.isExplainedBy(blame.parts()));
+    }
+
+    private void dropExcessCrashes() {
+        if (crashes.size() <= MAX_CRASHES) {
+            return;
+        }
+        List<CrashReport> ordered = new ArrayList<>(crashes.values());
+        ordered.sort(Comparator.comparing((CrashReport crash) -> supportsBlame(crash))
+                .thenComparing(CrashReport::atMillis));
+        for (CrashReport crash : ordered.subList(0, ordered.size() - MAX_CRASHES)) {
+            crashes.remove(crash.id());
+        }
+    }
+
+    private List<BlamedParts> inferBlame(long nowMillis) {
+        Map<ModelRelease, List<CrashReport>> crashesByServed = new HashMap<>();
+        for (CrashReport crash : crashes.values()) {
+            crashesByServed
+                    .computeIfAbsent(crash.served(), served -> new ArrayList<>())
+                    .add(crash);
+        }
+        List<BlamedParts> independent = new ArrayList<>();
+        crashesByServed.forEach(
+                (served, reports) -> independent.addAll(BlameInference.infer(reports, Set.of(), nowMillis)));
+        if (independent.isEmpty() || crashesByServed.size() == 1) {
+            return independent;
+        }
+        List<BlamedParts> all = new ArrayList<>();
+        crashesByServed.forEach((served, reports) ->
+                all.addAll(BlameInference.infer(reports, blamedElsewhere(served, independent), nowMillis)));
+        return all;
+    }
+
+    private static Set<PromptPartId> blamedElsewhere(ModelRelease served, List<BlamedParts> blamed) {
+        Set<PromptPartId> parts = new HashSet<>();
+        for (BlamedParts blame : blamed) {
+            if (blame.served().upstream().equals(served.upstream())
+                    && !blame.served().equals(served)) {
+                parts.addAll(blame.parts());
+            }
+        }
+        return parts;
+    }
+
+    /** Returns a number that is equal for nodes with the same crashes and trials, whose times differ between clocks. */
+    private long digest() {
+        long sum = 0;
+        for (CrashReport crash : crashes.values()) {
+            TreeSet<String> prompts = new TreeSet<>();
+            crash.prompts().forEach(prompt -> prompts.add(prompt.toString()));
+            sum += Hashing.komihash4_3()
+                    .hashCharsToLong(crash.id() + " " + crash.served() + " " + prompts + " "
+                            + new TreeSet<>(crash.soundParts()) + " " + new TreeSet<>(crash.clearedParts()));
+        }
+        for (PartTrial trial : trials.values()) {
+            sum += Hashing.komihash4_3().hashCharsToLong(trial.key() + " " + trial.count() + " " + trial.passed());
+        }
+        return sum;
+    }
+}
--- a/relay/src/main/java/org/apricotdeal/relay/policy/AttemptOutcome.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/AttemptOutcome.java
@@ -6,6 +6,8 @@
     NOT_SENT,
     /** The VM reported that it did not run the request. */
     NOT_RUN,
+    /** The connection ended before or just as the answer began; the VM may have crashed because of the request. */
+    LOST_BEFORE_ANSWER,
     /** The VM failed, or its answer broke off or came from another VM; the request may have run. */
     BROKEN
 }
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
@@ -0,0 +1,118 @@
+package org.apricotdeal.relay.policy;
+
+import java.util.HashSet;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.apricotdeal.relay.poison.CrashId;
+import org.apricotdeal.relay.poison.ModelRelease;
+import org.apricotdeal.relay.poison.PartVerdict;
+import org.apricotdeal.relay.poison.PoisonDetector;
+
+/** Applies the conclusions of the {@link PoisonDetector} to requests and targets, and feeds it with what became of them. */
+final class PoisonGuard {
+    /** Duration of an answer that shows that the prompt does not crash the VM; several events. */
+    private static final long PROOF_MILLIS = 250;
+
+    private static final PartVerdict FREE = new PartVerdict.Free();
+
+    private final PoisonDetector detector;
+
+    PoisonGuard(PoisonDetector detector) {
+        this.detector = detector;
+    }
+
+    PoisonDetector detector() {
+        return detector;
+    }
+
+    boolean isIdle() {
+        return detector.blamed().isEmpty();
+    }
+
+    private boolean isSuspect(Arrival arrival) {
+        return !isIdle() && detector.isSuspect(arrival.queue().upstream(), arrival.sharedParts());
+    }
+
+    PartVerdict verdict(TargetState state, Arrival arrival, long nowMillis) {
+        if (!isSuspect(arrival)) {
+            return FREE;
+        }
+        return state.served()
+                .map(served -> detector.verdict(served, arrival.sharedParts(), nowMillis))
+                .orElse(FREE);
+    }
+
+    /** Returns whether a target may receive a request; as a trial only if no other target can serve it without one. */
+    boolean mayReceive(TargetState target, RequestState request, long nowMillis) {
+        return switch (verdict(target, request.arrival, nowMillis)) {
+            case PartVerdict.Free free -> true;
+            case PartVerdict.Held held -> false;
+            case PartVerdict.OnTrial trial ->
+                request.queue.targets.stream()
+                        .noneMatch(state -> verdict(state, request.arrival, nowMillis) instanceof PartVerdict.Free);
+        };
+    }
+
+    /** Returns whether some targets of a queue must not receive a request. */
+    boolean isRestricted(RequestState request, long nowMillis) {
+        return isSuspect(request.arrival)
+                && request.queue.targets.stream()
+                        .anyMatch(state -> !(verdict(state, request.arrival, nowMillis) instanceof PartVerdict.Free));
+    }
+
+    /**
+     * Returns the earliest time at which a request that no target may receive now may be sent; empty if a target may
+     * receive it or none is known.
+     */
+    OptionalLong heldUntilMillis(QueueState queue, Arrival arrival, long nowMillis) {
+        if (!isSuspect(arrival) || queue.targets.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        long earliestMillis = Long.MAX_VALUE;
+        Set<ModelRelease> checked = new HashSet<>();
+        for (TargetState state : queue.targets) {
+            if (state.served().isPresent() && !checked.add(state.served().get())) {
+                continue;
+            }
+            if (!(verdict(state, arrival, nowMillis) instanceof PartVerdict.Held held)) {
+                return OptionalLong.empty();
+            }
+            earliestMillis = Math.min(earliestMillis, held.untilMillis());
+        }
+        return OptionalLong.of(earliestMillis);
+    }
+
+    /** Returns whether a request that was sent and is not being answered must be withdrawn. */
+    boolean isToBeWithdrawn(RequestState request, long nowMillis) {
+        return !request.trial
+                && !request.answered
+                && verdict(request.target, request.arrival, nowMillis) instanceof PartVerdict.Held held
+                && held.certain();
+    }
+
+    void onSend(RequestState request, TargetState target, long nowMillis) {
+        request.answered = false;
+        request.trial = verdict(target, request.arrival, nowMillis) instanceof PartVerdict.OnTrial;
+        if (request.trial) {
+            detector.startTrial(target.served().orElseThrow(), request.arrival.sharedParts(), nowMillis);
+        }
+    }
+
+    void onAnswering(RequestState request, long answeringMillis, long nowMillis) {
+        if (request.answered || answeringMillis < PROOF_MILLIS) {
+            return;
+        }
+        request.answered = true;
+        request.target
+                .served()
+                .ifPresent(served -> detector.recordAnswer(served, request.arrival.sharedParts(), nowMillis));
+    }
+
+    void onLostBeforeAnswer(RequestState request, TargetState target, long nowMillis) {
+        TargetId id = target.target.id();
+        target.served()
+                .ifPresent(served -> detector.recordCrash(
+                        new CrashId(id.vm(), id.epoch()), served, request.arrival.sharedParts(), nowMillis));
+    }
+}
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -1,19 +1,18 @@
 package org.apricotdeal.relay.policy;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apricotdeal.kernel.duty.StateMachine;
-import org.apricotdeal.relay.model.EngineProfile;
-import org.apricotdeal.relay.model.ModelSpec;
 import org.apricotdeal.relay.model.RelayCatalogue;
-import org.apricotdeal.relay.model.UpstreamEntry;
+import org.apricotdeal.relay.poison.BlamedParts;
+import org.apricotdeal.relay.poison.CrashNews;
+import org.apricotdeal.relay.poison.PoisonDetector;
 
 /**
  * Decides when and where each request of a node is sent, whether it is refused, and whether it is retried.
@@ -34,6 +33,9 @@
  * requests, and its running requests that may be retried move to other targets. Time for which this node itself was
  * held up does not count, because progress made meanwhile has not been seen yet.
  *
+ * <p><em>Suspect prompts:</em> a request whose prompt has parts that crash VMs is refused before it is sent, and ended
+ * without a retry if it has been sent, see {@link PoisonGuard}.
+ *
  * <p><em>Retry:</em> a failed attempt is repeated at another target if the route allows it, within the maximum
  * attempts of the route and the shared {@link RetryBudget}. A request that may have run and must not run twice
  * fails.
@@ -56,33 +58,14 @@
     /** Minimum share of the objective that a request may wait, so that a slow queue still admits some requests. */
     private static final double MIN_WAIT_SHARE = 0.2;
 
-    /**
-     * Time after which refused callers have returned or given up; more than a third of the usual time limit of
-     * callers.
-     */
-    private static final long RETURN_WINDOW_MILLIS = 4_000;
-
-    /**
-     * Maximum length of a heartbeat round, also if a heartbeat was lost or a node is gone; longer than the heartbeat
-     * period.
-     */
-    private static final long ROUND_MILLIS = 400;
-
-    private static final double INITIAL_PLAIN_SERVICE_MILLIS = 30;
-    private static final double INITIAL_PLAIN_START_MILLIS = 30;
-    private static final double INITIAL_ENGINE_START_MILLIS = 120;
-
-    private final HomeNodes homeNodes;
+    private final QueueRegistry registry;
     private final TargetChooser targetChooser;
     private final ProcessDelay ownDelay = new ProcessDelay(MAX_TICK_GAP_MILLIS);
     private final RetryBudget budget;
+    private final PoisonGuard poison;
     private final UniformRandomProvider random;
     private final Map<ExchangeId, RequestState> requests = new HashMap<>();
-    private final Map<QueueId, QueueState> queues = new HashMap<>();
-    private final Map<TargetId, TargetState> targets = new HashMap<>();
-    private final Map<String, CallerTimeoutEstimate> timeoutEstimates = new HashMap<>();
-    private RelayCatalogue catalogue;
-    private long roundStartedMillis;
+    private final ReturningCallers returningCallers = new ReturningCallers();
     private long lastSequence;
     private long nowMillis;
     private List<RelayAction> actions = new ArrayList<>();
@@ -95,9 +78,10 @@
      * @param random seeded random source
      */
     public RelayDispatcher(FleetNode self, RetryBudget budget, UniformRandomProvider random) {
-        this.homeNodes = new HomeNodes(self);
+        this.registry = new QueueRegistry(self, random);
         this.targetChooser = new TargetChooser(self.failureDomain(), random);
         this.budget = budget;
+        this.poison = new PoisonGuard(new PoisonDetector(self.name()));
         this.random = random;
     }
 
@@ -107,13 +91,7 @@
      * @return number of requests by target; targets without requests are omitted
      */
     public Map<TargetId, Integer> runningRequests() {
-        Map<TargetId, Integer> running = new HashMap<>();
-        for (TargetState state : targets.values()) {
-            if (!state.running.isEmpty()) {
-                running.put(state.target.id(), state.running.size());
-            }
-        }
-        return running;
+        return registry.runningRequests();
     }
 
     /**
@@ -122,9 +100,7 @@
      * @return current targets; all of them in a small fleet
      */
     public Set<TargetId> homeTargets() {
-        Set<TargetId> ids = new HashSet<>();
-        queues.values().forEach(queue -> queue.homeTargets.forEach(state -> ids.add(state.target.id())));
-        return ids;
+        return registry.homeTargets();
     }
 
     /**
@@ -133,7 +109,9 @@
      * @return number of requests in all queues
      */
     public int waitingRequests() {
-        return queues.values().stream().mapToInt(queue -> queue.waiting.size()).sum();
+        return registry.queues().stream()
+                .mapToInt(queue -> queue.waiting.size())
+                .sum();
     }
 
     /**
@@ -143,13 +121,25 @@
      * @return demand by queue; queues of plain services are omitted
      */
     public Map<QueueId, QueueDemand> demandByQueue(long atMillis) {
-        Map<QueueId, QueueDemand> demand = new HashMap<>();
-        queues.forEach((id, queue) -> {
-            if (id.model().isPresent()) {
-                demand.put(id, queue.readDemand(atMillis));
-            }
-        });
-        return demand;
+        return registry.demandByQueue(atMillis);
+    }
+
+    /**
+     * Returns the crashes and trials that this node knows of, for heartbeats.
+     *
+     * @return what other nodes should know
+     */
+    public CrashNews crashNews() {
+        return poison.detector().news();
+    }
+
+    /**
+     * Returns the parts of prompts that are suspected of crashing VMs.
+     *
+     * @return blamed parts of all upstreams
+     */
+    public List<BlamedParts> blamedParts() {
+        return poison.detector().blamed();
     }
 
     /**
@@ -165,6 +155,20 @@
         }
     }
 
+    /**
+     * Records for how long a request has been answered. Called for each running request, so it makes no decisions.
+     *
+     * @param atMillis monotonic time
+     * @param attempt attempt that is answered
+     * @param answeringMillis time since the first event of the answer; -1 if there was none
+     */
+    public void recordAnswering(long atMillis, AttemptId attempt, long answeringMillis) {
+        RequestState request = requests.get(attempt.exchange());
+        if (request != null && request.isRunning(attempt)) {
+            poison.onAnswering(request, answeringMillis, atMillis);
+        }
+    }
+
     @Override
     public List<RelayAction> step(long atMillis, RelayEvent event) {
         nowMillis = atMillis;
@@ -180,6 +184,11 @@
             case RelayEvent.TargetsChanged(List<Target> changed) -> changeTargets(changed);
             case RelayEvent.PeerLoadsChanged(Map<TargetId, Integer> running) -> updatePeerLoads(running);
             case RelayEvent.NodesChanged(List<FleetNode> nodes) -> changeNodes(nodes);
+            case RelayEvent.CrashNewsReceived(CrashNews news) -> {
+                poison.detector().merge(news, nowMillis);
+                holdBackSuspects();
+            }
+            case RelayEvent.ProcessSuspended suspended -> poison.detector().forgetAnswers();
             case RelayEvent.Tick tick -> onTick();
         }
         return actions;
@@ -188,8 +197,14 @@
     // Admission.
 
     private void admit(Arrival arrival) {
-        QueueState queue = queue(arrival.queue());
-        RequestState request = new RequestState(arrival, queue, ++lastSequence, checkReturningCaller(queue, arrival));
+        QueueState queue = registry.queue(arrival.queue());
+        OptionalLong heldUntilMillis = poison.heldUntilMillis(queue, arrival, nowMillis);
+        if (heldUntilMillis.isPresent()) {
+            refuseSuspect(arrival, queue, heldUntilMillis.getAsLong());
+            return;
+        }
+        RequestState request =
+                new RequestState(arrival, queue, ++lastSequence, returningCallers.check(queue, arrival, nowMillis));
         budget.recordRequest(arrival.queue().upstream(), nowMillis);
         if (!request.returningCaller) {
             queue.demand.recordNewRequest(nowMillis);
@@ -215,21 +230,6 @@
         dispatchWaiting(queue);
     }
 
-    /**
-     * Checks whether a caller has been refused before. While no caller has been refused recently, none returns, and
-     * the time limit of the caller is added to the estimate instead.
-     */
-    private boolean checkReturningCaller(QueueState queue, Arrival arrival) {
-        CallerTimeoutEstimate timeoutEstimate =
-                timeoutEstimates.computeIfAbsent(arrival.route().name(), name -> new CallerTimeoutEstimate());
-        long remainingMillis = arrival.deadlineMillis() - arrival.arrivedMillis();
-        if (nowMillis - queue.lastRefusedMillis > RETURN_WINDOW_MILLIS) {
-            timeoutEstimate.addSample(remainingMillis);
-            return false;
-        }
-        return timeoutEstimate.isReturningCaller(remainingMillis);
-    }
-
     /**
      * Returns how long a request may wait. A new caller has to start within its objective; a returning caller has
      * already missed it.
@@ -254,37 +254,21 @@
         return queue.scheduleReturn(estimate, nowMillis, earliestMillis, latestMillis, random.nextDouble());
     }
 
-    private QueueState queue(QueueId id) {
-        return queues.computeIfAbsent(id, this::newQueue);
-    }
-
-    private QueueState newQueue(QueueId id) {
-        UpstreamEntry upstream =
-                catalogue == null ? null : catalogue.upstreams().get(id.upstream());
-        if (upstream == null || upstream.engine().isEmpty() || id.model().isEmpty()) {
-            return new QueueState(id, INITIAL_PLAIN_SERVICE_MILLIS, INITIAL_PLAIN_START_MILLIS);
-        }
-        EngineProfile engine = upstream.engine().get();
-        double timeFactor =
-                engine.model(id.model().get()).map(ModelSpec::timeFactor).orElse(1.0);
-        double tokenMillis = engine.baseStepMillis() + engine.slotsPerReplica() * engine.stepMillisPerSequence();
-        double serviceMillis = timeFactor
-                * (engine.meanAnswerTokens() * tokenMillis
-                        + engine.meanPromptTokens() / engine.prefillTokensPerMilli());
-        return new QueueState(id, serviceMillis, INITIAL_ENGINE_START_MILLIS);
-    }
-
     // Placement.
 
     private void dispatchWaiting(QueueState queue) {
-        while (!queue.waiting.isEmpty()) {
-            RequestState request = queue.waiting.first();
-            TargetState target = targetChooser.choose(queue, request, nowMillis);
-            if (target == null) {
+        RequestState request = queue.waiting.isEmpty() ? null : queue.waiting.first();
+        while (request != null) {
+            TargetState target = targetChooser.choose(queue, request, poison, nowMillis);
+            if (target == null && !poison.isRestricted(request, nowMillis)) {
                 return;
             }
-            queue.waiting.remove(request);
-            send(request, target);
+            RequestState next = queue.waiting.higher(request);
+            if (target != null) {
+                queue.waiting.remove(request);
+                send(request, target);
+            }
+            request = next;
         }
     }
 
@@ -300,6 +284,7 @@
             target.lastProgressMillis = nowMillis;
         }
         target.running.add(request);
+        poison.onSend(request, target, nowMillis);
         actions.add(new RelayAction.Send(
                 new AttemptId(request.arrival.id(), request.lastAttemptNumber),
                 target.target,
@@ -328,7 +313,7 @@
         if (request == null) {
             return;
         }
-        queue(request.arrival.queue()).waiting.remove(request);
+        registry.queue(request.arrival.queue()).waiting.remove(request);
         if (request.running() && !request.isRunning(attempt)) {
             release(request);
             actions.add(new RelayAction.CancelAttempt(attempt.exchange()));
@@ -375,6 +360,12 @@
                 retryUnsent(request);
             }
             case NOT_RUN -> retry(request);
+            case LOST_BEFORE_ANSWER -> {
+                request.mayHaveRun = true;
+                poison.onLostBeforeAnswer(request, target, nowMillis);
+                holdBackSuspects();
+                retry(request);
+            }
             case BROKEN -> {
                 request.mayHaveRun = true;
                 retry(request);
@@ -396,6 +387,11 @@
     }
 
     private void retry(RequestState request) {
+        OptionalLong heldUntilMillis = poison.heldUntilMillis(request.queue, request.arrival, nowMillis);
+        if (request.trial || heldUntilMillis.isPresent()) {
+            failSuspect(request, heldUntilMillis.orElse(nowMillis));
+            return;
+        }
         boolean allowed = !request.mayHaveRun || request.arrival.route().retryable();
         boolean inTime = nowMillis < request.arrival.deadlineMillis();
         boolean attemptsLeft = request.attempts < request.arrival.route().maxAttempts();
@@ -428,22 +424,66 @@
         actions.add(new RelayAction.Refuse(request.arrival.id(), reason, retryAfterMillis, details));
     }
 
+    // Suspect prompts.
+
+    /** Ends the requests that other requests have shown to crash VMs, whether they wait or have been sent. */
+    private void holdBackSuspects() {
+        if (poison.isIdle()) {
+            return;
+        }
+        for (RequestState request : List.copyOf(requests.values())) {
+            if (request.running()) {
+                withdrawIfSuspect(request);
+            } else {
+                OptionalLong untilMillis = poison.heldUntilMillis(request.queue, request.arrival, nowMillis);
+                if (untilMillis.isPresent() && request.queue.waiting.remove(request)) {
+                    failSuspect(request, untilMillis.getAsLong());
+                }
+            }
+        }
+    }
+
+    private void withdrawIfSuspect(RequestState request) {
+        if (!poison.isToBeWithdrawn(request, nowMillis)) {
+            return;
+        }
+        request.mayHaveRun = true;
+        release(request);
+        actions.add(new RelayAction.CancelAttempt(request.arrival.id()));
+        failSuspect(request, nowMillis);
+    }
+
+    private void failSuspect(RequestState request, long heldUntilMillis) {
+        requests.remove(request.arrival.id());
+        if (request.mayHaveRun) {
+            actions.add(new RelayAction.GiveUp(request.arrival.id(), RefusalReason.SUSPECT_PROMPT));
+        } else {
+            refuseSuspect(request.arrival, request.queue, heldUntilMillis);
+        }
+    }
+
+    /** Refuses a request without counting it as demand, since more replicas would not serve it. */
+    private void refuseSuspect(Arrival arrival, QueueState queue, long heldUntilMillis) {
+        RefusalDetails details = new RefusalDetails(
+                queue.waiting.size(), -1, queue.freeSlots(nowMillis), 0, nowMillis - arrival.arrivedMillis());
+        long retryAfterMillis = Math.max(MIN_NO_TARGET_RETRY_MILLIS, heldUntilMillis - nowMillis);
+        actions.add(new RelayAction.Refuse(arrival.id(), RefusalReason.SUSPECT_PROMPT, retryAfterMillis, details));
+    }
+
     // Timeouts and stalls.
 
     private void onTick() {
-        targets.values()
-                .removeIf(state ->
-                        state.running.isEmpty() && !state.queue().targets.contains(state));
+        registry.removeUnlistedTargets();
         excuseOwnDelay();
-        for (TargetState state : List.copyOf(targets.values())) {
+        poison.detector().tick(nowMillis);
+        holdBackSuspects();
+        for (TargetState state : registry.targets()) {
             if (!state.running.isEmpty() && nowMillis - state.lastProgressMillis > STALL_MILLIS) {
                 handleStall(state);
             }
         }
-        if (nowMillis - roundStartedMillis >= ROUND_MILLIS) {
-            beginRound();
-        }
-        for (QueueState queue : queues.values()) {
+        registry.endOverdueRound(nowMillis);
+        for (QueueState queue : registry.queues()) {
             expireWaiting(queue);
             dispatchWaiting(queue);
         }
@@ -458,7 +498,7 @@
     private void excuseOwnDelay() {
         long delayMillis = ownDelay.observe(nowMillis);
         if (delayMillis > 0) {
-            targets.values().forEach(state -> state.excuseDelay(delayMillis, nowMillis));
+            registry.targets().forEach(state -> state.excuseDelay(delayMillis, nowMillis));
         }
     }
 
@@ -525,51 +565,23 @@
     // Catalogue, targets and peer loads.
 
     private void changeCatalogue(RelayCatalogue changed) {
-        catalogue = changed;
-        timeoutEstimates.keySet().retainAll(changed.routeNames());
+        registry.setCatalogue(changed);
+        returningCallers.retainRoutes(changed.routeNames());
     }
 
-    /**
-     * A target that is no longer listed receives no new requests; it is kept until its running requests have ended.
-     */
     private void changeTargets(List<Target> changed) {
-        queues.values().forEach(QueueState::clearTargets);
-        List<Target> ordered = new ArrayList<>(changed);
-        ordered.sort(Comparator.comparing((Target target) -> target.id().vm()));
-        for (Target target : ordered) {
-            QueueState queue = queue(target.queue());
-            queue.addTarget(targets.computeIfAbsent(target.id(), id -> newTarget(target, queue)));
-        }
-        queues.values().forEach(this::dispatchWaiting);
-    }
-
-    private TargetState newTarget(Target target, QueueState queue) {
-        TargetState state = new TargetState(target, queue);
-        state.setHome(homeNodes.isHome(target));
-        queue.averagePeersRunning().ifPresent(average -> state.assumePeersRunning(average, nowMillis));
-        beginRound(state);
-        return state;
+        registry.setTargets(changed, nowMillis);
+        registry.queues().forEach(this::dispatchWaiting);
     }
 
     private void changeNodes(List<FleetNode> nodes) {
-        homeNodes.setNodes(nodes);
+        poison.detector().setNodes(nodes.stream().map(FleetNode::name).toList());
+        registry.setNodes(nodes);
         budget.setNodeCount(nodes.size(), nowMillis);
-        targets.values().forEach(state -> state.setHome(homeNodes.isHome(state.target)));
-        queues.values().forEach(QueueState::updateHomeTargets);
-    }
-
-    private void beginRound() {
-        roundStartedMillis = nowMillis;
-        targets.values().forEach(this::beginRound);
-    }
-
-    private void beginRound(TargetState state) {
-        state.beginRound(homeNodes.sharingNodes(state.isHome()), random.nextDouble(), nowMillis);
     }
 
     private void updatePeerLoads(Map<TargetId, Integer> running) {
-        targets.values().forEach(state -> state.setPeersRunning(running.getOrDefault(state.target.id(), 0), nowMillis));
-        beginRound();
-        queues.values().forEach(this::dispatchWaiting);
+        registry.setPeerLoads(running, nowMillis);
+        registry.queues().forEach(this::dispatchWaiting);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import org.apricotdeal.relay.model.RelayCatalogue;
+import org.apricotdeal.relay.poison.CrashNews;
 
 /** Events that the dispatcher handles. */
 public sealed interface RelayEvent {
@@ -76,6 +77,16 @@
         }
     }
 
+    /**
+     * Another node has reported the crashes that it knows of.
+     *
+     * @param news crashes and trials, with times on this node's monotonic clock
+     */
+    record CrashNewsReceived(CrashNews news) implements RelayEvent {}
+
+    /** The process was suspended for a time that the monotonic clock did not count. */
+    record ProcessSuspended() implements RelayEvent {}
+
     /** Periodic event for timeouts and stall detection. */
     record Tick() implements RelayEvent {}
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RequestState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RequestState.java
@@ -18,6 +18,13 @@
     int lastAttemptNumber;
     boolean mayHaveRun;
     boolean started;
+
+    /** Whether the request is the trial of a blamed part of its prompt. */
+    boolean trial;
+
+    /** Whether the answer has lasted long enough to show that the parts of the prompt are sound. */
+    boolean answered;
+
     long dispatchedMillis;
 
     RequestState(Arrival arrival, QueueState queue, long sequence, boolean returningCaller) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetBuilder.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetBuilder.java
@@ -53,6 +53,7 @@
                     new TargetId(head.id(), group.id().epoch()),
                     new QueueId(upstream.id(), Optional.of(group.model())),
                     head.address(),
+                    head.release(),
                     head.failureDomain(),
                     engine.slotsPerReplica(),
                     group.members().stream().map(UpstreamVm::id).toList()));
@@ -83,6 +84,7 @@
                     new TargetId(vm.id(), vm.startedWallMillis()),
                     new QueueId(upstream.id(), Optional.empty()),
                     vm.address(),
+                    vm.release(),
                     vm.failureDomain(),
                     vm.slots(),
                     members));
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetChooser.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetChooser.java
@@ -53,26 +53,27 @@
      *
      * @param queue queue of the request
      * @param request request to send; targets that it has tried are left out
+     * @param poison decides which targets must not receive the request
      * @param nowMillis monotonic time
      * @return the target, or null if no target has a free slot
      */
-    TargetState choose(QueueState queue, RequestState request, long nowMillis) {
+    TargetState choose(QueueState queue, RequestState request, PoisonGuard poison, long nowMillis) {
         TargetState best = null;
         double bestScore = Double.MAX_VALUE;
-        for (TargetState state : candidates(queue, request, nowMillis)) {
+        for (TargetState state : candidates(queue, request, poison, nowMillis)) {
             double score = score(state, nowMillis);
             if (score < bestScore) {
                 best = state;
                 bestScore = score;
             }
         }
-        return best != null ? best : anyUsable(queue, request, nowMillis);
+        return best != null ? best : anyUsable(queue, request, poison, nowMillis);
     }
 
-    private List<TargetState> candidates(QueueState queue, RequestState request, long nowMillis) {
+    private List<TargetState> candidates(QueueState queue, RequestState request, PoisonGuard poison, long nowMillis) {
         List<TargetState> candidates = new ArrayList<>();
         for (TargetState state : queue.homeTargets) {
-            if (isUsable(state, request, nowMillis)) {
+            if (isUsable(state, request, poison, nowMillis)) {
                 candidates.add(state);
             }
         }
@@ -81,27 +82,29 @@
         }
         for (int i = 0; i < FOREIGN_CANDIDATES; i++) {
             TargetState drawn = queue.targets.get(random.nextInt(queue.targets.size()));
-            if (!drawn.isHome() && isUsable(drawn, request, nowMillis)) {
+            if (!drawn.isHome() && isUsable(drawn, request, poison, nowMillis)) {
                 candidates.add(drawn);
             }
         }
         return candidates;
     }
 
-    private TargetState anyUsable(QueueState queue, RequestState request, long nowMillis) {
+    private TargetState anyUsable(QueueState queue, RequestState request, PoisonGuard poison, long nowMillis) {
         int count = queue.targets.size();
         int offset = count == 0 ? 0 : random.nextInt(count);
         for (int i = 0; i < count; i++) {
             TargetState state = queue.targets.get((offset + i) % count);
-            if (isUsable(state, request, nowMillis)) {
+            if (isUsable(state, request, poison, nowMillis)) {
                 return state;
             }
         }
         return null;
     }
 
-    private static boolean isUsable(TargetState state, RequestState request, long nowMillis) {
-        return state.freeSlots(nowMillis) > 0 && !request.triedTargets.contains(state.target.id());
+    private static boolean isUsable(TargetState state, RequestState request, PoisonGuard poison, long nowMillis) {
+        return state.freeSlots(nowMillis) > 0
+                && !request.triedTargets.contains(state.target.id())
+                && poison.mayReceive(state, request, nowMillis);
     }
 
     /**
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -1,8 +1,11 @@
 package org.apricotdeal.relay.policy;
 
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 
+import org.apricotdeal.relay.poison.ModelRelease;
+
 /** A target with its load and health as known to the dispatcher. */
 final class TargetState {
     /** Maximum age of the peers' request counts; several heartbeat periods. */
@@ -35,6 +38,7 @@
     long lastProgressMillis;
 
     private final QueueState queue;
+    private final Optional<ModelRelease> served;
     private int peersRunning;
     private double averagePeersRunning;
     private long peersUpdatedMillis = NEVER_MILLIS;
@@ -48,12 +52,20 @@
     TargetState(Target target, QueueState queue) {
         this.target = target;
         this.queue = queue;
+        this.served = target.queue()
+                .model()
+                .map(model -> new ModelRelease(target.queue().upstream(), model, target.release()));
     }
 
     QueueState queue() {
         return queue;
     }
 
+    /** Returns what the VMs of the target serve; empty for a plain service. */
+    Optional<ModelRelease> served() {
+        return served;
+    }
+
     void setHome(boolean isHome) {
         home = isHome;
     }
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayHeartbeat.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayHeartbeat.java
@@ -22,6 +22,9 @@
   private static final org.apache.thrift.protocol.TField SEEN_FIELD_DESC = new org.apache.thrift.protocol.TField("seen", org.apache.thrift.protocol.TType.LIST, (short)10);
   private static final org.apache.thrift.protocol.TField VM_AGE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("vmAgeMillis", org.apache.thrift.protocol.TType.I32, (short)11);
   private static final org.apache.thrift.protocol.TField SILENT_VMS_FIELD_DESC = new org.apache.thrift.protocol.TField("silentVms", org.apache.thrift.protocol.TType.LIST, (short)12);
+  private static final org.apache.thrift.protocol.TField CRASH_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("crashDigest", org.apache.thrift.protocol.TType.I64, (short)13);
+  private static final org.apache.thrift.protocol.TField CRASHES_FIELD_DESC = new org.apache.thrift.protocol.TField("crashes", org.apache.thrift.protocol.TType.LIST, (short)14);
+  private static final org.apache.thrift.protocol.TField TRIALS_FIELD_DESC = new org.apache.thrift.protocol.TField("trials", org.apache.thrift.protocol.TType.LIST, (short)15);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TRelayHeartbeatStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TRelayHeartbeatTupleSchemeFactory();
@@ -42,6 +45,9 @@
   public @org.apache.thrift.annotation.Nullable java.util.List<TRelayNodeSeen> seen; // optional
   public int vmAgeMillis; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<TRelaySilentVm> silentVms; // optional
+  public long crashDigest; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<TRelayCrash> crashes; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<TRelayTrial> trials; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -60,7 +66,10 @@
     SCOPE((short)9, "scope"),
     SEEN((short)10, "seen"),
     VM_AGE_MILLIS((short)11, "vmAgeMillis"),
-    SILENT_VMS((short)12, "silentVms");
+    SILENT_VMS((short)12, "silentVms"),
+    CRASH_DIGEST((short)13, "crashDigest"),
+    CRASHES((short)14, "crashes"),
+    TRIALS((short)15, "trials");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -100,6 +109,12 @@
           return VM_AGE_MILLIS;
         case 12: // SILENT_VMS
           return SILENT_VMS;
+        case 13: // CRASH_DIGEST
+          return CRASH_DIGEST;
+        case 14: // CRASHES
+          return CRASHES;
+        case 15: // TRIALS
+          return TRIALS;
         default:
           return null;
       }
@@ -148,8 +163,9 @@
   private static final int __STOREAWAY_ISSET_ID = 2;
   private static final int __STOPPING_ISSET_ID = 3;
   private static final int __VMAGEMILLIS_ISSET_ID = 4;
+  private static final int __CRASHDIGEST_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.CATALOGUE,_Fields.VM_REVISION,_Fields.STORE_AWAY,_Fields.VM_NEWS,_Fields.STOPPING,_Fields.SCOPE,_Fields.SEEN,_Fields.VM_AGE_MILLIS,_Fields.SILENT_VMS};
+  private static final _Fields optionals[] = {_Fields.CATALOGUE,_Fields.VM_REVISION,_Fields.STORE_AWAY,_Fields.VM_NEWS,_Fields.STOPPING,_Fields.SCOPE,_Fields.SEEN,_Fields.VM_AGE_MILLIS,_Fields.SILENT_VMS,_Fields.CRASH_DIGEST,_Fields.CRASHES,_Fields.TRIALS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -180,6 +196,14 @@
     tmpMap.put(_Fields.SILENT_VMS, new org.apache.thrift.meta_data.FieldMetaData("silentVms", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelaySilentVm.class))));
+    tmpMap.put(_Fields.CRASH_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("crashDigest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.CRASHES, new org.apache.thrift.meta_data.FieldMetaData("crashes", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayCrash.class))));
+    tmpMap.put(_Fields.TRIALS, new org.apache.thrift.meta_data.FieldMetaData("trials", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayTrial.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TRelayHeartbeat.class, metaDataMap);
   }
@@ -242,6 +266,21 @@
       }
       this.silentVms = __this__silentVms;
     }
+    this.crashDigest = other.crashDigest;
+    if (other.isSetCrashes()) {
+      java.util.List<TRelayCrash> __this__crashes = new java.util.ArrayList<TRelayCrash>(other.crashes.size());
+      for (TRelayCrash other_element : other.crashes) {
+        __this__crashes.add(new TRelayCrash(other_element));
+      }
+      this.crashes = __this__crashes;
+    }
+    if (other.isSetTrials()) {
+      java.util.List<TRelayTrial> __this__trials = new java.util.ArrayList<TRelayTrial>(other.trials.size());
+      for (TRelayTrial other_element : other.trials) {
+        __this__trials.add(new TRelayTrial(other_element));
+      }
+      this.trials = __this__trials;
+    }
   }
 
   @Override
@@ -268,6 +307,10 @@
     setVmAgeMillisIsSet(false);
     this.vmAgeMillis = 0;
     this.silentVms = null;
+    setCrashDigestIsSet(false);
+    this.crashDigest = 0;
+    this.crashes = null;
+    this.trials = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -625,6 +668,111 @@
     }
   }
 
+  public long getCrashDigest() {
+    return this.crashDigest;
+  }
+
+  public TRelayHeartbeat setCrashDigest(long crashDigest) {
+    this.crashDigest = crashDigest;
+    setCrashDigestIsSet(true);
+    return this;
+  }
+
+  public void unsetCrashDigest() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CRASHDIGEST_ISSET_ID);
+  }
+
+  /** Returns true if field crashDigest is set (has been assigned a value) and false otherwise */
+  public boolean isSetCrashDigest() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CRASHDIGEST_ISSET_ID);
+  }
+
+  public void setCrashDigestIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CRASHDIGEST_ISSET_ID, value);
+  }
+
+  public int getCrashesSize() {
+    return (this.crashes == null) ? 0 : this.crashes.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<TRelayCrash> getCrashesIterator() {
+    return (this.crashes == null) ? null : this.crashes.iterator();
+  }
+
+  public void addToCrashes(TRelayCrash elem) {
+    if (this.crashes == null) {
+      this.crashes = new java.util.ArrayList<TRelayCrash>();
+    }
+    this.crashes.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<TRelayCrash> getCrashes() {
+    return this.crashes;
+  }
+
+  public TRelayHeartbeat setCrashes(@org.apache.thrift.annotation.Nullable java.util.List<TRelayCrash> crashes) {
+    this.crashes = crashes;
+    return this;
+  }
+
+  public void unsetCrashes() {
+    this.crashes = null;
+  }
+
+  /** Returns true if field crashes is set (has been assigned a value) and false otherwise */
+  public boolean isSetCrashes() {
+    return this.crashes != null;
+  }
+
+  public void setCrashesIsSet(boolean value) {
+    if (!value) {
+      this.crashes = null;
+    }
+  }
+
+  public int getTrialsSize() {
+    return (this.trials == null) ? 0 : this.trials.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<TRelayTrial> getTrialsIterator() {
+    return (this.trials == null) ? null : this.trials.iterator();
+  }
+
+  public void addToTrials(TRelayTrial elem) {
+    if (this.trials == null) {
+      this.trials = new java.util.ArrayList<TRelayTrial>();
+    }
+    this.trials.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<TRelayTrial> getTrials() {
+    return this.trials;
+  }
+
+  public TRelayHeartbeat setTrials(@org.apache.thrift.annotation.Nullable java.util.List<TRelayTrial> trials) {
+    this.trials = trials;
+    return this;
+  }
+
+  public void unsetTrials() {
+    this.trials = null;
+  }
+
+  /** Returns true if field trials is set (has been assigned a value) and false otherwise */
+  public boolean isSetTrials() {
+    return this.trials != null;
+  }
+
+  public void setTrialsIsSet(boolean value) {
+    if (!value) {
+      this.trials = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -728,6 +876,30 @@
       }
       break;
 
+    case CRASH_DIGEST:
+      if (value == null) {
+        unsetCrashDigest();
+      } else {
+        setCrashDigest((java.lang.Long)value);
+      }
+      break;
+
+    case CRASHES:
+      if (value == null) {
+        unsetCrashes();
+      } else {
+        setCrashes((java.util.List<TRelayCrash>)value);
+      }
+      break;
+
+    case TRIALS:
+      if (value == null) {
+        unsetTrials();
+      } else {
+        setTrials((java.util.List<TRelayTrial>)value);
+      }
+      break;
+
     }
   }
 
@@ -771,6 +943,15 @@
     case SILENT_VMS:
       return getSilentVms();
 
+    case CRASH_DIGEST:
+      return getCrashDigest();
+
+    case CRASHES:
+      return getCrashes();
+
+    case TRIALS:
+      return getTrials();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -807,6 +988,12 @@
       return isSetVmAgeMillis();
     case SILENT_VMS:
       return isSetSilentVms();
+    case CRASH_DIGEST:
+      return isSetCrashDigest();
+    case CRASHES:
+      return isSetCrashes();
+    case TRIALS:
+      return isSetTrials();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -932,6 +1119,33 @@
         return false;
     }
 
+    boolean this_present_crashDigest = true && this.isSetCrashDigest();
+    boolean that_present_crashDigest = true && that.isSetCrashDigest();
+    if (this_present_crashDigest || that_present_crashDigest) {
+      if (!(this_present_crashDigest && that_present_crashDigest))
+        return false;
+      if (this.crashDigest != that.crashDigest)
+        return false;
+    }
+
+    boolean this_present_crashes = true && this.isSetCrashes();
+    boolean that_present_crashes = true && that.isSetCrashes();
+    if (this_present_crashes || that_present_crashes) {
+      if (!(this_present_crashes && that_present_crashes))
+        return false;
+      if (!this.crashes.equals(that.crashes))
+        return false;
+    }
+
+    boolean this_present_trials = true && this.isSetTrials();
+    boolean that_present_trials = true && that.isSetTrials();
+    if (this_present_trials || that_present_trials) {
+      if (!(this_present_trials && that_present_trials))
+        return false;
+      if (!this.trials.equals(that.trials))
+        return false;
+    }
+
     return true;
   }
 
@@ -985,6 +1199,18 @@
     if (isSetSilentVms())
       hashCode = hashCode * 8191 + silentVms.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetCrashDigest()) ? 131071 : 524287);
+    if (isSetCrashDigest())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(crashDigest);
+
+    hashCode = hashCode * 8191 + ((isSetCrashes()) ? 131071 : 524287);
+    if (isSetCrashes())
+      hashCode = hashCode * 8191 + crashes.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetTrials()) ? 131071 : 524287);
+    if (isSetTrials())
+      hashCode = hashCode * 8191 + trials.hashCode();
+
     return hashCode;
   }
 
@@ -1116,6 +1342,36 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetCrashDigest(), other.isSetCrashDigest());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCrashDigest()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.crashDigest, other.crashDigest);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetCrashes(), other.isSetCrashes());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCrashes()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.crashes, other.crashes);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetTrials(), other.isSetTrials());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTrials()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.trials, other.trials);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1233,6 +1489,32 @@
       }
       first = false;
     }
+    if (isSetCrashDigest()) {
+      if (!first) sb.append(", ");
+      sb.append("crashDigest:");
+      sb.append(this.crashDigest);
+      first = false;
+    }
+    if (isSetCrashes()) {
+      if (!first) sb.append(", ");
+      sb.append("crashes:");
+      if (this.crashes == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.crashes);
+      }
+      first = false;
+    }
+    if (isSetTrials()) {
+      if (!first) sb.append(", ");
+      sb.append("trials:");
+      if (this.trials == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.trials);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1313,14 +1595,14 @@
           case 3: // LOADS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
-                struct.loads = new java.util.ArrayList<TRelayLoad>(_list8.size);
-                @org.apache.thrift.annotation.Nullable TRelayLoad _elem9;
-                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
+                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
+                struct.loads = new java.util.ArrayList<TRelayLoad>(_list40.size);
+                @org.apache.thrift.annotation.Nullable TRelayLoad _elem41;
+                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
                 {
-                  _elem9 = new TRelayLoad();
-                  _elem9.read(iprot);
-                  struct.loads.add(_elem9);
+                  _elem41 = new TRelayLoad();
+                  _elem41.read(iprot);
+                  struct.loads.add(_elem41);
                 }
                 iprot.readListEnd();
               }
@@ -1381,14 +1663,14 @@
           case 10: // SEEN
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list11 = iprot.readListBegin();
-                struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list11.size);
-                @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem12;
-                for (int _i13 = 0; _i13 < _list11.size; ++_i13)
+                org.apache.thrift.protocol.TList _list43 = iprot.readListBegin();
+                struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list43.size);
+                @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem44;
+                for (int _i45 = 0; _i45 < _list43.size; ++_i45)
                 {
-                  _elem12 = new TRelayNodeSeen();
-                  _elem12.read(iprot);
-                  struct.seen.add(_elem12);
+                  _elem44 = new TRelayNodeSeen();
+                  _elem44.read(iprot);
+                  struct.seen.add(_elem44);
                 }
                 iprot.readListEnd();
               }
@@ -1408,14 +1690,14 @@
           case 12: // SILENT_VMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list14 = iprot.readListBegin();
-                struct.silentVms = new java.util.ArrayList<TRelaySilentVm>(_list14.size);
-                @org.apache.thrift.annotation.Nullable TRelaySilentVm _elem15;
-                for (int _i16 = 0; _i16 < _list14.size; ++_i16)
+                org.apache.thrift.protocol.TList _list46 = iprot.readListBegin();
+                struct.silentVms = new java.util.ArrayList<TRelaySilentVm>(_list46.size);
+                @org.apache.thrift.annotation.Nullable TRelaySilentVm _elem47;
+                for (int _i48 = 0; _i48 < _list46.size; ++_i48)
                 {
-                  _elem15 = new TRelaySilentVm();
-                  _elem15.read(iprot);
-                  struct.silentVms.add(_elem15);
+                  _elem47 = new TRelaySilentVm();
+                  _elem47.read(iprot);
+                  struct.silentVms.add(_elem47);
                 }
                 iprot.readListEnd();
               }
@@ -1424,6 +1706,52 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 13: // CRASH_DIGEST
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.crashDigest = iprot.readI64();
+              struct.setCrashDigestIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 14: // CRASHES
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list49 = iprot.readListBegin();
+                struct.crashes = new java.util.ArrayList<TRelayCrash>(_list49.size);
+                @org.apache.thrift.annotation.Nullable TRelayCrash _elem50;
+                for (int _i51 = 0; _i51 < _list49.size; ++_i51)
+                {
+                  _elem50 = new TRelayCrash();
+                  _elem50.read(iprot);
+                  struct.crashes.add(_elem50);
+                }
+                iprot.readListEnd();
+              }
+              struct.setCrashesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 15: // TRIALS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list52 = iprot.readListBegin();
+                struct.trials = new java.util.ArrayList<TRelayTrial>(_list52.size);
+                @org.apache.thrift.annotation.Nullable TRelayTrial _elem53;
+                for (int _i54 = 0; _i54 < _list52.size; ++_i54)
+                {
+                  _elem53 = new TRelayTrial();
+                  _elem53.read(iprot);
+                  struct.trials.add(_elem53);
+                }
+                iprot.readListEnd();
+              }
+              struct.setTrialsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1455,9 +1783,9 @@
         oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-          for (TRelayLoad _iter17 : struct.loads)
+          for (TRelayLoad _iter55 : struct.loads)
           {
-            _iter17.write(oprot);
+            _iter55.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1504,9 +1832,9 @@
           oprot.writeFieldBegin(SEEN_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.seen.size()));
-            for (TRelayNodeSeen _iter18 : struct.seen)
+            for (TRelayNodeSeen _iter56 : struct.seen)
             {
-              _iter18.write(oprot);
+              _iter56.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1523,9 +1851,42 @@
           oprot.writeFieldBegin(SILENT_VMS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.silentVms.size()));
-            for (TRelaySilentVm _iter19 : struct.silentVms)
+            for (TRelaySilentVm _iter57 : struct.silentVms)
             {
-              _iter19.write(oprot);
+              _iter57.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.isSetCrashDigest()) {
+        oprot.writeFieldBegin(CRASH_DIGEST_FIELD_DESC);
+        oprot.writeI64(struct.crashDigest);
+        oprot.writeFieldEnd();
+      }
+      if (struct.crashes != null) {
+        if (struct.isSetCrashes()) {
+          oprot.writeFieldBegin(CRASHES_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.crashes.size()));
+            for (TRelayCrash _iter58 : struct.crashes)
+            {
+              _iter58.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.trials != null) {
+        if (struct.isSetTrials()) {
+          oprot.writeFieldBegin(TRIALS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.trials.size()));
+            for (TRelayTrial _iter59 : struct.trials)
+            {
+              _iter59.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1554,9 +1915,9 @@
       oprot.writeI64(struct.catalogueVersion);
       {
         oprot.writeI32(struct.loads.size());
-        for (TRelayLoad _iter20 : struct.loads)
+        for (TRelayLoad _iter60 : struct.loads)
         {
-          _iter20.write(oprot);
+          _iter60.write(oprot);
         }
       }
       java.util.BitSet optionals = new java.util.BitSet();
@@ -1587,7 +1948,16 @@
       if (struct.isSetSilentVms()) {
         optionals.set(8);
       }
-      oprot.writeBitSet(optionals, 9);
+      if (struct.isSetCrashDigest()) {
+        optionals.set(9);
+      }
+      if (struct.isSetCrashes()) {
+        optionals.set(10);
+      }
+      if (struct.isSetTrials()) {
+        optionals.set(11);
+      }
+      oprot.writeBitSet(optionals, 12);
       if (struct.isSetCatalogue()) {
         oprot.writeBinary(struct.catalogue);
       }
@@ -1609,9 +1979,9 @@
       if (struct.isSetSeen()) {
         {
           oprot.writeI32(struct.seen.size());
-          for (TRelayNodeSeen _iter21 : struct.seen)
+          for (TRelayNodeSeen _iter61 : struct.seen)
           {
-            _iter21.write(oprot);
+            _iter61.write(oprot);
           }
         }
       }
@@ -1621,9 +1991,30 @@
       if (struct.isSetSilentVms()) {
         {
           oprot.writeI32(struct.silentVms.size());
-          for (TRelaySilentVm _iter22 : struct.silentVms)
+          for (TRelaySilentVm _iter62 : struct.silentVms)
+          {
+            _iter62.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetCrashDigest()) {
+        oprot.writeI64(struct.crashDigest);
+      }
+      if (struct.isSetCrashes()) {
+        {
+          oprot.writeI32(struct.crashes.size());
+          for (TRelayCrash _iter63 : struct.crashes)
+          {
+            _iter63.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetTrials()) {
+        {
+          oprot.writeI32(struct.trials.size());
+          for (TRelayTrial _iter64 : struct.trials)
           {
-            _iter22.write(oprot);
+            _iter64.write(oprot);
           }
         }
       }
@@ -1638,18 +2029,18 @@
       struct.catalogueVersion = iprot.readI64();
       struct.setCatalogueVersionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list23 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.loads = new java.util.ArrayList<TRelayLoad>(_list23.size);
-        @org.apache.thrift.annotation.Nullable TRelayLoad _elem24;
-        for (int _i25 = 0; _i25 < _list23.size; ++_i25)
+        org.apache.thrift.protocol.TList _list65 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.loads = new java.util.ArrayList<TRelayLoad>(_list65.size);
+        @org.apache.thrift.annotation.Nullable TRelayLoad _elem66;
+        for (int _i67 = 0; _i67 < _list65.size; ++_i67)
         {
-          _elem24 = new TRelayLoad();
-          _elem24.read(iprot);
-          struct.loads.add(_elem24);
+          _elem66 = new TRelayLoad();
+          _elem66.read(iprot);
+          struct.loads.add(_elem66);
         }
       }
       struct.setLoadsIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(9);
+      java.util.BitSet incoming = iprot.readBitSet(12);
       if (incoming.get(0)) {
         struct.catalogue = iprot.readBinary();
         struct.setCatalogueIsSet(true);
@@ -1677,14 +2068,14 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list26 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list26.size);
-          @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem27;
-          for (int _i28 = 0; _i28 < _list26.size; ++_i28)
+          org.apache.thrift.protocol.TList _list68 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list68.size);
+          @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem69;
+          for (int _i70 = 0; _i70 < _list68.size; ++_i70)
           {
-            _elem27 = new TRelayNodeSeen();
-            _elem27.read(iprot);
-            struct.seen.add(_elem27);
+            _elem69 = new TRelayNodeSeen();
+            _elem69.read(iprot);
+            struct.seen.add(_elem69);
           }
         }
         struct.setSeenIsSet(true);
@@ -1695,18 +2086,50 @@
       }
       if (incoming.get(8)) {
         {
-          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.silentVms = new java.util.ArrayList<TRelaySilentVm>(_list29.size);
-          @org.apache.thrift.annotation.Nullable TRelaySilentVm _elem30;
-          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+          org.apache.thrift.protocol.TList _list71 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.silentVms = new java.util.ArrayList<TRelaySilentVm>(_list71.size);
+          @org.apache.thrift.annotation.Nullable TRelaySilentVm _elem72;
+          for (int _i73 = 0; _i73 < _list71.size; ++_i73)
           {
-            _elem30 = new TRelaySilentVm();
-            _elem30.read(iprot);
-            struct.silentVms.add(_elem30);
+            _elem72 = new TRelaySilentVm();
+            _elem72.read(iprot);
+            struct.silentVms.add(_elem72);
           }
         }
         struct.setSilentVmsIsSet(true);
       }
+      if (incoming.get(9)) {
+        struct.crashDigest = iprot.readI64();
+        struct.setCrashDigestIsSet(true);
+      }
+      if (incoming.get(10)) {
+        {
+          org.apache.thrift.protocol.TList _list74 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.crashes = new java.util.ArrayList<TRelayCrash>(_list74.size);
+          @org.apache.thrift.annotation.Nullable TRelayCrash _elem75;
+          for (int _i76 = 0; _i76 < _list74.size; ++_i76)
+          {
+            _elem75 = new TRelayCrash();
+            _elem75.read(iprot);
+            struct.crashes.add(_elem75);
+          }
+        }
+        struct.setCrashesIsSet(true);
+      }
+      if (incoming.get(11)) {
+        {
+          org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.trials = new java.util.ArrayList<TRelayTrial>(_list77.size);
+          @org.apache.thrift.annotation.Nullable TRelayTrial _elem78;
+          for (int _i79 = 0; _i79 < _list77.size; ++_i79)
+          {
+            _elem78 = new TRelayTrial();
+            _elem78.read(iprot);
+            struct.trials.add(_elem78);
+          }
+        }
+        struct.setTrialsIsSet(true);
+      }
     }
   }
 
--- a/wire-gen/src/main/thrift/relay.thrift
+++ b/wire-gen/src/main/thrift/relay.thrift
@@ -49,6 +49,30 @@
   2: required i32 ageMillis;          // time since the last call that it did not answer
 }
 
+// A crash of a VM, with the requests that it lost before they were answered.
+struct TRelayCrash {
+  1: required string upstream;
+  2: required string model;
+  3: required string release;
+  4: required string vm;
+  5: required i64 number;
+  6: required i32 ageMillis;
+  7: required list<list<string>> prompts;      // shared parts of each lost request
+  8: required list<string> soundParts;         // answered before the crash
+  9: required list<string> clearedParts;       // answered since the crash
+}
+
+// Trials of a part that is blamed for crashes.
+struct TRelayTrial {
+  1: required string upstream;
+  2: required string model;
+  3: required string release;
+  4: required string part;
+  5: required i32 ageMillis;                   // time since the last trial started
+  6: required i32 count;
+  7: required bool passed;
+}
+
 // Sent to a few nodes, and given back by them as the answer.
 struct TRelayHeartbeat {
   1: required TRelayNode sender;
@@ -63,4 +87,7 @@
   10: optional list<TRelayNodeSeen> seen;
   11: optional i32 vmAgeMillis;       // time since the store confirmed the sender's revision
   12: optional list<TRelaySilentVm> silentVms;
+  13: optional i64 crashDigest;        // of the crashes and trials that the sender knows
+  14: optional list<TRelayCrash> crashes;   // those, where the receiver's digest differs
+  15: optional list<TRelayTrial> trials;
 }
