Do not take a stream cut before its first event for a complete one

Callers saw: an empty success, where a VM had crashed after the head of an answer that has neither a length nor chunks. Cause: such an answer ends with its connection, and a stream without a partial event counted as whole. Change: a stream that ends with its connection before any event is a lost attempt, unless it was resumed. Measured: VmAnswersTest.streamThatEndsWithItsConnection[empty body] failed on (200, complete) and passes; the cases of an event cut midway and of a whole event passed before.

--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/VmAnswersTest.java
@@ -0,0 +1,95 @@
+package org.apricotdeal.proofs.relay;
+
+import java.io.IOException;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.apricotdeal.proofs.http.ScriptedServer;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+/** Tests that the relay heeds what the answers of VMs say about the VM, and how an answer ends. */
+public final class VmAnswersTest {
+    private static final Pattern ID = Pattern.compile("x-attempt-id: (\\S+)");
+
+    private RelayFleet fleet;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        fleet = new RelayFleet(4, 5);
+        fleet.configure(3, RelayFleet.KEY);
+        fleet.awaitServing(15);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        fleet.close();
+    }
+
+    /** A VM of the plain service whose answers a test writes. */
+    private static final class ScriptedVm implements ScriptedServer.Script {
+        private final String answer;
+
+        /** Creates a VM that gives one answer, in which {@code ID} stands for the id of the request. */
+        ScriptedVm(String answer) {
+            this.answer = answer.replace("\n", "\r\n");
+        }
+
+        @Override
+        public void serve(ScriptedServer.Connection connection) throws IOException {
+            Matcher id = ID.matcher(connection.read().head());
+            connection.write(answer.replace("ID", id.find() ? id.group(1) : "none"));
+        }
+    }
+
+    private void register(String id, ScriptedServer vm) {
+        fleet.store.put(
+                "servers/" + id,
+                "{\"service\":\"shop\",\"address\":\"" + vm.address() + "\",\"zone\":\"a\",\"version\":\"v1\","
+                        + "\"slots\":4,\"state\":\"ready\",\"cold-remaining-ms\":0,\"sequence\":1,\"born\":5}");
+    }
+
+    @DataProvider
+    public Object[][] streams() {
+        return new Object[][] {
+            {"", false},
+            {"id: 1\nda", false},
+            {"id: 1\ndata: x\n\nid: 2\nda", false},
+            {"id: 1\ndata: x\n\n", true}
+        };
+    }
+
+    /**
+     * Guards against a stream that was broken off ending like a complete one.
+     *
+     * @param body what comes before the connection ends, without a length or chunks
+     * @param complete whether the stream is complete
+     */
+    @Test(dataProvider = "streams")
+    public void streamThatEndsWithItsConnection(String body, boolean complete) throws Exception {
+        ScriptedVm ending = new ScriptedVm("""
+                HTTP/1.1 200 OK
+                X-Attempt-Id: ID
+                X-Response-Signature: s
+                Content-Type: text/event-stream
+                Connection: close
+
+                """);
+        ScriptedServer.Script script = connection -> {
+            ending.serve(connection);
+            connection.write(body);
+        };
+        try (ScriptedServer vm = new ScriptedServer(script)) {
+            fleet.store.remove("servers/s0");
+            register("ending", vm);
+            RelayFleet.pause(1_500);
+            String answer = fleet.call("POST", "/watch/x", "r1", RelayFleet.KEY);
+            boolean succeeded = answer.startsWith("HTTP/1.1 200") && answer.endsWith("0\r\n\r\n");
+            assertEquals(succeeded, complete, answer);
+        }
+    }
+}
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -293,10 +293,23 @@
             fail(outcomeOfLostConnection(), "the stream ended within an event", response);
             return;
         }
+        if (isCutBeforeFirstEvent(response)) {
+            fail(outcomeOfLostConnection(), "the stream ended before its first event", response);
+            return;
+        }
         exchange.endStream();
         listener.completed(this, response.getStatus());
     }
 
+    /** Returns whether a stream without events ended with its connection; only a resumed one may have none left. */
+    private boolean isCutBeforeFirstEvent(Response response) {
+        HttpFields headers = response.getHeaders();
+        return firstEventMillis < 0
+                && exchange.lastEventId() == null
+                && !headers.contains(HttpHeader.CONTENT_LENGTH)
+                && !headers.contains(HttpHeader.TRANSFER_ENCODING);
+    }
+
     private void completeResponse(Response response) {
         int status = response.getStatus();
         if (response.getHeaders().contains(headerNames.notRun()) || status == HttpStatus.MISDIRECTED_REQUEST_421) {
