Answer 502 where a stream is lost before anything was written

Callers saw: 500 with the error page of the server library, and with the headers of the VM, after a replica crashed twice under their request. Cause: a stream counted as started once its head was known, and an abort of a response that was not committed is answered by Jetty. Change: only written bytes make an abort necessary; otherwise the head is reset and the node's own 502 or 504 is sent. Measured: VmAnswersTest.streamThatBreaksBeforeItsFirstEventIsReportedAsBadGateway failed on (500 Server Error) and passes.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/VmAnswersTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/VmAnswersTest.java
@@ -11,6 +11,8 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 /** Tests that the relay heeds what the answers of VMs say about the VM, and how an answer ends. */
 public final class VmAnswersTest {
@@ -92,4 +94,14 @@
             assertEquals(succeeded, complete, answer);
         }
     }
+
+    /** Guards against an error page of the server library, and against the signature of a VM on an error of the node. */
+    @Test
+    public void streamThatBreaksBeforeItsFirstEventIsReportedAsBadGateway() {
+        fleet.engines.forEach(engine -> engine.breakStreamsAfter(0));
+        String answer = fleet.call("POST", "/talk/x", "r1", RelayFleet.KEY);
+        assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+        assertTrue(answer.contains("X-Attempt-Id: r1"), answer);
+        assertFalse(answer.contains("X-Response-Signature"), answer);
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
@@ -52,6 +52,7 @@
     private final boolean closeConnection;
     private final AtomicBoolean completed = new AtomicBoolean();
     private final AtomicBoolean started = new AtomicBoolean();
+    private final AtomicBoolean written = new AtomicBoolean();
     private UpstreamAttempt attempt;
     private volatile long progressMillis;
     private volatile long streamStartMillis = -1;
@@ -145,6 +146,7 @@
 
     void writeEvents(ByteBuffer events, Optional<String> lastId, Runnable onWritten) {
         lastId.ifPresent(id -> lastEventId = id);
+        written.set(true);
         writer.write(events, onWritten);
     }
 
@@ -195,9 +197,9 @@
         sendError(HttpStatus.SERVICE_UNAVAILABLE_503, reason.toString());
     }
 
-    /** Ends a request that may have run: with an error response, or by an abort if the response has been started. */
+    /** Ends a request that may have run: with an error response, or by an abort if part of a response has been written. */
     void fail(RefusalReason reason) {
-        if (hasStarted()) {
+        if (written.get()) {
             if (completed.compareAndSet(false, true)) {
                 endPoint.stopWatching();
                 writer.abort(new IllegalStateException("response aborted: " + reason));
@@ -215,6 +217,7 @@
         }
         started.set(true);
         endPoint.stopWatching();
+        response.reset();
         byte[] text = ("{\"error\":\"" + reason.toLowerCase(Locale.ROOT) + "\"}").getBytes(StandardCharsets.UTF_8);
         response.setStatus(status);
         response.getHeaders().put(headerNames.requestId(), requestId);
