Send no requests to a VM before the end of the pause that it asked for

Callers saw: refusals one after the other by a VM that had said when it wants requests again. Cause: Retry-After of a VM was not read. Change: a 503 with Retry-After pauses all targets of the VM at this node, also those that open later; a paused target has no free and no usable slots, and callers are not told to come back before the first pause ends if no other target is left. Measured: VmAnswersTest.vmThatAsksForPauseGetsNoRequestsBeforeItsEnd failed on (64 requests between 0.5 s and 2.5 s) and passes.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/VmAnswersTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/VmAnswersTest.java
@@ -1,6 +1,8 @@
 package org.apricotdeal.proofs.relay;
 
 import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -32,8 +34,9 @@
         fleet.close();
     }
 
-    /** A VM of the plain service whose answers a test writes. */
+    /** A VM of the plain service whose answers a test writes; records the times of its requests. */
     private static final class ScriptedVm implements ScriptedServer.Script {
+        final List<Long> requestNanos = new CopyOnWriteArrayList<>();
         private final String answer;
 
         /** Creates a VM that gives one answer, in which {@code ID} stands for the id of the request. */
@@ -44,8 +47,17 @@
         @Override
         public void serve(ScriptedServer.Connection connection) throws IOException {
             Matcher id = ID.matcher(connection.read().head());
+            requestNanos.add(System.nanoTime());
             connection.write(answer.replace("ID", id.find() ? id.group(1) : "none"));
         }
+
+        long requestsBetween(long fromMillis, long toMillis) {
+            long firstNanos = requestNanos.getFirst();
+            return requestNanos.stream()
+                    .map(nanos -> (nanos - firstNanos) / 1_000_000)
+                    .filter(millis -> millis >= fromMillis && millis < toMillis)
+                    .count();
+        }
     }
 
     private void register(String id, ScriptedServer vm) {
@@ -55,6 +67,34 @@
                         + "\"slots\":4,\"state\":\"ready\",\"cold-remaining-ms\":0,\"sequence\":1,\"born\":5}");
     }
 
+    private void callFor(long millis) {
+        long endNanos = System.nanoTime() + millis * 1_000_000;
+        for (int i = 0; System.nanoTime() < endNanos; i++) {
+            fleet.call("POST", "/book/x", "r" + i, RelayFleet.KEY);
+            RelayFleet.pause(10);
+        }
+    }
+
+    /** Guards against a VM being asked again and again while it wants no requests. */
+    @Test
+    public void vmThatAsksForPauseGetsNoRequestsBeforeItsEnd() throws Exception {
+        ScriptedVm full = new ScriptedVm("""
+                HTTP/1.1 503 Unavailable
+                X-Attempt-Id: ID
+                X-Not-Executed: 1
+                Retry-After: 2.5
+                Content-Length: 0
+                Connection: close
+
+                """);
+        try (ScriptedServer vm = new ScriptedServer(full)) {
+            register("full", vm);
+            callFor(5_000);
+            assertTrue(full.requestsBetween(500, 2_500) <= 2, full.requestsBetween(500, 2_500) + " requests");
+            assertTrue(full.requestsBetween(2_500, 5_000) >= 1, "the VM is asked again after the pause");
+        }
+    }
+
     @DataProvider
     public Object[][] streams() {
         return new Object[][] {
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -162,6 +162,14 @@
         duty.put(new RelayEvent.AnswerStarted(attempt.id()));
     }
 
+    @Override
+    public void paused(UpstreamAttempt attempt, long pauseMillis) {
+        VmId vm = attempt.target().id().vm();
+        metrics.counter("vms.paused").inc();
+        log.state("vm_paused").with("vm", vm).with("pauseMillis", pauseMillis).write();
+        duty.put(new RelayEvent.VmPaused(vm, clock.monotonicMillis() + pauseMillis));
+    }
+
     @Override
     public void completed(UpstreamAttempt attempt, int status) {
         Exchange exchange = attempt.exchange();
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -64,6 +64,14 @@
          */
         void started(UpstreamAttempt attempt);
 
+        /**
+         * Called when the VM wants no requests for a while.
+         *
+         * @param attempt the attempt
+         * @param pauseMillis time for which it wants none
+         */
+        void paused(UpstreamAttempt attempt, long pauseMillis);
+
         /**
          * Called when the complete response has been passed to the caller.
          *
@@ -199,6 +207,7 @@
             abort(response.getRequest(), "not a response to this request");
             return;
         }
+        reportVmState(response);
         RouteEntry route = exchange.arrival().route();
         streaming = route.retrySafety() == RetrySafety.STREAM && response.getStatus() == HttpStatus.OK_200;
         if (streaming) {
@@ -207,6 +216,13 @@
         }
     }
 
+    private void reportVmState(Response response) {
+        if (response.getStatus() == HttpStatus.SERVICE_UNAVAILABLE_503) {
+            RetryAfter.parseMillis(response.getHeaders().get(HttpHeader.RETRY_AFTER))
+                    .ifPresent(pauseMillis -> listener.paused(this, pauseMillis));
+        }
+    }
+
     private void onContent(Response response, Content.Chunk chunk, Runnable demandNext) {
         ByteBuffer events = null;
         synchronized (this) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.EngineProfile;
 import org.apricotdeal.relay.model.ModelSpec;
 import org.apricotdeal.relay.model.RelayCatalogue;
@@ -28,10 +29,13 @@
     private static final double INITIAL_PLAIN_START_MILLIS = 30;
     private static final double INITIAL_ENGINE_START_MILLIS = 120;
 
+    private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
     private final HomeNodes homeNodes;
     private final UniformRandomProvider random;
     private final Map<QueueId, QueueState> queues = new HashMap<>();
     private final Map<TargetId, TargetState> targets = new HashMap<>();
+    private final Map<VmId, Long> pausedUntilMillis = new HashMap<>();
     private RelayCatalogue catalogue;
     private long roundStartedMillis;
 
@@ -125,6 +129,7 @@
 
     private TargetState newTarget(Target target, QueueState queue, long nowMillis) {
         TargetState state = new TargetState(target, queue);
+        state.pauseUntil(pausedUntilMillis.getOrDefault(target.id().vm(), NEVER_MILLIS));
         state.setHome(homeNodes.isHome(target));
         queue.averagePeersRunning().ifPresent(average -> state.assumePeersRunning(average, nowMillis));
         beginRound(state, nowMillis);
@@ -138,6 +143,17 @@
                         state.running.isEmpty() && !state.queue().targets.contains(state));
     }
 
+    /** Pauses all targets of a VM, also those that open later. */
+    void pause(VmId vm, long untilMillis, long nowMillis) {
+        pausedUntilMillis.values().removeIf(endMillis -> endMillis <= nowMillis);
+        pausedUntilMillis.merge(vm, untilMillis, Math::max);
+        for (TargetState state : targets.values()) {
+            if (state.target.id().vm().equals(vm)) {
+                state.pauseUntil(untilMillis);
+            }
+        }
+    }
+
     void setNodes(List<FleetNode> nodes) {
         homeNodes.setNodes(nodes);
         targets.values().forEach(state -> state.setHome(homeNodes.isHome(state.target)));
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.TreeSet;
 
 /** Requests that wait for the same targets, with those targets and their measured service times. */
@@ -78,7 +79,7 @@
     private int usableSlots(long nowMillis) {
         int sum = 0;
         for (TargetState target : targets) {
-            if (!target.isSuspected(nowMillis)) {
+            if (target.isAvailable(nowMillis)) {
                 sum += target.target.slots();
             }
         }
@@ -89,6 +90,14 @@
         return demand.rates(nowMillis, serviceMillis.value(), usableSlots(nowMillis));
     }
 
+    /** Returns the earliest time at which a VM that asked for a pause wants requests again; empty if none has asked. */
+    OptionalLong earliestPauseEndMillis(long nowMillis) {
+        return targets.stream()
+                .mapToLong(TargetState::pausedUntilMillis)
+                .filter(untilMillis -> untilMillis > nowMillis)
+                .min();
+    }
+
     int freeSlots(long nowMillis) {
         int sum = 0;
         for (TargetState target : targets) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -9,6 +9,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apricotdeal.kernel.duty.StateMachine;
+import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.RelayCatalogue;
 import org.apricotdeal.relay.poison.BlamedParts;
 import org.apricotdeal.relay.poison.CrashNews;
@@ -184,6 +185,7 @@
             case RelayEvent.TargetsChanged(List<Target> changed) -> changeTargets(changed);
             case RelayEvent.PeerLoadsChanged(Map<TargetId, Integer> running) -> updatePeerLoads(running);
             case RelayEvent.NodesChanged(List<FleetNode> nodes) -> changeNodes(nodes);
+            case RelayEvent.VmPaused(VmId vm, long untilMillis) -> registry.pause(vm, untilMillis, nowMillis);
             case RelayEvent.CrashNewsReceived(CrashNews news) -> {
                 poison.detector().merge(news, nowMillis);
                 holdBackSuspects();
@@ -211,7 +213,7 @@
         }
         QueueEstimate estimate = queue.estimate(request, nowMillis);
         if (estimate.hasNoTarget()) {
-            refuse(request, RefusalReason.NO_TARGET, noTargetRetryMillis(), estimate);
+            refuse(request, RefusalReason.NO_TARGET, noTargetRetryMillis(queue), estimate);
             return;
         }
         boolean slotsReserved = request.returningCaller
@@ -242,8 +244,12 @@
         return Math.max(objective * MIN_WAIT_SHARE, objective - request.queue.startMillis.value());
     }
 
-    private long noTargetRetryMillis() {
-        return MIN_NO_TARGET_RETRY_MILLIS + random.nextLong(MAX_NO_TARGET_RETRY_MILLIS - MIN_NO_TARGET_RETRY_MILLIS);
+    /** Chooses when a caller should retry: after a repair, and not before a VM that asked for a pause wants requests. */
+    private long noTargetRetryMillis(QueueState queue) {
+        long repairMillis =
+                MIN_NO_TARGET_RETRY_MILLIS + random.nextLong(MAX_NO_TARGET_RETRY_MILLIS - MIN_NO_TARGET_RETRY_MILLIS);
+        long pauseMillis = queue.earliestPauseEndMillis(nowMillis).orElse(nowMillis) - nowMillis;
+        return Math.max(repairMillis, pauseMillis);
     }
 
     /** Chooses when a refused caller should retry: when a slot that is occupied now becomes free, or later. */
@@ -405,7 +411,7 @@
     private void fail(RequestState request, RefusalReason reason) {
         if (!request.mayHaveRun) {
             RefusalReason notRun = reason == RefusalReason.BROKEN ? RefusalReason.NOT_RUN : reason;
-            refuse(request, notRun, noTargetRetryMillis(), request.queue.estimate(request, nowMillis));
+            refuse(request, notRun, noTargetRetryMillis(request.queue), request.queue.estimate(request, nowMillis));
             return;
         }
         requests.remove(request.arrival.id());
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.RelayCatalogue;
 import org.apricotdeal.relay.poison.CrashNews;
 
@@ -77,6 +78,14 @@
         }
     }
 
+    /**
+     * A VM wants no requests from this node for a while.
+     *
+     * @param vm VM that receives the requests of its targets
+     * @param untilMillis monotonic time until which it wants none
+     */
+    record VmPaused(VmId vm, long untilMillis) implements RelayEvent {}
+
     /**
      * Another node has reported the crashes that it knows of.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -48,6 +48,7 @@
     private long exclusionMillis;
     private int maxRunningInRound = Integer.MAX_VALUE;
     private boolean home = true;
+    private long pausedUntilMillis = NEVER_MILLIS;
 
     TargetState(Target target, QueueState queue) {
         this.target = target;
@@ -136,8 +137,18 @@
         return ageMillis < MAX_PEER_LOAD_AGE_MILLIS ? ageMillis : 0;
     }
 
+    /** Sends nothing to the target before the given time, because its VM asked for that. */
+    void pauseUntil(long untilMillis) {
+        pausedUntilMillis = Math.max(pausedUntilMillis, untilMillis);
+    }
+
+    /** Returns the time until which the VM wants no requests; in the past if it wants some. */
+    long pausedUntilMillis() {
+        return pausedUntilMillis;
+    }
+
     int freeSlots(long nowMillis) {
-        if (nowMillis < excludedUntilMillis) {
+        if (nowMillis < excludedUntilMillis || nowMillis < pausedUntilMillis) {
             return 0;
         }
         if (exclusionMillis > 0) {
@@ -169,6 +180,11 @@
         maxRunningInRound = running.size() + Math.min(roundedUp, (int) Math.floor(share + draw));
     }
 
+    /** Returns whether requests may be sent to the target when it has a free slot. */
+    boolean isAvailable(long nowMillis) {
+        return !isSuspected(nowMillis) && nowMillis >= pausedUntilMillis;
+    }
+
     boolean isSuspected(long nowMillis) {
         return exclusionMillis > 0 || nowMillis < excludedUntilMillis;
     }
