Send no new requests to a VM that says in its answers that it leaves

Callers saw: requests at a VM that was about to exit and had not registered as leaving. Cause: the header of its answers was not read; only the entry in the store counted. Change: an answer with the header makes the VM leave in the node's table until it starts again, so it is no target and its replica is replaced. An answer of an earlier incarnation is ignored.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SuspectedVmTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SuspectedVmTest.java
@@ -13,6 +13,7 @@
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.model.VmReport;
 import org.apricotdeal.relay.policy.TargetBuilder;
+import org.apricotdeal.relay.policy.TargetId;
 import org.apricotdeal.relay.policy.VmTable;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -33,22 +34,24 @@
     @BeforeMethod
     public void listVm() {
         table = new VmTable();
-        table.applyEntry(
-                new UpstreamVm(
-                        VM,
-                        SHOP.id(),
-                        "v1:80",
-                        new FailureDomainId("a"),
-                        Optional.empty(),
-                        "v1",
-                        6,
-                        false,
-                        1,
-                        UpstreamVm.ORDER_COUNT_UNKNOWN,
-                        List.of(),
-                        Optional.empty(),
-                        Optional.empty()),
-                0);
+        table.applyEntry(entry(1), 0);
+    }
+
+    private static UpstreamVm entry(long startedWallMillis) {
+        return new UpstreamVm(
+                VM,
+                SHOP.id(),
+                "v1:80",
+                new FailureDomainId("a"),
+                Optional.empty(),
+                "v1",
+                6,
+                false,
+                startedWallMillis,
+                UpstreamVm.ORDER_COUNT_UNKNOWN,
+                List.of(),
+                Optional.empty(),
+                Optional.empty());
     }
 
     private int targets(long nowMillis) {
@@ -112,4 +115,17 @@
         applyReport(10_400);
         assertEquals(table.recentlyUnresponsive(10_400), Map.of());
     }
+
+    /** What a VM says itself holds until it starts again, whatever its entry says. */
+    @Test
+    public void vmThatLeavesIsNoTargetUntilItStartsAgain() {
+        assertTrue(table.recordLeaving(new TargetId(VM, 1)));
+        assertFalse(table.recordLeaving(new TargetId(VM, 1)), "this is known");
+        table.applyEntry(entry(1), 10_000);
+        assertEquals(targets(10_000), 0);
+        table.applyEntry(entry(2), 10_100);
+        assertEquals(targets(10_100), 1);
+        assertFalse(table.recordLeaving(new TargetId(VM, 1)), "the answer is from before the start");
+        assertEquals(targets(10_100), 1);
+    }
 }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/VmAnswersTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/VmAnswersTest.java
@@ -19,6 +19,7 @@
 /** Tests that the relay heeds what the answers of VMs say about the VM, and how an answer ends. */
 public final class VmAnswersTest {
     private static final Pattern ID = Pattern.compile("x-attempt-id: (\\S+)");
+    private static final long DRAIN_MILLIS = 2_000;
 
     private RelayFleet fleet;
 
@@ -95,6 +96,29 @@
         }
     }
 
+    /** Guards against requests reaching a VM that has said in its answers only that it leaves. */
+    @Test
+    public void vmThatSaysThatItLeavesGetsNoRequestsAfterDraining() throws Exception {
+        ScriptedVm leaving = new ScriptedVm("""
+                HTTP/1.1 200 OK
+                X-Attempt-Id: ID
+                X-Response-Signature: s
+                Server-Leaving: 1
+                Content-Length: 2
+                Connection: close
+
+                ok""");
+        try (ScriptedServer vm = new ScriptedServer(leaving)) {
+            register("leaving", vm);
+            callFor(2_000);
+            assertFalse(leaving.requestNanos.isEmpty());
+            // A later entry of the same incarnation does not bring the VM back.
+            register("leaving", vm);
+            callFor(2_500);
+            assertEquals(leaving.requestsBetween(DRAIN_MILLIS, Long.MAX_VALUE), 0);
+        }
+    }
+
     @DataProvider
     public Object[][] streams() {
         return new Object[][] {
--- a/relay/src/main/java/org/apricotdeal/relay/model/UpstreamVm.java
+++ b/relay/src/main/java/org/apricotdeal/relay/model/UpstreamVm.java
@@ -81,6 +81,28 @@
                 otherGroup);
     }
 
+    /**
+     * Returns a copy of a VM that has announced that it leaves.
+     *
+     * @return modified copy
+     */
+    public UpstreamVm withLeaving() {
+        return new UpstreamVm(
+                id,
+                upstream,
+                address,
+                failureDomain,
+                fabricDomain,
+                release,
+                slots,
+                true,
+                startedWallMillis,
+                orderCount,
+                stagedModels,
+                loadedModel,
+                group);
+    }
+
     /**
      * Returns a copy with the weights and the fabric domain of a report.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -34,6 +34,7 @@
 import org.apricotdeal.relay.policy.ReplicaPlanner;
 import org.apricotdeal.relay.policy.Target;
 import org.apricotdeal.relay.policy.TargetBuilder;
+import org.apricotdeal.relay.policy.TargetId;
 import org.apricotdeal.relay.policy.VmTable;
 import org.apricotdeal.relay.port.VmClient;
 
@@ -203,6 +204,12 @@
             case FleetEvent.VmReported(VmId vm, Result<VmReport, String> report) -> applyReport(vm, report);
             case FleetEvent.VmsSuspected(List<VmId> vms, Optional<String> faultyAddress, String reason) ->
                 faultyVms(vms, faultyAddress).forEach(vm -> poll(vm, REPORT_PERIOD_MILLIS));
+            case FleetEvent.VmLeaves(TargetId target) -> {
+                if (table.recordLeaving(target)) {
+                    log.state("vm_leaves").with("vm", target.vm()).write();
+                    targetsOutdated = true;
+                }
+            }
             case FleetEvent.OrderReplied replied -> applyReply(replied);
             case FleetEvent.CatalogueChanged(RelayCatalogue adopted) -> {
                 catalogue = adopted;
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetEvent.java
@@ -10,6 +10,7 @@
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.model.VmReport;
 import org.apricotdeal.relay.policy.PlannedOrder;
+import org.apricotdeal.relay.policy.TargetId;
 import org.apricotdeal.relay.port.OrderReply;
 
 /** Event that is processed by the {@link FleetDuty}. */
@@ -29,6 +30,9 @@
     /** VMs may have failed and must be polled for their state; only one of them if its address is known. */
     record VmsSuspected(List<VmId> vms, Optional<String> faultyAddress, String reason) implements FleetEvent {}
 
+    /** A VM said in a response to a request that it leaves. */
+    record VmLeaves(TargetId target) implements FleetEvent {}
+
     /** A VM replied to an order, or did not reply. */
     record OrderReplied(PlannerKey planner, PlannedOrder order, OrderReply reply) implements FleetEvent {}
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -57,6 +58,7 @@
     private volatile Map<QueueId, QueueDemand> demand = Map.of();
     private long demandUpdatedMillis;
     private volatile SuspicionListener suspicionListener = (vms, faultyAddress, reason) -> {};
+    private volatile Consumer<TargetId> leavingListener = target -> {};
     private volatile CrashNews crashNews = CrashNews.NONE;
     private List<BlamedParts> loggedBlame = List.of();
     private long clockOffsetMillis = Long.MAX_VALUE / 2;
@@ -98,6 +100,11 @@
         suspicionListener = listener;
     }
 
+    /** Sets the listener for targets whose VM has said in a response that it leaves. */
+    void onLeavingVms(Consumer<TargetId> listener) {
+        leavingListener = listener;
+    }
+
     /** Returns the crashes and trials that this node knows of. */
     CrashNews crashNews() {
         return crashNews;
@@ -170,6 +177,11 @@
         duty.put(new RelayEvent.VmPaused(vm, clock.monotonicMillis() + pauseMillis));
     }
 
+    @Override
+    public void leaving(UpstreamAttempt attempt) {
+        leavingListener.accept(attempt.target().id());
+    }
+
     @Override
     public void completed(UpstreamAttempt attempt, int status) {
         Exchange exchange = attempt.exchange();
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -72,6 +72,7 @@
         relay = new RelayDuty(dispatcher, client, adapter.headers(), clock, random, log, metrics);
         fleet = new FleetDuty(settings, relay, adapter.vmClient(client), clock, log, metrics);
         relay.onSuspectedVms(fleet::suspect);
+        relay.onLeavingVms(target -> fleet.put(new FleetEvent.VmLeaves(target)));
         catalogues = new CatalogueHolder(adapter.codec(), log);
         catalogues.subscribe(catalogue -> {
             relay.put(new RelayEvent.CatalogueChanged(catalogue));
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -72,6 +72,13 @@
          */
         void paused(UpstreamAttempt attempt, long pauseMillis);
 
+        /**
+         * Called when the response says that the VM leaves.
+         *
+         * @param attempt the attempt
+         */
+        void leaving(UpstreamAttempt attempt);
+
         /**
          * Called when the complete response has been passed to the caller.
          *
@@ -217,6 +224,12 @@
     }
 
     private void reportVmState(Response response) {
+        if (response.getStatus() == HttpStatus.MISDIRECTED_REQUEST_421) {
+            return;
+        }
+        if (response.getHeaders().contains(headerNames.leaving())) {
+            listener.leaving(this);
+        }
         if (response.getStatus() == HttpStatus.SERVICE_UNAVAILABLE_503) {
             RetryAfter.parseMillis(response.getHeaders().get(HttpHeader.RETRY_AFTER))
                     .ifPresent(pauseMillis -> listener.paused(this, pauseMillis));
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -54,6 +54,7 @@
         private long missedMillis = Long.MIN_VALUE / 2;
         private long suspectedMillis = Long.MIN_VALUE / 2;
         private long removeAtMillis = Long.MAX_VALUE;
+        private boolean leaving;
 
         TrackedVm(UpstreamVm vm) {
             this.vm = vm;
@@ -79,13 +80,32 @@
             return false;
         }
         tracked.removeAtMillis = Long.MAX_VALUE;
-        update(
-                tracked,
-                entry.withOrdersAndGroup(tracked.vm.orderCount(), mostAdvanced(tracked, entry.group())),
-                nowMillis);
+        UpstreamVm current = entry.withOrdersAndGroup(tracked.vm.orderCount(), mostAdvanced(tracked, entry.group()));
+        update(tracked, tracked.leaving ? current.withLeaving() : current, nowMillis);
         return entry.group().isEmpty() && tracked.vm.group().isPresent();
     }
 
+    /**
+     * Records that a VM has said itself that it leaves, which holds for the rest of this incarnation, whatever its entry
+     * says.
+     *
+     * @param target target through which it was reached; ignored if the VM is no longer part of that target
+     * @return true if this was not known
+     */
+    public boolean recordLeaving(TargetId target) {
+        TrackedVm tracked = vms.get(target.vm());
+        if (tracked == null || tracked.vm.leaving()) {
+            return false;
+        }
+        long epoch = tracked.vm.group().map(GroupMembership::epoch).orElse(tracked.vm.startedWallMillis());
+        if (epoch != target.epoch()) {
+            return false;
+        }
+        tracked.leaving = true;
+        tracked.vm = tracked.vm.withLeaving();
+        return true;
+    }
+
     /**
      * Schedules the removal of a VM whose entry has been removed.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/port/ExchangeHeaders.java
+++ b/relay/src/main/java/org/apricotdeal/relay/port/ExchangeHeaders.java
@@ -14,6 +14,7 @@
  * @param priority scheduling priority at the engine; 0 runs first
  * @param signature proof that the response comes from a VM
  * @param notRun set by a VM that did not run the request
+ * @param leaving set by a VM that leaves
  * @param load number of running and of waiting requests at a VM, and its number of slots
  * @param faultyAddress address of the VM that made a replica fail
  * @param keyScheme scheme that precedes the key in the authorization header
@@ -30,6 +31,7 @@
         String priority,
         String signature,
         String notRun,
+        String leaving,
         String load,
         String faultyAddress,
         String keyScheme) {}
