Blame the narrowest explanation of crashes, not a bystander or a shared first part

Cause: crashes within 100 ms count once, so a bystander could tie with the cause; and a first part that two deadly ones share explained more crashes than either. Change: ties are broken by the number of VMs; a part that is seen in two different prompts only is blamed with the rest of each; of two explanations of the same crashes the narrower one holds. An answer of 20 ms already shows that a request did not crash its VM.

--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/relay/poison/PoisonDetectorTest.java
@@ -0,0 +1,193 @@
+package org.apricotdeal.relay.poison;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.apricotdeal.kernel.id.UpstreamId;
+import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.relay.model.ModelId;
+import org.apricotdeal.relay.model.PromptPartId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Tests which parts are blamed for crashes, given who lost which requests when. */
+public final class PoisonDetectorTest {
+    private static final ModelRelease SERVED = served("chat", "m1");
+    private static final long TRIAL_DUE_MILLIS = 30_000;
+
+    private PoisonDetector detector;
+
+    @BeforeMethod
+    public void create() {
+        detector = new PoisonDetector("n1");
+    }
+
+    private static ModelRelease served(String upstream, String model) {
+        return new ModelRelease(new UpstreamId(upstream), new ModelId(model), "v1");
+    }
+
+    private static List<PromptPartId> prompt(String... parts) {
+        return List.of(parts).stream().map(PromptPartId::new).toList();
+    }
+
+    private void crash(long atMillis, String vm, String... parts) {
+        detector.recordCrash(new CrashId(new VmId(vm), 1), SERVED, prompt(parts), atMillis);
+    }
+
+    private Set<String> blamed() {
+        return detector.blamed().stream()
+                .flatMap(blame -> blame.parts().stream())
+                .map(PromptPartId::value)
+                .collect(Collectors.toSet());
+    }
+
+    @Test
+    public void oneCrashBlamesNothing() {
+        crash(1_000, "v1", "first", "dead");
+        assertEquals(blamed(), Set.of());
+    }
+
+    /** Until one of the two parts is seen without the other, only requests with both are held. */
+    @Test
+    public void partsSeenTogetherAreBlamedTogether() {
+        crash(1_000, "v1", "first", "dead");
+        crash(1_400, "v2", "first", "dead");
+        assertEquals(blamed(), Set.of("first", "dead"));
+        assertEquals(detector.verdict(SERVED, prompt("first", "doc"), 1_500), new PartVerdict.Free());
+        assertTrue(
+                detector.verdict(SERVED, prompt("first", "dead", "doc"), 1_500) instanceof PartVerdict.Held,
+                "a request with both parts");
+        detector.recordAnswer(SERVED, prompt("first", "doc"), 1_600);
+        assertEquals(blamed(), Set.of("dead"));
+    }
+
+    /** With two different prompts only, another part of each might be the cause. */
+    @Test
+    public void partOfThreeDifferentPromptsIsBlamedAlone() {
+        crash(1_000, "v1", "first1", "dead");
+        crash(2_000, "v2", "first2", "dead");
+        assertEquals(detector.verdict(SERVED, prompt("first3", "dead"), 2_100), new PartVerdict.Free());
+        assertTrue(
+                detector.verdict(SERVED, prompt("first1", "dead"), 2_100) instanceof PartVerdict.Held, "seen before");
+        crash(3_000, "v3", "first3", "dead");
+        assertEquals(blamed(), Set.of("dead"));
+    }
+
+    /** Two deadly parts come with the same first part, which is not known to be sound yet. */
+    @Test
+    public void firstPartOfTwoDeadlyOnesIsNotBlamedAlone() {
+        crash(1_000, "v1", "first", "dead1");
+        crash(1_400, "v2", "first", "dead1");
+        crash(2_000, "v3", "first", "dead2");
+        assertEquals(detector.verdict(SERVED, prompt("first", "doc"), 2_100), new PartVerdict.Free());
+        assertTrue(detector.verdict(SERVED, prompt("first", "dead2"), 2_100) instanceof PartVerdict.Held, "dead2");
+    }
+
+    /** The bystander is lost with the first VM, and then with the second one, at which a deadly request was repeated too. */
+    @Test
+    public void bystanderLostTwiceIsNotBlamedBesideTheCause() {
+        crash(1_000, "v1", "first", "dead");
+        crash(1_003, "v2", "first", "dead");
+        crash(1_010, "v1", "bystander");
+        crash(1_340, "v3", "first", "dead");
+        crash(1_370, "v4", "first", "dead");
+        crash(1_380, "v4", "bystander");
+        assertEquals(blamed(), Set.of("first", "dead"));
+    }
+
+    /** A sound request with the same first part is lost beside the deadly one. */
+    @Test
+    public void firstPartOfBystanderIsNotBlamed() {
+        crash(1_000, "v1", "first", "dead");
+        crash(1_000, "v1", "first");
+        crash(1_400, "v2", "first", "dead");
+        assertEquals(detector.verdict(SERVED, prompt("first"), 1_500), new PartVerdict.Free());
+        assertTrue(detector.verdict(SERVED, prompt("first", "dead"), 1_500) instanceof PartVerdict.Held, "deadly");
+    }
+
+    /** A rack is lost, and what a node sees of it takes a moment. */
+    @Test
+    public void crashesAtTheSameTimeCountOnce() {
+        crash(1_000, "v1", "doc");
+        crash(1_040, "v2", "doc");
+        crash(1_080, "v3", "doc");
+        assertEquals(blamed(), Set.of());
+    }
+
+    /** A part that turns deadly needs a crash more, and time in which it might have been answered elsewhere. */
+    @Test
+    public void partAnsweredBeforeIsBlamedLater() {
+        detector.recordAnswer(SERVED, prompt("dead"), 500);
+        crash(1_000, "v1", "dead");
+        crash(1_400, "v2", "dead");
+        detector.tick(3_000);
+        assertEquals(blamed(), Set.of());
+        crash(4_000, "v3", "dead");
+        assertEquals(blamed(), Set.of());
+        detector.tick(5_100);
+        assertEquals(blamed(), Set.of("dead"));
+    }
+
+    @Test
+    public void answersOfOtherNodesClearParts() {
+        crash(1_000, "v1", "doc");
+        crash(1_400, "v2", "doc");
+        PoisonDetector other = new PoisonDetector("n2");
+        other.merge(detector.news(), 1_500);
+        other.recordAnswer(SERVED, prompt("doc"), 1_600);
+        detector.merge(other.news(), 1_700);
+        assertEquals(blamed(), Set.of());
+        assertEquals(detector.news().digest(), other.news().digest());
+    }
+
+    /** Another model of the same upstream gets a single request at once; another upstream is not concerned. */
+    @Test
+    public void otherModelIsTriedAndOtherUpstreamIsFree() {
+        crash(1_000, "v1", "dead");
+        crash(1_400, "v2", "dead");
+        assertEquals(detector.verdict(served("other", "m1"), prompt("dead"), 1_500), new PartVerdict.Free());
+        ModelRelease model = served("chat", "m2");
+        assertEquals(detector.verdict(model, prompt("dead"), 1_500), new PartVerdict.OnTrial());
+        detector.startTrial(model, prompt("dead"), 1_500);
+        assertTrue(detector.verdict(model, prompt("dead"), 1_600) instanceof PartVerdict.Held, "one trial at a time");
+        detector.recordAnswer(model, prompt("dead"), 1_900);
+        assertEquals(detector.verdict(model, prompt("dead"), 2_000), new PartVerdict.Free());
+        assertTrue(detector.verdict(SERVED, prompt("dead"), 2_000) instanceof PartVerdict.Held, "still held for m1");
+    }
+
+    /** Only one node may try at a time, and each failed trial doubles the hold. */
+    @Test
+    public void trialsTakeTurns() {
+        detector.setNodes(List.of("n1", "n2", "n3"));
+        PoisonDetector other = new PoisonDetector("n2");
+        other.setNodes(List.of("n1", "n2", "n3"));
+        crash(1_000, "v1", "dead");
+        crash(1_400, "v2", "dead");
+        assertEquals(detector.verdict(SERVED, prompt("dead"), TRIAL_DUE_MILLIS), new PartVerdict.OnTrial());
+        detector.startTrial(SERVED, prompt("dead"), TRIAL_DUE_MILLIS);
+        other.merge(detector.news(), TRIAL_DUE_MILLIS + 400);
+        assertTrue(
+                other.verdict(SERVED, prompt("dead"), TRIAL_DUE_MILLIS + 500) instanceof PartVerdict.Held,
+                "the other node has heard of the trial");
+        crash(TRIAL_DUE_MILLIS + 300, "v3", "dead");
+        assertTrue(
+                detector.verdict(SERVED, prompt("dead"), TRIAL_DUE_MILLIS + 39_000) instanceof PartVerdict.Held,
+                "held for 40 s");
+    }
+
+    /** After a suspension this node cannot tell whether an answer came before the crashes that it hears of. */
+    @Test
+    public void answersBeforeSuspensionClearNothing() {
+        detector.recordAnswer(SERVED, prompt("dead"), 1_000);
+        detector.forgetAnswers();
+        PoisonDetector other = new PoisonDetector("n2");
+        other.recordCrash(new CrashId(new VmId("v1"), 1), SERVED, prompt("dead"), 500);
+        other.recordCrash(new CrashId(new VmId("v2"), 1), SERVED, prompt("dead"), 900);
+        detector.merge(other.news(), 1_100);
+        assertEquals(blamed(), Set.of("dead"));
+    }
+}
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -34,8 +34,11 @@
     /** Maximum size of a buffered response and of a stream event; a quarter of the limit for all buffers. */
     private static final int MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 
-    /** Time after the first event in which the loss of the connection may still be due to the request. */
-    private static final long MAX_BEGINNING_MILLIS = 100;
+    /**
+     * Time after the first event in which the loss of the connection may still be due to the request; less than the time
+     * to the second event.
+     */
+    private static final long MAX_BEGINNING_MILLIS = 20;
 
     private final Exchange exchange;
     private final AttemptId id;
--- a/relay/src/main/java/org/apricotdeal/relay/poison/BlameInference.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/BlameInference.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -16,8 +17,9 @@
  *
  * <p>A VM that crashes loses all its requests, each with several parts; a deadly part is among those of the requests that
  * were not being answered yet. Any answer to a prompt with a part clears the part of the crashes before it. What remains is
- * explained by as few parts as possible: the part with the most uncleared crashes is blamed, the crashes that it explains
- * are set aside, and the rest is considered again. So the parts of requests that were lost beside a deadly one stay free.
+ * explained by as few parts as possible: the part with the most uncleared crashes (by cause, then by VM) is blamed, the
+ * crashes that it explains are set aside, and the rest is considered again. So the parts of requests that were lost beside
+ * a deadly one stay free.
  *
  * <p>Parts that were answered before the crashes need more crashes than unknown ones, and time for other nodes to clear
  * them. Crashes at nearly the same time count once, since the loss of a rack or of a node's connections has another cause.
@@ -43,8 +45,11 @@
     /** A lost request, as the evidence against one of its parts. */
     private record Evidence(CrashReport crash, List<PromptPartId> prompt) {}
 
-    /** A part with the evidence against it. */
-    private record Suspect(PromptPartId part, Set<Evidence> evidence, boolean sound, int crashCount) {}
+    /** A part with the evidence against it; causes are crashes without those that have a cause in common with others. */
+    private record Suspect(PromptPartId part, Set<Evidence> evidence, boolean sound, int causeCount, int crashCount) {
+        private static final Comparator<Suspect> WEAKEST_FIRST =
+                Comparator.comparingInt(Suspect::causeCount).thenComparingInt(Suspect::crashCount);
+    }
 
     private BlameInference(Collection<CrashReport> crashes, Set<PromptPartId> blamedElsewhere, long nowMillis) {
         this.crashes = new ArrayList<>(crashes);
@@ -88,7 +93,7 @@
             if (strongest.isEmpty()) {
                 return blamed;
             }
-            List<BlamedParts> groups = groupByEvidence(strongest);
+            List<BlamedParts> groups = blame(strongest, soundParts(unexplained));
             blamed.addAll(groups);
             unexplained.removeIf(crash -> groups.stream().anyMatch(group -> crash.isExplainedBy(group.parts())));
         }
@@ -98,7 +103,7 @@
     private List<Suspect> strongestSuspects(List<CrashReport> unexplained) {
         List<Suspect> suspects = suspects(unexplained);
         List<Suspect> unknown = suspects.stream()
-                .filter(suspect -> !suspect.sound() && suspect.crashCount() >= minCrashes(suspect.part()))
+                .filter(suspect -> !suspect.sound() && suspect.causeCount() >= minCrashes(suspect.part()))
                 .toList();
         return mostCrashes(
                 unknown.isEmpty() ? suspects.stream().filter(this::isRefuted).toList() : unknown);
@@ -111,20 +116,24 @@
     /** Returns whether a part that used to be sound has crashed several VMs since, with time to be answered again. */
     private boolean isRefuted(Suspect suspect) {
         return suspect.sound()
-                && suspect.crashCount() >= MIN_CRASHES_OF_SOUND_PART
+                && suspect.causeCount() >= MIN_CRASHES_OF_SOUND_PART
                 && nowMillis - lastCrashMillis(suspect.evidence()) >= CLEARING_MILLIS;
     }
 
     private static List<Suspect> mostCrashes(List<Suspect> suspects) {
-        int most = suspects.stream().mapToInt(Suspect::crashCount).max().orElse(0);
-        return suspects.stream().filter(suspect -> suspect.crashCount() == most).toList();
+        if (suspects.isEmpty()) {
+            return suspects;
+        }
+        Suspect strongest = suspects.stream().max(Suspect.WEAKEST_FIRST).orElseThrow();
+        return suspects.stream()
+                .filter(suspect -> Suspect.WEAKEST_FIRST.compare(suspect, strongest) == 0)
+                .toList();
     }
 
     private List<Suspect> suspects(List<CrashReport> unexplained) {
         Map<PromptPartId, Set<Evidence>> evidenceByPart = new HashMap<>();
-        Set<PromptPartId> sound = new HashSet<>();
+        Set<PromptPartId> sound = soundParts(unexplained);
         for (CrashReport crash : unexplained) {
-            sound.addAll(crash.soundParts());
             for (List<PromptPartId> prompt : crash.prompts()) {
                 for (PromptPartId part : prompt) {
                     if (!crash.clearedParts().contains(part)) {
@@ -136,18 +145,28 @@
             }
         }
         List<Suspect> suspects = new ArrayList<>();
-        evidenceByPart.forEach((part, evidence) ->
-                suspects.add(new Suspect(part, evidence, sound.contains(part), countCauses(evidence))));
+        evidenceByPart.forEach((part, evidence) -> suspects.add(
+                new Suspect(part, evidence, sound.contains(part), countCauses(evidence), countCrashes(evidence))));
         suspects.sort(Comparator.comparing(Suspect::part));
         return suspects;
     }
 
+    private static Set<PromptPartId> soundParts(List<CrashReport> crashes) {
+        Set<PromptPartId> sound = new HashSet<>();
+        crashes.forEach(crash -> sound.addAll(crash.soundParts()));
+        return sound;
+    }
+
     private int countCauses(Set<Evidence> evidence) {
         Set<Integer> distinct = new HashSet<>();
         evidence.forEach(item -> distinct.add(causes.get(item.crash().id())));
         return distinct.size();
     }
 
+    private static int countCrashes(Set<Evidence> evidence) {
+        return (int) evidence.stream().map(item -> item.crash().id()).distinct().count();
+    }
+
     private static long lastCrashMillis(Set<Evidence> evidence) {
         long lastMillis = Long.MIN_VALUE;
         for (Evidence item : evidence) {
@@ -156,23 +175,48 @@
         return lastMillis;
     }
 
-    private static List<BlamedParts> groupByEvidence(List<Suspect> suspects) {
-        Map<Set<Evidence>, Set<PromptPartId>> partsByEvidence = new HashMap<>();
-        List<Set<Evidence>> order = new ArrayList<>();
-        for (Suspect suspect : suspects) {
-            if (!partsByEvidence.containsKey(suspect.evidence())) {
-                order.add(suspect.evidence());
-            }
-            partsByEvidence
-                    .computeIfAbsent(suspect.evidence(), evidence -> new HashSet<>())
-                    .add(suspect.part());
+    /** Returns the blamed parts for suspects that explain the crashes equally well. */
+    private static List<BlamedParts> blame(List<Suspect> strongest, Set<PromptPartId> sound) {
+        Map<Set<PromptPartId>, Long> lastCrashByGroup = new LinkedHashMap<>();
+        Set<Set<Set<PromptPartId>>> explanations = new HashSet<>();
+        for (Suspect suspect : strongest) {
+            Set<Set<PromptPartId>> groups = groups(suspect, sound);
+            explanations.add(groups);
+            groups.forEach(group -> lastCrashByGroup.merge(group, lastCrashMillis(suspect.evidence()), Math::max));
         }
-        List<BlamedParts> groups = new ArrayList<>();
-        for (Set<Evidence> evidence : order) {
-            ModelRelease served = evidence.iterator().next().crash().served();
-            groups.add(new BlamedParts(
-                    served, partsByEvidence.get(evidence), lastCrashMillis(evidence), order.size() == 1));
+        ModelRelease served =
+                strongest.getFirst().evidence().iterator().next().crash().served();
+        dropGeneral(lastCrashByGroup.keySet());
+        boolean certain = explanations.size() == 1 || lastCrashByGroup.size() == 1;
+        List<BlamedParts> blamed = new ArrayList<>();
+        lastCrashByGroup.forEach(
+                (group, lastMillis) -> blamed.add(new BlamedParts(served, group, lastMillis, certain)));
+        return blamed;
+    }
+
+    /** Drops groups that hold back more requests than another group which explains the same. */
+    private static void dropGeneral(Set<Set<PromptPartId>> groups) {
+        List<Set<PromptPartId>> all = List.copyOf(groups);
+        groups.removeIf(
+                group -> all.stream().anyMatch(other -> other.size() > group.size() && other.containsAll(group)));
+    }
+
+    /**
+     * Returns the sets of parts to blame for a suspect: the parts that all its prompts have in common. With two different
+     * prompts, each of them may have a cause of its own that hides behind a shared part, so each is blamed as a whole.
+     */
+    private static Set<Set<PromptPartId>> groups(Suspect suspect, Set<PromptPartId> sound) {
+        Set<Set<PromptPartId>> prompts = new HashSet<>();
+        for (Evidence item : suspect.evidence()) {
+            Set<PromptPartId> parts = new HashSet<>(item.prompt());
+            parts.removeAll(item.crash().clearedParts());
+            if (!suspect.sound()) {
+                parts.removeAll(sound);
+            }
+            prompts.add(Set.copyOf(parts));
         }
-        return groups;
+        Set<PromptPartId> common = new HashSet<>(prompts.iterator().next());
+        prompts.forEach(common::retainAll);
+        return prompts.size() == 2 && !prompts.contains(common) ? prompts : Set.of(Set.copyOf(common));
     }
 }
