--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
@@ -180,6 +180,16 @@
         }
     }
 
+    /** Sends a stream request with the given parts of a prompt; returns the whole response. */
+    String callWithPrompt(String address, String id, String promptParts) {
+        try (Socket socket = connect(address)) {
+            send(socket, "POST", "/talk/x", id, KEY + "\nX-Prefix-Hash: " + promptParts);
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            return "failed: " + e;
+        }
+    }
+
     /** Sends the node a heartbeat of a node in a different failure domain, with changes of VM entries. */
     void sendHeartbeat(long upToRevision, TRelayVmEntry... changes) throws Exception {
         TRelayHeartbeat heartbeat = new TRelayHeartbeat(new TRelayNode("n2", "b", freeAddress(), 1), 0, List.of());
--- a/standins/src/main/java/org/apricotdeal/standins/users/UsersWorkerStandin.java
+++ b/standins/src/main/java/org/apricotdeal/standins/users/UsersWorkerStandin.java
@@ -33,6 +33,9 @@
     private static final long JOIN_MILLIS = 100;
     private static final long FORM_MILLIS = 50;
 
+    /** Time for which a worker reads a prompt that makes it break off. */
+    private static final long READING_MILLIS = 150;
+
     private final UsersStoreStandin store;
     private final Settings settings;
     private final StandinServer server = StandinServer.start(new Calls());
@@ -44,6 +47,7 @@
     private volatile boolean silent;
     private volatile boolean dripping;
     private volatile int breakAfterEvents = Integer.MAX_VALUE;
+    private volatile String deadlyPart;
     private volatile String echoedId;
     private long sequence;
     private long orders;
@@ -100,6 +104,15 @@
         breakAfterEvents = events;
     }
 
+    /**
+     * Breaks streams off before their first event if their prompt has a part.
+     *
+     * @param part id of the part
+     */
+    public void breakStreamsOn(String part) {
+        deadlyPart = part;
+    }
+
     /**
      * Answers with another request's id from now on.
      *
@@ -261,10 +274,24 @@
                 return;
             }
             response.getHeaders().put("Content-Type", "text/event-stream");
+            String parts = seen.getOrDefault("x-prefix-hash", "");
+            if (deadlyPart != null && parts.contains(deadlyPart + ":")) {
+                var unused =
+                        clock.schedule(() -> breakOff(response, callback, 1), READING_MILLIS, TimeUnit.MILLISECONDS);
+                return;
+            }
             long first = Long.parseLong(seen.getOrDefault("last-event-id", "0")) + 1;
             send(response, callback, id, first, 0);
         }
 
+        /** Ends a stream within an event. */
+        private void breakOff(Response response, Callback callback, long event) {
+            response.write(
+                    false,
+                    StandardCharsets.UTF_8.encode("id: " + event + "\nda"),
+                    Callback.from(() -> callback.failed(new IllegalStateException("broken off"))));
+        }
+
         private void send(Response response, Callback callback, String id, long event, int sent) {
             if (silent) {
                 return;
@@ -274,10 +301,7 @@
                 return;
             }
             if (sent >= breakAfterEvents) {
-                response.write(
-                        false,
-                        StandardCharsets.UTF_8.encode("id: " + event + "\nda"),
-                        Callback.from(() -> callback.failed(new IllegalStateException("broken off"))));
+                breakOff(response, callback, event);
                 return;
             }
             long next = dripping ? event : event + 1;
