Tell callers to wait for a paused VM only if all VMs are paused

Callers would have seen: a Retry-After as long as the pause of one VM, though others served. Cause: the earliest end of any pause was used. Change: it is used only while every target is paused.

--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
@@ -90,12 +90,16 @@
         return demand.rates(nowMillis, serviceMillis.value(), usableSlots(nowMillis));
     }
 
-    /** Returns the earliest time at which a VM that asked for a pause wants requests again; empty if none has asked. */
+    /** Returns the earliest time at which a VM wants requests again if all targets are paused; empty otherwise. */
     OptionalLong earliestPauseEndMillis(long nowMillis) {
-        return targets.stream()
-                .mapToLong(TargetState::pausedUntilMillis)
-                .filter(untilMillis -> untilMillis > nowMillis)
-                .min();
+        long earliestMillis = Long.MAX_VALUE;
+        for (TargetState target : targets) {
+            if (target.pausedUntilMillis() <= nowMillis) {
+                return OptionalLong.empty();
+            }
+            earliestMillis = Math.min(earliestMillis, target.pausedUntilMillis());
+        }
+        return targets.isEmpty() ? OptionalLong.empty() : OptionalLong.of(earliestMillis);
     }
 
     int freeSlots(long nowMillis) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -244,7 +244,7 @@
         return Math.max(objective * MIN_WAIT_SHARE, objective - request.queue.startMillis.value());
     }
 
-    /** Chooses when a caller should retry: after a repair, and not before a VM that asked for a pause wants requests. */
+    /** Chooses when a caller should retry: after a repair, and not while all VMs have asked for a pause. */
     private long noTargetRetryMillis(QueueState queue) {
         long repairMillis =
                 MIN_NO_TARGET_RETRY_MILLIS + random.nextLong(MAX_NO_TARGET_RETRY_MILLIS - MIN_NO_TARGET_RETRY_MILLIS);
