Do not withdraw a request that is being answered when its part is blamed

Callers would have seen: a stream cut in its first 250 ms although it had begun, when its part had been lost by chance in two crashes. Cause: a request counted as not begun until its answer had lasted long enough to clear its parts. Change: the first event of an answer protects it from being withdrawn.

--- a/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
@@ -86,12 +86,13 @@
     /** Returns whether a request that was sent and is not being answered must be withdrawn. */
     boolean isToBeWithdrawn(RequestState request, long nowMillis) {
         return !request.trial
-                && !request.answered
+                && !request.answering
                 && verdict(request.target, request.arrival, nowMillis) instanceof PartVerdict.Held held
                 && held.certain();
     }
 
     void onSend(RequestState request, TargetState target, long nowMillis) {
+        request.answering = false;
         request.answered = false;
         request.trial = verdict(target, request.arrival, nowMillis) instanceof PartVerdict.OnTrial;
         if (request.trial) {
@@ -100,6 +101,7 @@
     }
 
     void onAnswering(RequestState request, long answeringMillis, long nowMillis) {
+        request.answering |= answeringMillis >= 0;
         if (request.answered || answeringMillis < PROOF_MILLIS) {
             return;
         }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RequestState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RequestState.java
@@ -22,6 +22,9 @@
     /** Whether the request is the trial of a blamed part of its prompt. */
     boolean trial;
 
+    /** Whether an event of the answer has arrived. */
+    boolean answering;
+
     /** Whether the answer has lasted long enough to show that the parts of the prompt are sound. */
     boolean answered;
 
