--- a/relay/src/main/java/org/apricotdeal/relay/poison/BlameInference.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/BlameInference.java
@@ -23,12 +23,15 @@
  *
  * <p>Parts that were answered before the crashes need more crashes than unknown ones, and time for other nodes to clear
  * them. Crashes at nearly the same time count once, since the loss of a rack or of a node's connections has another cause.
- * Parts that occur in the same lost prompts only are blamed together: a request is held back if it has all of them.
+ *
+ * <p>Parts that occur in the same lost prompts only are blamed together: a request is held back if it has all of them. Of
+ * several explanations of the same crashes the one that holds back the fewest requests is used.
  */
 final class BlameInference {
     /** A request that crashed a VM is repeated once, so one request can crash two. */
     private static final int MIN_CRASHES = 2;
 
+    /** The same for a part that has been answered before, which a chance loss of two VMs must not exclude. */
     private static final int MIN_CRASHES_OF_SOUND_PART = 3;
 
     /** Crashes within this time of each other have a common cause. */
@@ -45,9 +48,9 @@
     /** A lost request, as the evidence against one of its parts. */
     private record Evidence(CrashReport crash, List<PromptPartId> prompt) {}
 
-    /** A part with the evidence against it; causes are crashes without those that have a cause in common with others. */
+    /** A part with the evidence against it; crashes with a common cause count as one in the number of causes. */
     private record Suspect(PromptPartId part, Set<Evidence> evidence, boolean sound, int causeCount, int crashCount) {
-        private static final Comparator<Suspect> WEAKEST_FIRST =
+        private static final Comparator<Suspect> BY_STRENGTH =
                 Comparator.comparingInt(Suspect::causeCount).thenComparingInt(Suspect::crashCount);
     }
 
@@ -124,9 +127,9 @@
         if (suspects.isEmpty()) {
             return suspects;
         }
-        Suspect strongest = suspects.stream().max(Suspect.WEAKEST_FIRST).orElseThrow();
+        Suspect strongest = suspects.stream().max(Suspect.BY_STRENGTH).orElseThrow();
         return suspects.stream()
-                .filter(suspect -> Suspect.WEAKEST_FIRST.compare(suspect, strongest) == 0)
+                .filter(suspect -> Suspect.BY_STRENGTH.compare(suspect, strongest) == 0)
                 .toList();
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
@@ -28,7 +28,10 @@
  * that is still deadly costs one VM.
  */
 public final class PoisonDetector {
+    /** Time for which a newly blamed part is held; several times what learning about it takes. */
     private static final long FIRST_HOLD_MILLIS = 20_000;
+
+    /** Trials after which the hold no longer doubles. */
     private static final int MAX_DOUBLINGS = 3;
 
     /** Time between the entitlements of two nodes to a trial; longer than news takes to reach all nodes. */
