Let a short answer clear the parts of its prompt

Callers would have seen: a part whose answers last under 250 ms, lost twice by chance, refused for good, since no trial could clear it. Cause: only an answer of 250 ms counted as proof, also where a shorter one was complete. Change: the end of an answer is proof as well. Measured: SuspectPromptTest.shortAnswerOfTrialClearsItsParts failed without the change (still blamed) and passes; found by reading.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SuspectPromptTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SuspectPromptTest.java
@@ -91,6 +91,18 @@
         assertTrue(!actions.contains(new RelayAction.CancelAttempt(begun.id())), actions.toString());
     }
 
+    /** Guards against a part whose answers are short being held for good, because no trial could clear it. */
+    @Test
+    public void shortAnswerOfTrialClearsItsParts() {
+        loseTwice(send(arrival("short")));
+        relay.advance(20_100);
+        RelayAction.Send trial = send(arrival("short"));
+        relay.nowMillis += 100;
+        relay.step(new RelayEvent.RequestFinished(trial.attempt()));
+        assertEquals(relay.dispatcher.blamedParts(), List.of());
+        send(arrival("short"));
+    }
+
     @Test
     public void waitingRequestIsRefused() {
         RelayAction.Send deadly = send(arrival("dead"));
--- a/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
@@ -102,7 +102,18 @@
 
     void onAnswering(RequestState request, long answeringMillis, long nowMillis) {
         request.answering |= answeringMillis >= 0;
-        if (request.answered || answeringMillis < PROOF_MILLIS) {
+        if (answeringMillis >= PROOF_MILLIS) {
+            recordAnswer(request, nowMillis);
+        }
+    }
+
+    /** Handles the end of an answer, which proves as much as its duration, however short it was. */
+    void onFinished(RequestState request, long nowMillis) {
+        recordAnswer(request, nowMillis);
+    }
+
+    private void recordAnswer(RequestState request, long nowMillis) {
+        if (request.answered) {
             return;
         }
         request.answered = true;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -326,6 +326,7 @@
         } else if (request.running()) {
             request.target.recordProgress(nowMillis);
             request.queue.serviceMillis.add(nowMillis - request.dispatchedMillis);
+            poison.onFinished(request, nowMillis);
             release(request);
         }
         dispatchWaiting(request.queue);
