Copy an UpstreamVm in one place

Change: one private copy method takes the fields that change while a VM runs. Measured: no change of behaviour; ReplicaPlannerTest, SuspectedVmTest and VmAnswersTest pass.

--- a/relay/src/main/java/org/apricotdeal/relay/model/UpstreamVm.java
+++ b/relay/src/main/java/org/apricotdeal/relay/model/UpstreamVm.java
@@ -65,20 +65,7 @@
      * @return modified copy
      */
     public UpstreamVm withOrdersAndGroup(long otherOrders, Optional<GroupMembership> otherGroup) {
-        return new UpstreamVm(
-                id,
-                upstream,
-                address,
-                failureDomain,
-                fabricDomain,
-                release,
-                slots,
-                leaving,
-                startedWallMillis,
-                otherOrders,
-                stagedModels,
-                loadedModel,
-                otherGroup);
+        return copy(leaving, fabricDomain, otherOrders, stagedModels, loadedModel, otherGroup);
     }
 
     /**
@@ -87,20 +74,7 @@
      * @return modified copy
      */
     public UpstreamVm withLeaving() {
-        return new UpstreamVm(
-                id,
-                upstream,
-                address,
-                failureDomain,
-                fabricDomain,
-                release,
-                slots,
-                true,
-                startedWallMillis,
-                orderCount,
-                stagedModels,
-                loadedModel,
-                group);
+        return copy(true, fabricDomain, orderCount, stagedModels, loadedModel, group);
     }
 
     /**
@@ -110,19 +84,31 @@
      * @return modified copy
      */
     public UpstreamVm withWeights(VmReport report) {
+        Optional<FabricDomainId> reportedDomain = report.fabricDomain().or(() -> fabricDomain);
+        return copy(leaving, reportedDomain, orderCount, report.stagedModels(), report.loadedModel(), group);
+    }
+
+    /** Returns a copy with the fields that change while the VM runs. */
+    private UpstreamVm copy(
+            boolean newLeaving,
+            Optional<FabricDomainId> newFabricDomain,
+            long newOrderCount,
+            List<ModelId> newStagedModels,
+            Optional<ModelId> newLoadedModel,
+            Optional<GroupMembership> newGroup) {
         return new UpstreamVm(
                 id,
                 upstream,
                 address,
                 failureDomain,
-                report.fabricDomain().or(() -> fabricDomain),
+                newFabricDomain,
                 release,
                 slots,
-                leaving,
+                newLeaving,
                 startedWallMillis,
-                orderCount,
-                report.stagedModels(),
-                report.loadedModel(),
-                group);
+                newOrderCount,
+                newStagedModels,
+                newLoadedModel,
+                newGroup);
     }
 }
