Simplify the poison detector after a second reading

Cause: the key of a trial was nested in PartTrial and rebuilt from its fields, and stood for answered parts as well; the condition that a blame concerns a request was written three times, and checked by PoisonGuard before the detector checked it again; with two models or releases all crashes were inferred twice. Change: ServedPart is the key of trials and answers, BlamedParts.concerns the condition; only models or releases that share a blamed part are inferred again.

--- a/proofs/src/test/java/org/apricotdeal/relay/node/CrashNewsCodecTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/CrashNewsCodecTest.java
@@ -12,6 +12,7 @@
 import org.apricotdeal.relay.poison.CrashReport;
 import org.apricotdeal.relay.poison.ModelRelease;
 import org.apricotdeal.relay.poison.PartTrial;
+import org.apricotdeal.relay.poison.ServedPart;
 import org.apricotdeal.wire.gen.TRelayHeartbeat;
 import org.testng.annotations.Test;
 
@@ -31,7 +32,7 @@
                 Set.of(List.of(FIRST, DEADLY), List.of(FIRST)),
                 Set.of(FIRST),
                 Set.of(FIRST));
-        PartTrial trial = new PartTrial(SERVED, DEADLY, 2_000 + offsetMillis, 3, true);
+        PartTrial trial = new PartTrial(new ServedPart(SERVED, DEADLY), 2_000 + offsetMillis, 3, true);
         return new CrashNews(42, List.of(crash), List.of(trial));
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/CrashNewsCodec.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CrashNewsCodec.java
@@ -14,6 +14,7 @@
 import org.apricotdeal.relay.poison.CrashReport;
 import org.apricotdeal.relay.poison.ModelRelease;
 import org.apricotdeal.relay.poison.PartTrial;
+import org.apricotdeal.relay.poison.ServedPart;
 import org.apricotdeal.wire.gen.TRelayCrash;
 import org.apricotdeal.wire.gen.TRelayHeartbeat;
 import org.apricotdeal.wire.gen.TRelayTrial;
@@ -45,10 +46,10 @@
 
     private static TRelayTrial encode(PartTrial trial, long nowMillis) {
         return new TRelayTrial(
-                trial.served().upstream().value(),
-                trial.served().model().value(),
-                trial.served().release(),
-                trial.part().value(),
+                trial.tried().served().upstream().value(),
+                trial.tried().served().model().value(),
+                trial.tried().served().release(),
+                trial.tried().part().value(),
                 ageMillis(trial.startedMillis(), nowMillis),
                 trial.count(),
                 trial.passed());
@@ -97,8 +98,9 @@
 
     private static PartTrial decode(TRelayTrial trial, long nowMillis) {
         return new PartTrial(
-                served(trial.getUpstream(), trial.getModel(), trial.getRelease()),
-                new PromptPartId(trial.getPart()),
+                new ServedPart(
+                        served(trial.getUpstream(), trial.getModel(), trial.getRelease()),
+                        new PromptPartId(trial.getPart())),
                 nowMillis - trial.getAgeMillis(),
                 trial.getCount(),
                 trial.isPassed());
--- a/relay/src/main/java/org/apricotdeal/relay/poison/BlamedParts.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/BlamedParts.java
@@ -1,7 +1,9 @@
 package org.apricotdeal.relay.poison;
 
+import java.util.List;
 import java.util.Set;
 
+import org.apricotdeal.kernel.id.UpstreamId;
 import org.apricotdeal.relay.model.PromptPartId;
 
 /**
@@ -19,6 +21,17 @@
         parts = Set.copyOf(parts);
     }
 
+    /**
+     * Returns whether a request has all the blamed parts.
+     *
+     * @param upstream upstream of the request
+     * @param prompt shared parts of the request
+     * @return true if the request may crash VMs of some model or release of the upstream
+     */
+    boolean concerns(UpstreamId upstream, List<PromptPartId> prompt) {
+        return served.upstream().equals(upstream) && prompt.containsAll(parts);
+    }
+
     /**
      * Returns whether the same parts are blamed, whatever the number and time of their crashes.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
@@ -57,7 +57,7 @@
     private final String self;
     private final SoundParts soundParts = new SoundParts();
     private final Map<CrashId, CrashReport> crashes = new HashMap<>();
-    private final Map<PartTrial.Key, PartTrial> trials = new HashMap<>();
+    private final Map<ServedPart, PartTrial> trials = new HashMap<>();
     private List<String> nodes;
     private List<BlamedParts> blamed = List.of();
     private CrashNews news = CrashNews.NONE;
@@ -126,8 +126,9 @@
     public void recordAnswer(ModelRelease served, List<PromptPartId> prompt, long nowMillis) {
         boolean changed = false;
         for (PromptPartId part : prompt) {
-            soundParts.record(served, part, nowMillis);
-            changed |= passTrial(new PartTrial.Key(served, part));
+            ServedPart answered = new ServedPart(served, part);
+            soundParts.record(answered, nowMillis);
+            changed |= passTrial(answered);
         }
         for (Map.Entry<CrashId, CrashReport> entry : crashes.entrySet()) {
             for (PromptPartId part : prompt) {
@@ -160,8 +161,8 @@
     public void merge(CrashNews received, long nowMillis) {
         received.crashes().forEach(this::addCrash);
         for (PartTrial trial : received.trials()) {
-            if (trials.containsKey(trial.key()) || trials.size() < MAX_TRIALS) {
-                trials.merge(trial.key(), trial, PartTrial::merge);
+            if (trials.containsKey(trial.tried()) || trials.size() < MAX_TRIALS) {
+                trials.merge(trial.tried(), trial, PartTrial::merge);
             }
         }
         review(nowMillis);
@@ -186,12 +187,7 @@
      * @return true if some VMs may have to be spared
      */
     public boolean isSuspect(UpstreamId upstream, List<PromptPartId> prompt) {
-        for (BlamedParts blame : blamed) {
-            if (blame.served().upstream().equals(upstream) && prompt.containsAll(blame.parts())) {
-                return true;
-            }
-        }
-        return false;
+        return blamed.stream().anyMatch(blame -> blame.concerns(upstream, prompt));
     }
 
     /**
@@ -205,14 +201,13 @@
     public PartVerdict verdict(ModelRelease served, List<PromptPartId> prompt, long nowMillis) {
         PartVerdict verdict = FREE;
         for (BlamedParts blame : blamed) {
-            boolean applies = blame.served().upstream().equals(served.upstream()) && prompt.containsAll(blame.parts());
-            if (!applies || (!blame.served().equals(served) && isServed(served, blame.parts()))) {
+            boolean ownBlame = blame.served().equals(served);
+            if (!blame.concerns(served.upstream(), prompt) || (!ownBlame && isServed(served, blame.parts()))) {
                 continue;
             }
             long heldUntilMillis = heldUntilMillis(served, blame);
             if (nowMillis < heldUntilMillis) {
-                boolean certain = blame.certain() && blame.served().equals(served);
-                return new PartVerdict.Held(heldUntilMillis, certain);
+                return new PartVerdict.Held(heldUntilMillis, blame.certain() && ownBlame);
             }
             verdict = new PartVerdict.OnTrial();
         }
@@ -228,13 +223,13 @@
      */
     public void startTrial(ModelRelease served, List<PromptPartId> prompt, long nowMillis) {
         for (BlamedParts blame : blamed) {
-            if (!blame.served().upstream().equals(served.upstream()) || !prompt.containsAll(blame.parts())) {
+            if (!blame.concerns(served.upstream(), prompt)) {
                 continue;
             }
             for (PromptPartId part : blame.parts()) {
-                PartTrial.Key key = new PartTrial.Key(served, part);
-                int count = trials.containsKey(key) ? trials.get(key).count() + 1 : 1;
-                trials.put(key, new PartTrial(served, part, nowMillis, count, false));
+                ServedPart tried = new ServedPart(served, part);
+                int count = trials.containsKey(tried) ? trials.get(tried).count() + 1 : 1;
+                trials.put(tried, new PartTrial(tried, nowMillis, count, false));
             }
         }
         review(nowMillis);
@@ -243,9 +238,10 @@
     /** Returns whether parts that are blamed for another model or release have been answered by this one. */
     private boolean isServed(ModelRelease served, Set<PromptPartId> parts) {
         for (PromptPartId part : parts) {
-            PartTrial trial = trials.get(new PartTrial.Key(served, part));
+            ServedPart servedPart = new ServedPart(served, part);
+            PartTrial trial = trials.get(servedPart);
             boolean passed = trial != null && trial.passed();
-            if (!passed && soundParts.lastAnsweredMillis(served, part).isEmpty()) {
+            if (!passed && soundParts.lastAnsweredMillis(servedPart).isEmpty()) {
                 return false;
             }
         }
@@ -257,7 +253,7 @@
         int trialCount = 0;
         long trialEndMillis = Long.MIN_VALUE;
         for (PromptPartId part : blame.parts()) {
-            PartTrial trial = trials.get(new PartTrial.Key(served, part));
+            PartTrial trial = trials.get(new ServedPart(served, part));
             if (trial != null) {
                 trialCount = Math.max(trialCount, trial.count());
                 trialEndMillis = Math.max(trialEndMillis, trial.startedMillis() + TRIAL_MILLIS);
@@ -292,7 +288,7 @@
     private CrashReport withOwnAnswers(CrashReport report) {
         CrashReport result = report;
         for (PromptPartId part : report.parts()) {
-            OptionalLong answeredMillis = soundParts.lastAnsweredMillis(report.served(), part);
+            OptionalLong answeredMillis = soundParts.lastAnsweredMillis(new ServedPart(report.served(), part));
             if (answeredMillis.isPresent()) {
                 boolean answeredSince = answeredMillis.getAsLong() > report.atMillis();
                 result = answeredSince ? result.withCleared(part) : result.withSound(part);
@@ -301,12 +297,12 @@
         return result;
     }
 
-    private boolean passTrial(PartTrial.Key key) {
-        PartTrial trial = trials.get(key);
+    private boolean passTrial(ServedPart answered) {
+        PartTrial trial = trials.get(answered);
         if (trial == null || trial.passed()) {
             return false;
         }
-        trials.put(key, new PartTrial(trial.served(), trial.part(), trial.startedMillis(), trial.count(), true));
+        trials.put(answered, trial.withPassed());
         return true;
     }
 
@@ -347,15 +343,19 @@
                     .computeIfAbsent(crash.served(), served -> new ArrayList<>())
                     .add(crash);
         }
-        List<BlamedParts> independent = new ArrayList<>();
+        Map<ModelRelease, List<BlamedParts>> blameByServed = new HashMap<>();
         crashesByServed.forEach(
-                (served, reports) -> independent.addAll(BlameInference.infer(reports, Set.of(), nowMillis)));
-        if (independent.isEmpty() || crashesByServed.size() == 1) {
-            return independent;
-        }
+                (served, reports) -> blameByServed.put(served, BlameInference.infer(reports, Set.of(), nowMillis)));
+        List<BlamedParts> independent =
+                blameByServed.values().stream().flatMap(List::stream).toList();
         List<BlamedParts> all = new ArrayList<>();
-        crashesByServed.forEach((served, reports) ->
-                all.addAll(BlameInference.infer(reports, blamedElsewhere(served, independent), nowMillis)));
+        blameByServed.forEach((served, blame) -> {
+            Set<PromptPartId> elsewhere = blamedElsewhere(served, independent);
+            all.addAll(
+                    elsewhere.isEmpty()
+                            ? blame
+                            : BlameInference.infer(crashesByServed.get(served), elsewhere, nowMillis));
+        });
         return all;
     }
 
@@ -381,7 +381,7 @@
                             + new TreeSet<>(crash.soundParts()) + " " + new TreeSet<>(crash.clearedParts()));
         }
         for (PartTrial trial : trials.values()) {
-            sum += Hashing.komihash4_3().hashCharsToLong(trial.key() + " " + trial.count() + " " + trial.passed());
+            sum += Hashing.komihash4_3().hashCharsToLong(trial.tried() + " " + trial.count() + " " + trial.passed());
         }
         return sum;
     }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
@@ -31,13 +31,10 @@
     }
 
     private boolean isSuspect(Arrival arrival) {
-        return !isIdle() && detector.isSuspect(arrival.queue().upstream(), arrival.sharedParts());
+        return detector.isSuspect(arrival.queue().upstream(), arrival.sharedParts());
     }
 
     PartVerdict verdict(TargetState state, Arrival arrival, long nowMillis) {
-        if (!isSuspect(arrival)) {
-            return FREE;
-        }
         return state.served()
                 .map(served -> detector.verdict(served, arrival.sharedParts(), nowMillis))
                 .orElse(FREE);
