--- a/review/standins/BodyBurst.java
+++ b/review/standins/BodyBurst.java
@@ -17,7 +17,7 @@
     private static final double BURST = 2.6;
     private static final int BODY_BYTES = 4_194_304;
     private static final int UPLOAD_BYTES_PER_SECOND = 2_000_000;
-    private static final int BOOKING_CLIENTS = 24;
+    private static final int BOOKING_CLIENTS = 36;
     private static final int ALLOWED = 3;
 
     private BodyBurst() {}
@@ -28,12 +28,12 @@
 
     private static boolean run(boolean trouble, List<AutoCloseable> toClose) throws Exception {
         Store store = new Store();
-        store.put("op/config", Case.config(7, Case.route("booking", "/book/", "non_idempotent", 4_000, 1_000, 1), 15_000));
+        store.put("op/config", Case.config(7, Case.route("booking", "/book/", "non_idempotent", 4_000, 2_000, 1), 15_000));
         Set<String> begun = ConcurrentHashMap.newKeySet();
         for (String zone : List.of("a", "b", "c")) {
-            toClose.add(new Worker("i-office-" + zone, store, "office-app", zone, 12, (request, out) -> {
+            toClose.add(new Worker("i-office-" + zone, store, "office-app", zone, 24, (request, out) -> {
                 begun.add(request.header("X-Attempt-Id"));
-                Case.sleep(400);
+                Case.sleep(500);
                 Worker.answerBytes(request, out, 800);
             }));
         }
@@ -51,8 +51,9 @@
             for (int i = 0; i < BOOKING_CLIENTS; i++) {
                 int number = i;
                 clients.submit(() -> book(node, number, endMillis, bookings));
+                Case.sleep(500 / BOOKING_CLIENTS);
             }
-            Case.sleep(2_000);
+            Case.sleep(3_000);
             Case.record(uploadClients + " clients begin to send " + BODY_BYTES + " bytes each");
             for (int i = 0; i < uploadClients; i++) {
                 int number = i;
@@ -83,6 +84,9 @@
                 if (!seen.complete()) {
                     return;
                 }
+                if (seen.status() != 200) {
+                    Case.sleep(Math.max(500, client.retryAfterMillis()));
+                }
             }
         } catch (Exception e) {
             Case.record("client " + number + ": " + e);
--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -21,6 +21,7 @@
     }
 
     private final Socket socket = new Socket();
+    private volatile long retryAfterMillis;
     private static final int PART_BYTES = 16 * 1024;
 
     private final InputStream in;
@@ -40,6 +41,11 @@
         in = receiveBufferBytes > 0 ? socket.getInputStream() : Http.buffered(socket);
     }
 
+    /** Returns when the last answer told the client to come back; 0 if it did not. */
+    long retryAfterMillis() {
+        return retryAfterMillis;
+    }
+
     Socket socket() {
         return socket;
     }
@@ -84,6 +90,8 @@
             socket.setSoTimeout(waitMillis);
             Http.Message answer = Http.read(in);
             long endMillis = Case.millis();
+            String retryAfter = answer == null ? null : answer.header("Retry-After");
+            retryAfterMillis = retryAfter == null ? 0 : Math.round(1_000 * Double.parseDouble(retryAfter));
             return answer == null
                     ? new Seen(id, 0, false, new byte[0], sentMillis, endMillis, "the connection was closed")
                     : new Seen(id, answer.status(), answer.complete(), answer.body(), sentMillis, endMillis, "");
