--- a/review/standins/Http.java
+++ b/review/standins/Http.java
@@ -3,17 +3,23 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** The parts of HTTP/1.1 that the stand-ins need, on plain sockets. */
 final class Http {
+    private static final Set<Integer> given = new HashSet<>();
+
     private Http() {}
 
     /** The first line, the headers and the body of a request or a response. */
@@ -50,9 +56,19 @@
         return "127.0.0.1:" + server.getLocalPort();
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket probe = listen()) {
-            return probe.getLocalPort();
+    /** Returns a free port below those that the system gives to outgoing connections; each port once. */
+    static synchronized int freePort() throws IOException {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 30_000);
+            if (!given.add(port)) {
+                continue;
+            }
+            try (ServerSocket probe = new ServerSocket()) {
+                probe.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+                return port;
+            } catch (BindException e) {
+                // Another process uses the port.
+            }
         }
     }
 
