One connection no longer keeps the thread that reads from all others

Cause: all outgoing connections share one selector thread, Jetty reads from a connection until it has no bytes left, and aborting an exchange waits for the reading. The limits counted heads and content; sizes of chunks are neither. Evidence: callers got their 504, so the attempts were cancelled, but the stand-in never saw its connections closed.

Change: a connection yields after 16 KiB each time that it is selected, on the side of callers too; the bytes of a response beside its content are limited; readiness depends on the selector thread.

--- a/proofs/src/test/java/org/apricotdeal/proofs/http/ScriptedServer.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/http/ScriptedServer.java
@@ -78,7 +78,17 @@
          * @throws IOException where the client has closed the connection
          */
         public void write(String text) throws IOException {
-            output.write(text.getBytes(StandardCharsets.UTF_8));
+            write(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        /**
+         * Writes bytes.
+         *
+         * @param bytes the bytes
+         * @throws IOException where the client has closed the connection
+         */
+        public void write(byte[] bytes) throws IOException {
+            output.write(bytes);
             output.flush();
         }
 
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/EndlessResponseTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/EndlessResponseTest.java
@@ -3,7 +3,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import org.apricotdeal.proofs.http.ScriptedServer;
 import org.testng.annotations.AfterMethod;
@@ -20,6 +22,9 @@
 
     private static final int CALLERS = 20;
 
+    /** The platform's bound on the time until a new configuration is in force. */
+    private static final int CONFIG_APPLY_SECONDS = 2;
+
     /** Limit of the node's buffers for all responses, and the largest receive and send buffers of the sockets. */
     private static final long MAX_TOTAL_BYTES =
             16L * 1024 * 1024 + CALLERS * (6L * 1024 * 1024 + EndlessResponse.SEND_BUFFER_BYTES);
@@ -45,10 +50,23 @@
             {EndlessResponse.Part.HEADER},
             {EndlessResponse.Part.HEADERS},
             {EndlessResponse.Part.BODY},
-            {EndlessResponse.Part.CHUNKED_BODY}
+            {EndlessResponse.Part.CHUNKED_BODY},
+            {EndlessResponse.Part.CHUNK_SIZE},
+            {EndlessResponse.Part.CHUNK_EXTENSION},
+            {EndlessResponse.Part.TRAILER},
+            {EndlessResponse.Part.TRAILERS},
+            {EndlessResponse.Part.INTERIM_RESPONSES},
+            {EndlessResponse.Part.BLANK_LINES}
         };
     }
 
+    @DataProvider
+    public Object[][] allParts() {
+        return Arrays.stream(EndlessResponse.Part.values())
+                .map(part -> new Object[] {part})
+                .toArray(Object[][]::new);
+    }
+
     /**
      * The request may have been executed, so its outcome is unknown and the caller gets status 502.
      *
@@ -66,6 +84,36 @@
         }
     }
 
+    /**
+     * One VM that writes without end on all its connections must not keep the node from reading from the store and from
+     * other VMs (review/1).
+     *
+     * @param part part of the response that does not end
+     */
+    @Test(dataProvider = "allParts")
+    public void endlessResponsesDoNotKeepTheNodeFromReading(EndlessResponse.Part part) throws Exception {
+        EndlessResponse endless = new EndlessResponse(part);
+        try (ScriptedServer worker = new ScriptedServer(endless)) {
+            replaceService(worker);
+            List<Socket> callers = new ArrayList<>();
+            for (int i = 0; i < CALLERS; i++) {
+                Socket caller = fleet.connect(fleet.callerAddress);
+                RelayFleet.send(caller, "POST", "/book/x", "r" + i, RelayFleet.KEY);
+                callers.add(caller);
+            }
+            RelayFleet.pause(200);
+            fleet.configure(4, RelayFleet.KEY, "key-2");
+            long ackNanos = System.nanoTime();
+            RelayFleet.await(CONFIG_APPLY_SECONDS, () -> fleet.call("POST", "/talk/x", "w" + System.nanoTime(), "key-2")
+                    .startsWith("HTTP/1.1 200"));
+            assertTrue(System.nanoTime() - ackNanos < TimeUnit.SECONDS.toNanos(CONFIG_APPLY_SECONDS));
+            for (Socket caller : callers) {
+                caller.close();
+            }
+            RelayFleet.await(1, () -> endless.activeConnections.get() == 0);
+        }
+    }
+
     /** The total size of the buffers for concurrent responses is limited. */
     @Test
     public void concurrentEndlessResponsesAreAborted() throws Exception {
--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/SelectorProbeTest.java
@@ -0,0 +1,50 @@
+package org.apricotdeal.relay.node;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.apricotdeal.kernel.time.Clock;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** Tests that a node whose reading thread is stuck does not report that it is ready (review/1). */
+public final class SelectorProbeTest {
+    private static final long CHECK_PERIOD_MILLIS = 1_000;
+
+    private final AtomicLong nowMillis = new AtomicLong();
+    private final Queue<Runnable> tasks = new ArrayDeque<>();
+    private final SelectorProbe probe = new SelectorProbe(tasks::add, new Clock() {
+        @Override
+        public long monotonicMillis() {
+            return nowMillis.get();
+        }
+
+        @Override
+        public long wallMillis() {
+            return nowMillis.get();
+        }
+    });
+
+    @Test
+    public void stuckThreadIsReportedUntilItRunsAgain() {
+        assertTrue(probe.isResponsive());
+        runTasks();
+        nowMillis.addAndGet(CHECK_PERIOD_MILLIS);
+        assertTrue(probe.isResponsive());
+        nowMillis.addAndGet(CHECK_PERIOD_MILLIS);
+        assertFalse(probe.isResponsive());
+        nowMillis.addAndGet(CHECK_PERIOD_MILLIS);
+        assertFalse(probe.isResponsive());
+        runTasks();
+        assertTrue(probe.isResponsive());
+    }
+
+    private void runTasks() {
+        while (!tasks.isEmpty()) {
+            tasks.remove().run();
+        }
+    }
+}
--- a/proofs/src/test/java/org/apricotdeal/relay/node/UpstreamEndPointTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/UpstreamEndPointTest.java
@@ -28,7 +28,7 @@
     @BeforeClass
     public void start() {
         threads = RelayClients.newThreadPool();
-        client = RelayClients.startClient(threads);
+        client = RelayClients.startClient(threads, new UpstreamConnector());
     }
 
     @AfterClass(alwaysRun = true)
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayClients.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayClients.java
@@ -37,8 +37,7 @@
         return threads;
     }
 
-    static HttpClient startClient(QueuedThreadPool threads) {
-        UpstreamConnector connector = new UpstreamConnector();
+    static HttpClient startClient(QueuedThreadPool threads, UpstreamConnector connector) {
         connector.setSelectors(1);
         HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
         // Response listeners never block, so the selector's thread can call them without a thread switch.
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -40,6 +40,7 @@
     private final DecisionLog log;
     private final QueuedThreadPool threads;
     private final HttpClient client;
+    private final SelectorProbe selectorProbe;
     private final RelayDuty relay;
     private final FleetDuty fleet;
     private final CatalogueHolder catalogues;
@@ -58,7 +59,9 @@
         this.settings = settings;
         log = new DecisionLog(System.out, metrics);
         threads = RelayClients.newThreadPool();
-        client = RelayClients.startClient(threads);
+        UpstreamConnector connector = new UpstreamConnector();
+        client = RelayClients.startClient(threads, connector);
+        selectorProbe = new SelectorProbe(connector::runOnSelector, clock);
         PlatformAdapter adapter = adapter(settings.adapter());
         WatchStore store = new CountedStore(
                 adapter.store(client, settings.storeAddress(), settings.storeTimeoutMillis()),
@@ -116,7 +119,7 @@
     }
 
     private boolean isReady() {
-        return catalogues.version() > 0 && fleet.hasPublishedTargets();
+        return catalogues.version() > 0 && fleet.hasPublishedTargets() && selectorProbe.isResponsive();
     }
 
     /**
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -48,9 +48,11 @@
     private final Clock clock;
     private final Listener listener;
     private final ResponseBufferLimit bufferLimit;
+    private final FramingLimit framingLimit = new FramingLimit();
     private final EventFramer framer = new EventFramer();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Request request;
+    private UpstreamEndPoint endPoint;
     private boolean sent;
     private boolean ended;
     private boolean streaming;
@@ -146,7 +148,7 @@
         if (exchange.body().length > 0 || incoming.getHeaders().contains(HttpHeader.CONTENT_LENGTH)) {
             request.body(new BytesRequestContent((String) null, exchange.body()));
         }
-        request.onRequestBegin(started -> markSent());
+        request.onRequestBegin(this::begin);
         request.onResponseHeaders(this::onHeaders);
         request.onResponseContentAsync(this::onContent);
         exchange.recordProgress(clock.monotonicMillis());
@@ -182,15 +184,27 @@
         }
     }
 
-    private synchronized void markSent() {
+    private synchronized void begin(Request begun) {
         sent = true;
+        if (begun.getConnection() instanceof org.eclipse.jetty.io.Connection connection
+                && connection.getEndPoint() instanceof UpstreamEndPoint upstream) {
+            endPoint = upstream;
+            endPoint.startResponse(framingLimit);
+        }
+    }
+
+    private void endResponse() {
+        releaseReserved();
+        if (endPoint != null) {
+            endPoint.endResponse(framingLimit);
+        }
     }
 
     /** Cancels the attempt: closes its connection and ignores all that is received later. */
     void cancel() {
         synchronized (this) {
             ended = true;
-            releaseReserved();
+            endResponse();
         }
         abort(request, "cancelled");
     }
@@ -240,6 +254,7 @@
     }
 
     private void onContent(Response response, Content.Chunk chunk, Runnable demandNext) {
+        framingLimit.addContent(chunk.remaining());
         ByteBuffer events = null;
         synchronized (this) {
             if (ended || foreignResponse) {
@@ -294,7 +309,7 @@
                 return;
             }
             ended = true;
-            releaseReserved();
+            endResponse();
         }
         Response response = result.getResponse();
         if (foreignResponse) {
@@ -312,7 +327,9 @@
         if (!sent) {
             return AttemptOutcome.NOT_SENT;
         }
-        boolean connectionEnded = failure instanceof IOException && !(failure instanceof InterruptedIOException);
+        boolean connectionEnded = failure instanceof IOException
+                && !(failure instanceof InterruptedIOException)
+                && !(failure instanceof FramingLimit.ExceededException);
         return connectionEnded ? outcomeOfLostConnection() : AttemptOutcome.BROKEN;
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamConnector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamConnector.java
@@ -10,8 +10,25 @@
 
 /** Opens connections to upstreams, the store and other nodes as {@link UpstreamEndPoint}. */
 final class UpstreamConnector extends ClientConnector {
+    private volatile ManagedSelector lastSelector;
+
     @Override
     protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
+        lastSelector = selector;
         return new UpstreamEndPoint((SocketChannel) channel, selector, key, getScheduler());
     }
+
+    /**
+     * Runs a task on the selector thread; at once if no connection has been opened yet.
+     *
+     * @param task task that does not block
+     */
+    void runOnSelector(Runnable task) {
+        ManagedSelector selector = lastSelector;
+        if (selector == null) {
+            task.run();
+        } else {
+            selector.submit(unused -> task.run());
+        }
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/WatchedEndPoint.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/WatchedEndPoint.java
@@ -15,11 +15,12 @@
 /**
  * A caller's connection that detects a disconnect while a request is handled. Jetty does not read from the connection during
  * that time, so it would notice a disconnect only at the next write. Bytes of the next request that are read meanwhile are
- * buffered until Jetty reads again.
+ * buffered until Jetty reads again. Reading is limited for each turn ({@link ReadTurn}).
  */
 final class WatchedEndPoint extends SocketChannelEndPoint {
     private static final int READ_AHEAD_BYTES = 2_048;
 
+    private final ReadTurn turn = new ReadTurn();
     private ByteBuffer readAheadBuffer = BufferUtil.EMPTY_BUFFER;
     private Watch watch;
 
@@ -27,12 +28,23 @@
         super(channel, selector, key, scheduler);
     }
 
+    @Override
+    public Runnable onSelected() {
+        turn.start();
+        return super.onSelected();
+    }
+
     @Override
     public synchronized int fill(ByteBuffer buffer) throws IOException {
         if (readAheadBuffer.hasRemaining()) {
             return BufferUtil.append(buffer, readAheadBuffer);
         }
-        return super.fill(buffer);
+        if (turn.isOver()) {
+            return 0;
+        }
+        int filled = super.fill(buffer);
+        turn.add(Math.max(0, filled));
+        return filled;
     }
 
     /**
