An unusable VM entry, or an action that fails, leaves no caller without an answer

Cause: the reader of entries checked an address for a colon only and cast numbers unchecked, so the entry became a target. Sending to it threw on the dispatcher's thread, which lost the later actions of the step; at the deadline the cancelling action threw too, and the answer after it was lost.

Each action runs by itself, and one that fails is made up for. A request that the dispatcher has lost is failed 200 ms after its deadline.

--- a/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
@@ -233,4 +233,10 @@
             writer.abort(new IllegalStateException("the caller has disconnected"));
         }
     }
+
+    /** Closes the connection of a caller whose answer could not be written, also if the attempt to write it was made. */
+    void abortForFailure() {
+        completed.set(true);
+        writer.abort(new IllegalStateException("the answer could not be written"));
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
@@ -8,6 +8,7 @@
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apricotdeal.kernel.id.FailureDomainId;
+import org.apricotdeal.kernel.misc.HostPort;
 import org.apricotdeal.kernel.misc.Names;
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.kernel.time.Clock;
@@ -90,11 +91,17 @@
         return peers;
     }
 
+    /**
+     * Returns the described node.
+     *
+     * @throws IllegalArgumentException if its name, failure domain or address is invalid
+     */
     static Peer peer(TRelayNode node) {
+        HostPort address = HostPort.parse(node.getPeerAddress());
         return new Peer(
                 Names.require(node.getName()),
                 new FailureDomainId(node.getFailureDomain()),
-                node.getPeerAddress(),
+                address.host() + ":" + address.port(),
                 node.getStartedMillis());
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -1,5 +1,7 @@
 package org.apricotdeal.relay.node;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,6 +43,11 @@
     /** Interval of demand updates; plans change over seconds. */
     private static final long DEMAND_PERIOD_MILLIS = 500;
 
+    /** Time after its deadline at which a request that has no answer is failed; several ticks. */
+    private static final long OVERDUE_MILLIS = 200;
+
+    private static final ExchangeId NO_EXCHANGE = new ExchangeId(-1);
+
     /** Difference by which the clocks may drift apart between two ticks. */
     private static final long MAX_CLOCK_DRIFT_MILLIS = 500;
 
@@ -223,21 +230,15 @@
     }
 
     private void step(RelayEvent event) {
-        if (event instanceof RelayEvent.CallerDisconnected(ExchangeId id)) {
-            recordCallerDisconnect(id);
-        }
+        Exchange exchange = event instanceof RelayEvent.CallerDisconnected(ExchangeId id) ? exchanges.get(id) : null;
         execute(dispatcher.step(clock.monotonicMillis(), event));
-        if (event instanceof RelayEvent.RequestFinished(AttemptId attempt)) {
-            exchanges.remove(attempt.exchange());
-        }
-    }
-
-    private void recordCallerDisconnect(ExchangeId id) {
-        Exchange exchange = exchanges.get(id);
         if (exchange != null) {
             metrics.counter("callers.left").inc();
             log.request("caller_left").with("request", exchange.requestId()).write();
         }
+        if (event instanceof RelayEvent.RequestFinished(AttemptId attempt)) {
+            exchanges.remove(attempt.exchange());
+        }
     }
 
     private void tick() {
@@ -250,7 +251,11 @@
             }
         }
         detectSuspension();
-        execute(dispatcher.step(clock.monotonicMillis(), new RelayEvent.Tick()));
+        try {
+            execute(dispatcher.step(clock.monotonicMillis(), new RelayEvent.Tick()));
+        } finally {
+            failOverdue();
+        }
         running = dispatcher.runningRequests();
         crashNews = dispatcher.crashNews();
         logBlame(dispatcher.blamedParts());
@@ -295,16 +300,105 @@
                 .write();
     }
 
+    /** Executes actions one by one: what one of them throws must not cost the later ones, which answer other callers. */
     private void execute(List<RelayAction> actions) {
-        for (RelayAction action : actions) {
-            switch (action) {
-                case RelayAction.Send send -> send(send);
-                case RelayAction.Refuse refusal -> refuse(refusal);
-                case RelayAction.GiveUp(ExchangeId id, RefusalReason reason) -> giveUp(id, reason);
-                case RelayAction.CancelAttempt(ExchangeId id) -> cancelAttempt(id);
-                case RelayAction.DropExchange(ExchangeId id) -> dropExchange(id);
-                case RelayAction.SuspectTarget(Target target, String reason) -> suspectTarget(target, reason);
+        Deque<RelayAction> pending = new ArrayDeque<>(actions);
+        while (!pending.isEmpty()) {
+            RelayAction action = pending.remove();
+            Exchange exchange = exchanges.get(exchangeOf(action));
+            try {
+                execute(action);
+            } catch (RuntimeException e) {
+                logFailure(action.getClass().getSimpleName(), exchange, e);
+                pending.addAll(recover(action, exchange));
+            }
+        }
+    }
+
+    private static ExchangeId exchangeOf(RelayAction action) {
+        return switch (action) {
+            case RelayAction.Send send -> send.id();
+            case RelayAction.Refuse refusal -> refusal.id();
+            case RelayAction.GiveUp(ExchangeId id, RefusalReason reason) -> id;
+            case RelayAction.CancelAttempt(ExchangeId id) -> id;
+            case RelayAction.DropExchange(ExchangeId id) -> id;
+            case RelayAction.SuspectTarget suspicion -> NO_EXCHANGE;
+        };
+    }
+
+    private void execute(RelayAction action) {
+        switch (action) {
+            case RelayAction.Send send -> send(send);
+            case RelayAction.Refuse refusal -> refuse(refusal);
+            case RelayAction.GiveUp(ExchangeId id, RefusalReason reason) -> giveUp(id, reason);
+            case RelayAction.CancelAttempt(ExchangeId id) -> cancelAttempt(id);
+            case RelayAction.DropExchange(ExchangeId id) -> dropExchange(id);
+            case RelayAction.SuspectTarget(Target target, String reason) -> suspectTarget(target, reason);
+        }
+    }
+
+    /** Makes up for a failed action, so that its caller gets an answer; returns the actions that follow. */
+    private List<RelayAction> recover(RelayAction action, Exchange exchange) {
+        return switch (action) {
+            case RelayAction.Send send -> {
+                boolean created = exchange != null
+                        && exchange.attempt() != null
+                        && exchange.attempt().id().equals(send.attempt());
+                AttemptOutcome outcome = created ? exchange.attempt().cancelFailedSend() : AttemptOutcome.NOT_SENT;
+                yield dispatcher.step(clock.monotonicMillis(), new RelayEvent.AttemptFailed(send.attempt(), outcome));
+            }
+            case RelayAction.Refuse refusal -> {
+                closeUnanswered(exchange);
+                yield List.of();
+            }
+            case RelayAction.GiveUp giveUp -> {
+                closeUnanswered(exchange);
+                yield List.of();
+            }
+            case RelayAction.DropExchange drop -> {
+                closeUnanswered(exchange);
+                yield List.of();
+            }
+            case RelayAction.CancelAttempt cancel -> List.of();
+            case RelayAction.SuspectTarget suspicion -> List.of();
+        };
+    }
+
+    /** Closes the connection of a caller to whom an answer could not be written. */
+    private void closeUnanswered(Exchange exchange) {
+        if (exchange == null) {
+            return;
+        }
+        exchanges.remove(exchange.arrival().id());
+        try {
+            exchange.abortForFailure();
+        } catch (RuntimeException e) {
+            logFailure("close", exchange, e);
+        }
+    }
+
+    private void logFailure(String what, Exchange exchange, RuntimeException failure) {
+        log.state("action_failed")
+                .with("action", what)
+                .with("request", exchange == null ? "-" : exchange.requestId())
+                .with("failure", failure)
+                .write();
+    }
+
+    /**
+     * Fails the requests that are still here after their deadline. The dispatcher ends all others at their deadline; these
+     * it has lost, because an exception ended one of its steps.
+     */
+    private void failOverdue() {
+        long nowMillis = clock.monotonicMillis();
+        for (Exchange exchange : List.copyOf(exchanges.values())) {
+            if (exchange.isCompleted() || nowMillis < exchange.arrival().deadlineMillis() + OVERDUE_MILLIS) {
+                continue;
             }
+            ExchangeId id = exchange.arrival().id();
+            metrics.counter("requests.overdue").inc();
+            execute(List.of(new RelayAction.CancelAttempt(id), new RelayAction.GiveUp(id, RefusalReason.TIMEOUT)));
+            execute(dispatcher.step(nowMillis, new RelayEvent.CallerDisconnected(id)));
         }
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -206,7 +206,22 @@
             ended = true;
             endResponse();
         }
-        abort(request, "cancelled");
+        // Not created if the attempt could not be sent.
+        if (request != null) {
+            abort(request, "cancelled");
+        }
+    }
+
+    /**
+     * Cancels an attempt whose sending failed with an exception.
+     *
+     * @return whether the request may have reached the VM
+     */
+    AttemptOutcome cancelFailedSend() {
+        cancel();
+        synchronized (this) {
+            return sent ? AttemptOutcome.BROKEN : AttemptOutcome.NOT_SENT;
+        }
     }
 
     /** Closes the connection; has no effect if the request has already been completed. */
