A replica is dissolved when its head has certainly stopped, not when it was told to

Cause: the planner took a replica for dissolved once the order to leave had been sent to its head. A head that did not answer and then lost its entry in the store no longer counted as a head, so its members were free at once.

Change: HeadTracker collects evidence that a head has stopped: its reply to the order to leave, its own report, its restart, or that it is broken. Without evidence the members leave and rest until a stalled head is broken, also if they are listed again later or leave on a late order.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ReplicaPlannerTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ReplicaPlannerTest.java
@@ -29,6 +29,11 @@
     /** Interval between VMs that register in a starting fleet, over about five seconds in total. */
     private static final long REGISTRATION_INTERVAL_MILLIS = 300;
 
+    /** Largest shares of the users' sites. */
+    private static final double CUT_SHARE = 0.22;
+
+    private static final double LATE_SHARE = 0.5;
+
     private static SimFleet startedFleet(long seed) {
         SimFleet fleet = new SimFleet(seed);
         fleet.startup = true;
@@ -124,6 +129,84 @@
         assertEquals(fleet.servingReplicas("m0"), 3);
     }
 
+    /**
+     * A member and then the head are cut off from the store, and the head does not answer the order to leave. The other members
+     * may not join a replica while the head is open (review/5).
+     *
+     * @param seed seed for the delays of entries
+     */
+    @Test(dataProvider = "seeds")
+    public void membersOfUnlistedHeadThatHasNotLeftRest(long seed) {
+        SimFleet fleet = startedFleet(seed);
+        SimVm head = fleet.liveVms().stream()
+                .filter(vm -> vm.members.size() == 4 && vm.group.orElseThrow().rank() == 0)
+                .findFirst()
+                .orElseThrow();
+        fleet.cutFromStore(fleet.vms.get(head.members.get(2)), 10_000);
+        fleet.run(400);
+        fleet.cutFromStore(head, 10_000);
+        head.delaysOrders = true;
+        fleet.run(10_000);
+        head.delaysOrders = false;
+        fleet.run(30_000);
+        assertTrue(fleet.servingReplicas("m0") >= 3, fleet.describe());
+    }
+
+    /**
+     * Guards against a join beside a stalled head: a member executes the order to leave late, while it is not listed, and is listed
+     * again without a replica.
+     *
+     * @param seed seed for the delays
+     */
+    @Test(dataProvider = "seeds")
+    public void memberThatLeavesWhileUnlistedRests(long seed) {
+        SimFleet fleet = startedFleet(seed);
+        SimVm head = fleet.liveVms().stream()
+                .filter(vm -> vm.members.size() == 2 && vm.group.orElseThrow().rank() == 0)
+                .findFirst()
+                .orElseThrow();
+        SimVm member = fleet.vms.get(head.members.get(1));
+        member.delaysOrders = true;
+        fleet.cutFromStore(head, 30_000);
+        fleet.run(1_600);
+        fleet.cutFromStore(member, 5_500 + fleet.random.nextLong(3_000));
+        fleet.run(4_000);
+        member.delaysOrders = false;
+        fleet.run(60_000);
+        assertTrue(fleet.servingReplicas("m1") >= 5, fleet.describe());
+    }
+
+    /**
+     * {@link SimFleet} checks the invariants while VMs are cut off from the store, orders stay unanswered and are executed late,
+     * and planners are replaced.
+     *
+     * @param seed seed for the faults
+     */
+    @Test(dataProvider = "seeds")
+    public void cutsFromTheStoreAndLateOrdersKeepInvariants(long seed) {
+        SimFleet fleet = startedFleet(seed);
+        for (int round = 0; round < 20; round++) {
+            fleet.delayedOrderShare = LATE_SHARE;
+            for (SimVm vm : fleet.liveVms()) {
+                if (fleet.random.nextDouble() < CUT_SHARE && !vm.cutFromStore) {
+                    fleet.cutFromStore(vm, 4_000 + fleet.random.nextLong(6_000));
+                    fleet.run(fleet.random.nextLong(300));
+                }
+            }
+            for (int i = 0; i < 6; i++) {
+                if (fleet.random.nextInt(20) == 0) {
+                    fleet.replacePlanner();
+                }
+                fleet.run(1_000);
+            }
+            fleet.delayedOrderShare = 0;
+            fleet.run(4_000);
+        }
+        fleet.run(60_000);
+        long servingVms = fleet.servingReplicas("m0") * 4 + fleet.servingReplicas("m1") * 2;
+        assertTrue(servingVms * 2 >= fleet.liveVms().size(), servingVms + " VMs serve out of " + fleet.describe());
+    }
+
     @DataProvider
     public Object[][] seeds() {
         Object[][] seeds = new Object[SEEDS][];
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
@@ -90,6 +90,7 @@
     private final Set<String> membershipsOnceReady = new HashSet<>();
     private final Map<VmId, Long> deadSinceMillis = new TreeMap<>();
     private final Map<VmId, Long> leaveAtMillis = new TreeMap<>();
+    private final Map<VmId, Cut> cuts = new TreeMap<>();
     private final Map<VmId, UpstreamVm> lastEntries = new TreeMap<>();
     private final List<PlannerNode> planners = new ArrayList<>();
     private final PriorityQueue<DelayedOrder> delayedOrders =
@@ -109,6 +110,9 @@
         }
     }
 
+    /** Time for which a VM cannot reach the store. */
+    private record Cut(long fromMillis, long untilMillis) {}
+
     /** An order that is executed late. */
     private record DelayedOrder(long atMillis, VmId vm, long startedMillis, long expected, ReplicaOrder order) {}
 
@@ -161,6 +165,12 @@
         deadSinceMillis.put(vm.id, nowMillis);
     }
 
+    /** Cuts a VM off from the store for a time; its entry is removed, and the VM still answers and serves. */
+    void cutFromStore(SimVm vm, long forMillis) {
+        vm.cutFromStore = true;
+        cuts.put(vm.id, new Cut(nowMillis, nowMillis + forMillis));
+    }
+
     void restart(SimVm vm) {
         deadSinceMillis.remove(vm.id);
         vm.restart(nowMillis);
@@ -252,6 +262,8 @@
                 kill(vm);
             }
         }
+        cuts.forEach((id, cut) -> vms.get(id).cutFromStore = nowMillis < cut.untilMillis());
+        cuts.values().removeIf(cut -> nowMillis >= cut.untilMillis());
         vms.values()
                 .removeIf(vm ->
                         vm.dead && nowMillis - deadSinceMillis.getOrDefault(vm.id, nowMillis) > 10 * ENTRY_TTL_MILLIS);
@@ -356,10 +368,11 @@
     /** Updates the VM table from entries, each of which may be half a second old. */
     private void updateTable(PlannerNode node) {
         for (SimVm vm : vms.values()) {
-            boolean lapsed = vm.dead && nowMillis - deadSinceMillis.get(vm.id) > ENTRY_TTL_MILLIS;
+            boolean lapsed = vm.dead && nowMillis - deadSinceMillis.get(vm.id) > ENTRY_TTL_MILLIS
+                    || vm.cutFromStore && nowMillis - cuts.get(vm.id).fromMillis() > ENTRY_TTL_MILLIS;
             if (lapsed) {
                 node.table.removeEntryLater(vm.id, nowMillis);
-            } else if (random.nextInt(5) == 0 && !vm.dead) {
+            } else if (random.nextInt(5) == 0 && !vm.dead && !vm.cutFromStore) {
                 if (node.table.applyEntry(entryMaybeStale(vm), nowMillis)) {
                     pollState(node, vm.id);
                 }
@@ -400,7 +413,7 @@
         OrderReply reply;
         if (vm == null || vm.dead || vm.startedMillis != order.vm().startedWallMillis()) {
             reply = OrderReply.UNKNOWN;
-        } else if (random.nextDouble() < delayedOrderShare) {
+        } else if (vm.delaysOrders || random.nextDouble() < delayedOrderShare) {
             long delayMillis = 2_000 + random.nextLong(10_000);
             delayedOrders.add(new DelayedOrder(
                     nowMillis + delayMillis, vm.id, vm.startedMillis, order.expectedOrders(), order.order()));
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimVm.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimVm.java
@@ -39,6 +39,11 @@
     long startedMillis;
     boolean dead;
     boolean leaving;
+    /** The VM cannot write its entry to the store, but still answers. */
+    boolean cutFromStore;
+    /** The VM leaves orders unanswered and executes them late. */
+    boolean delaysOrders;
+
     long orderCount;
     Optional<GroupMembership> group = Optional.empty();
     List<VmId> members = List.of();
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -32,8 +32,9 @@
  * but do no harm.
  *
  * <p>Each run has these steps. <em>Open:</em> a replica starts serving when all its members are ready.
- * <em>Dissolve:</em> if a member is lost or leaves, the head leaves first, which frees the other members. If the
- * head itself is lost, it may only be unreachable, so the others leave and rest until it cannot be open any more.
+ * <em>Dissolve:</em> if a member is lost or leaves, the head leaves first; its reply frees the other members. If the
+ * head itself is lost, before or after this order, it may only be unreachable, so the others leave and rest until it
+ * cannot be open any more ({@link HeadTracker}).
  * <em>Form:</em> free VMs of one fabric domain that have the weights of a model become a replica of it, beginning
  * with the model furthest below its share. <em>Preempt:</em> if that model lacks members, replicas of other models
  * are closed for it ({@link Preemption}). <em>Stage:</em> hosts load weights as far as the weight store allows
@@ -73,6 +74,7 @@
     private final long stallMillis;
     private final PendingOrders orders = new PendingOrders();
     private final WeightStaging staging = new WeightStaging();
+    private final HeadTracker heads = new HeadTracker();
     private final Set<ReplicaGroupId> releasedGroups = new HashSet<>();
     private final Map<ReplicaGroupId, Long> firstSeenMillis = new HashMap<>();
     private final Map<ReplicaGroupId, Long> memberLeavingSinceMillis = new HashMap<>();
@@ -140,6 +142,7 @@
         if (order.order() instanceof ReplicaOrder.Stage && reply != OrderReply.BEGUN && reply != OrderReply.UNKNOWN) {
             staging.onEnded(order.vm().id());
         }
+        heads.onReply(order, reply);
         orders.onReply(nowMillis, order, reply);
     }
 
@@ -196,10 +199,10 @@
         }
         if (firstPlanMillis < 0) {
             firstPlanMillis = latestInput.nowMillis();
-            restVmsOfEarlierPlanner();
         }
         staging.removeEndedLoads(latestInput);
         List<ReplicaGroup> groups = ReplicaGroups.of(latestInput.vms(), latestInput.engine());
+        restMembersOfServingHeads(groups);
         List<ReplicaGroup> activeGroups = groups.stream().filter(this::maintain).toList();
         ModelBalance balance = new ModelBalance(
                 latestInput.engine().models(), latestInput.demand().shares(), latestInput.replicasInOtherDomains());
@@ -232,28 +235,31 @@
     }
 
     /**
-     * The head of a replica that was dissolved by an earlier planner may still be open, so its former members rest
-     * first.
+     * Lets VMs rest that have left a replica whose head may still be open, on the order of an earlier planner or on one that was
+     * executed late.
      */
-    private void restVmsOfEarlierPlanner() {
-        if (input.startup()) {
-            return;
-        }
-        for (UpstreamVm vm : input.vms()) {
-            if (vm.group().isEmpty() && vm.loadedModel().isPresent()) {
-                restUntilMillis.put(vm.id(), input.nowMillis() + stallMillis + HEAD_STOP_MARGIN_MILLIS);
-            }
+    private void restMembersOfServingHeads(List<ReplicaGroup> groups) {
+        Set<VmId> doubtful = heads.observe(input.vms(), groups);
+        if (!input.startup()) {
+            doubtful.forEach(this::rest);
         }
     }
 
+    /** Excludes a VM until the head that it has left at the latest now is certainly broken. */
+    private void rest(VmId vm) {
+        restUntilMillis.put(vm, input.nowMillis() + stallMillis + HEAD_STOP_MARGIN_MILLIS);
+    }
+
     // Open and dissolve.
 
     /** Decides what happens to a replica group; returns true if it serves or is about to. */
     private boolean maintain(ReplicaGroup group) {
         ReplicaGroupId id = group.id();
         long seenSinceMillis = firstSeenMillis.computeIfAbsent(id, key -> input.nowMillis());
-        if (releasedGroups.contains(id)) {
-            group.head().ifPresent(head -> dissolve(group, "the head has not left yet"));
+        if (releasedGroups.contains(id) || heads.hasStopped(id)) {
+            if (group.head().isPresent() || !heads.hasStopped(id)) {
+                dissolve(group, "the head has not left yet");
+            }
             return false;
         }
         boolean memberLost =
@@ -327,7 +333,7 @@
         for (UpstreamVm member : group.members()) {
             if (!input.unresponsive().contains(member.id())) {
                 tryOrder(member, new ReplicaOrder.Leave(id.replica(), id.epoch()), "the head is lost");
-                restUntilMillis.put(member.id(), input.nowMillis() + stallMillis + HEAD_STOP_MARGIN_MILLIS);
+                rest(member.id());
             }
         }
     }
@@ -446,9 +452,9 @@
         if (vm.group().isEmpty()) {
             return true;
         }
-        // A member is free only after its head has left; a head that is still known leaves first.
+        // A head that is still known leaves first, even if it is broken.
         ReplicaGroupId id = ReplicaGroupId.of(vm.group().get());
-        return releasedGroups.contains(id) && !groupsWithHead.contains(id);
+        return heads.hasStopped(id) && !groupsWithHead.contains(id);
     }
 
     /** Forms as many replicas as possible within a fabric domain; returns the remaining free VMs. */
