The target of a request is forwarded byte by byte

Cause: the HTTP client parses a target as a URI reference, so a text that begins with two slashes has an authority.

Change: UpstreamRequest keeps path and query as they came.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
@@ -139,6 +139,16 @@
         store.put("op/config", written);
     }
 
+    /** Writes a configuration whose only route takes every path, for bookings of one customer. */
+    void configureRoot(long version, String key) {
+        store.put("op/config", """
+                {"version":%d,"routes":[
+                {"name":"root","host":"h.example","path-prefix":"/","type":"non_idempotent","timeout-ms":1000,
+                "target-latency-ms":300,"priority":1,"service":"shop","max-attempts":1,"public":false}],
+                "services":[{"name":"shop","health-path":"/h","max-connections":50,"protocol":"h1","tls":false}],
+                "limits":{},"tenants":[{"name":"customer-1","api-keys":["%s"],"priority":1}]}""".formatted(version, key));
+    }
+
     /** Returns the size of the last configuration written, in bytes. */
     long catalogueBytes() {
         return catalogueBytes;
--- a/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
@@ -1,8 +1,6 @@
 package org.apricotdeal.relay.node;
 
 import java.io.IOException;
-import java.lang.reflect.InvocationTargetException;
-import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -11,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
@@ -20,6 +19,7 @@
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.UpstreamId;
 import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.kernel.misc.HostPort;
 import org.apricotdeal.kernel.time.SystemClock;
 import org.apricotdeal.proofs.http.ScriptedServer;
 import org.apricotdeal.relay.policy.FleetNode;
@@ -29,8 +29,7 @@
 import org.apricotdeal.relay.policy.RetryBudget;
 import org.apricotdeal.relay.policy.Target;
 import org.apricotdeal.relay.policy.TargetId;
-import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -154,7 +153,7 @@
         private final RelayDuty relay;
         private final DecisionLog log;
         private final QueuedThreadPool threads = RelayClients.newThreadPool();
-        private final HttpClient client;
+        private final UpstreamClient client;
         private final Server server;
         private final CallerConnector callers;
 
@@ -226,25 +225,19 @@
     }
 
     /** Client whose requests cannot be aborted. */
-    private static final class UncancellableClient extends HttpClient {
-        @Override
-        public Request newRequest(String host, int port) {
-            return uncancellable(super.newRequest(host, port));
+    private static final class UncancellableClient extends UpstreamClient {
+        UncancellableClient() {
+            super(new HttpClientTransportOverHTTP());
         }
 
-        private static Request uncancellable(Request request) {
-            return (Request) Proxy.newProxyInstance(
-                    Request.class.getClassLoader(), new Class<?>[] {Request.class}, (proxy, method, arguments) -> {
-                        if (method.getName().equals("abort")) {
-                            throw new IllegalStateException("injected");
-                        }
-                        try {
-                            Object result = method.invoke(request, arguments);
-                            return result == request ? proxy : result;
-                        } catch (InvocationTargetException e) {
-                            throw e.getCause();
-                        }
-                    });
+        @Override
+        UpstreamRequest newRequest(HostPort address, String pathQuery) {
+            return new UpstreamRequest(this, address, pathQuery) {
+                @Override
+                public CompletableFuture<Boolean> abort(Throwable cause) {
+                    throw new IllegalStateException("injected");
+                }
+            };
         }
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -33,7 +33,6 @@
 import org.apricotdeal.relay.policy.Target;
 import org.apricotdeal.relay.policy.TargetId;
 import org.apricotdeal.relay.port.ExchangeHeaders;
-import org.eclipse.jetty.client.HttpClient;
 
 /** Duty that owns the dispatcher: passes events of exchanges to it and executes the actions that it returns. */
 final class RelayDuty implements UpstreamAttempt.Listener, AutoCloseable {
@@ -53,7 +52,7 @@
 
     private final Duty<RelayEvent> duty;
     private final RelayDispatcher dispatcher;
-    private final HttpClient client;
+    private final UpstreamClient client;
     private final ExchangeHeaders headerNames;
     private final Clock clock;
     private final UniformRandomProvider random;
@@ -84,7 +83,7 @@
 
     RelayDuty(
             RelayDispatcher dispatcher,
-            HttpClient client,
+            UpstreamClient client,
             ExchangeHeaders headerNames,
             Clock clock,
             UniformRandomProvider random,
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -17,7 +17,6 @@
 import org.apricotdeal.relay.port.PlatformAdapter;
 import org.apricotdeal.relay.port.WatchStore;
 import org.apricotdeal.wire.gen.TRelayNode;
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** A node in relay mode: wires duties, store threads and ports, and runs its life from start to graceful stop. */
@@ -39,7 +38,7 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final DecisionLog log;
     private final QueuedThreadPool threads;
-    private final HttpClient client;
+    private final UpstreamClient client;
     private final SelectorProbe selectorProbe;
     private final RelayDuty relay;
     private final FleetDuty fleet;
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -16,7 +16,6 @@
 import org.apricotdeal.relay.policy.Target;
 import org.apricotdeal.relay.port.ExchangeHeaders;
 import org.eclipse.jetty.client.BytesRequestContent;
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -138,12 +137,11 @@
         return firstMillis < 0 ? -1 : clock.monotonicMillis() - firstMillis;
     }
 
-    void send(HttpClient client) {
+    void send(UpstreamClient client) {
         HostPort address = HostPort.parse(target.address());
         org.eclipse.jetty.server.Request incoming = exchange.request();
-        request = client.newRequest(address.host(), address.port())
-                .method(incoming.getMethod())
-                .path(incoming.getHttpURI().getPathQuery());
+        request =
+                client.newRequest(address, incoming.getHttpURI().getPathQuery()).method(incoming.getMethod());
         request.headers(this::copyHeaders);
         if (exchange.body().length > 0 || incoming.getHeaders().contains(HttpHeader.CONTENT_LENGTH)) {
             request.body(new BytesRequestContent((String) null, exchange.body()));
