--- a/relay/src/main/java/org/apricotdeal/relay/policy/HeadTracker.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/HeadTracker.java
@@ -25,9 +25,14 @@
  * certain time after a member has left it; until then that member rests.
  */
 final class HeadTracker {
+    /** Margin beyond the stall time after which a head without its members is certainly broken. */
+    private static final long HEAD_STOP_MARGIN_MILLIS = 500;
+
+    private final long stallMillis;
     private final Map<ReplicaGroupId, Head> heads = new HashMap<>();
     private final Set<ReplicaGroupId> stoppedGroups = new HashSet<>();
     private final Map<VmId, Membership> memberships = new HashMap<>();
+    private final Map<VmId, Long> restUntilMillis = new HashMap<>();
 
     /** An incarnation of the VM that heads a replica. */
     private record Head(VmId vm, long startedWallMillis) {
@@ -40,6 +45,15 @@
     /** Last known replica of an incarnation of a VM. */
     private record Membership(long startedWallMillis, Optional<ReplicaGroupId> group, boolean head) {}
 
+    /**
+     * Creates a tracker that knows no heads.
+     *
+     * @param stallMillis time after which a head that lacks a member is broken
+     */
+    HeadTracker(long stallMillis) {
+        this.stallMillis = stallMillis;
+    }
+
     /**
      * Evaluates the reply to an order.
      *
@@ -64,14 +78,15 @@
     }
 
     /**
-     * Evaluates the listed state of all VMs.
+     * Evaluates the listed state of all VMs. Lets those rest that may have left a replica whose head still serves, on the order of
+     * an earlier planner or on one that was executed late: VMs that were in one, and VMs that were not listed before and have been in
+     * one since their start.
      *
-     * @param vms listed VMs
-     * @param groups their replicas
-     * @return VMs that may have left a replica whose head may still serve: those that were in one, and those that were not
-     *     listed before and have been in one since their start
+     * @param input input of the planning run
+     * @param groups replicas of the listed VMs
      */
-    Set<VmId> observe(List<UpstreamVm> vms, List<ReplicaGroup> groups) {
+    void observe(ReplicaPlanner.Input input, List<ReplicaGroup> groups) {
+        List<UpstreamVm> vms = input.vms();
         Map<VmId, UpstreamVm> listed = new HashMap<>();
         vms.forEach(vm -> listed.put(vm.id(), vm));
         for (ReplicaGroup group : groups) {
@@ -86,16 +101,14 @@
                 stoppedGroups.add(group);
             }
         });
-        Set<VmId> doubtful = new HashSet<>();
         for (UpstreamVm vm : vms) {
-            if (mayHaveLeftServingHead(vm, memberships.get(vm.id()))) {
-                doubtful.add(vm.id());
+            if (!input.startup() && mayHaveLeftServingHead(vm, memberships.get(vm.id()))) {
+                rest(vm.id(), input.nowMillis());
             }
         }
         memberships.clear();
         vms.forEach(vm -> memberships.put(vm.id(), membership(vm)));
         forgetUnnamedGroups(vms);
-        return doubtful;
     }
 
     private boolean mayHaveLeftServingHead(UpstreamVm vm, Membership before) {
@@ -143,4 +156,25 @@
     boolean hasStopped(ReplicaGroupId group) {
         return stoppedGroups.contains(group);
     }
+
+    /**
+     * Lets a VM rest until the head that it has left by now is certainly broken.
+     *
+     * @param vm VM that has left a replica, or is ordered to
+     * @param nowMillis monotonic time
+     */
+    void rest(VmId vm, long nowMillis) {
+        restUntilMillis.put(vm, nowMillis + stallMillis + HEAD_STOP_MARGIN_MILLIS);
+    }
+
+    /**
+     * Returns whether a VM may not join a replica yet.
+     *
+     * @param vm VM that has left a replica
+     * @param nowMillis monotonic time
+     * @return true while the head that it has left may serve
+     */
+    boolean isResting(VmId vm, long nowMillis) {
+        return nowMillis < restUntilMillis.getOrDefault(vm, 0L);
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -41,9 +41,6 @@
  * ({@link WeightStaging}).
  */
 public final class ReplicaPlanner {
-    /** Margin beyond the stall time after which a head without its members is certainly broken. */
-    private static final long HEAD_STOP_MARGIN_MILLIS = 500;
-
     /** Time that running requests are given after a member has announced that it leaves. */
     private static final long LEAVING_DRAIN_MILLIS = 1_500;
 
@@ -71,16 +68,14 @@
     private static final long OUTDATED_EPOCH_STEP = 10_000;
 
     private final String name;
-    private final long stallMillis;
     private final PendingOrders orders = new PendingOrders();
     private final WeightStaging staging = new WeightStaging();
-    private final HeadTracker heads = new HeadTracker();
+    private final HeadTracker heads;
     private final Set<ReplicaGroupId> releasedGroups = new HashSet<>();
     private final Map<ReplicaGroupId, Long> firstSeenMillis = new HashMap<>();
     private final Map<ReplicaGroupId, Long> memberLeavingSinceMillis = new HashMap<>();
     private final Map<ReplicaGroupId, Long> closingSinceMillis = new HashMap<>();
     private final Map<ReplicaGroupId, Long> nextOpenMillis = new HashMap<>();
-    private final Map<VmId, Long> restUntilMillis = new HashMap<>();
     private final Map<ReplicaGroupId, OrderedJoin> orderedJoins = new HashMap<>();
     private final Set<VmId> vmsWithUnknownOrderCount = new HashSet<>();
     private long lastEpoch;
@@ -125,7 +120,7 @@
      */
     public ReplicaPlanner(String name, long stallMillis) {
         this.name = name;
-        this.stallMillis = stallMillis;
+        this.heads = new HeadTracker(stallMillis);
     }
 
     /**
@@ -181,7 +176,7 @@
      * @return statistics of the VMs and fabric domains
      */
     public VmStatistics statistics() {
-        return new VmStatistics(input, releasedGroups, staging, restUntilMillis);
+        return new VmStatistics(input, releasedGroups, staging, vm -> heads.isResting(vm, input.nowMillis()));
     }
 
     /**
@@ -202,7 +197,7 @@
         }
         staging.removeEndedLoads(latestInput);
         List<ReplicaGroup> groups = ReplicaGroups.of(latestInput.vms(), latestInput.engine());
-        restMembersOfServingHeads(groups);
+        heads.observe(latestInput, groups);
         List<ReplicaGroup> activeGroups = groups.stream().filter(this::maintain).toList();
         ModelBalance balance = new ModelBalance(
                 latestInput.engine().models(), latestInput.demand().shares(), latestInput.replicasInOtherDomains());
@@ -234,22 +229,6 @@
         closingSinceMillis.keySet().retainAll(knownGroups);
     }
 
-    /**
-     * Lets VMs rest that have left a replica whose head may still be open, on the order of an earlier planner or on one that was
-     * executed late.
-     */
-    private void restMembersOfServingHeads(List<ReplicaGroup> groups) {
-        Set<VmId> doubtful = heads.observe(input.vms(), groups);
-        if (!input.startup()) {
-            doubtful.forEach(this::rest);
-        }
-    }
-
-    /** Excludes a VM until the head that it has left at the latest now is certainly broken. */
-    private void rest(VmId vm) {
-        restUntilMillis.put(vm, input.nowMillis() + stallMillis + HEAD_STOP_MARGIN_MILLIS);
-    }
-
     // Open and dissolve.
 
     /** Decides what happens to a replica group; returns true if it serves or is about to. */
@@ -333,7 +312,7 @@
         for (UpstreamVm member : group.members()) {
             if (!input.unresponsive().contains(member.id())) {
                 tryOrder(member, new ReplicaOrder.Leave(id.replica(), id.epoch()), "the head is lost");
-                rest(member.id());
+                heads.rest(member.id(), input.nowMillis());
             }
         }
     }
@@ -446,7 +425,7 @@
             vmsWithUnknownOrderCount.add(vm.id());
             return false;
         }
-        if (input.nowMillis() < restUntilMillis.getOrDefault(vm.id(), 0L)) {
+        if (heads.isResting(vm.id(), input.nowMillis())) {
             return false;
         }
         if (vm.group().isEmpty()) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmStatistics.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmStatistics.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 import org.apricotdeal.kernel.id.FabricDomainId;
 import org.apricotdeal.kernel.id.VmId;
@@ -23,18 +24,18 @@
     private final ReplicaPlanner.Input input;
     private final Set<ReplicaGroupId> releasedGroups;
     private final WeightStaging staging;
-    private final Map<VmId, Long> restUntilMillis;
+    private final Predicate<VmId> resting;
     private final List<ReplicaGroup> groups;
 
     VmStatistics(
             ReplicaPlanner.Input input,
             Set<ReplicaGroupId> releasedGroups,
             WeightStaging staging,
-            Map<VmId, Long> restUntilMillis) {
+            Predicate<VmId> resting) {
         this.input = input;
         this.releasedGroups = releasedGroups;
         this.staging = staging;
-        this.restUntilMillis = restUntilMillis;
+        this.resting = resting;
         this.groups = ReplicaGroups.of(input.vms(), input.engine()).stream()
                 .filter(group -> !releasedGroups.contains(group.id()))
                 .toList();
@@ -72,7 +73,7 @@
         if (staging.isLoading(vm)) {
             return VmActivity.LOADING;
         }
-        if (input.nowMillis() < restUntilMillis.getOrDefault(vm.id(), 0L)) {
+        if (resting.test(vm.id())) {
             return VmActivity.RESTING;
         }
         return vm.stagedModels().isEmpty() && vm.loadedModel().isEmpty() ? VmActivity.BLANK : VmActivity.SPARE;
