Refusals carry Retry-After

Callers that were refused were not told when to come back, although docs/RELAY.md promises it and the dispatcher computes it: without the header each retries at a time of its own.

Change: the header is set after the reset.

--- a/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
@@ -192,9 +192,8 @@
 
     /** Responds that the request did not run, and when to retry. */
     void refuse(RefusalReason reason, long retryAfterMillis) {
-        response.getHeaders()
-                .put(HttpHeader.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterMillis / MILLIS_PER_SECOND));
-        sendError(HttpStatus.SERVICE_UNAVAILABLE_503, reason.toString());
+        String retryAfterSeconds = String.format(Locale.ROOT, "%.3f", retryAfterMillis / MILLIS_PER_SECOND);
+        sendError(HttpStatus.SERVICE_UNAVAILABLE_503, reason.toString(), Optional.of(retryAfterSeconds));
     }
 
     /** Ends a request that may have run: with an error response, or by an abort if part of a response has been written. */
@@ -208,10 +207,11 @@
         }
         sendError(
                 reason == RefusalReason.TIMEOUT ? HttpStatus.GATEWAY_TIMEOUT_504 : HttpStatus.BAD_GATEWAY_502,
-                reason.toString());
+                reason.toString(),
+                Optional.empty());
     }
 
-    private void sendError(int status, String reason) {
+    private void sendError(int status, String reason, Optional<String> retryAfterSeconds) {
         if (!completed.compareAndSet(false, true)) {
             return;
         }
@@ -221,6 +221,7 @@
         byte[] text = ("{\"error\":\"" + reason.toLowerCase(Locale.ROOT) + "\"}").getBytes(StandardCharsets.UTF_8);
         response.setStatus(status);
         response.getHeaders().put(headerNames.requestId(), requestId);
+        retryAfterSeconds.ifPresent(seconds -> response.getHeaders().put(HttpHeader.RETRY_AFTER, seconds));
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
         response.getHeaders().put(HttpHeader.CONTENT_LENGTH, text.length);
         addConnectionClose();
