--- a/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
@@ -29,7 +29,7 @@
 import org.apricotdeal.relay.policy.RetryBudget;
 import org.apricotdeal.relay.policy.Target;
 import org.apricotdeal.relay.policy.TargetId;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -153,7 +153,7 @@
         private final RelayDuty relay;
         private final DecisionLog log;
         private final QueuedThreadPool threads = RelayClients.newThreadPool();
-        private final UpstreamClient client;
+        private final HttpClient client;
         private final Server server;
         private final CallerConnector callers;
 
@@ -161,10 +161,10 @@
             SystemClock clock = new SystemClock();
             MetricRegistry metrics = new FailingMetrics(fault.failingMetric);
             log = new DecisionLog(System.out, metrics);
-            client = fault == Fault.CANCEL
-                    ? new UncancellableClient()
-                    : RelayClients.startClient(threads, new UpstreamConnector());
-            client.start();
+            client = RelayClients.startClient(threads, new UpstreamConnector());
+            UpstreamRequest.Factory requests = fault == Fault.CANCEL
+                    ? (address, target) -> new UncancellableRequest(client, address, target)
+                    : (address, target) -> new UpstreamRequest(client, address, target);
             UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(1);
             UniformRandomProvider failingRandom = () -> {
                 throw new IllegalStateException("injected");
@@ -174,7 +174,7 @@
                     new RetryBudget(10_000, 0.2, 20, 1),
                     fault == Fault.STEP ? failingRandom : random);
             UsersPlatform adapter = new UsersPlatform();
-            relay = new RelayDuty(dispatcher, client, adapter.headers(), clock, random, log, metrics);
+            relay = new RelayDuty(dispatcher, requests, adapter.headers(), clock, random, log, metrics);
             CatalogueHolder catalogues = new CatalogueHolder(adapter.codec(), log);
             catalogues.subscribe(catalogue -> relay.put(new RelayEvent.CatalogueChanged(catalogue)));
             catalogues.offer(CONFIGURATION.getBytes(StandardCharsets.UTF_8), "test");
@@ -198,10 +198,14 @@
         }
 
         @Override
-        public void close() throws Exception {
-            server.stop();
-            client.stop();
-            threads.stop();
+        public void close() {
+            try {
+                server.stop();
+                client.stop();
+                threads.stop();
+            } catch (Exception e) {
+                throw new IllegalStateException("failed to stop the server and the client", e);
+            }
             relay.close();
             log.close();
         }
@@ -224,20 +228,15 @@
         }
     }
 
-    /** Client whose requests cannot be aborted. */
-    private static final class UncancellableClient extends UpstreamClient {
-        UncancellableClient() {
-            super(new HttpClientTransportOverHTTP());
+    /** Request that cannot be aborted. */
+    private static final class UncancellableRequest extends UpstreamRequest {
+        UncancellableRequest(HttpClient client, HostPort address, String pathQuery) {
+            super(client, address, pathQuery);
         }
 
         @Override
-        UpstreamRequest newRequest(HostPort address, String pathQuery) {
-            return new UpstreamRequest(this, address, pathQuery) {
-                @Override
-                public CompletableFuture<Boolean> abort(Throwable cause) {
-                    throw new IllegalStateException("injected");
-                }
-            };
+        public CompletableFuture<Boolean> abort(Throwable cause) {
+            throw new IllegalStateException("injected");
         }
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayClients.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayClients.java
@@ -1,5 +1,6 @@
 package org.apricotdeal.relay.node;
 
+import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.util.SocketAddressResolver;
@@ -36,12 +37,12 @@
         return threads;
     }
 
-    static UpstreamClient startClient(QueuedThreadPool threads, UpstreamConnector connector) {
+    static HttpClient startClient(QueuedThreadPool threads, UpstreamConnector connector) {
         connector.setSelectors(1);
         HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
         // Response listeners never block, so the selector's thread can call them without a thread switch.
         transport.setInvocationType(Invocable.InvocationType.NON_BLOCKING);
-        UpstreamClient client = new UpstreamClient(transport);
+        HttpClient client = new HttpClient(transport);
         client.setExecutor(threads);
         client.setScheduler(new ScheduledExecutorScheduler("client-timer", true));
         client.setName("client");
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -52,7 +52,7 @@
 
     private final Duty<RelayEvent> duty;
     private final RelayDispatcher dispatcher;
-    private final UpstreamClient client;
+    private final UpstreamRequest.Factory requests;
     private final ExchangeHeaders headerNames;
     private final Clock clock;
     private final UniformRandomProvider random;
@@ -83,14 +83,14 @@
 
     RelayDuty(
             RelayDispatcher dispatcher,
-            UpstreamClient client,
+            UpstreamRequest.Factory requests,
             ExchangeHeaders headerNames,
             Clock clock,
             UniformRandomProvider random,
             DecisionLog log,
             MetricRegistry metrics) {
         this.dispatcher = dispatcher;
-        this.client = client;
+        this.requests = requests;
         this.headerNames = headerNames;
         this.clock = clock;
         this.random = random;
@@ -418,7 +418,7 @@
                 .with("load", send.load())
                 .with("loadAgeMillis", send.loadAgeMillis())
                 .write();
-        attempt.send(client);
+        attempt.send(requests);
     }
 
     private void refuse(RelayAction.Refuse refusal) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -17,6 +17,7 @@
 import org.apricotdeal.relay.port.PlatformAdapter;
 import org.apricotdeal.relay.port.WatchStore;
 import org.apricotdeal.wire.gen.TRelayNode;
+import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** A node in relay mode: wires duties, store threads and ports, and runs its life from start to graceful stop. */
@@ -38,7 +39,7 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final DecisionLog log;
     private final QueuedThreadPool threads;
-    private final UpstreamClient client;
+    private final HttpClient client;
     private final SelectorProbe selectorProbe;
     private final RelayDuty relay;
     private final FleetDuty fleet;
@@ -71,7 +72,8 @@
         budget.assumeNodeCount(ASSUMED_NODES);
         RelayDispatcher dispatcher =
                 new RelayDispatcher(new FleetNode(settings.name(), settings.failureDomain()), budget, random);
-        relay = new RelayDuty(dispatcher, client, adapter.headers(), clock, random, log, metrics);
+        UpstreamRequest.Factory requests = (address, target) -> new UpstreamRequest(client, address, target);
+        relay = new RelayDuty(dispatcher, requests, adapter.headers(), clock, random, log, metrics);
         fleet = new FleetDuty(settings, relay, adapter.vmClient(client), clock, log, metrics);
         relay.onSuspectedVms(fleet::suspect);
         relay.onLeavingVms(target -> fleet.put(new FleetEvent.VmLeaves(target)));
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -137,14 +137,14 @@
         return firstMillis < 0 ? -1 : clock.monotonicMillis() - firstMillis;
     }
 
-    void send(UpstreamClient client) {
+    void send(UpstreamRequest.Factory requests) {
         HostPort address = HostPort.parse(target.address());
         org.eclipse.jetty.server.Request incoming = exchange.request();
-        request =
-                client.newRequest(address, incoming.getHttpURI().getPathQuery()).method(incoming.getMethod());
+        request = requests.create(address, incoming.getHttpURI().getPathQuery()).method(incoming.getMethod());
         request.headers(this::copyHeaders);
         if (exchange.body().length > 0 || incoming.getHeaders().contains(HttpHeader.CONTENT_LENGTH)) {
-            request.body(new BytesRequestContent((String) null, exchange.body()));
+            request.body(
+                    new BytesRequestContent((String) null, exchange.body()));
         }
         request.onRequestBegin(this::begin);
         request.onResponseHeaders(this::onHeaders);
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamRequest.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamRequest.java
@@ -12,6 +12,19 @@
  * first segment of {@code //orders/17} for a host and drops it, and cannot send a query with a bare {@code %}.
  */
 class UpstreamRequest extends HttpRequest {
+    /** Creates the requests of a node. */
+    @FunctionalInterface
+    interface Factory {
+        /**
+         * Creates a request.
+         *
+         * @param address address of the upstream
+         * @param pathQuery path, and query if any, in the form in which they are sent
+         * @return request to configure and send
+         */
+        UpstreamRequest create(HostPort address, String pathQuery);
+    }
+
     private final String path;
     private final String query;
 
