--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
@@ -368,8 +368,8 @@
     /** Updates the VM table from entries, each of which may be half a second old. */
     private void updateTable(PlannerNode node) {
         for (SimVm vm : vms.values()) {
-            boolean lapsed = vm.dead && nowMillis - deadSinceMillis.get(vm.id) > ENTRY_TTL_MILLIS
-                    || vm.cutFromStore && nowMillis - cuts.get(vm.id).fromMillis() > ENTRY_TTL_MILLIS;
+            boolean lapsed = (vm.dead && nowMillis - deadSinceMillis.get(vm.id) > ENTRY_TTL_MILLIS)
+                    || (vm.cutFromStore && nowMillis - cuts.get(vm.id).fromMillis() > ENTRY_TTL_MILLIS);
             if (lapsed) {
                 node.table.removeEntryLater(vm.id, nowMillis);
             } else if (random.nextInt(5) == 0 && !vm.dead && !vm.cutFromStore) {
