The bodies of all requests together take limited memory

Cause: each body was collected in a doubling buffer and copied, without a limit on the sum.

Change: RequestBody reserves its memory, 32 MiB for all bodies, and is not copied; a request for which there is none is refused at once.

--- a/relay/src/main/java/org/apricotdeal/relay/node/ResponseBufferLimit.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/BufferLimit.java
@@ -2,16 +2,23 @@
 
 import java.util.concurrent.atomic.AtomicLong;
 
-/** Limits the memory for parts of responses that a node buffers until the response or the next event is complete. */
-final class ResponseBufferLimit {
-    /** An eighth of a node's heap on the users' machines; a growing buffer may take twice the size of its content. */
-    private static final long MAX_BYTES = 16L * 1024 * 1024;
-
+/** Limits the memory that a node uses for one kind of buffer, over all exchanges. */
+final class BufferLimit {
+    private final long maxBytes;
     private final AtomicLong bytes = new AtomicLong();
 
+    /**
+     * Creates a limit of which nothing is reserved.
+     *
+     * @param maxBytes maximum size of all buffers
+     */
+    BufferLimit(long maxBytes) {
+        this.maxBytes = maxBytes;
+    }
+
     /** Reserves bytes, or releases them if the count is negative; returns false and reserves nothing beyond the limit. */
     boolean tryReserve(int count) {
-        if (bytes.addAndGet(count) <= MAX_BYTES || count <= 0) {
+        if (bytes.addAndGet(count) <= maxBytes || count <= 0) {
             return true;
         }
         bytes.addAndGet(-count);
--- a/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
@@ -47,7 +47,7 @@
     private final Response response;
     private final CallerWriter writer;
     private final ExchangeHeaders headerNames;
-    private final byte[] body;
+    private final RequestBody body;
     private final WatchedEndPoint endPoint;
     private final boolean closeConnection;
     private final AtomicBoolean completed = new AtomicBoolean();
@@ -63,7 +63,7 @@
             Request request,
             Response response,
             Callback callback,
-            byte[] body,
+            RequestBody body,
             ExchangeHeaders headerNames,
             boolean closeConnection) {
         this.arrival = arrival;
@@ -92,7 +92,7 @@
         return request;
     }
 
-    byte[] body() {
+    RequestBody body() {
         return body;
     }
 
@@ -151,15 +151,24 @@
     }
 
     void endStream() {
-        if (completed.compareAndSet(false, true)) {
+        if (complete()) {
             endPoint.stopWatching();
             writer.end(null);
         }
     }
 
+    /** Marks the exchange as completed, after which its body is not sent again; returns false if it was. */
+    private boolean complete() {
+        if (!completed.compareAndSet(false, true)) {
+            return false;
+        }
+        body.release();
+        return true;
+    }
+
     /** Sends the complete response of a VM to the caller. */
     void sendUpstreamResponse(int status, HttpFields upstreamHeaders, byte[] responseBody) {
-        if (completed.compareAndSet(false, true)) {
+        if (complete()) {
             started.set(true);
             endPoint.stopWatching();
             setHead(status, upstreamHeaders);
@@ -199,7 +208,7 @@
     /** Ends a request that may have run: with an error response, or by an abort if part of a response has been written. */
     void fail(RefusalReason reason) {
         if (written.get()) {
-            if (completed.compareAndSet(false, true)) {
+            if (complete()) {
                 endPoint.stopWatching();
                 writer.abort(new IllegalStateException("response aborted: " + reason));
             }
@@ -212,7 +221,7 @@
     }
 
     private void sendError(int status, String reason, Optional<String> retryAfterSeconds) {
-        if (!completed.compareAndSet(false, true)) {
+        if (!complete()) {
             return;
         }
         started.set(true);
@@ -230,14 +239,14 @@
 
     /** Ends the exchange of a caller that has disconnected. */
     void abortForDisconnect() {
-        if (completed.compareAndSet(false, true)) {
+        if (complete()) {
             writer.abort(new IllegalStateException("the caller has disconnected"));
         }
     }
 
     /** Closes the connection of a caller whose answer could not be written, also if the attempt to write it was made. */
     void abortForFailure() {
-        completed.set(true);
+        complete();
         writer.abort(new IllegalStateException("the answer could not be written"));
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -1,6 +1,5 @@
 package org.apricotdeal.relay.node;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -38,6 +37,13 @@
     /** Short, because other nodes can serve the request. */
     private static final String STOP_RETRY_SECONDS = "0.05";
 
+    /** About the time that callers take to send a large body. */
+    private static final String BODY_RETRY_SECONDS = "1";
+
+    /** Maximum size of the bodies of all requests: a quarter of a node's heap on the users' machines. */
+    private static final long MAX_BODY_BUFFER_BYTES = 32L * 1024 * 1024;
+
+    private final BufferLimit bodyLimit = new BufferLimit(MAX_BODY_BUFFER_BYTES);
     private final CatalogueHolder catalogues;
     private final PlatformAdapter adapter;
     private final ExchangeHeaders headerNames;
@@ -97,7 +103,7 @@
                         callback,
                         arrival,
                         catalogue.callerLimits().maxBodyBytes())
-                .run();
+                .start();
         return true;
     }
 
@@ -179,7 +185,7 @@
         private final Callback callback;
         private final Arrival arrival;
         private final long maxBytes;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final RequestBody body = new RequestBody(bodyLimit);
 
         BodyReader(Request request, Response response, Callback callback, Arrival arrival, long maxBytes) {
             this.request = request;
@@ -189,6 +195,21 @@
             this.maxBytes = maxBytes;
         }
 
+        /** Reads the body if there is memory for it; a caller whose body cannot be read is told at once. */
+        void start() {
+            if (body.tryReserve(request.getLength())) {
+                run();
+            } else {
+                refuse();
+            }
+        }
+
+        private void refuse() {
+            body.release();
+            response.getHeaders().put(HttpHeader.RETRY_AFTER, BODY_RETRY_SECONDS);
+            answer(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503, "too many bodies");
+        }
+
         @Override
         public void run() {
             while (true) {
@@ -198,18 +219,23 @@
                     return;
                 }
                 if (Content.Chunk.isFailure(chunk)) {
+                    body.release();
                     callback.failed(chunk.getFailure());
                     return;
                 }
-                byte[] bytes = new byte[chunk.remaining()];
-                chunk.getByteBuffer().get(bytes);
+                boolean tooLarge = body.size() + chunk.remaining() > maxBytes;
+                boolean added = !tooLarge && body.add(chunk.getByteBuffer());
                 boolean last = chunk.isLast();
                 chunk.release();
-                body.writeBytes(bytes);
-                if (body.size() > maxBytes) {
+                if (tooLarge) {
+                    body.release();
                     answer(response, callback, HttpStatus.PAYLOAD_TOO_LARGE_413, "body too long");
                     return;
                 }
+                if (!added) {
+                    refuse();
+                    return;
+                }
                 if (last) {
                     submit();
                     return;
@@ -218,8 +244,7 @@
         }
 
         private void submit() {
-            Exchange exchange =
-                    new Exchange(arrival, request, response, callback, body.toByteArray(), headerNames, draining);
+            Exchange exchange = new Exchange(arrival, request, response, callback, body, headerNames, draining);
             exchange.watchCaller(() -> duty.callerDisconnected(exchange));
             duty.submit(exchange);
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -45,6 +45,12 @@
     /** Time after its deadline at which a request that has no answer is failed; several ticks. */
     private static final long OVERDUE_MILLIS = 200;
 
+    /**
+     * Maximum size of parts of responses that are buffered until the response or the next event is complete: an eighth of a
+     * node's heap on the users' machines, since a growing buffer may take twice the size of its content.
+     */
+    private static final long MAX_RESPONSE_BUFFER_BYTES = 16L * 1024 * 1024;
+
     private static final ExchangeId NO_EXCHANGE = new ExchangeId(-1);
 
     /** Difference by which the clocks may drift apart between two ticks. */
@@ -59,7 +65,7 @@
     private final DecisionLog log;
     private final MetricRegistry metrics;
     private final Map<ExchangeId, Exchange> exchanges = new ConcurrentHashMap<>();
-    private final ResponseBufferLimit bufferLimit = new ResponseBufferLimit();
+    private final BufferLimit bufferLimit = new BufferLimit(MAX_RESPONSE_BUFFER_BYTES);
     private volatile Map<TargetId, Integer> running = Map.of();
     private volatile Map<QueueId, QueueDemand> demand = Map.of();
     private long demandUpdatedMillis;
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RequestBody.java
@@ -0,0 +1,64 @@
+package org.apricotdeal.relay.node;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+
+/**
+ * The body of a request while it is read and until its exchange ends. Reserves the memory that it takes, so that a burst of
+ * large bodies, each within the limit of a body, does not exhaust the heap.
+ */
+final class RequestBody {
+    private static final int INITIAL_BYTES = 1_024;
+
+    private final BufferLimit limit;
+    private byte[] bytes = new byte[0];
+    private int size;
+    private int reservedBytes;
+    private boolean released;
+
+    RequestBody(BufferLimit limit) {
+        this.limit = limit;
+    }
+
+    /** Reserves the memory of a body of a known length; returns false if there is not enough. */
+    synchronized boolean tryReserve(long length) {
+        if (length <= bytes.length) {
+            return true;
+        }
+        if (length > Integer.MAX_VALUE || !limit.tryReserve((int) length - reservedBytes)) {
+            return false;
+        }
+        reservedBytes = (int) length;
+        bytes = Arrays.copyOf(bytes, reservedBytes);
+        return true;
+    }
+
+    /** Adds content; returns false if there is not enough memory. */
+    synchronized boolean add(ByteBuffer content) {
+        int needed = size + content.remaining();
+        if (needed > bytes.length && !tryReserve(Math.max(needed, Math.max(INITIAL_BYTES, 2L * bytes.length)))) {
+            return false;
+        }
+        int added = content.remaining();
+        content.get(bytes, size, added);
+        size += added;
+        return true;
+    }
+
+    synchronized int size() {
+        return size;
+    }
+
+    /** Returns the content, without copying it. */
+    synchronized ByteBuffer content() {
+        return ByteBuffer.wrap(bytes, 0, size).asReadOnlyBuffer();
+    }
+
+    /** Releases the reserved memory; has an effect once. */
+    synchronized void release() {
+        if (!released) {
+            released = true;
+            limit.release(reservedBytes);
+        }
+    }
+}
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -15,7 +15,7 @@
 import org.apricotdeal.relay.policy.RelayAction;
 import org.apricotdeal.relay.policy.Target;
 import org.apricotdeal.relay.port.ExchangeHeaders;
-import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -46,7 +46,7 @@
     private final ExchangeHeaders headerNames;
     private final Clock clock;
     private final Listener listener;
-    private final ResponseBufferLimit bufferLimit;
+    private final BufferLimit bufferLimit;
     private final FramingLimit framingLimit = new FramingLimit();
     private final EventFramer framer = new EventFramer();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -108,7 +108,7 @@
             ExchangeHeaders headerNames,
             Clock clock,
             Listener listener,
-            ResponseBufferLimit bufferLimit) {
+            BufferLimit bufferLimit) {
         this.exchange = exchange;
         this.id = send.attempt();
         this.target = send.target();
@@ -142,9 +142,9 @@
         org.eclipse.jetty.server.Request incoming = exchange.request();
         request = requests.create(address, incoming.getHttpURI().getPathQuery()).method(incoming.getMethod());
         request.headers(this::copyHeaders);
-        if (exchange.body().length > 0 || incoming.getHeaders().contains(HttpHeader.CONTENT_LENGTH)) {
+        if (exchange.body().size() > 0 || incoming.getHeaders().contains(HttpHeader.CONTENT_LENGTH)) {
             request.body(
-                    new BytesRequestContent((String) null, exchange.body()));
+                    new ByteBufferRequestContent((String) null, exchange.body().content()));
         }
         request.onRequestBegin(this::begin);
         request.onResponseHeaders(this::onHeaders);
