A stopping node waits for answers that are still being written

Cause: the stopping node waited for exchanges, which end when the answer has been handed to the writer.

Change: it waits until the responses have been written, within its grace.

--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -244,7 +244,9 @@
         }
 
         private void submit() {
-            Exchange exchange = new Exchange(arrival, request, response, callback, body, headerNames, draining);
+            duty.responseExpected();
+            Callback written = Callback.from(callback, duty::responseWritten);
+            Exchange exchange = new Exchange(arrival, request, response, written, body, headerNames, draining);
             exchange.watchCaller(() -> duty.callerDisconnected(exchange));
             duty.submit(exchange);
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import com.codahale.metrics.Gauge;
@@ -65,6 +66,7 @@
     private final DecisionLog log;
     private final MetricRegistry metrics;
     private final Map<ExchangeId, Exchange> exchanges = new ConcurrentHashMap<>();
+    private final AtomicInteger unwrittenResponses = new AtomicInteger();
     private final BufferLimit bufferLimit = new BufferLimit(MAX_RESPONSE_BUFFER_BYTES);
     private volatile Map<TargetId, Integer> running = Map.of();
     private volatile Map<QueueId, QueueDemand> demand = Map.of();
@@ -137,8 +139,19 @@
         return demand;
     }
 
+    /** Returns the number of requests whose response has not been written to the caller's connection completely. */
     int inProgress() {
-        return exchanges.size();
+        return unwrittenResponses.get();
+    }
+
+    /** Counts a response that will be written to a caller's connection. */
+    void responseExpected() {
+        unwrittenResponses.incrementAndGet();
+    }
+
+    /** Counts a response that has been written, or whose connection has been closed. */
+    void responseWritten() {
+        unwrittenResponses.decrementAndGet();
     }
 
     UpstreamId chooseUpstream(RouteEntry route) {
@@ -488,8 +501,9 @@
         suspicionListener.suspect(target.members(), Optional.empty(), reason);
     }
 
+    /** Waits until all responses have been written: those of slow callers take longer than the requests. */
     void awaitIdle(long untilMillis) {
-        while (!exchanges.isEmpty() && clock.monotonicMillis() < untilMillis) {
+        while (inProgress() > 0 && clock.monotonicMillis() < untilMillis) {
             try {
                 TimeUnit.MILLISECONDS.sleep(TICK_MILLIS);
             } catch (InterruptedException e) {
