Making up for a failed action may fail too

Cancelling the attempt of a failed send can throw (FailingActionsTest, sending and cancelling fail together); the later actions of the step were lost again. The exception is logged, and the caller's connection closed.

--- a/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
@@ -30,6 +30,7 @@
 import org.apricotdeal.relay.policy.Target;
 import org.apricotdeal.relay.policy.TargetId;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -61,6 +62,7 @@
         GIVE_UP("given.up."),
         SUSPECT("targets.doubted"),
         CANCEL(""),
+        SEND_AND_CANCEL(""),
         STEP("");
 
         private final String failingMetric;
@@ -80,6 +82,7 @@
             {"refuse", Fault.REFUSE, List.of(), ""},
             {"give up", Fault.GIVE_UP, List.of("silent"), ""},
             {"cancel", Fault.CANCEL, List.of("silent"), "HTTP/1.1 504"},
+            {"send, and cancelling it", Fault.SEND_AND_CANCEL, List.of("sound"), ""},
             {"suspect", Fault.SUSPECT, List.of("127.0.0.1:1"), "HTTP/1.1 503"},
             {"step of the dispatcher", Fault.STEP, List.of(), "HTTP/1.1 504"},
         };
@@ -162,9 +165,12 @@
             MetricRegistry metrics = new FailingMetrics(fault.failingMetric);
             log = new DecisionLog(System.out, metrics);
             client = RelayClients.startClient(threads, new UpstreamConnector());
-            UpstreamRequest.Factory requests = fault == Fault.CANCEL
-                    ? (address, target) -> new UncancellableRequest(client, address, target)
-                    : (address, target) -> new UpstreamRequest(client, address, target);
+            UpstreamRequest.Factory requests =
+                    switch (fault) {
+                        case CANCEL -> (address, target) -> new UncancellableRequest(client, address, target);
+                        case SEND_AND_CANCEL -> (address, target) -> new UnusableRequest(client, address, target);
+                        default -> (address, target) -> new UpstreamRequest(client, address, target);
+                    };
             UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(1);
             UniformRandomProvider failingRandom = () -> {
                 throw new IllegalStateException("injected");
@@ -229,7 +235,7 @@
     }
 
     /** Request that cannot be aborted. */
-    private static final class UncancellableRequest extends UpstreamRequest {
+    private static class UncancellableRequest extends UpstreamRequest {
         UncancellableRequest(HttpClient client, HostPort address, String pathQuery) {
             super(client, address, pathQuery);
         }
@@ -239,4 +245,16 @@
             throw new IllegalStateException("injected");
         }
     }
+
+    /** Request that can be neither sent nor aborted. */
+    private static final class UnusableRequest extends UncancellableRequest {
+        UnusableRequest(HttpClient client, HostPort address, String pathQuery) {
+            super(client, address, pathQuery);
+        }
+
+        @Override
+        public void send(Response.CompleteListener listener) {
+            throw new IllegalStateException("injected");
+        }
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -328,7 +328,7 @@
                 execute(action);
             } catch (RuntimeException e) {
                 logFailure(action.getClass().getSimpleName(), exchange, e);
-                pending.addAll(recover(action, exchange));
+                pending.addAll(recoverSafely(action, exchange));
             }
         }
     }
@@ -355,6 +355,16 @@
         }
     }
 
+    private List<RelayAction> recoverSafely(RelayAction action, Exchange exchange) {
+        try {
+            return recover(action, exchange);
+        } catch (RuntimeException e) {
+            logFailure("recover", exchange, e);
+            closeUnanswered(exchange);
+            return List.of();
+        }
+    }
+
     /** Makes up for a failed action, so that its caller gets an answer; returns the actions that follow. */
     private List<RelayAction> recover(RelayAction action, Exchange exchange) {
         return switch (action) {
