--- a/relay/src/main/java/org/apricotdeal/relay/node/FramingLimit.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FramingLimit.java
@@ -8,7 +8,7 @@
  */
 final class FramingLimit {
     /** Several times the maximum size of a head. */
-    static final int MIN_ALLOWED_BYTES = 64 * 1024;
+    private static final int MIN_ALLOWED_BYTES = 64 * 1024;
 
     /** Allows a response in chunks of one byte each. */
     private static final int ALLOWED_PER_CONTENT_BYTE = 8;
--- a/relay/src/main/java/org/apricotdeal/relay/node/ReadTurn.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/ReadTurn.java
@@ -9,7 +9,7 @@
  */
 final class ReadTurn {
     /** Maximum number of bytes in a turn; a few buffers. */
-    static final int MAX_BYTES = 16 * 1024;
+    private static final int MAX_BYTES = 16 * 1024;
 
     private final AtomicInteger readBytes = new AtomicInteger();
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -328,7 +328,7 @@
                 execute(action);
             } catch (RuntimeException e) {
                 logFailure(action.getClass().getSimpleName(), exchange, e);
-                pending.addAll(recoverSafely(action, exchange));
+                pending.addAll(recover(action, exchange));
             }
         }
     }
@@ -355,43 +355,32 @@
         }
     }
 
-    private List<RelayAction> recoverSafely(RelayAction action, Exchange exchange) {
-        try {
-            return recover(action, exchange);
-        } catch (RuntimeException e) {
-            logFailure("recover", exchange, e);
-            closeUnanswered(exchange);
-            return List.of();
-        }
-    }
-
     /** Makes up for a failed action, so that its caller gets an answer; returns the actions that follow. */
     private List<RelayAction> recover(RelayAction action, Exchange exchange) {
         return switch (action) {
-            case RelayAction.Send send -> {
-                boolean created = exchange != null
-                        && exchange.attempt() != null
-                        && exchange.attempt().id().equals(send.attempt());
-                AttemptOutcome outcome = created ? exchange.attempt().cancelFailedSend() : AttemptOutcome.NOT_SENT;
-                yield dispatcher.step(clock.monotonicMillis(), new RelayEvent.AttemptFailed(send.attempt(), outcome));
-            }
-            case RelayAction.Refuse refusal -> {
-                closeUnanswered(exchange);
-                yield List.of();
-            }
-            case RelayAction.GiveUp giveUp -> {
+            case RelayAction.Send send -> recoverSend(send, exchange);
+            case RelayAction.Refuse _, RelayAction.GiveUp _, RelayAction.DropExchange _ -> {
                 closeUnanswered(exchange);
                 yield List.of();
             }
-            case RelayAction.DropExchange drop -> {
-                closeUnanswered(exchange);
-                yield List.of();
-            }
-            case RelayAction.CancelAttempt cancel -> List.of();
-            case RelayAction.SuspectTarget suspicion -> List.of();
+            case RelayAction.CancelAttempt _, RelayAction.SuspectTarget _ -> List.of();
         };
     }
 
+    private List<RelayAction> recoverSend(RelayAction.Send send, Exchange exchange) {
+        try {
+            boolean created = exchange != null
+                    && exchange.attempt() != null
+                    && exchange.attempt().id().equals(send.attempt());
+            AttemptOutcome outcome = created ? exchange.attempt().cancelFailedSend() : AttemptOutcome.NOT_SENT;
+            return dispatcher.step(clock.monotonicMillis(), new RelayEvent.AttemptFailed(send.attempt(), outcome));
+        } catch (RuntimeException e) {
+            logFailure("recover", exchange, e);
+            closeUnanswered(exchange);
+            return List.of();
+        }
+    }
+
     /** Closes the connection of a caller to whom an answer could not be written. */
     private void closeUnanswered(Exchange exchange) {
         if (exchange == null) {
@@ -419,7 +408,7 @@
      */
     private void failOverdue() {
         long nowMillis = clock.monotonicMillis();
-        for (Exchange exchange : List.copyOf(exchanges.values())) {
+        for (Exchange exchange : exchanges.values()) {
             if (exchange.isCompleted() || nowMillis < exchange.arrival().deadlineMillis() + OVERDUE_MILLIS) {
                 continue;
             }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RequestBody.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RequestBody.java
@@ -14,7 +14,6 @@
     private byte[] bytes = new byte[0];
     private int size;
     private int reservedBytes;
-    private boolean released;
 
     RequestBody(BufferLimit limit) {
         this.limit = limit;
@@ -56,9 +55,7 @@
 
     /** Releases the reserved memory; has an effect once. */
     synchronized void release() {
-        if (!released) {
-            released = true;
-            limit.release(reservedBytes);
-        }
+        limit.release(reservedBytes);
+        reservedBytes = 0;
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/SelectorProbe.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/SelectorProbe.java
@@ -10,7 +10,7 @@
  */
 final class SelectorProbe {
     /** Time for the task of a check; the platform checks readiness once per second. */
-    static final long MAX_DELAY_MILLIS = 500;
+    private static final long MAX_DELAY_MILLIS = 500;
 
     private final Executor selector;
     private final Clock clock;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/HeadTracker.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/HeadTracker.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 
 import org.apricotdeal.kernel.id.VmId;
-import org.apricotdeal.relay.model.GroupMembership;
 import org.apricotdeal.relay.model.GroupPhase;
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.policy.ReplicaGroups.ReplicaGroup;
@@ -137,16 +136,6 @@
         stoppedGroups.retainAll(named);
     }
 
-    /**
-     * Returns whether the head of a replica has certainly stopped serving.
-     *
-     * @param membership membership of a VM in the replica
-     * @return true if there is evidence
-     */
-    boolean hasStopped(GroupMembership membership) {
-        return hasStopped(ReplicaGroupId.of(membership));
-    }
-
     /**
      * Returns whether the head of a replica has certainly stopped serving.
      *
