--- a/proofs/src/test/java/org/apricotdeal/proofs/http/ScriptedServer.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/http/ScriptedServer.java
@@ -31,7 +31,22 @@
      * @param head its head in lower case
      * @param body its body
      */
-    public record Received(String head, String body) {}
+    public record Received(String head, String body) {
+        /**
+         * Returns a header.
+         *
+         * @param name name of the header in lower case
+         * @return its value, empty if there is none
+         */
+        public String header(String name) {
+            for (String line : head.split("\r\n", -1)) {
+                if (line.startsWith(name + ":")) {
+                    return line.substring(name.length() + 1).trim();
+                }
+            }
+            return "";
+        }
+    }
 
     /** One connection. */
     public static final class Connection {
@@ -61,13 +76,8 @@
                 head.append((char) next);
             }
             String text = head.toString().toLowerCase(Locale.ROOT);
-            int bodyBytes = 0;
-            for (String line : text.split("\r\n", -1)) {
-                if (line.startsWith("content-length:")) {
-                    bodyBytes = Integer.parseInt(
-                            line.substring("content-length:".length()).trim());
-                }
-            }
+            String length = new Received(text, "").header("content-length");
+            int bodyBytes = length.isEmpty() ? 0 : Integer.parseInt(length);
             return new Received(text, new String(input.readNBytes(bodyBytes), StandardCharsets.UTF_8));
         }
 
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/EndlessResponse.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/EndlessResponse.java
@@ -13,7 +13,6 @@
     private static final int WRITE_BYTES = 64 * 1024;
     private static final int CHUNK_BYTES = 8 * 1024;
     private static final int HEADER_BYTES = 100;
-    private static final String ID_HEADER = "x-attempt-id:";
 
     /** Part of the response that does not end. */
     enum Part {
@@ -46,7 +45,7 @@
     @Override
     public void serve(ScriptedServer.Connection connection) throws IOException {
         connection.setSendBufferBytes(SEND_BUFFER_BYTES);
-        String start = responseStart(requestId(connection.read().head()));
+        String start = responseStart(connection.read().header("x-attempt-id"));
         activeConnections.incrementAndGet();
         try {
             write(connection, start.getBytes(StandardCharsets.US_ASCII));
@@ -91,13 +90,4 @@
         connection.write(bytes);
         writtenBytes.addAndGet(bytes.length);
     }
-
-    private static String requestId(String head) {
-        for (String line : head.split("\r\n", -1)) {
-            if (line.startsWith(ID_HEADER)) {
-                return line.substring(ID_HEADER.length()).trim();
-            }
-        }
-        return "";
-    }
 }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/EndlessResponseTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/EndlessResponseTest.java
@@ -1,5 +1,6 @@
 package org.apricotdeal.proofs.relay;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -76,7 +77,7 @@
     public void endlessResponseIsAborted(EndlessResponse.Part part) throws Exception {
         EndlessResponse endless = new EndlessResponse(part);
         try (ScriptedServer worker = new ScriptedServer(endless)) {
-            replaceService(worker);
+            fleet.replaceService("endless", worker, CALLERS);
             String answer = fleet.call("POST", "/book/x", "r1", RelayFleet.KEY);
             assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
             RelayFleet.await(1, () -> endless.activeConnections.get() == 0);
@@ -94,13 +95,8 @@
     public void endlessResponsesDoNotKeepTheNodeFromReading(EndlessResponse.Part part) throws Exception {
         EndlessResponse endless = new EndlessResponse(part);
         try (ScriptedServer worker = new ScriptedServer(endless)) {
-            replaceService(worker);
-            List<Socket> callers = new ArrayList<>();
-            for (int i = 0; i < CALLERS; i++) {
-                Socket caller = fleet.connect(fleet.callerAddress);
-                RelayFleet.send(caller, "POST", "/book/x", "r" + i, RelayFleet.KEY);
-                callers.add(caller);
-            }
+            fleet.replaceService("endless", worker, CALLERS);
+            List<Socket> callers = sendFromAllCallers();
             RelayFleet.pause(200);
             fleet.configure(4, RelayFleet.KEY, "key-2");
             long ackNanos = System.nanoTime();
@@ -119,13 +115,8 @@
     public void concurrentEndlessResponsesAreAborted() throws Exception {
         EndlessResponse endless = new EndlessResponse(EndlessResponse.Part.BODY);
         try (ScriptedServer worker = new ScriptedServer(endless)) {
-            replaceService(worker);
-            List<Socket> callers = new ArrayList<>();
-            for (int i = 0; i < CALLERS; i++) {
-                Socket caller = fleet.connect(fleet.callerAddress);
-                RelayFleet.send(caller, "POST", "/book/x", "r" + i, RelayFleet.KEY);
-                callers.add(caller);
-            }
+            fleet.replaceService("endless", worker, CALLERS);
+            List<Socket> callers = sendFromAllCallers();
             for (Socket caller : callers) {
                 try (caller) {
                     String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
@@ -137,13 +128,13 @@
         }
     }
 
-    private void replaceService(ScriptedServer worker) {
-        fleet.store.remove("servers/s0");
-        fleet.store.put(
-                "servers/endless",
-                "{\"service\":\"shop\",\"address\":\"" + worker.address() + "\",\"zone\":\"a\",\"version\":\"v1\","
-                        + "\"slots\":" + CALLERS + ",\"state\":\"ready\",\"cold-remaining-ms\":0,\"sequence\":1,"
-                        + "\"born\":5}");
-        RelayFleet.pause(1_500);
+    private List<Socket> sendFromAllCallers() throws IOException {
+        List<Socket> callers = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            Socket caller = fleet.connect(fleet.callerAddress);
+            RelayFleet.send(caller, "POST", "/book/x", "r" + i, RelayFleet.KEY);
+            callers.add(caller);
+        }
+        return callers;
     }
 }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ForwardedTargetTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ForwardedTargetTest.java
@@ -26,19 +26,13 @@
         fleet.configure(3, RelayFleet.KEY);
         fleet.awaitServing(15);
         fleet.configureRoot(4, RelayFleet.KEY);
-        fleet.store.remove("servers/s0");
-        fleet.store.put(
-                "servers/target",
-                "{\"service\":\"shop\",\"address\":\"" + worker.address() + "\",\"zone\":\"a\",\"version\":\"v1\","
-                        + "\"slots\":4,\"state\":\"ready\",\"cold-remaining-ms\":0,\"sequence\":1,\"born\":5}");
-        RelayFleet.pause(1_500);
+        fleet.replaceService("target", worker, 4);
     }
 
     private void serve(ScriptedServer.Connection connection) throws IOException {
-        String head = connection.read().head();
-        requestLines.add(head.substring(0, head.indexOf("\r\n")));
-        int start = head.indexOf("x-attempt-id: ") + "x-attempt-id: ".length();
-        connection.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + head.substring(start, head.indexOf("\r\n", start))
+        ScriptedServer.Received request = connection.read();
+        requestLines.add(request.head().substring(0, request.head().indexOf("\r\n")));
+        connection.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request.header("x-attempt-id")
                 + "\r\nX-Response-Signature: s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
     }
 
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
@@ -17,6 +17,7 @@
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.misc.HostPort;
+import org.apricotdeal.proofs.http.ScriptedServer;
 import org.apricotdeal.proofs.standins.StandinFixture;
 import org.apricotdeal.relay.node.RelayNode;
 import org.apricotdeal.relay.node.RelaySettings;
@@ -154,6 +155,22 @@
         return catalogueBytes;
     }
 
+    /** Writes the entry of a VM of the plain service. */
+    void registerService(String id, ScriptedServer vm, int slots) {
+        store.put(
+                "servers/" + id,
+                "{\"service\":\"shop\",\"address\":\"" + vm.address() + "\",\"zone\":\"a\",\"version\":\"v1\","
+                        + "\"slots\":" + slots
+                        + ",\"state\":\"ready\",\"cold-remaining-ms\":0,\"sequence\":1,\"born\":5}");
+    }
+
+    /** Replaces the VM of the plain service by another one, and waits until the node knows it. */
+    void replaceService(String id, ScriptedServer vm, int slots) {
+        store.remove("servers/s0");
+        registerService(id, vm, slots);
+        pause(1_500);
+    }
+
     void awaitServing(int seconds) {
         await(seconds, () -> call("POST", "/talk/x", "warm", KEY).startsWith("HTTP/1.1 200"));
     }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SlowCallerAtStopTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SlowCallerAtStopTest.java
@@ -28,12 +28,7 @@
                 Socket caller = new Socket()) {
             fleet.configure(3, RelayFleet.KEY);
             fleet.awaitServing(15);
-            fleet.store.remove("servers/s0");
-            fleet.store.put(
-                    "servers/large",
-                    "{\"service\":\"shop\",\"address\":\"" + worker.address() + "\",\"zone\":\"a\",\"version\":\"v1\","
-                            + "\"slots\":4,\"state\":\"ready\",\"cold-remaining-ms\":0,\"sequence\":1,\"born\":5}");
-            RelayFleet.pause(1_500);
+            fleet.replaceService("large", worker, 4);
             caller.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
             caller.connect(new InetSocketAddress(
                     InetAddress.getLoopbackAddress(),
@@ -65,9 +60,8 @@
     }
 
     private static void serve(ScriptedServer.Connection connection) throws IOException {
-        String head = connection.read().head();
-        int start = head.indexOf("x-attempt-id: ") + "x-attempt-id: ".length();
-        connection.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + head.substring(start, head.indexOf("\r\n", start))
+        String id = connection.read().header("x-attempt-id");
+        connection.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id
                 + "\r\nX-Response-Signature: s\r\nConnection: close\r\nContent-Length: " + ANSWER_BYTES + "\r\n\r\n");
         connection.write(new byte[ANSWER_BYTES]);
     }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/VmAnswersTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/VmAnswersTest.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 import org.apricotdeal.proofs.http.ScriptedServer;
 import org.testng.annotations.AfterMethod;
@@ -18,7 +16,6 @@
 
 /** Tests that the relay heeds what the answers of VMs say about the VM, and how an answer ends. */
 public final class VmAnswersTest {
-    private static final Pattern ID = Pattern.compile("x-attempt-id: (\\S+)");
     private static final long DRAIN_MILLIS = 2_000;
 
     private RelayFleet fleet;
@@ -47,9 +44,9 @@
 
         @Override
         public void serve(ScriptedServer.Connection connection) throws IOException {
-            Matcher id = ID.matcher(connection.read().head());
+            String id = connection.read().header("x-attempt-id");
             requestNanos.add(System.nanoTime());
-            connection.write(answer.replace("ID", id.find() ? id.group(1) : "none"));
+            connection.write(answer.replace("ID", id));
         }
 
         long requestsBetween(long fromMillis, long toMillis) {
@@ -61,13 +58,6 @@
         }
     }
 
-    private void register(String id, ScriptedServer vm) {
-        fleet.store.put(
-                "servers/" + id,
-                "{\"service\":\"shop\",\"address\":\"" + vm.address() + "\",\"zone\":\"a\",\"version\":\"v1\","
-                        + "\"slots\":4,\"state\":\"ready\",\"cold-remaining-ms\":0,\"sequence\":1,\"born\":5}");
-    }
-
     private void callFor(long millis) {
         long endNanos = System.nanoTime() + millis * 1_000_000;
         for (int i = 0; System.nanoTime() < endNanos; i++) {
@@ -89,7 +79,7 @@
 
                 """);
         try (ScriptedServer vm = new ScriptedServer(full)) {
-            register("full", vm);
+            fleet.registerService("full", vm, 4);
             callFor(5_000);
             assertTrue(full.requestsBetween(500, 2_500) <= 2, full.requestsBetween(500, 2_500) + " requests");
             assertTrue(full.requestsBetween(2_500, 5_000) >= 1, "the VM is asked again after the pause");
@@ -109,11 +99,11 @@
 
                 ok""");
         try (ScriptedServer vm = new ScriptedServer(leaving)) {
-            register("leaving", vm);
+            fleet.registerService("leaving", vm, 4);
             callFor(2_000);
             assertFalse(leaving.requestNanos.isEmpty());
             // A later entry of the same incarnation does not bring the VM back.
-            register("leaving", vm);
+            fleet.registerService("leaving", vm, 4);
             callFor(2_500);
             assertEquals(leaving.requestsBetween(DRAIN_MILLIS, Long.MAX_VALUE), 0);
         }
@@ -151,7 +141,7 @@
         };
         try (ScriptedServer vm = new ScriptedServer(script)) {
             fleet.store.remove("servers/s0");
-            register("ending", vm);
+            fleet.registerService("ending", vm, 4);
             RelayFleet.pause(1_500);
             String answer = fleet.call("POST", "/watch/x", "r1", RelayFleet.KEY);
             boolean succeeded = answer.startsWith("HTTP/1.1 200") && answer.endsWith("0\r\n\r\n");
--- a/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
@@ -133,9 +133,7 @@
     }
 
     private static void answer(ScriptedServer.Connection connection) throws IOException {
-        String head = connection.read().head();
-        int start = head.indexOf("x-attempt-id: ") + "x-attempt-id: ".length();
-        String id = head.substring(start, head.indexOf("\r\n", start));
+        String id = connection.read().header("x-attempt-id");
         connection.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id
                 + "\r\nX-Response-Signature: s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
     }
--- a/proofs/src/test/java/org/apricotdeal/relay/node/SelectorProbeTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/SelectorProbeTest.java
@@ -2,9 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Queue;
-import java.util.concurrent.atomic.AtomicLong;
 
-import org.apricotdeal.kernel.time.Clock;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertFalse;
@@ -14,29 +12,19 @@
 public final class SelectorProbeTest {
     private static final long CHECK_PERIOD_MILLIS = 1_000;
 
-    private final AtomicLong nowMillis = new AtomicLong();
+    private final ManualClock clock = new ManualClock();
     private final Queue<Runnable> tasks = new ArrayDeque<>();
-    private final SelectorProbe probe = new SelectorProbe(tasks::add, new Clock() {
-        @Override
-        public long monotonicMillis() {
-            return nowMillis.get();
-        }
-
-        @Override
-        public long wallMillis() {
-            return nowMillis.get();
-        }
-    });
+    private final SelectorProbe probe = new SelectorProbe(tasks::add, clock);
 
     @Test
     public void stuckThreadIsReportedUntilItRunsAgain() {
         assertTrue(probe.isResponsive());
         runTasks();
-        nowMillis.addAndGet(CHECK_PERIOD_MILLIS);
+        clock.advance(CHECK_PERIOD_MILLIS);
         assertTrue(probe.isResponsive());
-        nowMillis.addAndGet(CHECK_PERIOD_MILLIS);
+        clock.advance(CHECK_PERIOD_MILLIS);
         assertFalse(probe.isResponsive());
-        nowMillis.addAndGet(CHECK_PERIOD_MILLIS);
+        clock.advance(CHECK_PERIOD_MILLIS);
         assertFalse(probe.isResponsive());
         runTasks();
         assertTrue(probe.isResponsive());
--- a/proofs/src/test/java/org/apricotdeal/relay/node/VmWatcherTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/VmWatcherTest.java
@@ -1,11 +1,9 @@
 package org.apricotdeal.relay.node;
 
 import java.util.List;
-import java.util.concurrent.atomic.AtomicLong;
 
 import org.apricotdeal.adapter.UsersPlatform;
 import org.apricotdeal.kernel.result.Result;
-import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.port.StoreFault;
 import org.apricotdeal.relay.port.WatchStore;
 import org.testng.annotations.Test;
@@ -18,25 +16,6 @@
     /** Time for VMs to register again after their entries expired in an outage of the store. */
     private static final long REREGISTRATION_MILLIS = 2_200;
 
-    /** Clock that advances only when told to. */
-    private static final class ManualClock implements Clock {
-        private final AtomicLong nowMillis = new AtomicLong(100_000);
-
-        void advance(long millis) {
-            nowMillis.addAndGet(millis);
-        }
-
-        @Override
-        public long monotonicMillis() {
-            return nowMillis.get();
-        }
-
-        @Override
-        public long wallMillis() {
-            return nowMillis.get();
-        }
-    }
-
     /** Empty store that can be made unavailable. */
     private static final class EmptyStore implements WatchStore {
         private boolean unavailable;
