One decision bars a target from requests; return times are a class of their own

Cause: what keeps a target from a request was spread over three conditions of freeSlots; an evacuated or cold target would have been a fourth. Change: TargetState.bar names what keeps a target from a request; free slots follow from it. The event EvacuationsChanged marks the targets of failure domains, which nothing sends yet.

--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 
 import org.apache.commons.rng.UniformRandomProvider;
+import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.EngineProfile;
 import org.apricotdeal.relay.model.ModelSpec;
@@ -36,6 +37,7 @@
     private final Map<QueueId, QueueState> queues = new HashMap<>();
     private final Map<TargetId, TargetState> targets = new HashMap<>();
     private final Map<VmId, Long> pausedUntilMillis = new HashMap<>();
+    private Set<FailureDomainId> evacuated = Set.of();
     private RelayCatalogue catalogue;
     private long roundStartedMillis;
 
@@ -131,6 +133,7 @@
         TargetState state = new TargetState(target, queue);
         state.pauseUntil(pausedUntilMillis.getOrDefault(target.id().vm(), NEVER_MILLIS));
         state.setHome(homeNodes.isHome(target));
+        state.setEvacuated(evacuated.contains(target.failureDomain()));
         queue.averagePeersRunning().ifPresent(average -> state.assumePeersRunning(average, nowMillis));
         beginRound(state, nowMillis);
         return state;
@@ -154,6 +157,12 @@
         }
     }
 
+    /** Sets the failure domains that the operator evacuates. */
+    void setEvacuated(Set<FailureDomainId> domains) {
+        evacuated = domains;
+        targets.values().forEach(state -> state.setEvacuated(domains.contains(state.target.failureDomain())));
+    }
+
     void setNodes(List<FleetNode> nodes) {
         homeNodes.setNodes(nodes);
         targets.values().forEach(state -> state.setHome(homeNodes.isHome(state.target)));
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -9,6 +9,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apricotdeal.kernel.duty.StateMachine;
+import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.RelayCatalogue;
 import org.apricotdeal.relay.poison.BlamedParts;
@@ -48,14 +49,6 @@
     /** Time between two ticks above which this node itself was held up; several tick periods. */
     private static final long MAX_TICK_GAP_MILLIS = 100;
 
-    /** Bounds of the retry delay if no target is available; a repair takes about two seconds. */
-    private static final long MIN_NO_TARGET_RETRY_MILLIS = 800;
-
-    private static final long MAX_NO_TARGET_RETRY_MILLIS = 2_000;
-
-    /** Maximum retry delay, as a share of the time that the caller has left. */
-    private static final double MAX_RETRY_AFTER_SHARE = 1.0 / 3;
-
     /** Minimum share of the objective that a request may wait, so that a slow queue still admits some requests. */
     private static final double MIN_WAIT_SHARE = 0.2;
 
@@ -64,7 +57,7 @@
     private final ProcessDelay ownDelay = new ProcessDelay(MAX_TICK_GAP_MILLIS);
     private final RetryBudget budget;
     private final PoisonGuard poison;
-    private final UniformRandomProvider random;
+    private final ReturnTimes returnTimes;
     private final Map<ExchangeId, RequestState> requests = new HashMap<>();
     private final ReturningCallers returningCallers = new ReturningCallers();
     private long lastSequence;
@@ -83,7 +76,7 @@
         this.targetChooser = new TargetChooser(self.failureDomain(), random);
         this.budget = budget;
         this.poison = new PoisonGuard(new PoisonDetector(self.name()));
-        this.random = random;
+        this.returnTimes = new ReturnTimes(random);
     }
 
     /**
@@ -185,6 +178,7 @@
             case RelayEvent.TargetsChanged(List<Target> changed) -> changeTargets(changed);
             case RelayEvent.PeerLoadsChanged(Map<TargetId, Integer> running) -> updatePeerLoads(running);
             case RelayEvent.NodesChanged(List<FleetNode> nodes) -> changeNodes(nodes);
+            case RelayEvent.EvacuationsChanged(Set<FailureDomainId> domains) -> changeEvacuations(domains);
             case RelayEvent.VmPaused(VmId vm, long untilMillis) -> registry.pause(vm, untilMillis, nowMillis);
             case RelayEvent.CrashNewsReceived(CrashNews news) -> {
                 poison.detector().merge(news, nowMillis);
@@ -213,7 +207,7 @@
         }
         QueueEstimate estimate = queue.estimate(request, nowMillis);
         if (estimate.hasNoTarget()) {
-            refuse(request, RefusalReason.NO_TARGET, noTargetRetryMillis(queue), estimate);
+            refuse(request, RefusalReason.NO_TARGET, returnTimes.withoutTargetMillis(queue, nowMillis), estimate);
             return;
         }
         boolean slotsReserved = request.returningCaller
@@ -223,7 +217,7 @@
             refuse(
                     request,
                     RefusalReason.OVERLOAD,
-                    retryAfterMillis(request, estimate, estimate.waitMillis()),
+                    returnTimes.afterOverloadMillis(request, estimate, estimate.waitMillis(), nowMillis),
                     estimate);
             return;
         }
@@ -244,22 +238,6 @@
         return Math.max(objective * MIN_WAIT_SHARE, objective - request.queue.startMillis.value());
     }
 
-    /** Chooses when a caller should retry: after a repair, and not while all VMs have asked for a pause. */
-    private long noTargetRetryMillis(QueueState queue) {
-        long repairMillis =
-                MIN_NO_TARGET_RETRY_MILLIS + random.nextLong(MAX_NO_TARGET_RETRY_MILLIS - MIN_NO_TARGET_RETRY_MILLIS);
-        long pauseMillis = queue.earliestPauseEndMillis(nowMillis).orElse(nowMillis) - nowMillis;
-        return Math.max(repairMillis, pauseMillis);
-    }
-
-    /** Chooses when a refused caller should retry: when a slot that is occupied now becomes free, or later. */
-    private long retryAfterMillis(RequestState request, QueueEstimate estimate, double waitMillis) {
-        QueueState queue = request.queue;
-        double latestMillis = (request.arrival.deadlineMillis() - nowMillis) * MAX_RETRY_AFTER_SHARE;
-        double earliestMillis = Math.min(latestMillis, waitMillis + queue.serviceMillis.value());
-        return queue.scheduleReturn(estimate, nowMillis, earliestMillis, latestMillis, random.nextDouble());
-    }
-
     // Placement.
 
     private void dispatchWaiting(QueueState queue) {
@@ -412,7 +390,11 @@
     private void fail(RequestState request, RefusalReason reason) {
         if (!request.mayHaveRun) {
             RefusalReason notRun = reason == RefusalReason.BROKEN ? RefusalReason.NOT_RUN : reason;
-            refuse(request, notRun, noTargetRetryMillis(request.queue), request.queue.estimate(request, nowMillis));
+            refuse(
+                    request,
+                    notRun,
+                    returnTimes.withoutTargetMillis(request.queue, nowMillis),
+                    request.queue.estimate(request, nowMillis));
             return;
         }
         requests.remove(request.arrival.id());
@@ -473,7 +455,7 @@
     private void refuseSuspect(Arrival arrival, QueueState queue, long heldUntilMillis) {
         RefusalDetails details = new RefusalDetails(
                 queue.waiting.size(), -1, queue.freeSlots(nowMillis), 0, nowMillis - arrival.arrivedMillis());
-        long retryAfterMillis = Math.max(MIN_NO_TARGET_RETRY_MILLIS, heldUntilMillis - nowMillis);
+        long retryAfterMillis = Math.max(ReturnTimes.MIN_NO_TARGET_RETRY_MILLIS, heldUntilMillis - nowMillis);
         actions.add(new RelayAction.Refuse(arrival.id(), RefusalReason.SUSPECT_PROMPT, retryAfterMillis, details));
     }
 
@@ -555,7 +537,11 @@
         for (RequestState request : overdue) {
             queue.waiting.remove(request);
             QueueEstimate estimate = queue.estimate(request, nowMillis);
-            refuse(request, RefusalReason.WAITED_OUT, retryAfterMillis(request, estimate, 0), estimate);
+            refuse(
+                    request,
+                    RefusalReason.WAITED_OUT,
+                    returnTimes.afterOverloadMillis(request, estimate, 0, nowMillis),
+                    estimate);
         }
     }
 
@@ -587,6 +573,11 @@
         budget.setNodeCount(nodes.size(), nowMillis);
     }
 
+    private void changeEvacuations(Set<FailureDomainId> domains) {
+        registry.setEvacuated(domains);
+        registry.queues().forEach(this::dispatchWaiting);
+    }
+
     private void updatePeerLoads(Map<TargetId, Integer> running) {
         registry.setPeerLoads(running, nowMillis);
         registry.queues().forEach(this::dispatchWaiting);
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
+import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.RelayCatalogue;
 import org.apricotdeal.relay.poison.CrashNews;
@@ -66,6 +68,18 @@
      */
     record PeerLoadsChanged(Map<TargetId, Integer> running) implements RelayEvent {}
 
+    /**
+     * The operator has ordered or taken back the evacuation of failure domains.
+     *
+     * @param domains all failure domains that are being evacuated; their targets receive no requests
+     */
+    record EvacuationsChanged(Set<FailureDomainId> domains) implements RelayEvent {
+        /** Copies the set. */
+        public EvacuationsChanged {
+            domains = Set.copyOf(domains);
+        }
+    }
+
     /**
      * The registered nodes have been listed.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -48,6 +48,7 @@
     private long exclusionMillis;
     private int maxRunningInRound = Integer.MAX_VALUE;
     private boolean home = true;
+    private boolean evacuated;
     private long pausedUntilMillis = NEVER_MILLIS;
 
     TargetState(Target target, QueueState queue) {
@@ -147,12 +148,36 @@
         return pausedUntilMillis;
     }
 
-    int freeSlots(long nowMillis) {
-        if (nowMillis < excludedUntilMillis || nowMillis < pausedUntilMillis) {
-            return 0;
+    /** Sets whether the operator evacuates the failure domain of the target. */
+    void setEvacuated(boolean isEvacuated) {
+        evacuated = isEvacuated;
+    }
+
+    /**
+     * Decides whether the target may receive a request now. Every way of sending one asks this method: first attempts,
+     * retries, moved and resumed requests, and the probes of suspected targets.
+     */
+    TargetBar bar(long nowMillis) {
+        if (evacuated) {
+            return TargetBar.EVACUATED;
+        }
+        if (nowMillis < excludedUntilMillis || (exclusionMillis > 0 && triedSinceSuspected())) {
+            return TargetBar.SUSPECTED;
         }
+        if (nowMillis < pausedUntilMillis) {
+            return TargetBar.PAUSED;
+        }
+        return unbarredSlots(nowMillis) > 0 ? TargetBar.NONE : TargetBar.FULL;
+    }
+
+    /** Returns the number of requests that this node may send to the target now; 0 if anything bars it. */
+    int freeSlots(long nowMillis) {
+        return bar(nowMillis) == TargetBar.NONE ? unbarredSlots(nowMillis) : 0;
+    }
+
+    private int unbarredSlots(long nowMillis) {
         if (exclusionMillis > 0) {
-            return triedSinceSuspected() ? 0 : 1;
+            return 1;
         }
         return Math.max(0, Math.min(target.slots() - load(nowMillis), maxRunningInRound - running.size()));
     }
@@ -182,7 +207,7 @@
 
     /** Returns whether requests may be sent to the target when it has a free slot. */
     boolean isAvailable(long nowMillis) {
-        return !isSuspected(nowMillis) && nowMillis >= pausedUntilMillis;
+        return !evacuated && !isSuspected(nowMillis) && nowMillis >= pausedUntilMillis;
     }
 
     boolean isSuspected(long nowMillis) {
