The nodes' shares of a target's free slots add up to one, and targets tell their load

Cause: in a large fleet home nodes shared the free slots of a target among four, every other node took its part or one request on top, and a free slot was used in two rounds because counts are two rounds old. Change: SlotShare (parts add up to one, half of a part while slots are scarce, no extra requests); the load in the head of an answer replaces the latest count of the others. Fleets of up to four nodes, which all use all targets, keep their shares and counts.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/PlacementAtScaleTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/PlacementAtScaleTest.java
@@ -27,6 +27,12 @@
     /** Share of sends at steady state that need a new connection. */
     private static final double MAX_NEW_CONNECTION_SHARE = 0.1;
 
+    /** The same while more requests arrive than there are slots: nine in ten callers are to be served in time. */
+    private static final double MAX_OVERFULL_SHARE_IN_OVERLOAD = 0.1;
+
+    /** Share of the slots that is occupied in an overload. */
+    private static final double MIN_OCCUPIED_SHARE_IN_OVERLOAD = 0.85;
+
     private static final double MAX_BUSIEST_TO_MEAN = 2;
     private static final int OPENED = 10;
     private static final long OPENING_MILLIS = 4_000;
@@ -55,6 +61,29 @@
         assertEquals(fleet.refused(), 0, summary);
     }
 
+    @DataProvider
+    public Object[][] overloads() {
+        return new Object[][] {{0.9, 1L}, {1.2, 1L}, {1.2, 2L}, {1.6, 1L}};
+    }
+
+    /**
+     * More requests arrive than the replicas can take. The nodes refuse the rest instead of queueing it at the replicas,
+     * where it would start too late, and leave few slots free.
+     *
+     * @param load share of all slots that the requests would occupy
+     * @param seed seed of the arrivals
+     */
+    @Test(dataProvider = "overloads")
+    public void overloadIsNotQueuedAtTheReplicas(double load, long seed) {
+        SimPlacement fleet = new SimPlacement(seed, load);
+        fleet.run(WARM_UP_MILLIS);
+        fleet.resetCounts();
+        fleet.run(MEASURED_MILLIS);
+        String summary = fleet.summary() + ", occupied " + fleet.occupiedShare();
+        assertTrue(fleet.overfullShare() <= MAX_OVERFULL_SHARE_IN_OVERLOAD, summary);
+        assertTrue(fleet.occupiedShare() >= MIN_OCCUPIED_SHARE_IN_OVERLOAD, summary);
+    }
+
     /**
      * Replicas that open under load are filled like the others: the other nodes send to them as well, although their
      * counts do not show it yet.
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimPlacement.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimPlacement.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.PriorityQueue;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -66,6 +67,8 @@
     private int sentOpened;
     private int overfullOpened;
     private int refused;
+    private long runningMillis;
+    private long resetMillis;
 
     /** A scheduled end or progress of an answer. */
     private record Step(long atMillis, Runnable action) {}
@@ -148,6 +151,11 @@
         return (double) overfullOpened / Math.max(1, sentOpened);
     }
 
+    /** Returns the mean share of the slots that were occupied since the counts were reset. */
+    double occupiedShare() {
+        return (double) runningMillis / ((nowMillis - resetMillis) * TARGETS * SLOTS);
+    }
+
     void run(long millis) {
         for (long end = nowMillis + millis; nowMillis < end; nowMillis++) {
             while (!steps.isEmpty() && steps.peek().atMillis() <= nowMillis) {
@@ -161,6 +169,9 @@
                 due -= 1;
                 arrive(nodeByClient.get(random.nextInt(nodeByClient.size())));
             }
+            runningMillis += running.values().stream()
+                    .mapToInt(count -> Math.min(SLOTS, count))
+                    .sum();
             if (nowMillis % TICK_MILLIS == 0) {
                 nodes.forEach(node -> step(node, new RelayEvent.Tick()));
             }
@@ -207,7 +218,8 @@
         long serviceMillis = Math.max(
                 START_OF_ANSWER_MILLIS + TICK_MILLIS, Math.round(MEAN_SERVICE_MILLIS * (0.5 + random.nextDouble())));
         steps.add(new Step(
-                nowMillis + START_OF_ANSWER_MILLIS, () -> step(node, new RelayEvent.AnswerStarted(send.attempt()))));
+                nowMillis + START_OF_ANSWER_MILLIS,
+                () -> step(node, new RelayEvent.AnswerStarted(send.attempt(), OptionalInt.of(running.get(target))))));
         for (long at = nowMillis + START_OF_ANSWER_MILLIS; at < nowMillis + serviceMillis; at += TICK_MILLIS) {
             long progressMillis = at;
             steps.add(new Step(at, () -> node.dispatcher().recordProgress(progressMillis, send.id())));
@@ -238,6 +250,8 @@
     }
 
     void resetCounts() {
+        resetMillis = nowMillis;
+        runningMillis = 0;
         sent = 0;
         overfull = 0;
         newConnections = 0;
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -72,6 +74,7 @@
     private volatile Map<QueueId, QueueDemand> demand = Map.of();
     private long demandUpdatedMillis;
     private volatile SuspicionListener suspicionListener = (vms, faultyAddress, reason) -> {};
+    private volatile Function<String, OptionalInt> loadReader = header -> OptionalInt.empty();
     private volatile Consumer<TargetId> leavingListener = target -> {};
     private volatile CrashNews crashNews = CrashNews.NONE;
     private List<BlamedParts> loggedBlame = List.of();
@@ -119,6 +122,11 @@
         leavingListener = listener;
     }
 
+    /** Sets the parser of the header in which a VM reports the number of requests at it. */
+    void readLoadsWith(Function<String, OptionalInt> reader) {
+        loadReader = reader;
+    }
+
     /** Returns the crashes and trials that this node knows of. */
     CrashNews crashNews() {
         return crashNews;
@@ -191,7 +199,7 @@
 
     @Override
     public void started(UpstreamAttempt attempt) {
-        duty.put(new RelayEvent.AnswerStarted(attempt.id()));
+        duty.put(new RelayEvent.AnswerStarted(attempt.id(), loadReader.apply(attempt.loadHeader())));
     }
 
     @Override
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -75,6 +75,7 @@
         UpstreamRequest.Factory requests = (address, target) -> new UpstreamRequest(client, address, target);
         relay = new RelayDuty(dispatcher, requests, adapter.headers(), clock, random, log, metrics);
         fleet = new FleetDuty(settings, relay, adapter.vmClient(client), clock, log, metrics);
+        relay.readLoadsWith(adapter::requestsAtVm);
         relay.onSuspectedVms(fleet::suspect);
         relay.onLeavingVms(target -> fleet.put(new FleetEvent.VmLeaves(target)));
         catalogues = new CatalogueHolder(adapter.codec(), log);
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.nio.ByteBuffer;
+import java.util.Objects;
 import java.util.Optional;
 
 import org.apricotdeal.kernel.misc.HostPort;
@@ -58,6 +59,7 @@
     private boolean foreignResponse;
     private int reservedBytes;
     private volatile long firstEventMillis = -1;
+    private volatile String loadHeader = "";
 
     /** Receives the progress of an attempt, on client threads. */
     interface Listener {
@@ -131,6 +133,11 @@
         return id;
     }
 
+    /** Returns the load of the VM as the head of the response reports it; empty if it does not. */
+    String loadHeader() {
+        return loadHeader;
+    }
+
     /** Returns the time since the first complete event of the answer; -1 if there was none. */
     long answeringMillis() {
         long firstMillis = firstEventMillis;
@@ -245,6 +252,7 @@
             return;
         }
         reportVmState(response);
+        loadHeader = Objects.requireNonNullElse(response.getHeaders().get(headerNames.load()), "");
         RouteEntry route = exchange.arrival().route();
         streaming = route.retrySafety() == RetrySafety.STREAM && response.getStatus() == HttpStatus.OK_200;
         if (streaming) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/HomeNodes.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/HomeNodes.java
@@ -20,6 +20,9 @@
     /** Number of home nodes of a target; in a fleet of up to this many nodes, all nodes use all targets alike. */
     static final int COUNT = 4;
 
+    /** Part of the free slots of a target that its home nodes share in a larger fleet; the others share the rest. */
+    private static final double HOME_SHARE = 0.8;
+
     private final FleetNode self;
     private List<FleetNode> nodes;
 
@@ -40,7 +43,7 @@
 
     /** Returns whether this node is a home node of a target. */
     boolean isHome(Target target) {
-        if (nodes.size() <= COUNT) {
+        if (!areFew()) {
             return true;
         }
         Comparator<FleetNode> order = order(target);
@@ -53,9 +56,25 @@
         return true;
     }
 
-    /** Returns the number of nodes that share a target with this node: its home nodes, or else all nodes. */
-    int sharingNodes(boolean home) {
-        return home ? Math.min(COUNT, nodes.size()) : nodes.size();
+    /** Returns whether only some of the nodes are home nodes of a target. */
+    boolean areFew() {
+        return nodes.size() > COUNT;
+    }
+
+    /**
+     * Returns which of a target's free slots this node may use in a heartbeat round. The parts of all nodes add up to one,
+     * so that together they do not send more requests than there are slots.
+     *
+     * @param home whether this node is a home node of the target
+     * @return this node's share
+     */
+    SlotShare slotShare(boolean home) {
+        if (!areFew()) {
+            return SlotShare.amongAll(nodes.size());
+        }
+        return home
+                ? SlotShare.ofHomeNode(HOME_SHARE / COUNT)
+                : SlotShare.ofOtherNode((1 - HOME_SHARE) / (nodes.size() - COUNT));
     }
 
     private static Comparator<FleetNode> order(Target target) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
@@ -123,10 +123,16 @@
         queues.values().forEach(QueueState::clearTargets);
         List<Target> ordered = new ArrayList<>(listed);
         ordered.sort(Comparator.comparing((Target target) -> target.id().vm()));
+        List<TargetState> added = new ArrayList<>();
         for (Target target : ordered) {
             QueueState queue = queue(target.queue());
-            queue.addTarget(targets.computeIfAbsent(target.id(), id -> newTarget(target, queue, nowMillis)));
+            queue.addTarget(targets.computeIfAbsent(target.id(), id -> {
+                TargetState state = newTarget(target, queue, nowMillis);
+                added.add(state);
+                return state;
+            }));
         }
+        added.forEach(state -> beginRound(state, nowMillis));
     }
 
     private TargetState newTarget(Target target, QueueState queue, long nowMillis) {
@@ -135,7 +141,6 @@
         state.setHome(homeNodes.isHome(target));
         state.setEvacuated(evacuated.contains(target.failureDomain()));
         queue.averagePeersRunning().ifPresent(average -> state.assumePeersRunning(average, nowMillis));
-        beginRound(state, nowMillis);
         return state;
     }
 
@@ -174,6 +179,16 @@
         beginRound(nowMillis);
     }
 
+    /**
+     * Records the requests that a target has counted itself. In a fleet whose nodes all use all targets the counts of their
+     * heartbeats are young enough.
+     */
+    void recordReportedLoad(TargetState state, int requests, long nowMillis) {
+        if (homeNodes.areFew()) {
+            state.recordReportedLoad(requests, nowMillis);
+        }
+    }
+
     /** Begins a new round if the heartbeat that ends the current one is overdue. */
     void endOverdueRound(long nowMillis) {
         if (nowMillis - roundStartedMillis >= ROUND_MILLIS) {
@@ -187,6 +202,6 @@
     }
 
     private void beginRound(TargetState state, long nowMillis) {
-        state.beginRound(homeNodes.sharingNodes(state.isHome()), random.nextDouble(), nowMillis);
+        state.beginRound(homeNodes.slotShare(state.isHome()), random.nextDouble(), nowMillis);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -169,7 +170,8 @@
         actions = new ArrayList<>();
         switch (event) {
             case RelayEvent.RequestArrived(Arrival arrival) -> admit(arrival);
-            case RelayEvent.AnswerStarted(AttemptId attempt) -> onStarted(attempt);
+            case RelayEvent.AnswerStarted(AttemptId attempt, OptionalInt targetRequests) ->
+                onStarted(attempt, targetRequests);
             case RelayEvent.RequestFinished(AttemptId attempt) -> onFinished(attempt);
             case RelayEvent.AttemptFailed(AttemptId attempt, AttemptOutcome outcome) ->
                 onAttemptFailed(attempt, outcome);
@@ -279,12 +281,13 @@
 
     // Progress and end of requests.
 
-    private void onStarted(AttemptId attempt) {
+    private void onStarted(AttemptId attempt, OptionalInt targetRequests) {
         RequestState request = requests.get(attempt.exchange());
         if (request == null || !request.isRunning(attempt)) {
             return;
         }
         request.target.recordProgress(nowMillis);
+        targetRequests.ifPresent(count -> registry.recordReportedLoad(request.target, count, nowMillis));
         if (!request.started) {
             request.started = true;
             request.queue.startMillis.add(nowMillis - request.dispatchedMillis);
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 
 import org.apricotdeal.kernel.id.FailureDomainId;
@@ -22,8 +23,18 @@
      * The first bytes of an answer have arrived.
      *
      * @param attempt attempt that is answered
+     * @param targetRequests running and waiting requests of all nodes at the target, if its VM has reported them
      */
-    record AnswerStarted(AttemptId attempt) implements RelayEvent {}
+    record AnswerStarted(AttemptId attempt, OptionalInt targetRequests) implements RelayEvent {
+        /**
+         * Creates the event of an answer that does not report the load of the target.
+         *
+         * @param attempt attempt that is answered
+         */
+        public AnswerStarted(AttemptId attempt) {
+            this(attempt, OptionalInt.empty());
+        }
+    }
 
     /**
      * The caller has received its final answer, or the exchange has ended otherwise.
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -11,6 +11,9 @@
     /** Maximum age of the peers' request counts; several heartbeat periods. */
     private static final long MAX_PEER_LOAD_AGE_MILLIS = 1_500;
 
+    /** Time by which a count of the peers is older than its heartbeat; a count of the target itself is current. */
+    private static final long PEER_COUNT_LAG_MILLIS = 300;
+
     /**
      * Weight of a new count in the average of the peers' counts: the average follows changes within several seconds,
      * much more slowly than the counts become outdated.
@@ -19,12 +22,6 @@
 
     private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
 
-    /**
-     * Number of requests beyond the free slots that all nodes together may send in a round; the queue of an engine
-     * holds a few.
-     */
-    private static final double OVERSHOOT_REQUESTS = 1.5;
-
     /** Time for which a target is excluded after the first suspicion, before one request probes it. */
     private static final long FIRST_EXCLUSION_MILLIS = 1_000;
 
@@ -42,6 +39,7 @@
     private int peersRunning;
     private double averagePeersRunning;
     private long peersUpdatedMillis = NEVER_MILLIS;
+    private long reportedMillis = NEVER_MILLIS;
     private int consecutiveStalls;
     private long suspectedMillis;
     private long excludedUntilMillis;
@@ -81,8 +79,10 @@
         averagePeersRunning = peersUpdatedMillis == NEVER_MILLIS
                 ? count
                 : averagePeersRunning + PEER_AVERAGE_WEIGHT * (count - averagePeersRunning);
-        peersRunning = count;
-        peersUpdatedMillis = nowMillis;
+        if (nowMillis - reportedMillis >= PEER_COUNT_LAG_MILLIS) {
+            peersRunning = count;
+            peersUpdatedMillis = nowMillis;
+        }
     }
 
     /**
@@ -132,6 +132,22 @@
         return count;
     }
 
+    /**
+     * Records the requests that the target itself counted when it began an answer. That is younger than the peers' counts,
+     * so what exceeds this node's requests replaces the latest of these; the average is left to the heartbeats, which
+     * arrive at even intervals.
+     *
+     * @param requests running and waiting requests of all nodes
+     * @param nowMillis monotonic time
+     */
+    void recordReportedLoad(int requests, long nowMillis) {
+        if (peersUpdatedMillis != NEVER_MILLIS) {
+            peersRunning = Math.max(0, requests - running.size());
+            peersUpdatedMillis = nowMillis;
+            reportedMillis = nowMillis;
+        }
+    }
+
     /** Returns the age of the peers' counts that are included in the load, or 0 if none are included. */
     long loadAgeMillis(long nowMillis) {
         long ageMillis = nowMillis - peersUpdatedMillis;
@@ -183,26 +199,19 @@
     }
 
     /**
-     * Begins a heartbeat round. Requests that other nodes send during the round are not known before its end, so
-     * each node uses an equal share of the slots that are free now. A fractional remainder is rounded up at random,
-     * with the probability of its size. The share is at least one while half of the slots are free. A slot whose
-     * request ends during the round may be used again by its node.
+     * Begins a heartbeat round. A slot whose request ends during the round may be used again by its node.
      *
-     * @param nodes number of nodes that send to the target, including this one
+     * @param share this node's share of the free slots
      * @param draw random number from 0 to 1
      */
-    void beginRound(int nodes, double draw, long nowMillis) {
-        if (nodes == 1) {
+    void beginRound(SlotShare share, double draw, long nowMillis) {
+        if (share.isWhole()) {
             maxRunningInRound = Integer.MAX_VALUE;
             return;
         }
         int freeSlots = Math.max(0, target.slots() - load(nowMillis));
-        double share = freeSlots == 0 ? 0 : (freeSlots + OVERSHOOT_REQUESTS) / nodes;
-        if (2 * freeSlots >= target.slots()) {
-            share = Math.max(1, share);
-        }
-        int roundedUp = (freeSlots + nodes - 1) / nodes;
-        maxRunningInRound = running.size() + Math.min(roundedUp, (int) Math.floor(share + draw));
+        boolean onlyChoice = queue.homeTargets.isEmpty();
+        maxRunningInRound = running.size() + share.requestsInRound(freeSlots, target.slots(), onlyChoice, draw);
     }
 
     /** Returns whether requests may be sent to the target when it has a free slot. */
--- a/relay/src/main/java/org/apricotdeal/relay/port/PlatformAdapter.java
+++ b/relay/src/main/java/org/apricotdeal/relay/port/PlatformAdapter.java
@@ -1,6 +1,7 @@
 package org.apricotdeal.relay.port;
 
 import java.util.List;
+import java.util.OptionalInt;
 
 import org.apricotdeal.relay.model.PromptPartId;
 import org.eclipse.jetty.client.HttpClient;
@@ -30,6 +31,14 @@
      */
     List<PromptPartId> sharedPromptParts(String header);
 
+    /**
+     * Parses the header in which a VM reports its load.
+     *
+     * @param header value of the header {@link ExchangeHeaders#load}
+     * @return number of requests of all nodes that run and wait at the VM; empty if the header is invalid
+     */
+    OptionalInt requestsAtVm(String header);
+
     /**
      * Returns the codec for the records in the platform's store.
      *
