Bound the requests to cold VMs over all nodes

Cause: the time for which a VM says that it remains cold was checked and thrown away, and nothing bounded the requests a second to a VM, so a failure domain that returns cold got all that waited at every node.

Change: the time is read from entries and reports and kept by incarnation as an end on the reader's clock. The home nodes of a target have fixed parts of the bound, which two disjoint sets of home nodes keep together; the others send nothing to it. A node that starts or becomes a home node waits until earlier sends count no longer. Free slots and the prediction of waits take the limit into account. Off where the deployment sets no bound or the catalogue no rate.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
@@ -21,6 +21,7 @@
 import org.apricotdeal.proofs.standins.StandinFixture;
 import org.apricotdeal.relay.node.RelayNode;
 import org.apricotdeal.relay.node.RelaySettings;
+import org.apricotdeal.relay.policy.ColdBounds;
 import org.apricotdeal.standins.users.UsersStoreStandin;
 import org.apricotdeal.standins.users.UsersWorkerStandin;
 import org.apricotdeal.wire.gen.TRelayHeartbeat;
@@ -112,7 +113,8 @@
                 10_000,
                 0.2,
                 20,
-                1));
+                1,
+                ColdBounds.OFF));
     }
 
     /** Writes a configuration with a stream route, a booking route and one customer. */
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/UsersRecordsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/UsersRecordsTest.java
@@ -2,9 +2,12 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.apricotdeal.adapter.UsersPlatform;
+import org.apricotdeal.kernel.id.UpstreamId;
 import org.apricotdeal.kernel.result.Result;
+import org.apricotdeal.relay.model.ColdStart;
 import org.apricotdeal.relay.model.GroupPhase;
 import org.apricotdeal.relay.model.RelayCatalogue;
 import org.apricotdeal.relay.model.RetrySafety;
@@ -47,6 +50,18 @@
         assertEquals(vm(ENTRY).orElseThrow().orderCount(), UpstreamVm.ORDER_COUNT_UNKNOWN);
     }
 
+    @Test
+    public void entrySaysHowLongTheVmRemainsCold() {
+        assertEquals(vm(ENTRY).orElseThrow().coldRemainingMillis(), OptionalLong.of(0));
+        assertEquals(cold("2400"), OptionalLong.of(2_400));
+        assertEquals(cold("-1"), OptionalLong.empty(), "not known, and the VM still serves");
+    }
+
+    private static OptionalLong cold(String remainingMillis) {
+        String entry = ENTRY.replace("\"cold-remaining-ms\":0", "\"cold-remaining-ms\":" + remainingMillis);
+        return vm(entry).orElseThrow().coldRemainingMillis();
+    }
+
     @DataProvider
     public Object[][] invalidEntries() {
         return new Object[][] {
@@ -105,7 +120,7 @@
                 "priority":2,"service":"shop","max-attempts":2,"public":true},
                 {"name":"r2","host":"h","path-prefix":"/a/b/","type":"streaming","timeout-ms":8000,
                 "traffic-split":[{"service":"chat","weight":90},{"service":"shop","weight":10}],"stream-resume":true}],
-                "services":[{"name":"chat"},{"name":"shop"}],"limits":{"max-body-bytes":5},
+                "services":[{"name":"chat","cold-start-s":3.0,"cold-per-s":23.0},{"name":"shop"}],"limits":{"max-body-bytes":5},
                 "tenants":[{"name":"c","api-keys":["k1","k2"]}]}""";
         Result<RelayCatalogue, String> read = CODEC.catalogue(json.getBytes(StandardCharsets.UTF_8));
         RelayCatalogue catalogue = ((Result.Ok<RelayCatalogue, String>) read).value();
@@ -117,6 +132,8 @@
         assertEquals(catalogue.route("h", "/a"), Optional.empty());
         assertEquals(catalogue.customer("k2").orElseThrow().name(), "c");
         assertEquals(catalogue.callerLimits().maxBodyBytes(), 5);
+        assertEquals(catalogue.upstreams().get(new UpstreamId("chat")).coldStart(), new ColdStart(3_000, 23));
+        assertEquals(catalogue.upstreams().get(new UpstreamId("shop")).coldStart(), ColdStart.UNLIMITED);
     }
 
     @DataProvider
--- a/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
@@ -13,6 +13,7 @@
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.model.VmReport;
+import org.apricotdeal.relay.policy.ColdBounds;
 import org.apricotdeal.relay.policy.FleetNode;
 import org.apricotdeal.relay.policy.RelayDispatcher;
 import org.apricotdeal.relay.policy.RetryBudget;
@@ -67,7 +68,8 @@
                 10_000,
                 0.2,
                 20,
-                1);
+                1,
+                ColdBounds.OFF);
     }
 
     @Override
--- a/relay/src/main/java/org/apricotdeal/relay/model/UpstreamVm.java
+++ b/relay/src/main/java/org/apricotdeal/relay/model/UpstreamVm.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.apricotdeal.kernel.id.FabricDomainId;
 import org.apricotdeal.kernel.id.FailureDomainId;
@@ -24,6 +25,7 @@
  * @param stagedModels models whose weights are stored on its host
  * @param loadedModel model of its last replica since its start, if known
  * @param group membership in a replica, or empty
+ * @param coldRemainingMillis time for which the VM remained cold when it wrote this; empty if that is not known
  */
 public record UpstreamVm(
         VmId id,
@@ -38,7 +40,8 @@
         long orderCount,
         List<ModelId> stagedModels,
         Optional<ModelId> loadedModel,
-        Optional<GroupMembership> group) {
+        Optional<GroupMembership> group,
+        OptionalLong coldRemainingMillis) {
     /** Order count of a VM that has not reported it; a VM reports it when its state is polled. */
     public static final long ORDER_COUNT_UNKNOWN = -1;
 
@@ -47,6 +50,54 @@
         stagedModels = List.copyOf(stagedModels);
     }
 
+    /**
+     * Creates the state of a VM that is not cold.
+     *
+     * @param id identifies the VM
+     * @param upstream upstream that the VM serves
+     * @param address host and port
+     * @param failureDomain failure domain of the VM
+     * @param fabricDomain fabric domain of the VM; empty for plain services
+     * @param release release of the software that the VM runs; empty if it reports none
+     * @param slots maximum number of concurrent requests
+     * @param leaving true once the VM has announced that it leaves
+     * @param startedWallMillis wall-clock time of its start; identifies the incarnation
+     * @param orderCount number of orders that it has begun since its start, or {@link #ORDER_COUNT_UNKNOWN}
+     * @param stagedModels models whose weights are stored on its host
+     * @param loadedModel model of its last replica since its start, if known
+     * @param group membership in a replica, or empty
+     */
+    public UpstreamVm(
+            VmId id,
+            UpstreamId upstream,
+            String address,
+            FailureDomainId failureDomain,
+            Optional<FabricDomainId> fabricDomain,
+            String release,
+            int slots,
+            boolean leaving,
+            long startedWallMillis,
+            long orderCount,
+            List<ModelId> stagedModels,
+            Optional<ModelId> loadedModel,
+            Optional<GroupMembership> group) {
+        this(
+                id,
+                upstream,
+                address,
+                failureDomain,
+                fabricDomain,
+                release,
+                slots,
+                leaving,
+                startedWallMillis,
+                orderCount,
+                stagedModels,
+                loadedModel,
+                group,
+                OptionalLong.of(0));
+    }
+
     /**
      * Returns whether the VM can join a replica of a model without a load from the weight store.
      *
@@ -109,6 +160,7 @@
                 newOrderCount,
                 newStagedModels,
                 newLoadedModel,
-                newGroup);
+                newGroup,
+                coldRemainingMillis);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/model/VmReport.java
+++ b/relay/src/main/java/org/apricotdeal/relay/model/VmReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.apricotdeal.kernel.id.FabricDomainId;
 
@@ -18,6 +19,7 @@
  * @param waiting number of requests that wait at the VM
  * @param running number of requests that the VM is executing
  * @param slowdown factor by which the VM is slower than normal; 1 is normal
+ * @param coldRemainingMillis time for which the VM remains cold; empty if it does not report it
  */
 public record VmReport(
         Optional<FabricDomainId> fabricDomain,
@@ -29,9 +31,49 @@
         Optional<GroupMembership> group,
         int waiting,
         int running,
-        double slowdown) {
+        double slowdown,
+        OptionalLong coldRemainingMillis) {
     /** Copies the list. */
     public VmReport {
         stagedModels = List.copyOf(stagedModels);
     }
+
+    /**
+     * Creates the report of a VM that does not say whether it is cold.
+     *
+     * @param fabricDomain fabric domain, if the VM reports it
+     * @param startedWallMillis wall-clock time of its start; 0 if the VM does not report it
+     * @param orderCount number of orders that it has begun since its start
+     * @param busy true while it executes an order
+     * @param stagedModels models whose weights are stored on its host
+     * @param loadedModel model of its last replica since its start, if known
+     * @param group membership in a replica, or empty
+     * @param waiting number of requests that wait at the VM
+     * @param running number of requests that the VM is executing
+     * @param slowdown factor by which the VM is slower than normal; 1 is normal
+     */
+    public VmReport(
+            Optional<FabricDomainId> fabricDomain,
+            long startedWallMillis,
+            long orderCount,
+            boolean busy,
+            List<ModelId> stagedModels,
+            Optional<ModelId> loadedModel,
+            Optional<GroupMembership> group,
+            int waiting,
+            int running,
+            double slowdown) {
+        this(
+                fabricDomain,
+                startedWallMillis,
+                orderCount,
+                busy,
+                stagedModels,
+                loadedModel,
+                group,
+                waiting,
+                running,
+                slowdown,
+                OptionalLong.empty());
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -94,6 +94,7 @@
     private final Map<PlannerKey, ReplicaPlanner> planners = new HashMap<>();
     private final PlannerStatisticsLog statisticsLog;
     private final NodeLoadLog nodeLoadLog;
+    private final ColdVmFeed coldVms;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, Long> lastHeardMillis = new HashMap<>();
     private final Set<String> stoppingPeers = new HashSet<>();
@@ -124,6 +125,7 @@
         this.statisticsLog = new PlannerStatisticsLog(log);
         this.metrics = metrics;
         this.nodeLoadLog = new NodeLoadLog(log, metrics);
+        this.coldVms = new ColdVmFeed(settings.coldBounds(), log, metrics);
         this.startedMillis = clock.monotonicMillis();
         this.plannerName = plannerName(settings.name(), clock.wallMillis());
         metrics.register("targets", (Gauge<Integer>) () -> targets.size());
@@ -355,6 +357,9 @@
         if (catalogue == null) {
             return;
         }
+        if (targetsOutdated || coldVms.hasColdVms()) {
+            coldVms.update(table, catalogue, nowMillis).ifPresent(relay::put);
+        }
         if (targetsOutdated) {
             targetsOutdated = false;
             publishTargets();
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelaySettings.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelaySettings.java
@@ -8,6 +8,7 @@
 import org.apricotdeal.kernel.settings.IniFile;
 import org.apricotdeal.kernel.settings.IniSection;
 import org.apricotdeal.kernel.settings.SectionReader;
+import org.apricotdeal.relay.policy.ColdBounds;
 
 /**
  * Settings of a node in relay mode.
@@ -29,6 +30,7 @@
  * @param retryRatio retries allowed per request, over all nodes
  * @param retryAllowance additional retries allowed in a window, over all nodes
  * @param nodes minimum number of nodes among which the allowance is divided; the number of registered nodes if it is larger
+ * @param coldBounds bound on the requests to a cold VM, over all nodes
  */
 public record RelaySettings(
         String name,
@@ -47,7 +49,8 @@
         long retryWindowMillis,
         double retryRatio,
         double retryAllowance,
-        int nodes) {
+        int nodes,
+        ColdBounds coldBounds) {
     /** Section whose presence puts a node into relay mode. */
     public static final String SECTION = "relay";
 
@@ -100,7 +103,8 @@
                 limits.integer("repeatWindowMillis", null, 1, MAX_MILLIS),
                 limits.decimal("repeatRatio", null, 0, 1),
                 limits.decimal("repeatAllowance", null, 0, 1_000_000),
-                (int) limits.integer("nodes", 4L, 1, 10_000));
+                (int) limits.integer("nodes", 4L, 1, 10_000),
+                new ColdBounds(optionalDecimal(limits, "coldOverrun"), optionalDecimal(limits, "coldSlack")));
         for (SectionReader reader : List.of(relay, listen, platform, limits)) {
             reader.reportUnknown();
         }
@@ -111,4 +115,9 @@
         }
         return settings;
     }
+
+    /** Reads a number that a deployment may lack, in which case a filled template leaves it empty; 0 then. */
+    private static double optionalDecimal(SectionReader reader, String key) {
+        return reader.text(key, "").isBlank() ? 0 : reader.decimal(key, 0.0, 0, 1_000_000);
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/HomeNodes.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/HomeNodes.java
@@ -40,17 +40,19 @@
 
     /** Returns whether this node is a home node of a target. */
     boolean isHome(Target target) {
-        if (nodes.size() <= COUNT) {
-            return true;
-        }
+        return nodes.size() <= COUNT || rank(target) < COUNT;
+    }
+
+    /** Returns the number of nodes that precede this one among the home nodes of a target; {@link #COUNT} if it is none. */
+    int rank(Target target) {
         Comparator<FleetNode> order = order(target);
         int preceding = 0;
         for (FleetNode node : nodes) {
             if (order.compare(node, self) < 0 && ++preceding >= COUNT) {
-                return false;
+                return COUNT;
             }
         }
-        return true;
+        return preceding;
     }
 
     /** Returns the number of nodes that share a target with this node: its home nodes, or else all nodes. */
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
@@ -8,6 +8,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -40,6 +42,8 @@
     private Set<FailureDomainId> evacuated = Set.of();
     private RelayCatalogue catalogue;
     private long roundStartedMillis;
+    private final Map<VmId, ColdRateLimit> coldLimits = new HashMap<>();
+    private OptionalLong fleetKnownMillis = OptionalLong.empty();
 
     /**
      * Creates a registry without targets.
@@ -134,6 +138,8 @@
         state.pauseUntil(pausedUntilMillis.getOrDefault(target.id().vm(), NEVER_MILLIS));
         state.setHome(homeNodes.isHome(target));
         state.setEvacuated(evacuated.contains(target.failureDomain()));
+        state.setColdLimit(coldLimit(state));
+        fleetKnownMillis.ifPresent(sinceMillis -> state.setHomeRank(homeNodes.rank(target), sinceMillis));
         queue.averagePeersRunning().ifPresent(average -> state.assumePeersRunning(average, nowMillis));
         beginRound(state, nowMillis);
         return state;
@@ -163,9 +169,33 @@
         targets.values().forEach(state -> state.setEvacuated(domains.contains(state.target.failureDomain())));
     }
 
-    void setNodes(List<FleetNode> nodes) {
+    /**
+     * Sets the VMs that tolerate only a limited rate of requests while they are cold. The limit belongs to the VM, so
+     * that it also holds for a replica that the VM leads next; it is kept until the last requests count no longer.
+     */
+    void setColdVms(Map<VmId, ColdVm> vms, long nowMillis) {
+        coldLimits
+                .entrySet()
+                .removeIf(entry ->
+                        !vms.containsKey(entry.getKey()) && entry.getValue().isIdle(nowMillis));
+        vms.forEach((id, vm) ->
+                coldLimits.computeIfAbsent(id, unknown -> new ColdRateLimit(vm)).set(vm));
+        targets.values().forEach(state -> state.setColdLimit(coldLimit(state)));
+    }
+
+    private Optional<ColdRateLimit> coldLimit(TargetState state) {
+        return Optional.ofNullable(coldLimits.get(state.target.id().vm()));
+    }
+
+    void setNodes(List<FleetNode> nodes, long nowMillis) {
         homeNodes.setNodes(nodes);
-        targets.values().forEach(state -> state.setHome(homeNodes.isHome(state.target)));
+        if (fleetKnownMillis.isEmpty()) {
+            fleetKnownMillis = OptionalLong.of(nowMillis);
+        }
+        for (TargetState state : targets.values()) {
+            state.setHome(homeNodes.isHome(state.target));
+            state.setHomeRank(homeNodes.rank(state.target), nowMillis);
+        }
         queues.values().forEach(QueueState::updateHomeTargets);
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
@@ -76,7 +76,7 @@
         return averagePeersRunning;
     }
 
-    private int usableSlots(long nowMillis) {
+    private int availableSlots(long nowMillis) {
         int sum = 0;
         for (TargetState target : targets) {
             if (target.isAvailable(nowMillis)) {
@@ -87,7 +87,7 @@
     }
 
     QueueDemand readDemand(long nowMillis) {
-        return demand.rates(nowMillis, serviceMillis.value(), usableSlots(nowMillis));
+        return demand.rates(nowMillis, serviceMillis.value(), availableSlots(nowMillis));
     }
 
     /** Returns the earliest time at which a VM wants requests again if all targets are paused; empty otherwise. */
@@ -143,7 +143,10 @@
     QueueEstimate estimate(RequestState request, long nowMillis) {
         int ahead = waiting.headSet(request).size();
         int freeSlots = freeSlots(nowMillis);
-        int usableSlots = usableSlots(nowMillis);
+        int usableSlots = 0;
+        for (TargetState target : targets) {
+            usableSlots += target.usableSlots(serviceMillis.value(), nowMillis);
+        }
         double waitMillis = 0;
         if (ahead >= freeSlots) {
             waitMillis =
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -179,6 +179,7 @@
             case RelayEvent.PeerLoadsChanged(Map<TargetId, Integer> running) -> updatePeerLoads(running);
             case RelayEvent.NodesChanged(List<FleetNode> nodes) -> changeNodes(nodes);
             case RelayEvent.EvacuationsChanged(Set<FailureDomainId> domains) -> changeEvacuations(domains);
+            case RelayEvent.ColdVmsChanged(Map<VmId, ColdVm> vms) -> changeColdVms(vms);
             case RelayEvent.VmPaused(VmId vm, long untilMillis) -> registry.pause(vm, untilMillis, nowMillis);
             case RelayEvent.CrashNewsReceived(CrashNews news) -> {
                 poison.detector().merge(news, nowMillis);
@@ -267,7 +268,7 @@
         if (target.running.isEmpty()) {
             target.lastProgressMillis = nowMillis;
         }
-        target.running.add(request);
+        target.recordSend(request, nowMillis);
         poison.onSend(request, target, nowMillis);
         actions.add(new RelayAction.Send(
                 new AttemptId(request.arrival.id(), request.lastAttemptNumber),
@@ -569,10 +570,15 @@
 
     private void changeNodes(List<FleetNode> nodes) {
         poison.detector().setNodes(nodes.stream().map(FleetNode::name).toList());
-        registry.setNodes(nodes);
+        registry.setNodes(nodes, nowMillis);
         budget.setNodeCount(nodes.size(), nowMillis);
     }
 
+    private void changeColdVms(Map<VmId, ColdVm> vms) {
+        registry.setColdVms(vms, nowMillis);
+        registry.queues().forEach(this::dispatchWaiting);
+    }
+
     private void changeEvacuations(Set<FailureDomainId> domains) {
         registry.setEvacuated(domains);
         registry.queues().forEach(this::dispatchWaiting);
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
@@ -80,6 +80,18 @@
         }
     }
 
+    /**
+     * A VM has become cold, or the VMs have changed that tolerate only a limited rate of requests while they are cold.
+     *
+     * @param vms all such VMs, cold or not
+     */
+    record ColdVmsChanged(Map<VmId, ColdVm> vms) implements RelayEvent {
+        /** Copies the map. */
+        public ColdVmsChanged {
+            vms = Map.copyOf(vms);
+        }
+    }
+
     /**
      * The registered nodes have been listed.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -49,6 +49,9 @@
     private int maxRunningInRound = Integer.MAX_VALUE;
     private boolean home = true;
     private boolean evacuated;
+    private Optional<ColdRateLimit> coldLimit = Optional.empty();
+    private int homeRank = HomeNodes.COUNT;
+    private long coldShareFromMillis = Long.MAX_VALUE;
     private long pausedUntilMillis = NEVER_MILLIS;
 
     TargetState(Target target, QueueState queue) {
@@ -153,6 +156,66 @@
         evacuated = isEvacuated;
     }
 
+    /** Sets the limit that holds while the VM is cold; empty if its VM tolerates any rate of requests. */
+    void setColdLimit(Optional<ColdRateLimit> limit) {
+        coldLimit = limit;
+    }
+
+    /**
+     * Sets the rank of this node among the home nodes. A node that becomes a home node leaves a cold target alone until
+     * what others have sent to it in that role, or this node itself before a restart, counts no longer.
+     *
+     * @param rank rank of this node; {@link HomeNodes#COUNT} if it is no home node
+     * @param sinceMillis monotonic time since which this node has known the fleet
+     */
+    void setHomeRank(int rank, long sinceMillis) {
+        if (homeRank >= HomeNodes.COUNT) {
+            coldShareFromMillis = sinceMillis + ColdRateLimit.WINDOW_MILLIS;
+        }
+        homeRank = rank;
+    }
+
+    private boolean isCold(long nowMillis) {
+        return coldLimit.isPresent() && coldLimit.get().isCold(nowMillis);
+    }
+
+    private boolean hasColdShare(long nowMillis) {
+        return homeRank < HomeNodes.COUNT && nowMillis >= coldShareFromMillis;
+    }
+
+    /** Returns how many requests this node may send with regard to the limit of a cold VM. */
+    private int coldPermits(long nowMillis) {
+        if (!isCold(nowMillis)) {
+            return Integer.MAX_VALUE;
+        }
+        return hasColdShare(nowMillis) ? coldLimit.get().permits(homeRank, nowMillis) : 0;
+    }
+
+    /** Records that a request is sent to the target. */
+    void recordSend(RequestState request, long nowMillis) {
+        running.add(request);
+        coldLimit.ifPresent(limit -> limit.recordSend(nowMillis));
+    }
+
+    /**
+     * Returns the slots with which a waiting request can reckon. A cold target counts for what it may take, and for
+     * nothing if this node sends it nothing.
+     *
+     * @param serviceMillis time that a request occupies a slot
+     * @param nowMillis monotonic time
+     * @return number of slots, occupied or not
+     */
+    int usableSlots(double serviceMillis, long nowMillis) {
+        if (!isAvailable(nowMillis)) {
+            return 0;
+        }
+        if (!isCold(nowMillis)) {
+            return target.slots();
+        }
+        double concurrent = coldLimit.get().concurrentRequests(serviceMillis);
+        return hasColdShare(nowMillis) ? (int) Math.min(target.slots(), Math.ceil(concurrent)) : 0;
+    }
+
     /**
      * Decides whether the target may receive a request now. Every way of sending one asks this method: first attempts,
      * retries, moved and resumed requests, and the probes of suspected targets.
@@ -167,6 +230,9 @@
         if (nowMillis < pausedUntilMillis) {
             return TargetBar.PAUSED;
         }
+        if (coldPermits(nowMillis) == 0) {
+            return TargetBar.COLD;
+        }
         return unbarredSlots(nowMillis) > 0 ? TargetBar.NONE : TargetBar.FULL;
     }
 
@@ -179,7 +245,8 @@
         if (exclusionMillis > 0) {
             return 1;
         }
-        return Math.max(0, Math.min(target.slots() - load(nowMillis), maxRunningInRound - running.size()));
+        int freeInRound = Math.min(target.slots() - load(nowMillis), maxRunningInRound - running.size());
+        return Math.max(0, Math.min(freeInRound, coldPermits(nowMillis)));
     }
 
     /**
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.GroupMembership;
@@ -42,6 +43,17 @@
      */
     private static final long TRUST_OWN_ANSWER_MILLIS = 3_000;
 
+    /** Upper bound on a reported time, far above the time that a VM needs to warm up. */
+    private static final long MAX_COLD_MILLIS = 600_000;
+
+    /**
+     * Difference up to which two reports tell of the same end of the cold state; a VM reports the remaining time again
+     * and again, and the reports arrive with different delays.
+     */
+    private static final long COLD_JITTER_MILLIS = 100;
+
+    private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
     private final Map<VmId, TrackedVm> vms = new HashMap<>();
 
     /** A VM and the origin of its known state. */
@@ -55,6 +67,8 @@
         private long suspectedMillis = Long.MIN_VALUE / 2;
         private long removeAtMillis = Long.MAX_VALUE;
         private boolean leaving;
+        private long coldUntilMillis = NEVER_MILLIS;
+        private long coldnessUnknownMillis = NEVER_MILLIS;
 
         TrackedVm(UpstreamVm vm) {
             this.vm = vm;
@@ -73,6 +87,7 @@
         if (tracked == null || entry.startedWallMillis() > tracked.vm.startedWallMillis()) {
             TrackedVm added = new TrackedVm(entry);
             added.groupChangedMillis = nowMillis;
+            recordColdness(added, entry.coldRemainingMillis(), nowMillis);
             vms.put(entry.id(), added);
             return false;
         }
@@ -80,6 +95,7 @@
             return false;
         }
         tracked.removeAtMillis = Long.MAX_VALUE;
+        recordColdness(tracked, entry.coldRemainingMillis(), nowMillis);
         UpstreamVm current = entry.withOrdersAndGroup(tracked.vm.orderCount(), mostAdvanced(tracked, entry.group()));
         update(tracked, tracked.leaving ? current.withLeaving() : current, nowMillis);
         return entry.group().isEmpty() && tracked.vm.group().isPresent();
@@ -167,6 +183,9 @@
         if (report.startedWallMillis() != 0 && report.startedWallMillis() != tracked.vm.startedWallMillis()) {
             return;
         }
+        if (report.coldRemainingMillis().isPresent()) {
+            recordColdness(tracked, report.coldRemainingMillis(), nowMillis);
+        }
         if (report.orderCount() < tracked.vm.orderCount()) {
             return;
         }
@@ -262,6 +281,38 @@
         return order > 0 ? reported : before;
     }
 
+    /**
+     * Records for how long a VM remains cold. The time counts from its arrival, since the age of a report is not known,
+     * and a report never shortens an earlier one, since reports overtake each other.
+     */
+    private static void recordColdness(TrackedVm tracked, OptionalLong remainingMillis, long nowMillis) {
+        if (remainingMillis.isEmpty()) {
+            if (tracked.coldnessUnknownMillis == NEVER_MILLIS) {
+                tracked.coldnessUnknownMillis = nowMillis;
+            }
+            return;
+        }
+        long endMillis = nowMillis + Math.min(MAX_COLD_MILLIS, remainingMillis.getAsLong());
+        if (remainingMillis.getAsLong() > 0 && endMillis > tracked.coldUntilMillis + COLD_JITTER_MILLIS) {
+            tracked.coldUntilMillis = endMillis;
+        }
+    }
+
+    /**
+     * Returns the time until which a VM is cold. A VM that has reported an unusable time is taken for cold as after a
+     * start, once in an incarnation.
+     *
+     * @param id identifies the VM
+     * @param startMillis time for which a VM is cold after a start
+     * @return monotonic time; in the past if the VM is not cold
+     */
+    public long coldUntilMillis(VmId id, long startMillis) {
+        TrackedVm tracked = vms.get(id);
+        return tracked == null
+                ? NEVER_MILLIS
+                : Math.max(tracked.coldUntilMillis, tracked.coldnessUnknownMillis + startMillis);
+    }
+
     /**
      * Records that a VM did not answer a state request.
      *
