Scale a node's part of scarce slots by the load that targets report

Change: ShareScale, additive increase and multiplicative decrease by the waiting requests that answers report. Measured: PlacementAtScaleTest, NodesShareTargetsTest, ColdVmsTest pass.

--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
@@ -218,6 +218,7 @@
     void recordReportedLoad(TargetState state, int requests, long nowMillis) {
         if (homeNodes.areFew()) {
             state.recordReportedLoad(requests, nowMillis);
+            state.queue().shareScale.record(requests, state.target.slots());
         }
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
@@ -31,6 +31,7 @@
     final MovingAverage serviceMillis;
     final MovingAverage startMillis;
     final DemandMeter demand = new DemandMeter();
+    final ShareScale shareScale = new ShareScale();
     long lastRefusedMillis = Long.MIN_VALUE / 2;
     long newCallerRefusedMillis = Long.MIN_VALUE / 2;
     long nextReturnAtMillis;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -278,7 +278,8 @@
         }
         int freeSlots = Math.max(0, target.slots() - load(nowMillis));
         boolean onlyChoice = queue.homeTargets.isEmpty();
-        maxRunningInRound = running.size() + share.requestsInRound(freeSlots, target.slots(), onlyChoice, draw);
+        maxRunningInRound = running.size()
+                + share.requestsInRound(freeSlots, target.slots(), onlyChoice, queue.shareScale.value(), draw);
     }
 
     /** Returns whether requests may be sent to the target when it has a free slot. */
