--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
@@ -57,11 +57,9 @@
                 "n1",
                 "a",
                 List.of(new FailureDomainId("a")),
-                callerAddress,
-                readinessAddress,
-                peerAddress,
-                freeAddress(),
-                drainMillis);
+                new Ports(callerAddress, readinessAddress, peerAddress, freeAddress()),
+                drainMillis,
+                store.address());
         node.start();
     }
 
@@ -75,37 +73,44 @@
 
     /** Adds a node to a fleet with failure domains {@code d0}, {@code d1} and so on, which differ from that of the VMs. */
     Member addNode(String name, String failureDomain, int domains) throws Exception {
+        return addNode(name, failureDomain, domains, store.address());
+    }
+
+    /** Adds a node that reaches the store at the given address. */
+    Member addNode(String name, String failureDomain, int domains, String storeAddress) throws Exception {
         List<FailureDomainId> all = new ArrayList<>();
         for (int i = 0; i < domains; i++) {
             all.add(new FailureDomainId("d" + i));
         }
         String callers = freeAddress();
         String metrics = freeAddress();
-        RelayNode added = node(name, failureDomain, all, callers, freeAddress(), freeAddress(), metrics, DRAIN_MILLIS);
+        Ports ports = new Ports(callers, freeAddress(), freeAddress(), metrics);
+        RelayNode added = node(name, failureDomain, all, ports, DRAIN_MILLIS, storeAddress);
         added.start();
         return new Member(added, callers, metrics);
     }
 
-    private RelayNode node(
+    /** Addresses of a node's ports. */
+    private record Ports(String callers, String readiness, String peers, String metrics) {}
+
+    private static RelayNode node(
             String name,
             String failureDomain,
             List<FailureDomainId> domains,
-            String callers,
-            String readiness,
-            String peers,
-            String metrics,
-            long drainMillis) {
+            Ports ports,
+            long drainMillis,
+            String storeAddress) {
         return new RelayNode(new RelaySettings(
                 name,
                 new FailureDomainId(failureDomain),
                 domains,
                 false,
-                callers,
-                readiness,
-                peers,
-                HostPort.parse(metrics).port(),
+                ports.callers(),
+                ports.readiness(),
+                ports.peers(),
+                HostPort.parse(ports.metrics()).port(),
                 "users",
-                store.address(),
+                storeAddress,
                 500,
                 1_000,
                 drainMillis,
@@ -117,7 +122,14 @@
 
     /** Writes a configuration with a stream route, a booking route and one customer. */
     void configure(long version, String... keys) {
-        String written = """
+        String written = configuration(version, keys);
+        catalogueBytes = written.length();
+        store.put("op/config", written);
+    }
+
+    /** Returns the configuration that {@link #configure} writes. */
+    static String configuration(long version, String... keys) {
+        return """
                 {"version":%d,"routes":[
                 {"name":"talk","host":"h.example","path-prefix":"/talk/","type":"streaming","timeout-ms":6000,
                 "target-latency-ms":500,"priority":0,"service":"chat","max-attempts":2,"public":false,
@@ -136,8 +148,6 @@
                 "limits":{"max-header-bytes":16384,"max-body-bytes":100000,"header-timeout-ms":3000,
                 "idle-timeout-ms":15000},
                 "tenants":[{"name":"customer-1","api-keys":["%s"],"priority":1}]}""".formatted(version, String.join("\",\"", keys));
-        catalogueBytes = written.length();
-        store.put("op/config", written);
     }
 
     /** Writes a configuration whose only route takes every path, for bookings of one customer. */
--- a/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
@@ -37,6 +39,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -126,6 +129,32 @@
         }
     }
 
+    /**
+     * An attempt that was chosen before the operator's word and begins after it reaches no VM, and does not make the VM
+     * suspect.
+     */
+    @Test
+    public void attemptThatBeginsInEvacuatedDomainReachesNoVm() throws Exception {
+        AtomicInteger reached = new AtomicInteger();
+        try (ScriptedServer vm = new ScriptedServer(connection -> {
+                    answer(connection);
+                    reached.incrementAndGet();
+                });
+                Node node = new Node(Fault.NONE, domain -> true)) {
+            node.relay.put(new RelayEvent.TargetsChanged(List.of(target("v0", vm.address()))));
+            for (int i = 0; i < CALLERS; i++) {
+                try (Socket caller = node.call("r" + i)) {
+                    String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+                    assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+                    assertTrue(answer.contains("Retry-After"), answer);
+                }
+            }
+            assertEquals(reached.get(), 0);
+            assertEquals(node.metrics.counter("attempts.failed.WITHHELD").getCount(), CALLERS);
+            assertEquals(node.metrics.counter("targets.doubted").getCount(), 0);
+        }
+    }
+
     private static void hang(ScriptedServer.Connection connection) throws IOException {
         while (true) {
             connection.read();
@@ -152,6 +181,7 @@
     /** The part of a node between callers and VMs, without the store. */
     private static final class Node implements AutoCloseable {
         private final RelayDuty relay;
+        private final MetricRegistry metrics;
         private final DecisionLog log;
         private final QueuedThreadPool threads = RelayClients.newThreadPool();
         private final HttpClient client;
@@ -159,8 +189,12 @@
         private final CallerConnector callers;
 
         Node(Fault fault) throws Exception {
+            this(fault, domain -> false);
+        }
+
+        Node(Fault fault, Predicate<FailureDomainId> evacuated) throws Exception {
             SystemClock clock = new SystemClock();
-            MetricRegistry metrics = new FailingMetrics(fault.failingMetric);
+            metrics = new FailingMetrics(fault.failingMetric);
             log = new DecisionLog(System.out, metrics);
             client = RelayClients.startClient(threads, new UpstreamConnector());
             UpstreamRequest.Factory requests =
@@ -178,7 +212,7 @@
                     new RetryBudget(10_000, 0.2, 20, 1),
                     fault == Fault.STEP ? failingRandom : random);
             UsersPlatform adapter = new UsersPlatform();
-            relay = new RelayDuty(dispatcher, requests, adapter.headers(), clock, random, log, metrics);
+            relay = new RelayDuty(dispatcher, requests, adapter.headers(), evacuated, clock, random, log, metrics);
             CatalogueHolder catalogues = new CatalogueHolder(adapter.codec(), log);
             catalogues.subscribe(catalogue -> relay.put(new RelayEvent.CatalogueChanged(catalogue)));
             catalogues.offer(CONFIGURATION.getBytes(StandardCharsets.UTF_8), "test");
--- a/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
@@ -4,7 +4,9 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
 import org.apache.commons.rng.simple.RandomSource;
@@ -35,20 +37,40 @@
     }
 
     FleetDutyFixture(Clock clock, VmClient vmClient) {
+        this(clock, vmClient, true);
+    }
+
+    /** Creates a fleet duty that knows that nothing is evacuated, or does not know it yet. */
+    FleetDutyFixture(Clock clock, VmClient vmClient, boolean knowsEvacuations) {
         MetricRegistry metrics = new MetricRegistry();
         log = new DecisionLog(new PrintStream(written, true, StandardCharsets.UTF_8), metrics);
         RelayDispatcher dispatcher = new RelayDispatcher(
                 new FleetNode("n1", OWN_DOMAIN),
                 new RetryBudget(10_000, 0.2, 20, 1),
                 RandomSource.SPLIT_MIX_64.create(1));
-        relay = new RelayDuty(dispatcher, null, null, clock, RandomSource.SPLIT_MIX_64.create(2), log, metrics);
+        relay = new RelayDuty(
+                dispatcher, null, null, domain -> false, clock, RandomSource.SPLIT_MIX_64.create(2), log, metrics);
         fleet = new FleetDuty(settings(), relay, vmClient, clock, log, metrics);
+        if (knowsEvacuations) {
+            fleet.put(new FleetEvent.EvacuationsChanged(Set.of()));
+        }
     }
 
     String logText() {
         return written.toString(StandardCharsets.UTF_8);
     }
 
+    /** Waits until a text is in the log, which is written by a thread of its own. */
+    void awaitLog(String text) {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        while (!logText().contains(text)) {
+            if (System.nanoTime() > endNanos) {
+                throw new AssertionError("no " + text + " in the log: " + logText());
+            }
+            Thread.onSpinWait();
+        }
+    }
+
     private static RelaySettings settings() {
         return new RelaySettings(
                 "n1",
@@ -78,7 +100,7 @@
     }
 
     /** Client whose orders have an unknown outcome and whose reports fail. */
-    private static final class UnreachableVmClient implements VmClient {
+    static final class UnreachableVmClient implements VmClient {
         @Override
         public CompletableFuture<OrderReply> order(
                 UpstreamVm vm, long expected, ReplicaOrder order, long timeoutMillis) {
--- a/proofs/src/test/java/org/apricotdeal/relay/node/ReadinessTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/ReadinessTest.java
@@ -1,6 +1,7 @@
 package org.apricotdeal.relay.node;
 
 import java.util.List;
+import java.util.Set;
 
 import org.apricotdeal.kernel.time.SystemClock;
 import org.testng.annotations.Test;
@@ -23,4 +24,19 @@
             assertTrue(fixture.fleet.hasPublishedTargets());
         }
     }
+
+    /** A node that starts during an evacuation must not send anything to VMs before it knows of it. */
+    @Test
+    public void unknownEvacuationsKeepTheNodeFromGettingTargets() throws Exception {
+        try (FleetDutyFixture fixture =
+                new FleetDutyFixture(new SystemClock(), new FleetDutyFixture.UnreachableVmClient(), false)) {
+            fixture.fleet.put(new FleetEvent.AllVmsListed(List.of(), Long.MAX_VALUE));
+            fixture.fleet.put(new FleetEvent.CatalogueChanged(UnregisteredPlannerTest.catalogue()));
+            Thread.sleep(TICKS_MILLIS);
+            assertFalse(fixture.fleet.hasPublishedTargets());
+            fixture.fleet.put(new FleetEvent.EvacuationsChanged(Set.of()));
+            Thread.sleep(TICKS_MILLIS);
+            assertTrue(fixture.fleet.hasPublishedTargets());
+        }
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/CatalogueHolder.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CatalogueHolder.java
@@ -43,16 +43,21 @@
         return snapshot == null ? 0 : snapshot.catalogue().version();
     }
 
-    /** Parses a catalogue and puts it in force if it is newer than the current one. */
-    void offer(byte[] bytes, String source) {
-        switch (codec.catalogue(bytes)) {
-            case Result.Ok<RelayCatalogue, String>(RelayCatalogue newCatalogue) -> adopt(newCatalogue, bytes, source);
-            case Result.Err<RelayCatalogue, String>(String reason) ->
+    /** Parses a catalogue and puts it in force if it is newer than the current one; returns false if it is unreadable. */
+    boolean offer(byte[] bytes, String source) {
+        return switch (codec.catalogue(bytes)) {
+            case Result.Ok<RelayCatalogue, String>(RelayCatalogue newCatalogue) -> {
+                adopt(newCatalogue, bytes, source);
+                yield true;
+            }
+            case Result.Err<RelayCatalogue, String>(String reason) -> {
                 log.state("catalogue_unreadable")
                         .with("from", source)
                         .with("reason", reason)
                         .write();
-        }
+                yield false;
+            }
+        };
     }
 
     private synchronized void adopt(RelayCatalogue newCatalogue, byte[] bytes, String source) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -92,6 +92,7 @@
     private final ProcessDelay ownDelay = new ProcessDelay(MAX_GAP_MILLIS);
     private final Map<VmId, Long> lastPollMillis = new HashMap<>();
     private final Map<PlannerKey, ReplicaPlanner> planners = new HashMap<>();
+    private final FleetEvacuations evacuations;
     private final PlannerStatisticsLog statisticsLog;
     private final NodeLoadLog nodeLoadLog;
     private final Map<String, Peer> peers = new HashMap<>();
@@ -123,6 +124,7 @@
         this.log = log;
         this.statisticsLog = new PlannerStatisticsLog(log);
         this.metrics = metrics;
+        this.evacuations = new FleetEvacuations(log, metrics);
         this.nodeLoadLog = new NodeLoadLog(log, metrics);
         this.startedMillis = clock.monotonicMillis();
         this.plannerName = plannerName(settings.name(), clock.wallMillis());
@@ -215,6 +217,8 @@
                 catalogue = adopted;
                 targetsOutdated = true;
             }
+            case FleetEvent.EvacuationsChanged(Set<FailureDomainId> domains) ->
+                evacuations.change(domains).forEach(vm -> poll(vm, 0));
             case FleetEvent.PeersListed(List<Peer> listed) -> applyPeerList(listed);
             case FleetEvent.HeartbeatReceived(
                     Peer sender,
@@ -352,9 +356,10 @@
         pollUnresponsiveVms();
         unresponsiveVms = table.recentlyUnresponsive(nowMillis);
         nodeLoadLog.tick(nowMillis);
-        if (catalogue == null) {
+        if (catalogue == null || !evacuations.isKnown()) {
             return;
         }
+        evacuations.tick(nowMillis, targets, relay.running());
         if (targetsOutdated) {
             targetsOutdated = false;
             publishTargets();
@@ -376,7 +381,7 @@
 
     private void poll(VmId id, long periodMillis) {
         long nowMillis = clock.monotonicMillis();
-        Optional<UpstreamVm> vm = table.find(id).filter(this::hasEngine);
+        Optional<UpstreamVm> vm = table.find(id).filter(this::hasEngine).filter(evacuations::mayPoll);
         Long lastMillis = lastPollMillis.get(id);
         if (vm.isEmpty() || (lastMillis != null && nowMillis - lastMillis < periodMillis)) {
             return;
@@ -421,9 +426,10 @@
         List<PlannerChoice.Candidate> candidates = candidates(nowMillis);
         Set<PlannerKey> ownPlanners = new HashSet<>();
         for (FailureDomainId domain : settings.failureDomains()) {
-            boolean isPlanner = PlannerChoice.planner(domain, candidates)
-                    .filter(settings.name()::equals)
-                    .isPresent();
+            boolean isPlanner = !evacuations.contains(domain)
+                    && PlannerChoice.planner(domain, candidates)
+                            .filter(settings.name()::equals)
+                            .isPresent();
             for (UpstreamEntry upstream : catalogue.upstreams().values()) {
                 if (isPlanner && upstream.engine().isPresent()) {
                     ownPlanners.add(new PlannerKey(domain, upstream.id()));
@@ -489,7 +495,7 @@
                 vms,
                 unresponsive,
                 startup,
-                1.0 / Math.max(1, settings.failureDomains().size()),
+                evacuations.loadShare(settings.failureDomains()),
                 demand,
                 startup ? Map.of() : replicasInOtherDomains(key)));
         planned.forEach(order -> send(key, order));
@@ -506,7 +512,8 @@
         Map<ModelId, Integer> counts = new HashMap<>();
         for (Target target : targets) {
             if (target.queue().upstream().equals(key.upstream())
-                    && !target.failureDomain().equals(key.failureDomain())) {
+                    && !target.failureDomain().equals(key.failureDomain())
+                    && !evacuations.contains(target.failureDomain())) {
                 target.queue().model().ifPresent(model -> counts.merge(model, 1, Integer::sum));
             }
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetEvent.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
+import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.relay.model.RelayCatalogue;
@@ -39,6 +41,9 @@
     /** A catalogue came into force. */
     record CatalogueChanged(RelayCatalogue catalogue) implements FleetEvent {}
 
+    /** The operator's words are known, and these failure domains are being evacuated: all of them. */
+    record EvacuationsChanged(Set<FailureDomainId> domains) implements FleetEvent {}
+
     /** The nodes registered in the store were listed. */
     record PeersListed(List<Peer> peers) implements FleetEvent {}
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -47,8 +47,8 @@
 
 /**
  * Exchanges heartbeats with the nodes that {@link HeartbeatPartners} chooses. A heartbeat carries the number of requests at
- * each target and the nodes recently heard, and if the receiver needs them, changes of VM entries and the catalogue. The
- * response to a heartbeat is a heartbeat of the receiver.
+ * each target, the nodes recently heard, the version of the sender's catalogue and the operator's evacuations, and changes
+ * of VM entries if the receiver needs them. The response to a heartbeat is a heartbeat of the receiver.
  */
 final class Heartbeats extends Handler.Abstract implements AutoCloseable {
     /** Path of heartbeats on the port for peers. */
@@ -57,19 +57,26 @@
     /** Time between two heartbeats; request counts take up to three heartbeats to spread, and are used for 1.5 s. */
     private static final long PERIOD_MILLIS = 200;
 
+    /** Time after which a heartbeat counts as lost and the next one is sent. */
     private static final long TIMEOUT_MILLIS = 600;
+
+    /**
+     * Time for which a response is awaited. A node with little processor time gets all responses late, and would otherwise
+     * learn nothing of the operator's words; what else they say is outdated by then.
+     */
+    private static final long MAX_RESPONSE_MILLIS = 2_000;
+
     private static final int RING_SLOTS = 16;
 
-    /** Large enough for a catalogue with thousands of routes and the entries of thousands of VMs. */
+    /** Large enough for the entries of thousands of VMs. */
     private static final int MAX_HEARTBEAT_BYTES = 16 * 1024 * 1024;
 
-    /** Nodes normally read a new catalogue from the store within this time; only then is it sent to them. */
-    private static final long MAX_CATALOGUE_LAG_MILLIS = 500;
-
     private final HttpClient client;
     private final RelayDuty relay;
     private final FleetDuty fleet;
     private final CatalogueHolder catalogues;
+    private final CataloguePull cataloguePull;
+    private final EvacuationHolder evacuations;
     private final CatalogueWatcher catalogueWatcher;
     private final VmWatcher vms;
     private final Clock clock;
@@ -83,7 +90,9 @@
     /** Last reported state of each peer, by name. */
     private final Map<String, PeerState> peerStates = new ConcurrentHashMap<>();
 
-    private final Map<String, Boolean> pendingPeers = new ConcurrentHashMap<>();
+    /** Time at which the last heartbeat was sent to each peer that has not responded to it. */
+    private final Map<String, Long> pendingSinceMillis = new ConcurrentHashMap<>();
+
     private Duty<Runnable> duty;
     private volatile boolean delegate = true;
     private volatile boolean storeFollower = true;
@@ -91,12 +100,11 @@
     /**
      * State of a peer as reported in its last heartbeat.
      *
-     * @param behindSinceMillis time since which its catalogue has been older than this node's; 0 if it is not older
      * @param storeAway whether it cannot reach the store
      * @param vmRevision revision of the store up to which it knows the VM entries
      * @param crashDigest digest of the crashes and trials that it knows of
      */
-    private record PeerState(long behindSinceMillis, boolean storeAway, long vmRevision, long crashDigest) {}
+    private record PeerState(boolean storeAway, long vmRevision, long crashDigest) {}
 
     Heartbeats(
             TRelayNode self,
@@ -104,6 +112,8 @@
             RelayDuty relay,
             FleetDuty fleet,
             CatalogueHolder catalogues,
+            CataloguePull cataloguePull,
+            EvacuationHolder evacuations,
             CatalogueWatcher catalogueWatcher,
             VmWatcher vms,
             Clock clock,
@@ -113,6 +123,8 @@
         this.relay = relay;
         this.fleet = fleet;
         this.catalogues = catalogues;
+        this.cataloguePull = cataloguePull;
+        this.evacuations = evacuations;
         this.catalogueWatcher = catalogueWatcher;
         this.vms = vms;
         this.clock = clock;
@@ -147,13 +159,18 @@
             relay.put(new RelayEvent.PeerLoadsChanged(loads.sumOfOthers(clock.monotonicMillis())));
         }
         for (Peer peer : snapshot.peers()) {
-            // Only one request per peer at a time, so that heartbeats do not accumulate for an unresponsive peer.
-            if (recipients.contains(peer.name()) && pendingPeers.putIfAbsent(peer.name(), true) == null) {
+            if (recipients.contains(peer.name()) && !isPending(peer)) {
                 send(peer);
             }
         }
     }
 
+    /** Returns whether a heartbeat is under way, so that they do not accumulate for an unresponsive peer. */
+    private boolean isPending(Peer peer) {
+        Long sinceMillis = pendingSinceMillis.get(peer.name());
+        return sinceMillis != null && clock.monotonicMillis() - sinceMillis < TIMEOUT_MILLIS;
+    }
+
     private void setDelegate(boolean isDelegate) {
         if (delegate != isDelegate) {
             log.state(isDelegate ? "delegate_took_over" : "delegate_yielded")
@@ -179,20 +196,32 @@
         Request request = client.newRequest(address.host(), address.port())
                 .method(HttpMethod.POST)
                 .path(PATH)
-                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .timeout(MAX_RESPONSE_MILLIS, TimeUnit.MILLISECONDS)
                 .body(new BytesRequestContent(body));
+        long sentMillis = clock.monotonicMillis();
+        pendingSinceMillis.put(peer.name(), sentMillis);
         var unused = new CompletableResponseListener(request, MAX_HEARTBEAT_BYTES)
                 .send()
                 .whenComplete((response, failure) -> {
-                    pendingPeers.remove(peer.name());
+                    pendingSinceMillis.remove(peer.name(), sentMillis);
                     if (failure != null
                             || response.getStatus() != HttpStatus.OK_200
-                            || receive(response.getContent()).isEmpty()) {
+                            || !receiveResponse(response.getContent(), sentMillis)) {
                         metrics.counter("heartbeats.failed").inc();
                     }
                 });
     }
 
+    /** Processes a response; returns false if it is invalid or late, with only the operator's words taken from it. */
+    private boolean receiveResponse(byte[] content, long sentMillis) {
+        if (clock.monotonicMillis() - sentMillis < TIMEOUT_MILLIS) {
+            return receive(content).isPresent();
+        }
+        metrics.counter("heartbeats.late").inc();
+        decode(content).ifPresent(this::receiveOperatorWords);
+        return false;
+    }
+
     private TRelayHeartbeat heartbeat(TRelayScope scope, Map<TargetId, Integer> running) {
         List<TRelayLoad> loadList = new ArrayList<>(running.size());
         running.forEach(
@@ -204,6 +233,7 @@
         heartbeat.setStoreAway(vms.isStoreFailing() || catalogueWatcher.isStoreFailing());
         heartbeat.setStopping(fleet.isStopping());
         heartbeat.setCrashDigest(relay.crashNews().digest());
+        EvacuationCodec.encode(evacuations.current(), heartbeat);
         long nowMillis = clock.monotonicMillis();
         fleet.recentlySeenNodes()
                 .forEach(node -> heartbeat.addToSeen(
@@ -219,18 +249,9 @@
     }
 
     /**
-     * Adds the catalogue if the receiver has an older one, changes of VMs if it does not watch them in the store, and
-     * crashes if it does not know the same ones.
+     * Adds changes of VMs if the receiver does not watch them in the store, and crashes if it does not know the same ones.
      */
     private void addMissingUpdates(TRelayHeartbeat heartbeat, PeerState receiver, boolean needsVmUpdates) {
-        long behindSinceMillis = receiver.behindSinceMillis();
-        boolean sendCatalogue = behindSinceMillis > 0
-                && (receiver.storeAway() || clock.monotonicMillis() - behindSinceMillis >= MAX_CATALOGUE_LAG_MILLIS);
-        if (sendCatalogue) {
-            ByteBuffer catalogue = catalogues.bytes();
-            metrics.counter("catalogues.sent.bytes").inc(catalogue.remaining());
-            heartbeat.setCatalogue(catalogue);
-        }
         CrashNews crashNews = relay.crashNews();
         if (receiver.crashDigest() != crashNews.digest()) {
             heartbeat.setCrashDigest(crashNews.digest());
@@ -288,16 +309,36 @@
 
     /** Parses and processes a heartbeat; returns its sender, or empty if it is invalid. */
     private Optional<Peer> receive(byte[] bytes) {
+        try {
+            return decode(bytes).map(this::receive);
+        } catch (IllegalArgumentException e) {
+            logUnreadable(e);
+            return Optional.empty();
+        }
+    }
+
+    private Optional<TRelayHeartbeat> decode(byte[] bytes) {
         try {
             TRelayHeartbeat heartbeat = new TRelayHeartbeat();
             new TDeserializer(new TCompactProtocol.Factory()).deserialize(heartbeat, bytes);
-            return Optional.of(receive(heartbeat));
-        } catch (TException | IllegalArgumentException e) {
-            log.state("heartbeat_unreadable").with("reason", e).write();
+            return Optional.of(heartbeat);
+        } catch (TException e) {
+            logUnreadable(e);
             return Optional.empty();
         }
     }
 
+    private void logUnreadable(Exception reason) {
+        log.state("heartbeat_unreadable").with("reason", reason).write();
+    }
+
+    /** Takes the evacuations and the version of the catalogue, which hold however late they come. */
+    private void receiveOperatorWords(TRelayHeartbeat heartbeat) {
+        Peer sender = Registration.peer(heartbeat.getSender());
+        EvacuationCodec.decode(heartbeat).ifPresent(told -> evacuations.offer(told, sender.name()));
+        cataloguePull.heard(sender, heartbeat.getCatalogueVersion());
+    }
+
     private Peer receive(TRelayHeartbeat heartbeat) {
         metrics.counter("heartbeats.taken").inc();
         long nowMillis = clock.monotonicMillis();
@@ -305,16 +346,14 @@
         synchronized (partners) {
             partners.recordHeartbeat(sender.name(), nowMillis);
         }
-        if (heartbeat.isSetCatalogue() && heartbeat.getCatalogueVersion() > catalogues.version()) {
-            catalogues.offer(heartbeat.getCatalogue(), sender.name());
-        }
+        receiveOperatorWords(heartbeat);
         if (heartbeat.isSetVmNews()) {
             vms.applyPeerUpdate(VmUpdateCodec.decode(heartbeat.getVmNews()), heartbeat.getVmAgeMillis());
         }
         if (heartbeat.isSetCrashes() || heartbeat.isSetTrials()) {
             relay.put(new RelayEvent.CrashNewsReceived(CrashNewsCodec.decode(heartbeat, nowMillis)));
         }
-        recordPeerState(sender, heartbeat, nowMillis);
+        recordPeerState(sender, heartbeat);
         recordLoads(sender, heartbeat, nowMillis);
         if (heartbeat.isSetSilentVms()) {
             Map<VmId, Long> missedMillis = new HashMap<>();
@@ -333,17 +372,10 @@
         return sender;
     }
 
-    private void recordPeerState(Peer sender, TRelayHeartbeat heartbeat, long nowMillis) {
-        boolean behind = heartbeat.getCatalogueVersion() < catalogues.version();
-        peerStates.compute(sender.name(), (name, previous) -> {
-            long sinceMillis =
-                    previous == null || previous.behindSinceMillis() == 0 ? nowMillis : previous.behindSinceMillis();
-            return new PeerState(
-                    behind ? sinceMillis : 0,
-                    heartbeat.isStoreAway(),
-                    heartbeat.getVmRevision(),
-                    heartbeat.getCrashDigest());
-        });
+    private void recordPeerState(Peer sender, TRelayHeartbeat heartbeat) {
+        peerStates.put(
+                sender.name(),
+                new PeerState(heartbeat.isStoreAway(), heartbeat.getVmRevision(), heartbeat.getCrashDigest()));
     }
 
     private void recordLoads(Peer sender, TRelayHeartbeat heartbeat, long nowMillis) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -9,11 +9,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apricotdeal.kernel.duty.Duty;
+import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.UpstreamId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.kernel.time.Clock;
@@ -61,6 +63,7 @@
     private final RelayDispatcher dispatcher;
     private final UpstreamRequest.Factory requests;
     private final ExchangeHeaders headerNames;
+    private final Predicate<FailureDomainId> evacuated;
     private final Clock clock;
     private final UniformRandomProvider random;
     private final DecisionLog log;
@@ -93,6 +96,7 @@
             RelayDispatcher dispatcher,
             UpstreamRequest.Factory requests,
             ExchangeHeaders headerNames,
+            Predicate<FailureDomainId> evacuated,
             Clock clock,
             UniformRandomProvider random,
             DecisionLog log,
@@ -100,6 +104,7 @@
         this.dispatcher = dispatcher;
         this.requests = requests;
         this.headerNames = headerNames;
+        this.evacuated = evacuated;
         this.clock = clock;
         this.random = random;
         this.log = log;
@@ -424,7 +429,7 @@
         if (exchange == null) {
             return;
         }
-        UpstreamAttempt attempt = new UpstreamAttempt(exchange, send, headerNames, clock, this, bufferLimit);
+        UpstreamAttempt attempt = new UpstreamAttempt(exchange, send, headerNames, evacuated, clock, this, bufferLimit);
         exchange.setAttempt(attempt);
         long nowMillis = clock.monotonicMillis();
         log.request("sent")
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -44,6 +44,7 @@
     private final RelayDuty relay;
     private final FleetDuty fleet;
     private final CatalogueHolder catalogues;
+    private final EvacuationHolder evacuations;
     private final Registration registration;
     private final Heartbeats heartbeats;
     private final IngressHandler ingress;
@@ -73,7 +74,9 @@
         RelayDispatcher dispatcher =
                 new RelayDispatcher(new FleetNode(settings.name(), settings.failureDomain()), budget, random);
         UpstreamRequest.Factory requests = (address, target) -> new UpstreamRequest(client, address, target);
-        relay = new RelayDuty(dispatcher, requests, adapter.headers(), clock, random, log, metrics);
+        evacuations = new EvacuationHolder(settings.failureDomains(), clock, log, metrics);
+        relay = new RelayDuty(
+                dispatcher, requests, adapter.headers(), evacuations::isEvacuated, clock, random, log, metrics);
         fleet = new FleetDuty(settings, relay, adapter.vmClient(client), clock, log, metrics);
         relay.onSuspectedVms(fleet::suspect);
         relay.onLeavingVms(target -> fleet.put(new FleetEvent.VmLeaves(target)));
@@ -82,15 +85,22 @@
             relay.put(new RelayEvent.CatalogueChanged(catalogue));
             fleet.put(new FleetEvent.CatalogueChanged(catalogue));
         });
+        evacuations.subscribe(domains -> {
+            relay.put(new RelayEvent.EvacuationsChanged(domains));
+            fleet.put(new FleetEvent.EvacuationsChanged(domains));
+        });
         TRelayNode self = new TRelayNode(
                 settings.name(), settings.failureDomain().value(), settings.peerAddress(), clock.wallMillis());
         registration = new Registration(self, store, fleet, clock, log);
         VmWatcher vms = new VmWatcher(store, adapter.codec(), fleet, clock, log);
-        CatalogueWatcher watcher = new CatalogueWatcher(store, adapter.codec(), catalogues, clock, log);
+        CatalogueWatcher watcher = new CatalogueWatcher(store, adapter.codec(), catalogues, evacuations, clock, log);
         storeThreads = List.of(watcher, vms, registration);
-        heartbeats = new Heartbeats(self, client, relay, fleet, catalogues, watcher, vms, clock, log, metrics);
+        CataloguePull cataloguePull = new CataloguePull(client, catalogues, watcher::isStoreFailing, clock, metrics);
+        heartbeats = new Heartbeats(
+                self, client, relay, fleet, catalogues, cataloguePull, evacuations, watcher, vms, clock, log, metrics);
         ingress = new IngressHandler(catalogues, adapter, relay, clock);
-        server = new RelayServer(settings, threads, ingress, heartbeats, this::isReady, metrics, catalogues);
+        server = new RelayServer(
+                settings, threads, ingress, heartbeats, cataloguePull, this::isReady, metrics, catalogues);
     }
 
     private static PlatformAdapter adapter(String name) {
@@ -120,7 +130,10 @@
     }
 
     private boolean isReady() {
-        return catalogues.version() > 0 && fleet.hasPublishedTargets() && selectorProbe.isResponsive();
+        return catalogues.version() > 0
+                && evacuations.current().isKnown()
+                && fleet.hasPublishedTargets()
+                && selectorProbe.isResponsive();
     }
 
     /**
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
@@ -35,6 +35,7 @@
     private final ServerConnector readiness;
     private final IngressHandler ingress;
     private final Heartbeats heartbeats;
+    private final CataloguePull cataloguePull;
     private final BooleanSupplier ready;
     private final MetricRegistry metrics;
     private volatile boolean draining;
@@ -44,11 +45,13 @@
             QueuedThreadPool threads,
             IngressHandler ingress,
             Heartbeats heartbeats,
+            CataloguePull cataloguePull,
             BooleanSupplier ready,
             MetricRegistry metrics,
             CatalogueHolder catalogues) {
         this.ingress = ingress;
         this.heartbeats = heartbeats;
+        this.cataloguePull = cataloguePull;
         this.ready = ready;
         this.metrics = metrics;
         server = new Server(threads);
@@ -130,6 +133,7 @@
             }
             return switch (request.getHttpURI().getPath()) {
                 case Heartbeats.PATH -> heartbeats.handle(request, response, callback);
+                case CataloguePull.PATH -> cataloguePull.handle(request, response, callback);
                 case MetricsText.PATH -> {
                     answer(response, callback, HttpStatus.OK_200, MetricsText.render(metrics));
                     yield true;
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -5,7 +5,9 @@
 import java.io.InterruptedIOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.function.Predicate;
 
+import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.misc.HostPort;
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.model.RetrySafety;
@@ -44,6 +46,7 @@
     private final Target target;
     private final int countedAttempts;
     private final ExchangeHeaders headerNames;
+    private final Predicate<FailureDomainId> evacuated;
     private final Clock clock;
     private final Listener listener;
     private final BufferLimit bufferLimit;
@@ -53,6 +56,7 @@
     private Request request;
     private UpstreamEndPoint endPoint;
     private boolean sent;
+    private boolean withheld;
     private boolean ended;
     private boolean streaming;
     private boolean foreignResponse;
@@ -106,6 +110,7 @@
             Exchange exchange,
             RelayAction.Send send,
             ExchangeHeaders headerNames,
+            Predicate<FailureDomainId> evacuated,
             Clock clock,
             Listener listener,
             BufferLimit bufferLimit) {
@@ -114,6 +119,7 @@
         this.target = send.target();
         this.countedAttempts = send.countedAttempts();
         this.headerNames = headerNames;
+        this.evacuated = evacuated;
         this.clock = clock;
         this.listener = listener;
         this.bufferLimit = bufferLimit;
@@ -182,7 +188,13 @@
         }
     }
 
+    /** Called when a connection is there, for which the attempt may have waited, and before any byte is written. */
     private synchronized void begin(Request begun) {
+        if (evacuated.test(target.failureDomain())) {
+            withheld = true;
+            abort(begun, "the failure domain is evacuated");
+            return;
+        }
         sent = true;
         if (begun.getConnection() instanceof org.eclipse.jetty.io.Connection connection
                 && connection.getEndPoint() instanceof UpstreamEndPoint upstream) {
@@ -338,7 +350,7 @@
 
     private AttemptOutcome outcomeOf(Throwable failure) {
         if (!sent) {
-            return AttemptOutcome.NOT_SENT;
+            return withheld ? AttemptOutcome.WITHHELD : AttemptOutcome.NOT_SENT;
         }
         boolean connectionEnded = failure instanceof IOException
                 && !(failure instanceof InterruptedIOException)
--- a/relay/src/main/java/org/apricotdeal/relay/policy/AttemptOutcome.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/AttemptOutcome.java
@@ -4,6 +4,8 @@
 public enum AttemptOutcome {
     /** No byte of the request was sent. */
     NOT_SENT,
+    /** No byte of the request was sent, because the operator evacuates the failure domain of the target. */
+    WITHHELD,
     /** The VM reported that it did not run the request. */
     NOT_RUN,
     /** The connection ended before or just as the answer began; the VM may have crashed because of the request. */
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
@@ -127,6 +127,7 @@
             QueueState queue = queue(target.queue());
             queue.addTarget(targets.computeIfAbsent(target.id(), id -> newTarget(target, queue, nowMillis)));
         }
+        queues.values().forEach(QueueState::updateEvacuated);
     }
 
     private TargetState newTarget(Target target, QueueState queue, long nowMillis) {
@@ -161,6 +162,7 @@
     void setEvacuated(Set<FailureDomainId> domains) {
         evacuated = domains;
         targets.values().forEach(state -> state.setEvacuated(domains.contains(state.target.failureDomain())));
+        queues.values().forEach(QueueState::updateEvacuated);
     }
 
     void setNodes(List<FleetNode> nodes) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
@@ -34,6 +34,7 @@
     long lastRefusedMillis = Long.MIN_VALUE / 2;
     long newCallerRefusedMillis = Long.MIN_VALUE / 2;
     long nextReturnAtMillis;
+    private boolean anyEvacuated;
     private OptionalDouble averagePeersRunning = OptionalDouble.empty();
 
     /**
@@ -71,6 +72,46 @@
         targets.stream().filter(TargetState::isHome).forEach(homeTargets::add);
     }
 
+    /** Counts with evacuated targets from now on, after the targets or the evacuations have changed. */
+    void updateEvacuated() {
+        anyEvacuated = targets.stream().anyMatch(TargetState::isEvacuated);
+    }
+
+    /** Returns why a request is refused for which no target is available. */
+    RefusalReason noTargetReason() {
+        return anyEvacuated && targets.stream().allMatch(TargetState::isEvacuated)
+                ? RefusalReason.EVACUATED
+                : RefusalReason.NO_TARGET;
+    }
+
+    /**
+     * Removes the waiting requests for which only evacuated targets are left, because they would wait for the operator.
+     *
+     * @return the removed requests
+     */
+    List<RequestState> removeWaitingForEvacuated() {
+        if (!anyEvacuated || waiting.isEmpty()) {
+            return List.of();
+        }
+        List<RequestState> removed =
+                waiting.stream().filter(this::waitsForEvacuated).toList();
+        removed.forEach(waiting::remove);
+        return removed;
+    }
+
+    private boolean waitsForEvacuated(RequestState request) {
+        boolean evacuatedLeft = false;
+        for (TargetState target : targets) {
+            if (!request.triedTargets.contains(target.target.id())) {
+                if (!target.isEvacuated()) {
+                    return false;
+                }
+                evacuatedLeft = true;
+            }
+        }
+        return evacuatedLeft;
+    }
+
     /** Returns the mean number of requests that the peers ran at a target when the targets last changed. */
     OptionalDouble averagePeersRunning() {
         return averagePeersRunning;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RefusalReason.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RefusalReason.java
@@ -4,6 +4,8 @@
 public enum RefusalReason {
     /** No target is available. */
     NO_TARGET,
+    /** Only targets in failure domains that the operator evacuates are left for the request. */
+    EVACUATED,
     /** The request is predicted to start too late for its objective. */
     OVERLOAD,
     /** The request has waited too long for a target. */
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -207,7 +207,7 @@
         }
         QueueEstimate estimate = queue.estimate(request, nowMillis);
         if (estimate.hasNoTarget()) {
-            refuse(request, RefusalReason.NO_TARGET, returnTimes.withoutTargetMillis(queue, nowMillis), estimate);
+            refuse(request, queue.noTargetReason(), returnTimes.withoutTargetMillis(queue, nowMillis), estimate);
             return;
         }
         boolean slotsReserved = request.returningCaller
@@ -241,6 +241,7 @@
     // Placement.
 
     private void dispatchWaiting(QueueState queue) {
+        queue.removeWaitingForEvacuated().forEach(request -> fail(request, RefusalReason.EVACUATED));
         RequestState request = queue.waiting.isEmpty() ? null : queue.waiting.first();
         while (request != null) {
             TargetState target = targetChooser.choose(queue, request, poison, nowMillis);
@@ -344,6 +345,10 @@
                 request.attempts--;
                 retryUnsent(request);
             }
+            case WITHHELD -> {
+                request.attempts--;
+                retryUnsent(request);
+            }
             case NOT_RUN -> retry(request);
             case LOST_BEFORE_ANSWER -> {
                 request.mayHaveRun = true;
@@ -367,7 +372,7 @@
         if (untried && nowMillis < request.arrival.deadlineMillis()) {
             request.queue.waiting.add(request);
         } else {
-            fail(request, RefusalReason.NO_TARGET);
+            fail(request, request.queue.noTargetReason());
         }
     }
 
@@ -406,7 +411,7 @@
         QueueState queue = request.queue;
         queue.lastRefusedMillis = nowMillis;
         queue.demand.recordRefusal(nowMillis, request.arrival.priority());
-        if (!request.returningCaller && reason != RefusalReason.NO_TARGET) {
+        if (!request.returningCaller && reason != RefusalReason.NO_TARGET && reason != RefusalReason.EVACUATED) {
             queue.newCallerRefusedMillis = nowMillis;
         }
         RefusalDetails details = estimate.refusalDetails(nowMillis - request.arrival.arrivedMillis());
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -153,6 +153,11 @@
         evacuated = isEvacuated;
     }
 
+    /** Returns whether the operator evacuates the failure domain of the target. */
+    boolean isEvacuated() {
+        return evacuated;
+    }
+
     /**
      * Decides whether the target may receive a request now. Every way of sending one asks this method: first attempts,
      * retries, moved and resumed requests, and the probes of suspected targets.
--- a/relay/src/main/java/org/apricotdeal/relay/port/RecordCodec.java
+++ b/relay/src/main/java/org/apricotdeal/relay/port/RecordCodec.java
@@ -29,6 +29,13 @@
      */
     String catalogueKey();
 
+    /**
+     * Returns the prefix of the keys by which the operator evacuates failure domains, whatever their values.
+     *
+     * @return the prefix, which begins with that of the operator; the rest of a key is the name of the failure domain
+     */
+    String evacuationPrefix();
+
     /**
      * Parses the entry of a VM.
      *
--- a/standins/src/main/java/org/apricotdeal/standins/users/UsersStoreStandin.java
+++ b/standins/src/main/java/org/apricotdeal/standins/users/UsersStoreStandin.java
@@ -2,6 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -25,11 +27,11 @@
     private static final long EXPIRE_MILLIS = 50;
 
     private final UsersStore store = new UsersStore();
-    private final StandinServer server = StandinServer.start(new Calls());
+    private final Door mainDoor = new Door();
+    private final List<Door> doors = new CopyOnWriteArrayList<>();
     private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().daemon(true).factory());
     private final AtomicInteger calls = new AtomicInteger();
-    private volatile Mode mode = Mode.SERVING;
 
     /** What the store does with calls. */
     public enum Mode {
@@ -41,6 +43,32 @@
         BUSY
     }
 
+    /** A port of the store, which may turn its clients away while the others are served. */
+    public final class Door {
+        private final StandinServer server = StandinServer.start(new Calls(this));
+        private volatile Mode mode = Mode.SERVING;
+
+        private Door() {}
+
+        /**
+         * Returns where clients reach the store.
+         *
+         * @return host and port
+         */
+        public String address() {
+            return server.loopbackAddress();
+        }
+
+        /**
+         * Sets what happens to calls that come through this door from now on.
+         *
+         * @param changed the mode
+         */
+        public void setMode(Mode changed) {
+            mode = changed;
+        }
+    }
+
     /** Starts the store on loopback. */
     public UsersStoreStandin() {
         var unused = clock.scheduleAtFixedRate(
@@ -53,16 +81,27 @@
      * @return host and port
      */
     public String address() {
-        return server.loopbackAddress();
+        return mainDoor.address();
     }
 
     /**
-     * Sets what the store does with calls from now on.
+     * Opens a further port.
+     *
+     * @return the port, which serves like the others
+     */
+    public Door addDoor() {
+        Door door = new Door();
+        doors.add(door);
+        return door;
+    }
+
+    /**
+     * Sets what the store does with calls to its first port from now on.
      *
      * @param changed the mode
      */
     public void setMode(Mode changed) {
-        mode = changed;
+        mainDoor.setMode(changed);
     }
 
     /**
@@ -101,24 +140,31 @@
     @Override
     public void close() {
         clock.shutdownNow();
-        server.close();
+        mainDoor.server.close();
+        doors.forEach(door -> door.server.close());
     }
 
     /** The store's calls. */
     private final class Calls extends Handler.Abstract {
+        private final Door door;
+
+        Calls(Door door) {
+            this.door = door;
+        }
+
         @Override
         public boolean handle(Request request, Response response, Callback callback) throws Exception {
             calls.incrementAndGet();
-            if (mode == Mode.SILENT) {
+            if (door.mode == Mode.SILENT) {
                 return true;
             }
-            if (mode == Mode.BUSY) {
+            if (door.mode == Mode.BUSY) {
                 reply(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503, JsonNodeFactory.instance.objectNode());
                 return true;
             }
             String path = request.getHttpURI().getPath();
             ObjectNode answer = answer(path, Request.extractQueryParameters(request), request);
-            if (mode == Mode.SILENT) {
+            if (door.mode == Mode.SILENT) {
                 return true;
             }
             if (answer == null) {
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayHeartbeat.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayHeartbeat.java
@@ -13,7 +13,6 @@
   private static final org.apache.thrift.protocol.TField SENDER_FIELD_DESC = new org.apache.thrift.protocol.TField("sender", org.apache.thrift.protocol.TType.STRUCT, (short)1);
   private static final org.apache.thrift.protocol.TField CATALOGUE_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("catalogueVersion", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField LOADS_FIELD_DESC = new org.apache.thrift.protocol.TField("loads", org.apache.thrift.protocol.TType.LIST, (short)3);
-  private static final org.apache.thrift.protocol.TField CATALOGUE_FIELD_DESC = new org.apache.thrift.protocol.TField("catalogue", org.apache.thrift.protocol.TType.STRING, (short)4);
   private static final org.apache.thrift.protocol.TField VM_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("vmRevision", org.apache.thrift.protocol.TType.I64, (short)5);
   private static final org.apache.thrift.protocol.TField STORE_AWAY_FIELD_DESC = new org.apache.thrift.protocol.TField("storeAway", org.apache.thrift.protocol.TType.BOOL, (short)6);
   private static final org.apache.thrift.protocol.TField VM_NEWS_FIELD_DESC = new org.apache.thrift.protocol.TField("vmNews", org.apache.thrift.protocol.TType.STRUCT, (short)7);
@@ -25,6 +24,7 @@
   private static final org.apache.thrift.protocol.TField CRASH_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("crashDigest", org.apache.thrift.protocol.TType.I64, (short)13);
   private static final org.apache.thrift.protocol.TField CRASHES_FIELD_DESC = new org.apache.thrift.protocol.TField("crashes", org.apache.thrift.protocol.TType.LIST, (short)14);
   private static final org.apache.thrift.protocol.TField TRIALS_FIELD_DESC = new org.apache.thrift.protocol.TField("trials", org.apache.thrift.protocol.TType.LIST, (short)15);
+  private static final org.apache.thrift.protocol.TField EVACUATIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("evacuations", org.apache.thrift.protocol.TType.STRUCT, (short)16);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TRelayHeartbeatStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TRelayHeartbeatTupleSchemeFactory();
@@ -32,7 +32,6 @@
   public @org.apache.thrift.annotation.Nullable TRelayNode sender; // required
   public long catalogueVersion; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<TRelayLoad> loads; // required
-  public @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer catalogue; // optional
   public long vmRevision; // optional
   public boolean storeAway; // optional
   public @org.apache.thrift.annotation.Nullable TRelayVmNews vmNews; // optional
@@ -48,13 +47,13 @@
   public long crashDigest; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<TRelayCrash> crashes; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<TRelayTrial> trials; // optional
+  public @org.apache.thrift.annotation.Nullable TRelayEvacuations evacuations; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SENDER((short)1, "sender"),
     CATALOGUE_VERSION((short)2, "catalogueVersion"),
     LOADS((short)3, "loads"),
-    CATALOGUE((short)4, "catalogue"),
     VM_REVISION((short)5, "vmRevision"),
     STORE_AWAY((short)6, "storeAway"),
     VM_NEWS((short)7, "vmNews"),
@@ -69,7 +68,8 @@
     SILENT_VMS((short)12, "silentVms"),
     CRASH_DIGEST((short)13, "crashDigest"),
     CRASHES((short)14, "crashes"),
-    TRIALS((short)15, "trials");
+    TRIALS((short)15, "trials"),
+    EVACUATIONS((short)16, "evacuations");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -91,8 +91,6 @@
           return CATALOGUE_VERSION;
         case 3: // LOADS
           return LOADS;
-        case 4: // CATALOGUE
-          return CATALOGUE;
         case 5: // VM_REVISION
           return VM_REVISION;
         case 6: // STORE_AWAY
@@ -115,6 +113,8 @@
           return CRASHES;
         case 15: // TRIALS
           return TRIALS;
+        case 16: // EVACUATIONS
+          return EVACUATIONS;
         default:
           return null;
       }
@@ -165,7 +165,7 @@
   private static final int __VMAGEMILLIS_ISSET_ID = 4;
   private static final int __CRASHDIGEST_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.CATALOGUE,_Fields.VM_REVISION,_Fields.STORE_AWAY,_Fields.VM_NEWS,_Fields.STOPPING,_Fields.SCOPE,_Fields.SEEN,_Fields.VM_AGE_MILLIS,_Fields.SILENT_VMS,_Fields.CRASH_DIGEST,_Fields.CRASHES,_Fields.TRIALS};
+  private static final _Fields optionals[] = {_Fields.VM_REVISION,_Fields.STORE_AWAY,_Fields.VM_NEWS,_Fields.STOPPING,_Fields.SCOPE,_Fields.SEEN,_Fields.VM_AGE_MILLIS,_Fields.SILENT_VMS,_Fields.CRASH_DIGEST,_Fields.CRASHES,_Fields.TRIALS,_Fields.EVACUATIONS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -176,8 +176,6 @@
     tmpMap.put(_Fields.LOADS, new org.apache.thrift.meta_data.FieldMetaData("loads", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayLoad.class))));
-    tmpMap.put(_Fields.CATALOGUE, new org.apache.thrift.meta_data.FieldMetaData("catalogue", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
     tmpMap.put(_Fields.VM_REVISION, new org.apache.thrift.meta_data.FieldMetaData("vmRevision", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.STORE_AWAY, new org.apache.thrift.meta_data.FieldMetaData("storeAway", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
@@ -204,6 +202,8 @@
     tmpMap.put(_Fields.TRIALS, new org.apache.thrift.meta_data.FieldMetaData("trials", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayTrial.class))));
+    tmpMap.put(_Fields.EVACUATIONS, new org.apache.thrift.meta_data.FieldMetaData("evacuations", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayEvacuations.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TRelayHeartbeat.class, metaDataMap);
   }
@@ -239,9 +239,6 @@
       }
       this.loads = __this__loads;
     }
-    if (other.isSetCatalogue()) {
-      this.catalogue = org.apache.thrift.TBaseHelper.copyBinary(other.catalogue);
-    }
     this.vmRevision = other.vmRevision;
     this.storeAway = other.storeAway;
     if (other.isSetVmNews()) {
@@ -281,6 +278,9 @@
       }
       this.trials = __this__trials;
     }
+    if (other.isSetEvacuations()) {
+      this.evacuations = new TRelayEvacuations(other.evacuations);
+    }
   }
 
   @Override
@@ -294,7 +294,6 @@
     setCatalogueVersionIsSet(false);
     this.catalogueVersion = 0;
     this.loads = null;
-    this.catalogue = null;
     setVmRevisionIsSet(false);
     this.vmRevision = 0;
     setStoreAwayIsSet(false);
@@ -311,6 +310,7 @@
     this.crashDigest = 0;
     this.crashes = null;
     this.trials = null;
+    this.evacuations = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -402,40 +402,6 @@
     }
   }
 
-  public byte[] getCatalogue() {
-    setCatalogue(org.apache.thrift.TBaseHelper.rightSize(catalogue));
-    return catalogue == null ? null : catalogue.array();
-  }
-
-  public java.nio.ByteBuffer bufferForCatalogue() {
-    return org.apache.thrift.TBaseHelper.copyBinary(catalogue);
-  }
-
-  public TRelayHeartbeat setCatalogue(byte[] catalogue) {
-    this.catalogue = catalogue == null ? (java.nio.ByteBuffer)null   : java.nio.ByteBuffer.wrap(catalogue.clone());
-    return this;
-  }
-
-  public TRelayHeartbeat setCatalogue(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer catalogue) {
-    this.catalogue = org.apache.thrift.TBaseHelper.copyBinary(catalogue);
-    return this;
-  }
-
-  public void unsetCatalogue() {
-    this.catalogue = null;
-  }
-
-  /** Returns true if field catalogue is set (has been assigned a value) and false otherwise */
-  public boolean isSetCatalogue() {
-    return this.catalogue != null;
-  }
-
-  public void setCatalogueIsSet(boolean value) {
-    if (!value) {
-      this.catalogue = null;
-    }
-  }
-
   public long getVmRevision() {
     return this.vmRevision;
   }
@@ -773,6 +739,31 @@
     }
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public TRelayEvacuations getEvacuations() {
+    return this.evacuations;
+  }
+
+  public TRelayHeartbeat setEvacuations(@org.apache.thrift.annotation.Nullable TRelayEvacuations evacuations) {
+    this.evacuations = evacuations;
+    return this;
+  }
+
+  public void unsetEvacuations() {
+    this.evacuations = null;
+  }
+
+  /** Returns true if field evacuations is set (has been assigned a value) and false otherwise */
+  public boolean isSetEvacuations() {
+    return this.evacuations != null;
+  }
+
+  public void setEvacuationsIsSet(boolean value) {
+    if (!value) {
+      this.evacuations = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -800,18 +791,6 @@
       }
       break;
 
-    case CATALOGUE:
-      if (value == null) {
-        unsetCatalogue();
-      } else {
-        if (value instanceof byte[]) {
-          setCatalogue((byte[])value);
-        } else {
-          setCatalogue((java.nio.ByteBuffer)value);
-        }
-      }
-      break;
-
     case VM_REVISION:
       if (value == null) {
         unsetVmRevision();
@@ -900,6 +879,14 @@
       }
       break;
 
+    case EVACUATIONS:
+      if (value == null) {
+        unsetEvacuations();
+      } else {
+        setEvacuations((TRelayEvacuations)value);
+      }
+      break;
+
     }
   }
 
@@ -916,9 +903,6 @@
     case LOADS:
       return getLoads();
 
-    case CATALOGUE:
-      return getCatalogue();
-
     case VM_REVISION:
       return getVmRevision();
 
@@ -952,6 +936,9 @@
     case TRIALS:
       return getTrials();
 
+    case EVACUATIONS:
+      return getEvacuations();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -970,8 +957,6 @@
       return isSetCatalogueVersion();
     case LOADS:
       return isSetLoads();
-    case CATALOGUE:
-      return isSetCatalogue();
     case VM_REVISION:
       return isSetVmRevision();
     case STORE_AWAY:
@@ -994,6 +979,8 @@
       return isSetCrashes();
     case TRIALS:
       return isSetTrials();
+    case EVACUATIONS:
+      return isSetEvacuations();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1038,15 +1025,6 @@
         return false;
     }
 
-    boolean this_present_catalogue = true && this.isSetCatalogue();
-    boolean that_present_catalogue = true && that.isSetCatalogue();
-    if (this_present_catalogue || that_present_catalogue) {
-      if (!(this_present_catalogue && that_present_catalogue))
-        return false;
-      if (!this.catalogue.equals(that.catalogue))
-        return false;
-    }
-
     boolean this_present_vmRevision = true && this.isSetVmRevision();
     boolean that_present_vmRevision = true && that.isSetVmRevision();
     if (this_present_vmRevision || that_present_vmRevision) {
@@ -1146,6 +1124,15 @@
         return false;
     }
 
+    boolean this_present_evacuations = true && this.isSetEvacuations();
+    boolean that_present_evacuations = true && that.isSetEvacuations();
+    if (this_present_evacuations || that_present_evacuations) {
+      if (!(this_present_evacuations && that_present_evacuations))
+        return false;
+      if (!this.evacuations.equals(that.evacuations))
+        return false;
+    }
+
     return true;
   }
 
@@ -1163,10 +1150,6 @@
     if (isSetLoads())
       hashCode = hashCode * 8191 + loads.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetCatalogue()) ? 131071 : 524287);
-    if (isSetCatalogue())
-      hashCode = hashCode * 8191 + catalogue.hashCode();
-
     hashCode = hashCode * 8191 + ((isSetVmRevision()) ? 131071 : 524287);
     if (isSetVmRevision())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(vmRevision);
@@ -1211,6 +1194,10 @@
     if (isSetTrials())
       hashCode = hashCode * 8191 + trials.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetEvacuations()) ? 131071 : 524287);
+    if (isSetEvacuations())
+      hashCode = hashCode * 8191 + evacuations.hashCode();
+
     return hashCode;
   }
 
@@ -1252,16 +1239,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetCatalogue(), other.isSetCatalogue());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetCatalogue()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.catalogue, other.catalogue);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     lastComparison = java.lang.Boolean.compare(isSetVmRevision(), other.isSetVmRevision());
     if (lastComparison != 0) {
       return lastComparison;
@@ -1372,6 +1349,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetEvacuations(), other.isSetEvacuations());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEvacuations()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.evacuations, other.evacuations);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1415,16 +1402,6 @@
       sb.append(this.loads);
     }
     first = false;
-    if (isSetCatalogue()) {
-      if (!first) sb.append(", ");
-      sb.append("catalogue:");
-      if (this.catalogue == null) {
-        sb.append("null");
-      } else {
-        org.apache.thrift.TBaseHelper.toString(this.catalogue, sb);
-      }
-      first = false;
-    }
     if (isSetVmRevision()) {
       if (!first) sb.append(", ");
       sb.append("vmRevision:");
@@ -1515,6 +1492,16 @@
       }
       first = false;
     }
+    if (isSetEvacuations()) {
+      if (!first) sb.append(", ");
+      sb.append("evacuations:");
+      if (this.evacuations == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.evacuations);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1535,6 +1522,9 @@
     if (vmNews != null) {
       vmNews.validate();
     }
+    if (evacuations != null) {
+      evacuations.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -1595,14 +1585,14 @@
           case 3: // LOADS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
-                struct.loads = new java.util.ArrayList<TRelayLoad>(_list40.size);
-                @org.apache.thrift.annotation.Nullable TRelayLoad _elem41;
-                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
+                org.apache.thrift.protocol.TList _list50 = iprot.readListBegin();
+                struct.loads = new java.util.ArrayList<TRelayLoad>(_list50.size);
+                @org.apache.thrift.annotation.Nullable TRelayLoad _elem51;
+                for (int _i52 = 0; _i52 < _list50.size; ++_i52)
                 {
-                  _elem41 = new TRelayLoad();
-                  _elem41.read(iprot);
-                  struct.loads.add(_elem41);
+                  _elem51 = new TRelayLoad();
+                  _elem51.read(iprot);
+                  struct.loads.add(_elem51);
                 }
                 iprot.readListEnd();
               }
@@ -1611,14 +1601,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 4: // CATALOGUE
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.catalogue = iprot.readBinary();
-              struct.setCatalogueIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           case 5: // VM_REVISION
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.vmRevision = iprot.readI64();
@@ -1663,14 +1645,14 @@
           case 10: // SEEN
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list43 = iprot.readListBegin();
-                struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list43.size);
-                @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem44;
-                for (int _i45 = 0; _i45 < _list43.size; ++_i45)
+                org.apache.thrift.protocol.TList _list53 = iprot.readListBegin();
+                struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list53.size);
+                @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem54;
+                for (int _i55 = 0; _i55 < _list53.size; ++_i55)
                 {
-                  _elem44 = new TRelayNodeSeen();
-                  _elem44.read(iprot);
-                  struct.seen.add(_elem44);
+                  _elem54 = new TRelayNodeSeen();
+                  _elem54.read(iprot);
+                  struct.seen.add(_elem54);
                 }
                 iprot.readListEnd();
               }
@@ -1690,14 +1672,14 @@
           case 12: // SILENT_VMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list46 = iprot.readListBegin();
-                struct.silentVms = new java.util.ArrayList<TRelaySilentVm>(_list46.size);
-                @org.apache.thrift.annotation.Nullable TRelaySilentVm _elem47;
-                for (int _i48 = 0; _i48 < _list46.size; ++_i48)
+                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
+                struct.silentVms = new java.util.ArrayList<TRelaySilentVm>(_list56.size);
+                @org.apache.thrift.annotation.Nullable TRelaySilentVm _elem57;
+                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
                 {
-                  _elem47 = new TRelaySilentVm();
-                  _elem47.read(iprot);
-                  struct.silentVms.add(_elem47);
+                  _elem57 = new TRelaySilentVm();
+                  _elem57.read(iprot);
+                  struct.silentVms.add(_elem57);
                 }
                 iprot.readListEnd();
               }
@@ -1717,14 +1699,14 @@
           case 14: // CRASHES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list49 = iprot.readListBegin();
-                struct.crashes = new java.util.ArrayList<TRelayCrash>(_list49.size);
-                @org.apache.thrift.annotation.Nullable TRelayCrash _elem50;
-                for (int _i51 = 0; _i51 < _list49.size; ++_i51)
+                org.apache.thrift.protocol.TList _list59 = iprot.readListBegin();
+                struct.crashes = new java.util.ArrayList<TRelayCrash>(_list59.size);
+                @org.apache.thrift.annotation.Nullable TRelayCrash _elem60;
+                for (int _i61 = 0; _i61 < _list59.size; ++_i61)
                 {
-                  _elem50 = new TRelayCrash();
-                  _elem50.read(iprot);
-                  struct.crashes.add(_elem50);
+                  _elem60 = new TRelayCrash();
+                  _elem60.read(iprot);
+                  struct.crashes.add(_elem60);
                 }
                 iprot.readListEnd();
               }
@@ -1736,14 +1718,14 @@
           case 15: // TRIALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list52 = iprot.readListBegin();
-                struct.trials = new java.util.ArrayList<TRelayTrial>(_list52.size);
-                @org.apache.thrift.annotation.Nullable TRelayTrial _elem53;
-                for (int _i54 = 0; _i54 < _list52.size; ++_i54)
+                org.apache.thrift.protocol.TList _list62 = iprot.readListBegin();
+                struct.trials = new java.util.ArrayList<TRelayTrial>(_list62.size);
+                @org.apache.thrift.annotation.Nullable TRelayTrial _elem63;
+                for (int _i64 = 0; _i64 < _list62.size; ++_i64)
                 {
-                  _elem53 = new TRelayTrial();
-                  _elem53.read(iprot);
-                  struct.trials.add(_elem53);
+                  _elem63 = new TRelayTrial();
+                  _elem63.read(iprot);
+                  struct.trials.add(_elem63);
                 }
                 iprot.readListEnd();
               }
@@ -1752,6 +1734,15 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 16: // EVACUATIONS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.evacuations = new TRelayEvacuations();
+              struct.evacuations.read(iprot);
+              struct.setEvacuationsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1783,21 +1774,14 @@
         oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-          for (TRelayLoad _iter55 : struct.loads)
+          for (TRelayLoad _iter65 : struct.loads)
           {
-            _iter55.write(oprot);
+            _iter65.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
-      if (struct.catalogue != null) {
-        if (struct.isSetCatalogue()) {
-          oprot.writeFieldBegin(CATALOGUE_FIELD_DESC);
-          oprot.writeBinary(struct.catalogue);
-          oprot.writeFieldEnd();
-        }
-      }
       if (struct.isSetVmRevision()) {
         oprot.writeFieldBegin(VM_REVISION_FIELD_DESC);
         oprot.writeI64(struct.vmRevision);
@@ -1832,9 +1816,9 @@
           oprot.writeFieldBegin(SEEN_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.seen.size()));
-            for (TRelayNodeSeen _iter56 : struct.seen)
+            for (TRelayNodeSeen _iter66 : struct.seen)
             {
-              _iter56.write(oprot);
+              _iter66.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1851,9 +1835,9 @@
           oprot.writeFieldBegin(SILENT_VMS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.silentVms.size()));
-            for (TRelaySilentVm _iter57 : struct.silentVms)
+            for (TRelaySilentVm _iter67 : struct.silentVms)
             {
-              _iter57.write(oprot);
+              _iter67.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1870,9 +1854,9 @@
           oprot.writeFieldBegin(CRASHES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.crashes.size()));
-            for (TRelayCrash _iter58 : struct.crashes)
+            for (TRelayCrash _iter68 : struct.crashes)
             {
-              _iter58.write(oprot);
+              _iter68.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1884,15 +1868,22 @@
           oprot.writeFieldBegin(TRIALS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.trials.size()));
-            for (TRelayTrial _iter59 : struct.trials)
+            for (TRelayTrial _iter69 : struct.trials)
             {
-              _iter59.write(oprot);
+              _iter69.write(oprot);
             }
             oprot.writeListEnd();
           }
           oprot.writeFieldEnd();
         }
       }
+      if (struct.evacuations != null) {
+        if (struct.isSetEvacuations()) {
+          oprot.writeFieldBegin(EVACUATIONS_FIELD_DESC);
+          struct.evacuations.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1915,52 +1906,49 @@
       oprot.writeI64(struct.catalogueVersion);
       {
         oprot.writeI32(struct.loads.size());
-        for (TRelayLoad _iter60 : struct.loads)
+        for (TRelayLoad _iter70 : struct.loads)
         {
-          _iter60.write(oprot);
+          _iter70.write(oprot);
         }
       }
       java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetCatalogue()) {
+      if (struct.isSetVmRevision()) {
         optionals.set(0);
       }
-      if (struct.isSetVmRevision()) {
+      if (struct.isSetStoreAway()) {
         optionals.set(1);
       }
-      if (struct.isSetStoreAway()) {
+      if (struct.isSetVmNews()) {
         optionals.set(2);
       }
-      if (struct.isSetVmNews()) {
+      if (struct.isSetStopping()) {
         optionals.set(3);
       }
-      if (struct.isSetStopping()) {
+      if (struct.isSetScope()) {
         optionals.set(4);
       }
-      if (struct.isSetScope()) {
+      if (struct.isSetSeen()) {
         optionals.set(5);
       }
-      if (struct.isSetSeen()) {
+      if (struct.isSetVmAgeMillis()) {
         optionals.set(6);
       }
-      if (struct.isSetVmAgeMillis()) {
+      if (struct.isSetSilentVms()) {
         optionals.set(7);
       }
-      if (struct.isSetSilentVms()) {
+      if (struct.isSetCrashDigest()) {
         optionals.set(8);
       }
-      if (struct.isSetCrashDigest()) {
+      if (struct.isSetCrashes()) {
         optionals.set(9);
       }
-      if (struct.isSetCrashes()) {
+      if (struct.isSetTrials()) {
         optionals.set(10);
       }
-      if (struct.isSetTrials()) {
+      if (struct.isSetEvacuations()) {
         optionals.set(11);
       }
       oprot.writeBitSet(optionals, 12);
-      if (struct.isSetCatalogue()) {
-        oprot.writeBinary(struct.catalogue);
-      }
       if (struct.isSetVmRevision()) {
         oprot.writeI64(struct.vmRevision);
       }
@@ -1979,9 +1967,9 @@
       if (struct.isSetSeen()) {
         {
           oprot.writeI32(struct.seen.size());
-          for (TRelayNodeSeen _iter61 : struct.seen)
+          for (TRelayNodeSeen _iter71 : struct.seen)
           {
-            _iter61.write(oprot);
+            _iter71.write(oprot);
           }
         }
       }
@@ -1991,9 +1979,9 @@
       if (struct.isSetSilentVms()) {
         {
           oprot.writeI32(struct.silentVms.size());
-          for (TRelaySilentVm _iter62 : struct.silentVms)
+          for (TRelaySilentVm _iter72 : struct.silentVms)
           {
-            _iter62.write(oprot);
+            _iter72.write(oprot);
           }
         }
       }
@@ -2003,21 +1991,24 @@
       if (struct.isSetCrashes()) {
         {
           oprot.writeI32(struct.crashes.size());
-          for (TRelayCrash _iter63 : struct.crashes)
+          for (TRelayCrash _iter73 : struct.crashes)
           {
-            _iter63.write(oprot);
+            _iter73.write(oprot);
           }
         }
       }
       if (struct.isSetTrials()) {
         {
           oprot.writeI32(struct.trials.size());
-          for (TRelayTrial _iter64 : struct.trials)
+          for (TRelayTrial _iter74 : struct.trials)
           {
-            _iter64.write(oprot);
+            _iter74.write(oprot);
           }
         }
       }
+      if (struct.isSetEvacuations()) {
+        struct.evacuations.write(oprot);
+      }
     }
 
     @Override
@@ -2029,107 +2020,108 @@
       struct.catalogueVersion = iprot.readI64();
       struct.setCatalogueVersionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list65 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.loads = new java.util.ArrayList<TRelayLoad>(_list65.size);
-        @org.apache.thrift.annotation.Nullable TRelayLoad _elem66;
-        for (int _i67 = 0; _i67 < _list65.size; ++_i67)
+        org.apache.thrift.protocol.TList _list75 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.loads = new java.util.ArrayList<TRelayLoad>(_list75.size);
+        @org.apache.thrift.annotation.Nullable TRelayLoad _elem76;
+        for (int _i77 = 0; _i77 < _list75.size; ++_i77)
         {
-          _elem66 = new TRelayLoad();
-          _elem66.read(iprot);
-          struct.loads.add(_elem66);
+          _elem76 = new TRelayLoad();
+          _elem76.read(iprot);
+          struct.loads.add(_elem76);
         }
       }
       struct.setLoadsIsSet(true);
       java.util.BitSet incoming = iprot.readBitSet(12);
       if (incoming.get(0)) {
-        struct.catalogue = iprot.readBinary();
-        struct.setCatalogueIsSet(true);
-      }
-      if (incoming.get(1)) {
         struct.vmRevision = iprot.readI64();
         struct.setVmRevisionIsSet(true);
       }
-      if (incoming.get(2)) {
+      if (incoming.get(1)) {
         struct.storeAway = iprot.readBool();
         struct.setStoreAwayIsSet(true);
       }
-      if (incoming.get(3)) {
+      if (incoming.get(2)) {
         struct.vmNews = new TRelayVmNews();
         struct.vmNews.read(iprot);
         struct.setVmNewsIsSet(true);
       }
-      if (incoming.get(4)) {
+      if (incoming.get(3)) {
         struct.stopping = iprot.readBool();
         struct.setStoppingIsSet(true);
       }
-      if (incoming.get(5)) {
+      if (incoming.get(4)) {
         struct.scope = org.apricotdeal.wire.gen.TRelayScope.findByValue(iprot.readI32());
         struct.setScopeIsSet(true);
       }
-      if (incoming.get(6)) {
+      if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list68 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list68.size);
-          @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem69;
-          for (int _i70 = 0; _i70 < _list68.size; ++_i70)
+          org.apache.thrift.protocol.TList _list78 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list78.size);
+          @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem79;
+          for (int _i80 = 0; _i80 < _list78.size; ++_i80)
           {
-            _elem69 = new TRelayNodeSeen();
-            _elem69.read(iprot);
-            struct.seen.add(_elem69);
+            _elem79 = new TRelayNodeSeen();
+            _elem79.read(iprot);
+            struct.seen.add(_elem79);
           }
         }
         struct.setSeenIsSet(true);
       }
-      if (incoming.get(7)) {
+      if (incoming.get(6)) {
         struct.vmAgeMillis = iprot.readI32();
         struct.setVmAgeMillisIsSet(true);
       }
-      if (incoming.get(8)) {
+      if (incoming.get(7)) {
         {
-          org.apache.thrift.protocol.TList _list71 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.silentVms = new java.util.ArrayList<TRelaySilentVm>(_list71.size);
-          @org.apache.thrift.annotation.Nullable TRelaySilentVm _elem72;
-          for (int _i73 = 0; _i73 < _list71.size; ++_i73)
+          org.apache.thrift.protocol.TList _list81 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.silentVms = new java.util.ArrayList<TRelaySilentVm>(_list81.size);
+          @org.apache.thrift.annotation.Nullable TRelaySilentVm _elem82;
+          for (int _i83 = 0; _i83 < _list81.size; ++_i83)
           {
-            _elem72 = new TRelaySilentVm();
-            _elem72.read(iprot);
-            struct.silentVms.add(_elem72);
+            _elem82 = new TRelaySilentVm();
+            _elem82.read(iprot);
+            struct.silentVms.add(_elem82);
           }
         }
         struct.setSilentVmsIsSet(true);
       }
-      if (incoming.get(9)) {
+      if (incoming.get(8)) {
         struct.crashDigest = iprot.readI64();
         struct.setCrashDigestIsSet(true);
       }
-      if (incoming.get(10)) {
+      if (incoming.get(9)) {
         {
-          org.apache.thrift.protocol.TList _list74 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.crashes = new java.util.ArrayList<TRelayCrash>(_list74.size);
-          @org.apache.thrift.annotation.Nullable TRelayCrash _elem75;
-          for (int _i76 = 0; _i76 < _list74.size; ++_i76)
+          org.apache.thrift.protocol.TList _list84 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.crashes = new java.util.ArrayList<TRelayCrash>(_list84.size);
+          @org.apache.thrift.annotation.Nullable TRelayCrash _elem85;
+          for (int _i86 = 0; _i86 < _list84.size; ++_i86)
           {
-            _elem75 = new TRelayCrash();
-            _elem75.read(iprot);
-            struct.crashes.add(_elem75);
+            _elem85 = new TRelayCrash();
+            _elem85.read(iprot);
+            struct.crashes.add(_elem85);
           }
         }
         struct.setCrashesIsSet(true);
       }
-      if (incoming.get(11)) {
+      if (incoming.get(10)) {
         {
-          org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.trials = new java.util.ArrayList<TRelayTrial>(_list77.size);
-          @org.apache.thrift.annotation.Nullable TRelayTrial _elem78;
-          for (int _i79 = 0; _i79 < _list77.size; ++_i79)
+          org.apache.thrift.protocol.TList _list87 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.trials = new java.util.ArrayList<TRelayTrial>(_list87.size);
+          @org.apache.thrift.annotation.Nullable TRelayTrial _elem88;
+          for (int _i89 = 0; _i89 < _list87.size; ++_i89)
           {
-            _elem78 = new TRelayTrial();
-            _elem78.read(iprot);
-            struct.trials.add(_elem78);
+            _elem88 = new TRelayTrial();
+            _elem88.read(iprot);
+            struct.trials.add(_elem88);
           }
         }
         struct.setTrialsIsSet(true);
       }
+      if (incoming.get(11)) {
+        struct.evacuations = new TRelayEvacuations();
+        struct.evacuations.read(iprot);
+        struct.setEvacuationsIsSet(true);
+      }
     }
   }
 
--- a/wire-gen/src/main/thrift/relay.thrift
+++ b/wire-gen/src/main/thrift/relay.thrift
@@ -73,12 +73,18 @@
   7: required bool passed;
 }
 
+// Failure domains that the operator evacuates, as of a revision of the store.
+struct TRelayEvacuations {
+  1: required i64 revision;
+  2: required map<string, i64> sinceRevision;  // by failure domain: revision of the operator's word
+}
+
 // Sent to a few nodes, and given back by them as the answer.
 struct TRelayHeartbeat {
   1: required TRelayNode sender;
   2: required i64 catalogueVersion;   // 0: none
   3: required list<TRelayLoad> loads;
-  4: optional binary catalogue;       // operator's bytes, where the receiver is behind
+  // 4 was the catalogue, which nodes now fetch (GET /catalogue on the port for peers)
   5: optional i64 vmRevision;         // store revision up to which the sender knows the VMs' entries
   6: optional bool storeAway;         // the sender cannot follow the store
   7: optional TRelayVmNews vmNews;    // what is new since the receiver's revision
@@ -90,4 +96,5 @@
   13: optional i64 crashDigest;        // of the crashes and trials that the sender knows
   14: optional list<TRelayCrash> crashes;   // those, where the receiver's digest differs
   15: optional list<TRelayTrial> trials;
+  16: optional TRelayEvacuations evacuations;  // absent: the sender does not know them yet
 }
