--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -92,6 +92,7 @@
     private final ProcessDelay ownDelay = new ProcessDelay(MAX_GAP_MILLIS);
     private final Map<VmId, Long> lastPollMillis = new HashMap<>();
     private final Map<PlannerKey, ReplicaPlanner> planners = new HashMap<>();
+    private final FleetEvacuations evacuations;
     private final PlannerStatisticsLog statisticsLog;
     private final NodeLoadLog nodeLoadLog;
     private final ColdVmFeed coldVms;
@@ -124,6 +125,7 @@
         this.log = log;
         this.statisticsLog = new PlannerStatisticsLog(log);
         this.metrics = metrics;
+        this.evacuations = new FleetEvacuations(log, metrics);
         this.nodeLoadLog = new NodeLoadLog(log, metrics);
         this.coldVms = new ColdVmFeed(settings.coldBounds(), log, metrics);
         this.startedMillis = clock.monotonicMillis();
@@ -217,6 +219,8 @@
                 catalogue = adopted;
                 targetsOutdated = true;
             }
+            case FleetEvent.EvacuationsChanged(Set<FailureDomainId> domains) ->
+                evacuations.change(domains).forEach(vm -> poll(vm, 0));
             case FleetEvent.PeersListed(List<Peer> listed) -> applyPeerList(listed);
             case FleetEvent.HeartbeatReceived(
                     Peer sender,
@@ -354,12 +358,13 @@
         pollUnresponsiveVms();
         unresponsiveVms = table.recentlyUnresponsive(nowMillis);
         nodeLoadLog.tick(nowMillis);
-        if (catalogue == null) {
+        if (catalogue == null || !evacuations.isKnown()) {
             return;
         }
         if (targetsOutdated || coldVms.hasColdVms()) {
             coldVms.update(table, catalogue, nowMillis).ifPresent(relay::put);
         }
+        evacuations.tick(nowMillis, targets, relay.running());
         if (targetsOutdated) {
             targetsOutdated = false;
             publishTargets();
@@ -381,7 +386,7 @@
 
     private void poll(VmId id, long periodMillis) {
         long nowMillis = clock.monotonicMillis();
-        Optional<UpstreamVm> vm = table.find(id).filter(this::hasEngine);
+        Optional<UpstreamVm> vm = table.find(id).filter(this::hasEngine).filter(evacuations::mayPoll);
         Long lastMillis = lastPollMillis.get(id);
         if (vm.isEmpty() || (lastMillis != null && nowMillis - lastMillis < periodMillis)) {
             return;
@@ -426,9 +431,10 @@
         List<PlannerChoice.Candidate> candidates = candidates(nowMillis);
         Set<PlannerKey> ownPlanners = new HashSet<>();
         for (FailureDomainId domain : settings.failureDomains()) {
-            boolean isPlanner = PlannerChoice.planner(domain, candidates)
-                    .filter(settings.name()::equals)
-                    .isPresent();
+            boolean isPlanner = !evacuations.contains(domain)
+                    && PlannerChoice.planner(domain, candidates)
+                            .filter(settings.name()::equals)
+                            .isPresent();
             for (UpstreamEntry upstream : catalogue.upstreams().values()) {
                 if (isPlanner && upstream.engine().isPresent()) {
                     ownPlanners.add(new PlannerKey(domain, upstream.id()));
@@ -494,7 +500,7 @@
                 vms,
                 unresponsive,
                 startup,
-                1.0 / Math.max(1, settings.failureDomains().size()),
+                evacuations.loadShare(settings.failureDomains()),
                 demand,
                 startup ? Map.of() : replicasInOtherDomains(key)));
         planned.forEach(order -> send(key, order));
@@ -511,7 +517,8 @@
         Map<ModelId, Integer> counts = new HashMap<>();
         for (Target target : targets) {
             if (target.queue().upstream().equals(key.upstream())
-                    && !target.failureDomain().equals(key.failureDomain())) {
+                    && !target.failureDomain().equals(key.failureDomain())
+                    && !evacuations.contains(target.failureDomain())) {
                 target.queue().model().ifPresent(model -> counts.merge(model, 1, Integer::sum));
             }
         }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
@@ -137,6 +137,7 @@
             }));
         }
         added.forEach(state -> beginRound(state, nowMillis));
+        queues.values().forEach(QueueState::updateEvacuated);
     }
 
     private TargetState newTarget(Target target, QueueState queue, long nowMillis) {
@@ -173,6 +174,7 @@
     void setEvacuated(Set<FailureDomainId> domains) {
         evacuated = domains;
         targets.values().forEach(state -> state.setEvacuated(domains.contains(state.target.failureDomain())));
+        queues.values().forEach(QueueState::updateEvacuated);
     }
 
     /**
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -232,6 +232,11 @@
         return hasColdShare(nowMillis) ? (int) Math.min(target.slots(), Math.ceil(concurrent)) : 0;
     }
 
+    /** Returns whether the operator evacuates the failure domain of the target. */
+    boolean isEvacuated() {
+        return evacuated;
+    }
+
     /**
      * Decides whether the target may receive a request now. Every way of sending one asks this method: first attempts,
      * retries, moved and resumed requests, and the probes of suspected targets.
