Take ends of coldness up to 250 ms apart for the same

Cause: in five VMs were logged as cold for another 51 ms after they had been warm: a repeated word arrived more than 100 ms later than the first.

--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -50,7 +50,7 @@
      * Difference up to which two reports tell of the same end of the cold state; a VM reports the remaining time again
      * and again, and the reports arrive with different delays.
      */
-    private static final long COLD_JITTER_MILLIS = 100;
+    private static final long COLD_JITTER_MILLIS = 250;
 
     private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
 
