Test a node process with crowds of clients outside the limits

The tests start a node as a process with 64 MB of heap and 400 descriptors before VMs that answer, that hold requests, and that answer much.

--- a/proofs/src/test/java/org/apricotdeal/proofs/process/ChildProcess.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/ChildProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,9 +19,17 @@
     }
 
     static ChildProcess start(Path log, Class<?> main, List<String> arguments) throws IOException {
-        List<String> command = new ArrayList<>();
+        return start(log, List.of(), List.of("-Xmx96m"), main, arguments);
+    }
+
+    /** Starts a program with a command before that of Java, such as one that lowers limits, and with options of Java. */
+    static ChildProcess start(
+            Path log, List<String> prefix, List<String> options, Class<?> main, List<String> arguments)
+            throws IOException {
+        List<String> command = new ArrayList<>(prefix);
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+        command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+        command.addAll(options);
         command.addAll(List.of("-cp", System.getProperty("java.class.path")));
         command.add(main.getName());
         command.addAll(arguments);
@@ -52,6 +61,23 @@
         return process.exitValue();
     }
 
+    /** Returns the maximum memory that was resident since the start, in kilobytes; 0 if the process has ended. */
+    long peakKilobytes() throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
+            if (line.startsWith("VmHWM:")) {
+                return Long.parseLong(line.replaceAll("[^0-9]", ""));
+            }
+        }
+        return 0;
+    }
+
+    /** Returns the number of open descriptors. */
+    int descriptors() {
+        String[] names =
+                Path.of("/proc", Long.toString(process.pid()), "fd").toFile().list();
+        return names == null ? 0 : names.length;
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/HostileFleet.java
@@ -0,0 +1,229 @@
+package org.apricotdeal.proofs.process;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+import org.apricotdeal.node.NodeMain;
+import org.apricotdeal.proofs.http.ScriptedServer;
+import org.apricotdeal.proofs.standins.StandinFixture;
+import org.apricotdeal.standins.users.UsersStoreStandin;
+import org.apricotdeal.standins.users.UsersWorkerStandin;
+
+/**
+ * One node in relay mode as a process with little memory and few descriptors, before a VM that answers ({@code /book/}), VMs
+ * that never answer ({@code /hold/}) and a VM with large answers ({@code /load/}), and its clients.
+ */
+final class HostileFleet implements AutoCloseable {
+    /** Maximum number of descriptors of the node. */
+    static final int MAX_DESCRIPTORS = 400;
+
+    /** Maximum size of a body. */
+    static final int BODY_BYTES = 1024 * 1024;
+
+    /** Size of an answer of the VM with large answers; more than a connection buffers. */
+    private static final int ANSWER_BYTES = 3_500_000;
+
+    private static final int HOLDING_VMS = 6;
+    private static final int PART_BYTES = 16 * 1024;
+    private static final int READ_TIMEOUT_MILLIS = 10_000;
+    private static final String KEY = "key-1";
+
+    private final UsersStoreStandin store = new UsersStoreStandin();
+    private final List<ScriptedServer> vms = new ArrayList<>();
+    private final UsersWorkerStandin service;
+    private final List<Socket> clients = Collections.synchronizedList(new ArrayList<>());
+    private final int callerPort = StandinFixture.freePort();
+    private final Path directory = Files.createTempDirectory("hostile");
+    final ChildProcess node;
+
+    HostileFleet() throws Exception {
+        service = new UsersWorkerStandin(store, new UsersWorkerStandin.Settings("s0", "shop", "a", "", 0, 0));
+        for (int i = 0; i < HOLDING_VMS; i++) {
+            register("h" + i, "hold", new ScriptedServer(connection -> {
+                connection.read();
+                connection.read();
+            }));
+        }
+        register("l0", "load", new ScriptedServer(HostileFleet::answerMuch));
+        store.put("op/config", catalogue());
+        Path settings = directory.resolve("node.ini");
+        Files.writeString(settings, settings());
+        node = ChildProcess.start(
+                directory.resolve("node.log"),
+                List.of("/bin/sh", "-c", "ulimit -n " + MAX_DESCRIPTORS + " && exec \"$0\" \"$@\""),
+                List.of("-Xmx64m", "-Xss256k", "-XX:+ExitOnOutOfMemoryError"),
+                NodeMain.class,
+                List.of("--settings", settings.toString()));
+        ProcessFleet.await("the node serves", () -> ordinaryRequest().startsWith("HTTP/1.1 200"));
+    }
+
+    private static void answerMuch(ScriptedServer.Connection connection) throws IOException {
+        String id = connection.read().header("x-attempt-id");
+        connection.write(
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: s\r\nConnection: close\r\n"
+                        + "Content-Length: " + ANSWER_BYTES + "\r\n\r\n" + "a".repeat(ANSWER_BYTES));
+    }
+
+    private void register(String id, String service, ScriptedServer vm) {
+        vms.add(vm);
+        store.put(
+                "servers/" + id,
+                "{\"service\":\"" + service + "\",\"address\":\"" + vm.address()
+                        + "\",\"zone\":\"a\",\"version\":\"v1\","
+                        + "\"slots\":400,\"state\":\"ready\",\"cold-remaining-ms\":0,\"sequence\":1,\"born\":5}");
+    }
+
+    private static String catalogue() {
+        StringBuilder routes = new StringBuilder();
+        StringBuilder services = new StringBuilder();
+        for (String[] route : new String[][] {{"book", "shop"}, {"hold", "hold"}, {"load", "load"}}) {
+            String comma = routes.isEmpty() ? "" : ",";
+            routes.append(comma).append("""
+                    {"name":"%s","host":"h.example","path-prefix":"/%s/","type":"non_idempotent","timeout-ms":60000,
+                    "target-latency-ms":60000,"priority":1,"service":"%s","max-attempts":1,"public":false}
+                    """.formatted(route[0], route[0], route[1]));
+            services.append(comma).append("""
+                    {"name":"%s","health-path":"/h","max-connections":400,"protocol":"h1","tls":false}
+                    """.formatted(route[1]));
+        }
+        return """
+                {"version":1,"routes":[%s],"services":[%s],
+                "limits":{"max-header-bytes":16384,"max-body-bytes":%d,"header-timeout-ms":3000,"idle-timeout-ms":60000},
+                "tenants":[{"name":"customer-1","api-keys":["%s"],"priority":1}]}
+                """.formatted(routes, services, BODY_BYTES, KEY);
+    }
+
+    private String settings() {
+        return """
+                [relay]
+                name = n1
+                failureDomain = a
+                failureDomains = a
+                firstStart = true
+
+                [listen]
+                callers = 127.0.0.1:%d
+                readiness = 127.0.0.1:%d
+                peers = 127.0.0.1:%d
+                metricsPort = %d
+
+                [platform]
+                adapter = users
+                storeAddress = %s
+
+                [limits]
+                stallMillis = 4000
+                drainMillis = 8000
+                repeatWindowMillis = 10000
+                repeatRatio = 0.2
+                repeatAllowance = 20
+                """.formatted(
+                        callerPort,
+                        StandinFixture.freePort(),
+                        StandinFixture.freePort(),
+                        StandinFixture.freePort(),
+                        store.address());
+    }
+
+    /** Returns the beginning of a request; further headers and an empty line have to follow. */
+    static String head(String path, String id) {
+        return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id + "\r\nAuthorization: Bearer "
+                + KEY + "\r\n";
+    }
+
+    /** Sends one request with a small body on a new connection; returns the whole answer, or why there is none. */
+    String ordinaryRequest() {
+        return request(head("/book/x", "ordinary") + "Connection: close\r\nContent-Length: 8\r\n\r\nquestion");
+    }
+
+    /** Sends one request on a new connection; returns the whole answer, or why there is none. */
+    String request(String text) {
+        try (Socket socket = connect(0)) {
+            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            return "failed: " + e;
+        }
+    }
+
+    private Socket connect(int receiveBufferBytes) throws IOException {
+        Socket socket = new Socket();
+        if (receiveBufferBytes > 0) {
+            socket.setReceiveBufferSize(receiveBufferBytes);
+        }
+        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), callerPort), READ_TIMEOUT_MILLIS);
+        return socket;
+    }
+
+    /**
+     * Starts clients that all send the same bytes, read nothing, and keep their connections open; returns when all have
+     * sent what the node accepts.
+     *
+     * @param count number of clients
+     * @param start first bytes of each
+     * @param part bytes that each repeats afterwards
+     * @param parts number of repetitions
+     */
+    void crowd(int count, String start, String part, int parts) throws InterruptedException {
+        List<Thread> senders = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            String own = start.replace("X-Attempt-Id: ", "X-Attempt-Id: " + i + "-");
+            senders.add(Thread.ofVirtual().start(() -> send(own, part, parts)));
+        }
+        for (Thread sender : senders) {
+            sender.join(READ_TIMEOUT_MILLIS / 2);
+        }
+    }
+
+    private void send(String start, String part, int parts) {
+        try {
+            Socket socket = connect(PART_BYTES);
+            clients.add(socket);
+            OutputStream out = socket.getOutputStream();
+            out.write(start.getBytes(StandardCharsets.UTF_8));
+            byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
+            for (int i = 0; i < parts; i++) {
+                out.write(bytes);
+            }
+        } catch (IOException e) {
+            // The node or the test has closed the connection, or the node accepts no more.
+        }
+    }
+
+    /** Closes the connections of all clients. */
+    void leave() throws IOException {
+        for (Socket client : List.copyOf(clients)) {
+            client.close();
+        }
+    }
+
+    String log() throws IOException {
+        String text = Files.readString(directory.resolve("node.log"));
+        return text.substring(Math.max(0, text.length() - 2_000));
+    }
+
+    @Override
+    public void close() {
+        try {
+            leave();
+            node.kill();
+            for (ScriptedServer vm : vms) {
+                vm.close();
+            }
+        } catch (IOException | InterruptedException e) {
+            throw new IllegalStateException("failed to stop the node", e);
+        }
+        service.close();
+        store.close();
+    }
+}
