Let what makes no progress give way when callers take all they may

Cause: a crowd of clients took memory that no limit counted (heads of thousands of lines, answers that nobody read), descriptors up to the last, or all of the memory for bodies for as long as it stayed, so that the node hung or refused ordinary callers.

Change: all that callers hold is counted (CallerResources) against shares of the heap and the descriptors (ResourceLimits, settings memoryMegabytes and maxDescriptors). Heads count 256 bytes a line as the lines arrive; only heads above 32 KiB so counted share a limit. header-timeout-ms is enforced. If the connections are used up, the one that has been without a request for the longest time is closed.

--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CallerConnection.java
@@ -0,0 +1,145 @@
+package org.apricotdeal.relay.node;
+
+import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Connector;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.internal.HttpConnection;
+
+/**
+ * A caller's connection, which limits the memory of the heads of requests over all connections as their lines arrive. Each
+ * line takes memory of its own, so that many short ones take far more than their bytes.
+ */
+final class CallerConnection extends HttpConnection implements StalledHolder {
+    /** Memory of a parsed header line beside its characters. */
+    private static final int LINE_BYTES = 256;
+
+    /** Memory of the head of an ordinary request, which is not limited further. */
+    private static final int ORDINARY_BYTES = 32 * 1024;
+
+    private final CallerResources resources;
+    private volatile long beganMillis;
+    private volatile boolean headArriving;
+    private int headBytes;
+    private int reservedBytes;
+
+    CallerConnection(
+            HttpConfiguration configuration, Connector connector, EndPoint endPoint, CallerResources resources) {
+        super(configuration, connector, endPoint);
+        this.resources = resources;
+        this.beganMillis = resources.nowMillis();
+    }
+
+    @Override
+    protected RequestHandler newRequestHandler() {
+        return new HeadReader();
+    }
+
+    @Override
+    public void onOpen() {
+        resources.opened(this);
+        super.onOpen();
+    }
+
+    @Override
+    public void onClose(Throwable cause) {
+        resources.closed(this);
+        releaseHead();
+        super.onClose(cause);
+    }
+
+    /** Releases the memory of the head when the request has been answered. */
+    void watch(Request request) {
+        synchronized (this) {
+            if (reservedBytes == 0) {
+                return;
+            }
+        }
+        Request.addCompletionListener(request, failure -> releaseHead());
+    }
+
+    private synchronized void addToHead(int bytes) {
+        headBytes += bytes;
+        if (headBytes <= ORDINARY_BYTES) {
+            return;
+        }
+        int needed = headBytes - reservedBytes;
+        if (!resources.heads().tryReserve(needed)) {
+            resources.record("head");
+            throw new HttpException.RuntimeException(
+                    HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE_431, "no memory for a large head");
+        }
+        reservedBytes = headBytes;
+    }
+
+    private synchronized void releaseHead() {
+        resources.heads().release(reservedBytes);
+        reservedBytes = 0;
+        headBytes = 0;
+    }
+
+    /** Returns the time of the last beginning of a request, or of the connection; the future while a request is handled. */
+    @Override
+    public long progressMillis() {
+        return getParser().inHeaderState() ? beganMillis : Long.MAX_VALUE;
+    }
+
+    @Override
+    public boolean giveWay() {
+        resources.record("connections");
+        getEndPoint().close();
+        return true;
+    }
+
+    boolean isHeadOverdue(long beforeMillis) {
+        return headArriving && beganMillis < beforeMillis;
+    }
+
+    void closeOverdueHead() {
+        headArriving = false;
+        resources.record("head.time");
+        if (getEndPoint() instanceof WatchedEndPoint caller) {
+            caller.closeWith(HttpStatus.REQUEST_TIMEOUT_408, "");
+        }
+    }
+
+    /** Counts the lines of a head. */
+    private final class HeadReader extends RequestHandler {
+        @Override
+        public void messageBegin() {
+            releaseHead();
+            beganMillis = resources.nowMillis();
+            headArriving = true;
+            super.messageBegin();
+        }
+
+        @Override
+        public void startRequest(String method, String uri, HttpVersion version) {
+            addToHead(uri.length());
+            super.startRequest(method, uri, version);
+        }
+
+        @Override
+        public void parsedHeader(HttpField field) {
+            String value = field.getValue();
+            addToHead(LINE_BYTES + field.getName().length() + (value == null ? 0 : value.length()));
+            super.parsedHeader(field);
+        }
+
+        @Override
+        public boolean headerComplete() {
+            headArriving = false;
+            return super.headerComplete();
+        }
+
+        @Override
+        public void parsedTrailer(HttpField field) {
+            addToHead(LINE_BYTES + field.getName().length());
+            super.parsedTrailer(field);
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CallerResources.java
@@ -0,0 +1,110 @@
+package org.apricotdeal.relay.node;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import org.apricotdeal.kernel.time.Clock;
+
+/**
+ * What callers hold of a node's memory and connections. Answers crowds that take as much as the limits allow and stay: what
+ * makes no progress gives way first, and each time is counted and logged.
+ */
+final class CallerResources {
+    private final ResourceLimits limits;
+    private final Clock clock;
+    private final DecisionLog log;
+    private final MetricRegistry metrics;
+    private final BufferLimit bodies;
+    private final BufferLimit heads;
+    private final BufferLimit answers;
+    private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+    private volatile long headTimeoutMillis;
+
+    CallerResources(ResourceLimits limits, Clock clock, DecisionLog log, MetricRegistry metrics) {
+        this.limits = limits;
+        this.clock = clock;
+        this.log = log;
+        this.metrics = metrics;
+        bodies = new BufferLimit(limits.bodyBytes());
+        heads = new BufferLimit(limits.headBytes());
+        answers = new BufferLimit(limits.answerBytes());
+        metrics.register("callers.held.body.bytes", (Gauge<Long>) bodies::reservedBytes);
+        metrics.register("callers.held.head.bytes", (Gauge<Long>) heads::reservedBytes);
+        metrics.register("callers.held.answer.bytes", (Gauge<Long>) answers::reservedBytes);
+        metrics.register("callers.connections", (Gauge<Integer>) connections::size);
+    }
+
+    BufferLimit bodies() {
+        return bodies;
+    }
+
+    BufferLimit heads() {
+        return heads;
+    }
+
+    BufferLimit answers() {
+        return answers;
+    }
+
+    long nowMillis() {
+        return clock.monotonicMillis();
+    }
+
+    /** Sets the maximum time for the head of a request to arrive; 0 for none. */
+    void setHeadTimeout(long timeoutMillis) {
+        headTimeoutMillis = timeoutMillis;
+    }
+
+    /**
+     * Adds a connection. If there are too many, closes the one that has been without a request for the longest time, or the
+     * new one if all others have one.
+     */
+    void opened(CallerConnection connection) {
+        while (connections.size() >= limits.connections()) {
+            Optional<CallerConnection> idle = StalledHolder.longestStalled(connections, nowMillis(), 0);
+            if (idle.isEmpty() || !idle.get().giveWay()) {
+                connection.giveWay();
+                return;
+            }
+            connections.remove(idle.get());
+        }
+        connections.add(connection);
+    }
+
+    void closed(CallerConnection connection) {
+        connections.remove(connection);
+    }
+
+    /** Closes the connections on which the head of a request takes too long to arrive. */
+    void closeOverdueHeads() {
+        long timeoutMillis = headTimeoutMillis;
+        if (timeoutMillis <= 0) {
+            return;
+        }
+        long nowMillis = nowMillis();
+        for (CallerConnection connection : connections) {
+            if (connection.isHeadOverdue(nowMillis - timeoutMillis)) {
+                connection.closeOverdueHead();
+            }
+        }
+    }
+
+    /**
+     * Counts and logs that something was taken from a caller or refused.
+     *
+     * @param what name of the limit
+     */
+    void record(String what) {
+        metrics.counter("callers.curbed." + what).inc();
+        log.request("caller_curbed")
+                .with("limit", what)
+                .with("connections", connections.size())
+                .with("bodyBytes", bodies.reservedBytes())
+                .with("headBytes", heads.reservedBytes())
+                .with("answerBytes", answers.reservedBytes())
+                .write();
+    }
+}
--- a/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
@@ -54,6 +54,7 @@
     private final AtomicBoolean started = new AtomicBoolean();
     private final AtomicBoolean written = new AtomicBoolean();
     private UpstreamAttempt attempt;
+    private volatile UnreadAnswer answer;
     private volatile long progressMillis;
     private volatile long streamStartMillis = -1;
     private volatile String lastEventId;
@@ -69,7 +70,7 @@
         this.arrival = arrival;
         this.request = request;
         this.response = response;
-        this.writer = new CallerWriter(response, callback);
+        this.writer = new CallerWriter(response, Callback.from(callback, this::releaseAnswer));
         this.body = body;
         this.headerNames = headerNames;
         this.closeConnection = closeConnection;
@@ -166,6 +167,23 @@
         return true;
     }
 
+    /** Counts the size of the response until the caller has read it or its connection has been closed. */
+    void holdAnswer(CallerResources resources, int sizeBytes) {
+        UnreadAnswer held = new UnreadAnswer(resources, endPoint, sizeBytes);
+        answer = held;
+        held.hold();
+        if (completed.get()) {
+            releaseAnswer();
+        }
+    }
+
+    private void releaseAnswer() {
+        UnreadAnswer held = answer;
+        if (held != null) {
+            held.release();
+        }
+    }
+
     /** Sends the complete response of a VM to the caller. */
     void sendUpstreamResponse(int status, HttpFields upstreamHeaders, byte[] responseBody) {
         if (complete()) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.apricotdeal.kernel.id.UpstreamId;
@@ -40,10 +41,10 @@
     /** About the time that callers take to send a large body. */
     private static final String BODY_RETRY_SECONDS = "1";
 
-    /** Maximum size of the bodies of all requests: a quarter of a node's heap on the users' machines. */
-    private static final long MAX_BODY_BUFFER_BYTES = 32L * 1024 * 1024;
+    /** Content after which a body counts as progressing; single bytes now and then are none. */
+    private static final int PROGRESS_BYTES = 1_024;
 
-    private final BufferLimit bodyLimit = new BufferLimit(MAX_BODY_BUFFER_BYTES);
+    private final BufferLimit bodyLimit;
     private final CatalogueHolder catalogues;
     private final PlatformAdapter adapter;
     private final ExchangeHeaders headerNames;
@@ -59,6 +60,7 @@
         this.headerNames = adapter.headers();
         this.duty = duty;
         this.clock = clock;
+        this.bodyLimit = duty.callerResources().bodies();
     }
 
     /**
@@ -73,6 +75,9 @@
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
         long arrivedMillis = clock.monotonicMillis();
+        if (request.getConnectionMetaData().getConnection() instanceof CallerConnection connection) {
+            connection.watch(request);
+        }
         Optional<RelayCatalogue> current = catalogues.current();
         if (current.isEmpty() || arrivedMillis >= refuseFromMillis) {
             boolean starting = current.isEmpty();
@@ -178,14 +183,17 @@
         response.write(true, ByteBuffer.wrap(body), callback);
     }
 
-    /** Reads a body to its end without blocking and then submits the request. */
-    private final class BodyReader implements Runnable {
+    /** Reads a body to its end without blocking and then submits the request, unless it has to give way to others. */
+    private final class BodyReader implements Runnable, BufferLimit.Holder {
         private final Request request;
         private final Response response;
         private final Callback callback;
         private final Arrival arrival;
         private final long maxBytes;
         private final RequestBody body = new RequestBody(bodyLimit);
+        private final AtomicBoolean reading = new AtomicBoolean(true);
+        private volatile long progressMillis;
+        private int progressBytes;
 
         BodyReader(Request request, Response response, Callback callback, Arrival arrival, long maxBytes) {
             this.request = request;
@@ -193,15 +201,62 @@
             this.callback = callback;
             this.arrival = arrival;
             this.maxBytes = maxBytes;
+            this.progressMillis = arrival.arrivedMillis();
         }
 
         /** Reads the body if there is memory for it; a caller whose body cannot be read is told at once. */
         void start() {
-            if (body.tryReserve(request.getLength())) {
-                run();
-            } else {
-                refuse();
+            while (!body.tryReserve(request.getLength())) {
+                if (!bodyLimit.makeRoom(clock.monotonicMillis(), request.getLength())) {
+                    refuse();
+                    return;
+                }
             }
+            bodyLimit.add(this);
+            run();
+        }
+
+        @Override
+        public long progressMillis() {
+            return progressMillis;
+        }
+
+        @Override
+        public int heldBytes() {
+            return body.reservedBytes();
+        }
+
+        @Override
+        public boolean giveWay() {
+            if (!reading.compareAndSet(true, false)) {
+                return false;
+            }
+            body.release();
+            duty.callerResources().record("body");
+            WatchedEndPoint caller = (WatchedEndPoint)
+                    request.getConnectionMetaData().getConnection().getEndPoint();
+            caller.closeWith(HttpStatus.SERVICE_UNAVAILABLE_503, BODY_RETRY_SECONDS);
+            return true;
+        }
+
+        /** Ends reading; returns false if the body has given way. */
+        private boolean endReading() {
+            bodyLimit.remove(this);
+            return reading.compareAndSet(true, false);
+        }
+
+        private boolean add(Content.Chunk chunk) {
+            int sizeBytes = body.size() + chunk.remaining();
+            if (sizeBytes - progressBytes >= PROGRESS_BYTES) {
+                progressBytes = sizeBytes;
+                progressMillis = clock.monotonicMillis();
+            }
+            while (!body.add(chunk.getByteBuffer())) {
+                if (!reading.get() || !bodyLimit.makeRoom(clock.monotonicMillis(), sizeBytes)) {
+                    return false;
+                }
+            }
+            return true;
         }
 
         private void refuse() {
@@ -219,14 +274,22 @@
                     return;
                 }
                 if (Content.Chunk.isFailure(chunk)) {
+                    endReading();
                     body.release();
                     callback.failed(chunk.getFailure());
                     return;
                 }
                 boolean tooLarge = body.size() + chunk.remaining() > maxBytes;
-                boolean added = !tooLarge && body.add(chunk.getByteBuffer());
+                boolean added = !tooLarge && add(chunk);
                 boolean last = chunk.isLast();
                 chunk.release();
+                if (!tooLarge && added && !last) {
+                    continue;
+                }
+                if (!endReading()) {
+                    callback.failed(new IllegalStateException("the body has given way to others"));
+                    return;
+                }
                 if (tooLarge) {
                     body.release();
                     answer(response, callback, HttpStatus.PAYLOAD_TOO_LARGE_413, "body too long");
@@ -236,10 +299,8 @@
                     refuse();
                     return;
                 }
-                if (last) {
-                    submit();
-                    return;
-                }
+                submit();
+                return;
             }
         }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -46,12 +46,6 @@
     /** Time after its deadline at which a request that has no answer is failed; several ticks. */
     private static final long OVERDUE_MILLIS = 200;
 
-    /**
-     * Maximum size of parts of responses that are buffered until the response or the next event is complete: an eighth of a
-     * node's heap on the users' machines, since a growing buffer may take twice the size of its content.
-     */
-    private static final long MAX_RESPONSE_BUFFER_BYTES = 16L * 1024 * 1024;
-
     private static final ExchangeId NO_EXCHANGE = new ExchangeId(-1);
 
     /** Difference by which the clocks may drift apart between two ticks. */
@@ -67,7 +61,7 @@
     private final MetricRegistry metrics;
     private final Map<ExchangeId, Exchange> exchanges = new ConcurrentHashMap<>();
     private final AtomicInteger unwrittenResponses = new AtomicInteger();
-    private final BufferLimit bufferLimit = new BufferLimit(MAX_RESPONSE_BUFFER_BYTES);
+    private final CallerResources callerResources;
     private volatile Map<TargetId, Integer> running = Map.of();
     private volatile Map<QueueId, QueueDemand> demand = Map.of();
     private long demandUpdatedMillis;
@@ -97,6 +91,19 @@
             UniformRandomProvider random,
             DecisionLog log,
             MetricRegistry metrics) {
+        this(dispatcher, requests, headerNames, clock, random, log, metrics, ResourceLimits.of(0, 0));
+    }
+
+    RelayDuty(
+            RelayDispatcher dispatcher,
+            UpstreamRequest.Factory requests,
+            ExchangeHeaders headerNames,
+            Clock clock,
+            UniformRandomProvider random,
+            DecisionLog log,
+            MetricRegistry metrics,
+            ResourceLimits limits) {
+        this.callerResources = new CallerResources(limits, clock, log, metrics);
         this.dispatcher = dispatcher;
         this.requests = requests;
         this.headerNames = headerNames;
@@ -109,6 +116,11 @@
         this.duty = new Duty<>("dispatch", RING_SLOTS, TICK_MILLIS, this::step, this::tick);
     }
 
+    /** Returns what callers hold of the node's memory and connections. */
+    CallerResources callerResources() {
+        return callerResources;
+    }
+
     /** Sets the listener for VMs that may have failed. */
     void onSuspectedVms(SuspicionListener listener) {
         suspicionListener = listener;
@@ -424,7 +436,7 @@
         if (exchange == null) {
             return;
         }
-        UpstreamAttempt attempt = new UpstreamAttempt(exchange, send, headerNames, clock, this, bufferLimit);
+        UpstreamAttempt attempt = new UpstreamAttempt(exchange, send, headerNames, clock, this, callerResources);
         exchange.setAttempt(attempt);
         long nowMillis = clock.monotonicMillis();
         log.request("sent")
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -73,7 +73,8 @@
         RelayDispatcher dispatcher =
                 new RelayDispatcher(new FleetNode(settings.name(), settings.failureDomain()), budget, random);
         UpstreamRequest.Factory requests = (address, target) -> new UpstreamRequest(client, address, target);
-        relay = new RelayDuty(dispatcher, requests, adapter.headers(), clock, random, log, metrics);
+        relay = new RelayDuty(
+                dispatcher, requests, adapter.headers(), clock, random, log, metrics, settings.resources());
         fleet = new FleetDuty(settings, relay, adapter.vmClient(client), clock, log, metrics);
         relay.onSuspectedVms(fleet::suspect);
         relay.onLeavingVms(target -> fleet.put(new FleetEvent.VmLeaves(target)));
@@ -90,7 +91,8 @@
         storeThreads = List.of(watcher, vms, registration);
         heartbeats = new Heartbeats(self, client, relay, fleet, catalogues, watcher, vms, clock, log, metrics);
         ingress = new IngressHandler(catalogues, adapter, relay, clock);
-        server = new RelayServer(settings, threads, ingress, heartbeats, this::isReady, metrics, catalogues);
+        server = new RelayServer(
+                settings, threads, ingress, heartbeats, this::isReady, metrics, catalogues, relay.callerResources());
     }
 
     private static PlatformAdapter adapter(String name) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 import com.codahale.metrics.MetricRegistry;
@@ -30,7 +31,11 @@
     /** Size of the queue of connections to accept; connecting takes callers seconds if the queue is full. */
     private static final int ACCEPT_QUEUE = 1_024;
 
+    /** Interval of checks for heads that take too long; a part of the time that they may take. */
+    private static final long HEAD_CHECK_MILLIS = 500;
+
     private final Server server;
+    private final CallerResources resources;
     private final CallerConnector callers;
     private final ServerConnector readiness;
     private final IngressHandler ingress;
@@ -46,13 +51,15 @@
             Heartbeats heartbeats,
             BooleanSupplier ready,
             MetricRegistry metrics,
-            CatalogueHolder catalogues) {
+            CatalogueHolder catalogues,
+            CallerResources resources) {
         this.ingress = ingress;
         this.heartbeats = heartbeats;
         this.ready = ready;
         this.metrics = metrics;
         server = new Server(threads);
-        callers = new CallerConnector(server, http());
+        this.resources = resources;
+        callers = new CallerConnector(server, new CallerConnectionFactory(configuration(), resources));
         listen(callers, settings.callerAddress());
         readiness = connector(settings.readinessAddress());
         connector(settings.peerAddress());
@@ -60,6 +67,7 @@
         server.setHandler(new PortRouter());
         server.setErrorHandler(new JettyErrorHandler());
         catalogues.subscribe(catalogue -> {
+            resources.setHeadTimeout(catalogue.callerLimits().headerTimeoutMillis());
             if (catalogue.callerLimits().idleTimeoutMillis() > 0) {
                 callers.setIdleTimeout(catalogue.callerLimits().idleTimeoutMillis());
             }
@@ -67,6 +75,10 @@
     }
 
     private static HttpConnectionFactory http() {
+        return new HttpConnectionFactory(configuration());
+    }
+
+    private static HttpConfiguration configuration() {
         HttpConfiguration http = new HttpConfiguration();
         http.setRequestHeaderSize(MAX_HEADER_BYTES);
         http.setHeaderCacheSize(0);
@@ -75,7 +87,7 @@
         http.setOutputBufferSize(BUFFER_BYTES);
         http.setInputBufferSize(BUFFER_BYTES);
         http.setUriCompliance(UriCompliance.UNSAFE);
-        return new HttpConnectionFactory(http);
+        return http;
     }
 
     private ServerConnector connector(String address) {
@@ -95,6 +107,20 @@
 
     void start() throws Exception {
         server.start();
+        scheduleHeadCheck();
+    }
+
+    private void scheduleHeadCheck() {
+        callers.getScheduler()
+                .schedule(
+                        () -> {
+                            resources.closeOverdueHeads();
+                            if (callers.isRunning()) {
+                                scheduleHeadCheck();
+                            }
+                        },
+                        HEAD_CHECK_MILLIS,
+                        TimeUnit.MILLISECONDS);
     }
 
     void stop() throws Exception {
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelaySettings.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelaySettings.java
@@ -28,6 +28,8 @@
  * @param retryWindowMillis window over which retries are counted
  * @param retryRatio retries allowed per request, over all nodes
  * @param retryAllowance additional retries allowed in a window, over all nodes
+ * @param memoryMegabytes memory of the machine in megabytes; 0 if it is not known
+ * @param maxDescriptors maximum number of descriptors of the process; 0 for that of the operating system
  * @param nodes minimum number of nodes among which the allowance is divided; the number of registered nodes if it is larger
  */
 public record RelaySettings(
@@ -47,11 +49,14 @@
         long retryWindowMillis,
         double retryRatio,
         double retryAllowance,
+        int memoryMegabytes,
+        int maxDescriptors,
         int nodes) {
     /** Section whose presence puts a node into relay mode. */
     public static final String SECTION = "relay";
 
     private static final long MAX_MILLIS = 600_000;
+    private static final long MAX_MEGABYTES = 1_000_000;
     private static final int MAX_PORT = 65_535;
 
     /** Copies the list. */
@@ -59,6 +64,52 @@
         failureDomains = List.copyOf(failureDomains);
     }
 
+    /** Creates settings for a machine whose memory and descriptors are those that the process has. */
+    public RelaySettings(
+            String name,
+            FailureDomainId failureDomain,
+            List<FailureDomainId> failureDomains,
+            boolean firstStart,
+            String callerAddress,
+            String readinessAddress,
+            String peerAddress,
+            int metricsPort,
+            String adapter,
+            String storeAddress,
+            long storeTimeoutMillis,
+            long stallMillis,
+            long drainMillis,
+            long retryWindowMillis,
+            double retryRatio,
+            double retryAllowance,
+            int nodes) {
+        this(
+                name,
+                failureDomain,
+                failureDomains,
+                firstStart,
+                callerAddress,
+                readinessAddress,
+                peerAddress,
+                metricsPort,
+                adapter,
+                storeAddress,
+                storeTimeoutMillis,
+                stallMillis,
+                drainMillis,
+                retryWindowMillis,
+                retryRatio,
+                retryAllowance,
+                0,
+                0,
+                nodes);
+    }
+
+    /** Returns what all callers together may hold of the memory and the descriptors. */
+    ResourceLimits resources() {
+        return ResourceLimits.of(memoryMegabytes, maxDescriptors);
+    }
+
     /**
      * Returns whether a file contains settings of relay mode.
      *
@@ -100,6 +151,8 @@
                 limits.integer("repeatWindowMillis", null, 1, MAX_MILLIS),
                 limits.decimal("repeatRatio", null, 0, 1),
                 limits.decimal("repeatAllowance", null, 0, 1_000_000),
+                (int) limits.integer("memoryMegabytes", 0L, 0, MAX_MEGABYTES),
+                (int) limits.integer("maxDescriptors", 0L, 0, Integer.MAX_VALUE),
                 (int) limits.integer("nodes", 4L, 1, 10_000));
         for (SectionReader reader : List.of(relay, listen, platform, limits)) {
             reader.reportUnknown();
--- a/relay/src/main/java/org/apricotdeal/relay/node/RequestBody.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RequestBody.java
@@ -14,6 +14,7 @@
     private byte[] bytes = new byte[0];
     private int size;
     private int reservedBytes;
+    private boolean released;
 
     RequestBody(BufferLimit limit) {
         this.limit = limit;
@@ -21,10 +22,10 @@
 
     /** Reserves the memory of a body of a known length; returns false if there is not enough. */
     synchronized boolean tryReserve(long length) {
-        if (length <= bytes.length) {
+        if (!released && length <= bytes.length) {
             return true;
         }
-        if (length > Integer.MAX_VALUE || !limit.tryReserve((int) length - reservedBytes)) {
+        if (released || length > Integer.MAX_VALUE || !limit.tryReserve((int) length - reservedBytes, length)) {
             return false;
         }
         reservedBytes = (int) length;
@@ -34,6 +35,9 @@
 
     /** Adds content; returns false if there is not enough memory. */
     synchronized boolean add(ByteBuffer content) {
+        if (released) {
+            return false;
+        }
         int needed = size + content.remaining();
         if (needed > bytes.length && !tryReserve(Math.max(needed, Math.max(INITIAL_BYTES, 2L * bytes.length)))) {
             return false;
@@ -44,6 +48,10 @@
         return true;
     }
 
+    synchronized int reservedBytes() {
+        return reservedBytes;
+    }
+
     synchronized int size() {
         return size;
     }
@@ -53,9 +61,10 @@
         return ByteBuffer.wrap(bytes, 0, size).asReadOnlyBuffer();
     }
 
-    /** Releases the reserved memory; has an effect once. */
+    /** Releases the reserved memory, after which the body takes no content; has an effect once. */
     synchronized void release() {
         limit.release(reservedBytes);
         reservedBytes = 0;
+        released = true;
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -30,7 +30,7 @@
  * before any of it is relayed. A cancelled attempt has no further effect on the exchange.
  */
 final class UpstreamAttempt {
-    /** Maximum size of a buffered response and of a stream event; a quarter of the limit for all buffers. */
+    /** Maximum size of a buffered response and of a stream event. */
     private static final int MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 
     /**
@@ -46,10 +46,11 @@
     private final ExchangeHeaders headerNames;
     private final Clock clock;
     private final Listener listener;
+    private final CallerResources callerResources;
     private final BufferLimit bufferLimit;
     private final FramingLimit framingLimit = new FramingLimit();
     private final EventFramer framer = new EventFramer();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Request request;
     private UpstreamEndPoint endPoint;
     private boolean sent;
@@ -108,7 +109,7 @@
             ExchangeHeaders headerNames,
             Clock clock,
             Listener listener,
-            BufferLimit bufferLimit) {
+            CallerResources callerResources) {
         this.exchange = exchange;
         this.id = send.attempt();
         this.target = send.target();
@@ -116,7 +117,8 @@
         this.headerNames = headerNames;
         this.clock = clock;
         this.listener = listener;
-        this.bufferLimit = bufferLimit;
+        this.callerResources = callerResources;
+        this.bufferLimit = callerResources.answers();
     }
 
     Exchange exchange() {
@@ -302,7 +304,7 @@
 
     /** Adjusts the reserved bytes to the buffer size; aborts the attempt and returns false if a limit is exceeded. */
     private boolean reserve(Response response, int neededBytes) {
-        boolean reserved = neededBytes <= MAX_BUFFERED_BYTES && bufferLimit.tryReserve(neededBytes - reservedBytes);
+        boolean reserved = neededBytes <= MAX_BUFFERED_BYTES && tryReserve(neededBytes);
         if (reserved) {
             reservedBytes = neededBytes;
         } else {
@@ -311,6 +313,15 @@
         return reserved;
     }
 
+    private boolean tryReserve(int neededBytes) {
+        while (!bufferLimit.tryReserve(neededBytes - reservedBytes, neededBytes)) {
+            if (!bufferLimit.makeRoom(clock.monotonicMillis(), neededBytes)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private void releaseReserved() {
         bufferLimit.release(reservedBytes);
         reservedBytes = 0;
@@ -383,7 +394,11 @@
             fail(AttemptOutcome.BROKEN, "status " + status, response);
             return;
         }
-        exchange.sendUpstreamResponse(status, response.getHeaders(), body.toByteArray());
+        byte[] content = body.toByteArray();
+        // The exchange keeps its attempt while a slow caller reads.
+        body = new ByteArrayOutputStream(0);
+        exchange.holdAnswer(callerResources, content.length);
+        exchange.sendUpstreamResponse(status, response.getHeaders(), content);
         listener.completed(this, status);
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/WatchedEndPoint.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/WatchedEndPoint.java
@@ -4,8 +4,11 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CancellationException;
+import java.util.concurrent.TimeUnit;
 
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -23,6 +26,7 @@
     private final ReadTurn turn = new ReadTurn();
     private ByteBuffer readAheadBuffer = BufferUtil.EMPTY_BUFFER;
     private Watch watch;
+    private volatile long flushedNanos = System.nanoTime();
 
     WatchedEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
         super(channel, selector, key, scheduler);
@@ -47,6 +51,39 @@
         return filled;
     }
 
+    @Override
+    public boolean flush(ByteBuffer... buffers) throws IOException {
+        long before = BufferUtil.remaining(buffers);
+        boolean flushed = super.flush(buffers);
+        if (flushed || BufferUtil.remaining(buffers) < before) {
+            flushedNanos = System.nanoTime();
+        }
+        return flushed;
+    }
+
+    /** Returns the time since the caller last accepted bytes, in milliseconds. */
+    long millisSinceFlush() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - flushedNanos);
+    }
+
+    /**
+     * Sends a response without content and closes the connection, on which no response has been started.
+     *
+     * @param status status of the response
+     * @param retryAfterSeconds time after which the caller may retry; empty for none
+     */
+    void closeWith(int status, String retryAfterSeconds) {
+        String retryAfter = retryAfterSeconds.isEmpty() ? "" : "Retry-After: " + retryAfterSeconds + "\r\n";
+        String head = "HTTP/1.1 " + status + " " + HttpStatus.getMessage(status) + "\r\n" + retryAfter
+                + "Content-Length: 0\r\nConnection: close\r\n\r\n";
+        try {
+            flush(ByteBuffer.wrap(head.getBytes(StandardCharsets.US_ASCII)));
+        } catch (IOException e) {
+            // The caller has closed the connection.
+        }
+        close();
+    }
+
     /**
      * Starts watching for a disconnect. Must be called after the request has been read completely, and must be ended before
      * the response is completed.
