--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
@@ -119,6 +119,8 @@
                 0.2,
                 20,
                 1,
+                0,
+                0,
                 ColdBounds.OFF));
     }
 
--- a/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
@@ -91,6 +91,8 @@
                 0.2,
                 20,
                 1,
+                0,
+                0,
                 ColdBounds.OFF);
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -76,7 +76,15 @@
         UpstreamRequest.Factory requests = (address, target) -> new UpstreamRequest(client, address, target);
         evacuations = new EvacuationHolder(settings.failureDomains(), clock, log, metrics);
         relay = new RelayDuty(
-                dispatcher, requests, adapter.headers(), evacuations::isEvacuated, clock, random, log, metrics);
+                dispatcher,
+                requests,
+                adapter.headers(),
+                evacuations::isEvacuated,
+                clock,
+                random,
+                log,
+                metrics,
+                settings.resources());
         fleet = new FleetDuty(settings, relay, adapter.vmClient(client), clock, log, metrics);
         relay.readLoadsWith(adapter::requestsAtVm);
         relay.onSuspectedVms(fleet::suspect);
@@ -101,7 +109,15 @@
                 self, client, relay, fleet, catalogues, cataloguePull, evacuations, watcher, vms, clock, log, metrics);
         ingress = new IngressHandler(catalogues, adapter, relay, clock);
         server = new RelayServer(
-                settings, threads, ingress, heartbeats, cataloguePull, this::isReady, metrics, catalogues);
+                settings,
+                threads,
+                ingress,
+                heartbeats,
+                cataloguePull,
+                this::isReady,
+                metrics,
+                catalogues,
+                relay.callerResources());
     }
 
     private static PlatformAdapter adapter(String name) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelaySettings.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelaySettings.java
@@ -30,6 +30,8 @@
  * @param retryRatio retries allowed per request, over all nodes
  * @param retryAllowance additional retries allowed in a window, over all nodes
  * @param nodes minimum number of nodes among which the allowance is divided; the number of registered nodes if it is larger
+ * @param memoryMegabytes memory of the machine in megabytes; 0 if it is not known
+ * @param maxDescriptors maximum number of descriptors of the process; 0 for that of the operating system
  * @param coldBounds bound on the requests to a cold VM, over all nodes
  */
 public record RelaySettings(
@@ -50,11 +52,14 @@
         double retryRatio,
         double retryAllowance,
         int nodes,
+        int memoryMegabytes,
+        int maxDescriptors,
         ColdBounds coldBounds) {
     /** Section whose presence puts a node into relay mode. */
     public static final String SECTION = "relay";
 
     private static final long MAX_MILLIS = 600_000;
+    private static final long MAX_MEGABYTES = 1_000_000;
     private static final int MAX_PORT = 65_535;
 
     /** Copies the list. */
@@ -62,6 +67,11 @@
         failureDomains = List.copyOf(failureDomains);
     }
 
+    /** Returns what all callers together may hold of the memory and the descriptors. */
+    ResourceLimits resources() {
+        return ResourceLimits.of(memoryMegabytes, maxDescriptors);
+    }
+
     /**
      * Returns whether a file contains settings of relay mode.
      *
@@ -104,6 +114,8 @@
                 limits.decimal("repeatRatio", null, 0, 1),
                 limits.decimal("repeatAllowance", null, 0, 1_000_000),
                 (int) limits.integer("nodes", 4L, 1, 10_000),
+                (int) limits.integer("memoryMegabytes", 0L, 0, MAX_MEGABYTES),
+                (int) limits.integer("maxDescriptors", 0L, 0, Integer.MAX_VALUE),
                 new ColdBounds(optionalDecimal(limits, "coldOverrun"), optionalDecimal(limits, "coldSlack")));
         for (SectionReader reader : List.of(relay, listen, platform, limits)) {
             reader.reportUnknown();
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -33,7 +33,7 @@
  * before any of it is relayed. A cancelled attempt has no further effect on the exchange.
  */
 final class UpstreamAttempt {
-    /** Maximum size of a buffered response and of a stream event; a quarter of the limit for all buffers. */
+    /** Maximum size of a buffered response and of a stream event. */
     private static final int MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 
     /**
@@ -50,10 +50,11 @@
     private final Predicate<FailureDomainId> evacuated;
     private final Clock clock;
     private final Listener listener;
+    private final CallerResources callerResources;
     private final BufferLimit bufferLimit;
     private final FramingLimit framingLimit = new FramingLimit();
     private final EventFramer framer = new EventFramer();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Request request;
     private UpstreamEndPoint endPoint;
     private boolean sent;
@@ -115,7 +116,7 @@
             Predicate<FailureDomainId> evacuated,
             Clock clock,
             Listener listener,
-            BufferLimit bufferLimit) {
+            CallerResources callerResources) {
         this.exchange = exchange;
         this.id = send.attempt();
         this.target = send.target();
@@ -124,7 +125,8 @@
         this.evacuated = evacuated;
         this.clock = clock;
         this.listener = listener;
-        this.bufferLimit = bufferLimit;
+        this.callerResources = callerResources;
+        this.bufferLimit = callerResources.answers();
     }
 
     Exchange exchange() {
@@ -322,7 +324,7 @@
 
     /** Adjusts the reserved bytes to the buffer size; aborts the attempt and returns false if a limit is exceeded. */
     private boolean reserve(Response response, int neededBytes) {
-        boolean reserved = neededBytes <= MAX_BUFFERED_BYTES && bufferLimit.tryReserve(neededBytes - reservedBytes);
+        boolean reserved = neededBytes <= MAX_BUFFERED_BYTES && tryReserve(neededBytes);
         if (reserved) {
             reservedBytes = neededBytes;
         } else {
@@ -331,6 +333,15 @@
         return reserved;
     }
 
+    private boolean tryReserve(int neededBytes) {
+        while (!bufferLimit.tryReserve(neededBytes - reservedBytes, neededBytes)) {
+            if (!bufferLimit.makeRoom(clock.monotonicMillis(), neededBytes)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private void releaseReserved() {
         bufferLimit.release(reservedBytes);
         reservedBytes = 0;
@@ -403,7 +414,11 @@
             fail(AttemptOutcome.BROKEN, "status " + status, response);
             return;
         }
-        exchange.sendUpstreamResponse(status, response.getHeaders(), body.toByteArray());
+        byte[] content = body.toByteArray();
+        // The exchange keeps its attempt while a slow caller reads.
+        body = new ByteArrayOutputStream(0);
+        exchange.holdAnswer(callerResources, content.length);
+        exchange.sendUpstreamResponse(status, response.getHeaders(), content);
         listener.completed(this, status);
     }
 
