Send a request where its answer is likely to begin first

Cause: requests that look alike cost engines very different amounts of work, but targets were compared by counts, in which every unread prompt weighed three requests. Change: CostEstimator learns from token counts, hints, routes and customers what a request costs; the choice of target compares the unread prompts, the work left and the pace of each target, and long prompts go earlier within their class. Only where callers state sizes to an engine upstream; other requests are placed as before.

--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -14,6 +14,7 @@
 import org.apricotdeal.relay.model.ModelId;
 import org.apricotdeal.relay.model.PromptPartId;
 import org.apricotdeal.relay.model.RelayCatalogue;
+import org.apricotdeal.relay.model.RequestSize;
 import org.apricotdeal.relay.model.RouteEntry;
 import org.apricotdeal.relay.model.UpstreamEntry;
 import org.apricotdeal.relay.policy.Arrival;
@@ -144,7 +145,14 @@
                 customer.map(Customer::name).orElse(""),
                 priority,
                 arrivedMillis,
-                arrivedMillis + waitMillis);
+                arrivedMillis + waitMillis,
+                model.isEmpty() ? Optional.empty() : statedSize(request));
+    }
+
+    private Optional<RequestSize> statedSize(Request request) {
+        return adapter.requestSize(
+                request.getHeaders().get(headerNames.tokenCounts()),
+                request.getHeaders().get(headerNames.answerTokensHint()));
     }
 
     private List<PromptPartId> sharedParts(Request request) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/Arrival.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/Arrival.java
@@ -1,8 +1,10 @@
 package org.apricotdeal.relay.policy;
 
 import java.util.List;
+import java.util.Optional;
 
 import org.apricotdeal.relay.model.PromptPartId;
+import org.apricotdeal.relay.model.RequestSize;
 import org.apricotdeal.relay.model.RouteEntry;
 
 /**
@@ -16,6 +18,7 @@
  * @param priority priority of the request; 0 is the highest
  * @param arrivedMillis monotonic time at which the headers had been read
  * @param deadlineMillis monotonic time by which the final answer is due
+ * @param size size that the caller states; empty for plain services and if it is not stated
  */
 public record Arrival(
         ExchangeId id,
@@ -25,9 +28,45 @@
         String customer,
         int priority,
         long arrivedMillis,
-        long deadlineMillis) {
+        long deadlineMillis,
+        Optional<RequestSize> size) {
     /** Copies the list. */
     public Arrival {
         sharedParts = List.copyOf(sharedParts);
     }
+
+    /**
+     * Creates a request of unknown size.
+     *
+     * @param id exchange of the request
+     * @param queue queue that the request waits in
+     * @param route route that matched the request
+     * @param sharedParts parts of the prompt that other requests may have in common; empty for plain services
+     * @param customer name of the customer; empty if none is required
+     * @param priority priority of the request; 0 is the highest
+     * @param arrivedMillis monotonic time at which the headers had been read
+     * @param deadlineMillis monotonic time by which the final answer is due
+     */
+    public Arrival(
+            ExchangeId id,
+            QueueId queue,
+            RouteEntry route,
+            List<PromptPartId> sharedParts,
+            String customer,
+            int priority,
+            long arrivedMillis,
+            long deadlineMillis) {
+        this(id, queue, route, sharedParts, customer, priority, arrivedMillis, deadlineMillis, Optional.empty());
+    }
+
+    /**
+     * Returns the request with a stated size.
+     *
+     * @param stated size that the caller states
+     * @return request that differs in its size only
+     */
+    public Arrival withSize(RequestSize stated) {
+        return new Arrival(
+                id, queue, route, sharedParts, customer, priority, arrivedMillis, deadlineMillis, Optional.of(stated));
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
@@ -107,7 +107,7 @@
         UpstreamEntry upstream =
                 catalogue == null ? null : catalogue.upstreams().get(id.upstream());
         if (upstream == null || upstream.engine().isEmpty() || id.model().isEmpty()) {
-            return new QueueState(id, INITIAL_PLAIN_SERVICE_MILLIS, INITIAL_PLAIN_START_MILLIS);
+            return new QueueState(id, INITIAL_PLAIN_SERVICE_MILLIS, INITIAL_PLAIN_START_MILLIS, Optional.empty());
         }
         EngineProfile engine = upstream.engine().get();
         double timeFactor =
@@ -116,7 +116,8 @@
         double serviceMillis = timeFactor
                 * (engine.meanAnswerTokens() * tokenMillis
                         + engine.meanPromptTokens() / engine.prefillTokensPerMilli());
-        return new QueueState(id, serviceMillis, INITIAL_ENGINE_START_MILLIS);
+        return new QueueState(
+                id, serviceMillis, INITIAL_ENGINE_START_MILLIS, Optional.of(EngineTimes.of(engine, timeFactor)));
     }
 
     /**
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.TreeSet;
@@ -13,6 +14,7 @@
                     (RequestState request) -> request.attempts == 0)
             .thenComparingInt(request -> request.arrival.priority())
             .thenComparing(request -> request.returningCaller)
+            .thenComparingDouble(RequestState::orderMillis)
             .thenComparingLong(request -> request.sequence);
 
     /** Share of the slots that is reserved for new callers after one was refused. */
@@ -35,6 +37,8 @@
     long lastRefusedMillis = Long.MIN_VALUE / 2;
     long newCallerRefusedMillis = Long.MIN_VALUE / 2;
     long nextReturnAtMillis;
+    private final Optional<CostEstimator> costs;
+    private final TypicalTime typicalStart;
     private OptionalDouble averagePeersRunning = OptionalDouble.empty();
 
     /**
@@ -43,11 +47,14 @@
      * @param id identifies the queue
      * @param initialServiceMillis estimate of the time that a request occupies a slot, until it is measured
      * @param initialStartMillis estimate of the time to the first bytes of an answer, until it is measured
+     * @param engine times of the engine; empty for plain services
      */
-    QueueState(QueueId id, double initialServiceMillis, double initialStartMillis) {
+    QueueState(QueueId id, double initialServiceMillis, double initialStartMillis, Optional<EngineTimes> engine) {
         this.id = id;
         this.serviceMillis = new MovingAverage(initialServiceMillis);
         this.startMillis = new MovingAverage(initialStartMillis);
+        this.typicalStart = new TypicalTime(initialStartMillis);
+        this.costs = engine.map(CostEstimator::new);
     }
 
     void clearTargets() {
@@ -66,6 +73,32 @@
         }
     }
 
+    /** Returns the work that a request is likely to cause; empty if its size is not known. */
+    Optional<RequestCost> estimateCost(Arrival arrival) {
+        return costs.isEmpty()
+                ? Optional.empty()
+                : arrival.size().map(size -> costs.get().estimate(arrival, size));
+    }
+
+    /** Records that the first bytes of an answer have arrived. */
+    void recordStart(RequestState request, long nowMillis) {
+        long tookMillis = nowMillis - request.dispatchedMillis;
+        request.startedMillis = nowMillis;
+        startMillis.add(tookMillis);
+        request.target.recordStart(tookMillis, typicalStart.millis(), nowMillis);
+        typicalStart.add(tookMillis);
+    }
+
+    /** Records that an answer is complete; only that of a first attempt is whole. */
+    void recordEnd(RequestState request, long nowMillis) {
+        serviceMillis.add(nowMillis - request.dispatchedMillis);
+        if (costs.isEmpty() || request.attempts != 1 || !request.started) {
+            return;
+        }
+        request.arrival.size().ifPresent(size -> costs.get()
+                .learn(request.arrival, size, nowMillis - request.startedMillis));
+    }
+
     /** Selects the home targets again after the nodes of the fleet have changed. */
     void updateHomeTargets() {
         homeTargets.clear();
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -291,7 +291,7 @@
         targetRequests.ifPresent(count -> registry.recordReportedLoad(request.target, count, nowMillis));
         if (!request.started) {
             request.started = true;
-            request.queue.startMillis.add(nowMillis - request.dispatchedMillis);
+            request.queue.recordStart(request, nowMillis);
         }
     }
 
@@ -307,7 +307,7 @@
             actions.add(new RelayAction.CancelAttempt(attempt.exchange()));
         } else if (request.running()) {
             request.target.recordProgress(nowMillis);
-            request.queue.serviceMillis.add(nowMillis - request.dispatchedMillis);
+            request.queue.recordEnd(request, nowMillis);
             poison.onFinished(request, nowMillis);
             release(request);
         }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RequestState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RequestState.java
@@ -1,6 +1,7 @@
 package org.apricotdeal.relay.policy;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 /** State of a request from its arrival to its end. */
@@ -12,6 +13,9 @@
     /** Whether the caller was refused before, by this node or another one. */
     final boolean returningCaller;
 
+    /** Work that the request is likely to cause; empty if its size is not known. */
+    final Optional<RequestCost> cost;
+
     final Set<TargetId> triedTargets = new HashSet<>();
     TargetState target;
     int attempts;
@@ -30,11 +34,15 @@
 
     long dispatchedMillis;
 
+    /** Time of the first bytes of the answer of the current attempt. */
+    long startedMillis;
+
     RequestState(Arrival arrival, QueueState queue, long sequence, boolean returningCaller) {
         this.arrival = arrival;
         this.queue = queue;
         this.sequence = sequence;
         this.returningCaller = returningCaller;
+        this.cost = queue.estimateCost(arrival);
     }
 
     /** Returns whether an attempt is the one that runs now, and not one that has been replaced. */
@@ -42,6 +50,19 @@
         return running() && attempt.number() == lastAttemptNumber;
     }
 
+    /**
+     * Returns the position among requests of the same class: the time of arrival, less the time that its prompt needs
+     * beyond an empty one. A long prompt has to be sent earlier to be answered at the same time.
+     */
+    double orderMillis() {
+        return arrival.arrivedMillis() - cost.map(RequestCost::readMillis).orElse(0.0);
+    }
+
+    /** Returns the time for which the request still occupies its slot, if its cost is known. */
+    double remainingMillis(long nowMillis, double usualMillis) {
+        return cost.isEmpty() ? usualMillis : cost.get().remainingMillis(started ? nowMillis - startedMillis : -1);
+    }
+
     boolean running() {
         return target != null;
     }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetChooser.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetChooser.java
@@ -7,9 +7,11 @@
 import org.apricotdeal.kernel.id.FailureDomainId;
 
 /**
- * Chooses the target of a request: the one with the lowest share of occupied slots, by this node's own requests and the
- * average of the other nodes' counts ({@link TargetState#expectedLoad}). Prompts that the engine has not read yet weigh
- * more than other requests, and targets of the local failure domain are preferred.
+ * Chooses the target of a request. A request whose cost is known goes where its answer is predicted to begin first,
+ * given the unread prompts, the work left and the pace of each target. Any other request goes to the target
+ * with the lowest share of occupied slots, by this node's own requests and the average of the other nodes' counts
+ * ({@link TargetState#expectedLoad}); prompts that the engine has not read yet weigh more than other requests. Targets of
+ * the local failure domain are preferred.
  *
  * <p>Load pattern: many nodes choose at the same time, with old counts of each other's requests. In a large fleet a node
  * compares only its home targets ({@link HomeNodes}) and a few others, so that the nodes do not all choose the same one.
@@ -33,6 +35,12 @@
     /** Number of requests that a target in another failure domain counts as. */
     private static final double REMOTE_PENALTY = 0.5;
 
+    /**
+     * Share of the service time by which a full target is assumed to delay the start of an answer: slots that other nodes
+     * take at the same time are not known yet.
+     */
+    private static final double CROWD_SHARE = 0.05;
+
     private final FailureDomainId localDomain;
     private final UniformRandomProvider random;
 
@@ -61,7 +69,7 @@
         TargetState best = null;
         double bestScore = Double.MAX_VALUE;
         for (TargetState state : candidates(queue, request, poison, nowMillis)) {
-            double score = score(state, nowMillis);
+            double score = request.cost.isPresent() ? predictedMillis(state, nowMillis) : score(state, nowMillis);
             if (score < bestScore) {
                 best = state;
                 bestScore = score;
@@ -107,18 +115,36 @@
                 && poison.mayReceive(state, request, nowMillis);
     }
 
+    /**
+     * Returns the predicted time to the first event of a request with a known cost: the prompts that the target has not
+     * read yet and the start of an answer, at the target's pace, and the delay by the work that it has left. The
+     * penalties are converted like requests of usual cost.
+     */
+    private double predictedMillis(TargetState state, long nowMillis) {
+        QueueState queue = state.queue();
+        double usualMillis = queue.serviceMillis.value();
+        double crowdMillis = usualMillis
+                * CROWD_SHARE
+                * (state.workLoad(nowMillis, usualMillis) + penalty(state))
+                / state.target.slots();
+        return state.pace(nowMillis) * (queue.startMillis.value() + state.unreadMillis(nowMillis)) + crowdMillis;
+    }
+
+    /** Returns the number of requests that the place of a target counts as, and a random tie-breaker. */
+    private double penalty(TargetState state) {
+        double remotePenalty = state.target.failureDomain().equals(localDomain) ? 0 : REMOTE_PENALTY;
+        double foreignPenalty = state.isHome() ? 0 : FOREIGN_PENALTY;
+        return remotePenalty + foreignPenalty + random.nextDouble() / 4;
+    }
+
     /**
      * Returns the share of occupied slots. A target of other nodes or in another failure domain counts as fuller than
      * it is, and ties are broken at random. An unread prompt counts as several requests, because the first event of a
      * new request waits for it but hardly for answers that are being generated.
      */
     private double score(TargetState state, long nowMillis) {
-        double remotePenalty = state.target.failureDomain().equals(localDomain) ? 0 : REMOTE_PENALTY;
-        double foreignPenalty = state.isHome() ? 0 : FOREIGN_PENALTY;
-        double tie = random.nextDouble() / 4;
         double unreadPromptLoad =
                 state.target.queue().model().isPresent() ? UNREAD_PROMPT_WEIGHT * state.runningWithoutAnswer() : 0;
-        return (state.expectedLoad(nowMillis) + unreadPromptLoad + remotePenalty + foreignPenalty + tie)
-                / state.target.slots();
+        return (state.expectedLoad(nowMillis) + unreadPromptLoad + penalty(state)) / state.target.slots();
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -25,6 +25,11 @@
     /** Time for which a target is excluded after the first suspicion, before one request probes it. */
     private static final long FIRST_EXCLUSION_MILLIS = 1_000;
 
+    /** Bounds of the load that the work left of a request counts as, in requests of usual cost. */
+    private static final double MIN_LOAD = 0.5;
+
+    private static final double MAX_LOAD = 2;
+
     private static final long MAX_EXCLUSION_MILLIS = 8_000;
 
     /** Number of consecutive stalls after which a plain service is suspected. */
@@ -36,6 +41,8 @@
 
     private final QueueState queue;
     private final Optional<ModelRelease> served;
+    private final TargetPace pace = new TargetPace();
+    private double readUntilMillis;
     private int peersRunning;
     private double averagePeersRunning;
     private long peersUpdatedMillis = NEVER_MILLIS;
@@ -124,6 +131,40 @@
         return running.size() + (nowMillis - peersUpdatedMillis < MAX_PEER_LOAD_AGE_MILLIS ? peersRunning : 0);
     }
 
+    /** Records the time to the first bytes of an answer, beside the typical time of the queue. */
+    void recordStart(long tookMillis, double typicalMillis, long nowMillis) {
+        pace.add(tookMillis, typicalMillis, nowMillis);
+        if (runningWithoutAnswer() == 0) {
+            readUntilMillis = nowMillis;
+        }
+    }
+
+    /** Returns the factor by which the target is slower than the others of its queue. */
+    double pace(long nowMillis) {
+        return pace.factor(nowMillis);
+    }
+
+    /** Returns the time that the engine needs for the prompts of this node that it has not read yet. */
+    double unreadMillis(long nowMillis) {
+        return Math.max(0, readUntilMillis - nowMillis);
+    }
+
+    /**
+     * Returns the load of the target in requests of usual cost. The work left of this node's own requests is known; those
+     * of the peers, whose counts are old, count as one each.
+     *
+     * @param nowMillis monotonic time
+     * @param usualMillis usual time that a request occupies a slot
+     */
+    double workLoad(long nowMillis, double usualMillis) {
+        double requests = expectedLoad(nowMillis) - running.size();
+        for (RequestState request : running) {
+            double left = 2 * request.remainingMillis(nowMillis, usualMillis / 2) / usualMillis;
+            requests += Math.clamp(left, MIN_LOAD, MAX_LOAD);
+        }
+        return requests;
+    }
+
     /** Counts the requests of this node at the target whose answers have not started. */
     int runningWithoutAnswer() {
         int count = 0;
@@ -210,9 +251,15 @@
     /** Records that a request is sent to the target. */
     void recordSend(RequestState request, long nowMillis) {
         running.add(request);
+        request.cost.ifPresent(cost -> recordPrompt(cost, nowMillis));
         coldLimit.ifPresent(limit -> limit.recordSend(nowMillis));
     }
 
+    /** Records that the engine receives a prompt, which it reads after those that it has received before. */
+    private void recordPrompt(RequestCost cost, long nowMillis) {
+        readUntilMillis = Math.max((double) nowMillis, readUntilMillis) + pace(nowMillis) * cost.readMillis();
+    }
+
     /**
      * Returns the slots with which a waiting request can reckon. A cold target counts for what it may take, and for
      * nothing if this node sends it nothing.
--- a/relay/src/main/java/org/apricotdeal/relay/port/ExchangeHeaders.java
+++ b/relay/src/main/java/org/apricotdeal/relay/port/ExchangeHeaders.java
@@ -8,6 +8,7 @@
  * @param lastEventId id of the last stream event that the caller has received
  * @param model model that the request is for
  * @param tokenCounts number of prompt tokens and maximum number of response tokens
+ * @param answerTokensHint caller's estimate of the number of response tokens
  * @param promptParts parts of the prompt, in order
  * @param customer customer that owns the key
  * @param targetVm the only VM that may run the request
@@ -25,6 +26,7 @@
         String lastEventId,
         String model,
         String tokenCounts,
+        String answerTokensHint,
         String promptParts,
         String customer,
         String targetVm,
--- a/relay/src/main/java/org/apricotdeal/relay/port/PlatformAdapter.java
+++ b/relay/src/main/java/org/apricotdeal/relay/port/PlatformAdapter.java
@@ -1,9 +1,11 @@
 package org.apricotdeal.relay.port;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 
 import org.apricotdeal.relay.model.PromptPartId;
+import org.apricotdeal.relay.model.RequestSize;
 import org.eclipse.jetty.client.HttpClient;
 
 /** Adapter for a platform, loaded by {@link java.util.ServiceLoader} and selected by name in the settings. */
@@ -39,6 +41,15 @@
      */
     OptionalInt requestsAtVm(String header);
 
+    /**
+     * Parses the headers that state the size of a generation.
+     *
+     * @param tokenCounts value of the header {@link ExchangeHeaders#tokenCounts}; null if it is missing
+     * @param answerTokensHint value of the header {@link ExchangeHeaders#answerTokensHint}; null if it is missing
+     * @return the stated size, without an invalid hint; empty if the counts are missing or invalid
+     */
+    Optional<RequestSize> requestSize(String tokenCounts, String answerTokensHint);
+
     /**
      * Returns the codec for the records in the platform's store.
      *
