--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -70,7 +70,6 @@
     private final String name;
     private final PendingOrders orders = new PendingOrders();
     private final WeightStaging staging = new WeightStaging();
-    private final Preemption preemption = new Preemption();
     private final HeadTracker heads;
     private final Set<ReplicaGroupId> releasedGroups = new HashSet<>();
     private final Map<ReplicaGroupId, Long> firstSeenMillis = new HashMap<>();
@@ -354,20 +353,10 @@
     /** Closes replicas of other models if that allows a replica of the model furthest below its share. */
     private void preempt(
             Map<FabricDomainId, List<UpstreamVm>> free, List<ReplicaGroup> activeGroups, ModelBalance balance) {
-        for (ModelSpec model : Preemption.beneficiaries(balance, input.demand())) {
-            List<ReplicaGroup> best = chooseForPreemption(model, free, activeGroups, balance);
-            best.forEach(group -> close(group, model.id()));
-            if (!best.isEmpty()) {
-                return;
-            }
+        ModelSpec model = balance.byDeficit().getFirst();
+        if (!input.demand().refusingModels().contains(model.id())) {
+            return;
         }
-    }
-
-    private List<ReplicaGroup> chooseForPreemption(
-            ModelSpec model,
-            Map<FabricDomainId, List<UpstreamVm>> free,
-            List<ReplicaGroup> activeGroups,
-            ModelBalance balance) {
         Set<FabricDomainId> fabricDomains = new TreeSet<>(free.keySet());
         activeGroups.forEach(group -> group.members().getFirst().fabricDomain().ifPresent(fabricDomains::add));
         List<ReplicaGroup> best = List.of();
@@ -381,20 +370,18 @@
             List<ReplicaGroup> servingGroups = activeGroups.stream()
                     .filter(group -> group.open() && isWithin(group, fabricDomain))
                     .toList();
-            List<ReplicaGroup> chosen = Preemption.choose(model, missing, servingGroups, balance, input.demand());
+            List<ReplicaGroup> chosen = Preemption.choose(model, missing, servingGroups, balance);
             if (!chosen.isEmpty() && (best.isEmpty() || chosen.size() < best.size())) {
                 best = chosen;
             }
         }
-        return best;
+        best.forEach(group -> close(group, "preempted by " + model.id()));
     }
 
-    private void close(ReplicaGroup group, ModelId model) {
+    private void close(ReplicaGroup group, String reason) {
         ReplicaGroupId id = group.id();
-        ReplicaOrder order = new ReplicaOrder.Close(id.replica(), id.epoch());
-        if (tryOrder(group.head().orElseThrow(), order, "preempted by " + model)) {
+        if (tryOrder(group.head().orElseThrow(), new ReplicaOrder.Close(id.replica(), id.epoch()), reason)) {
             closingSinceMillis.put(id, input.nowMillis());
-            preemption.claim(group, model, input.nowMillis());
         }
     }
 
@@ -481,8 +468,7 @@
     /** Chooses the members of a replica: the VMs that need the least time to join. */
     private List<UpstreamVm> chooseMembers(List<UpstreamVm> free, ModelSpec model) {
         return free.stream()
-                .filter(vm -> input.startup()
-                        || (canJoin(vm, model.id()) && preemption.mayJoin(vm.id(), model.id(), input.nowMillis())))
+                .filter(vm -> input.startup() || canJoin(vm, model.id()))
                 .sorted(Comparator.comparingLong(vm -> joinMillis(vm, model)))
                 .limit(model.replicaSize())
                 .toList();
