Read the limit of descriptors without a module that the runtime lacks

Change: the limit is read from /proc/self/limits where the settings do not name it.

HostileClientsTest has not been run again on this commit at the time of it.

--- a/relay/src/main/java/org/apricotdeal/relay/node/ResourceLimits.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/ResourceLimits.java
@@ -1,8 +1,8 @@
 package org.apricotdeal.relay.node;
 
-import java.lang.management.ManagementFactory;
-
-import com.sun.management.UnixOperatingSystemMXBean;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 
 /**
  * What all callers of a node together may hold, as shares of the memory and the descriptors of its process.
@@ -24,6 +24,8 @@
     private static final double CALLER_SHARE = 0.75;
 
     private static final int MIN_CONNECTIONS = 16;
+    private static final Path PROCESS_LIMITS = Path.of("/proc/self/limits");
+    private static final int DESCRIPTOR_COLUMN = 3;
 
     /**
      * Returns the limits of a process.
@@ -42,9 +44,18 @@
         return new ResourceLimits(heapBytes / BODY_PART, heapBytes / OTHER_PART, heapBytes / OTHER_PART, connections);
     }
 
+    /** Reads the limit from the process's entry in the file system, which needs no module of the JDK beyond the base. */
     private static long operatingSystemDescriptors() {
-        return ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean system
-                ? system.getMaxFileDescriptorCount()
-                : Integer.MAX_VALUE;
+        try {
+            for (String line : Files.readAllLines(PROCESS_LIMITS)) {
+                String[] columns = line.trim().split("\\s+", -1);
+                if (line.startsWith("Max open files") && columns[DESCRIPTOR_COLUMN].matches("\\d{1,9}")) {
+                    return Long.parseLong(columns[DESCRIPTOR_COLUMN]);
+                }
+            }
+        } catch (IOException e) {
+            // The operating system has no such file.
+        }
+        return Integer.MAX_VALUE;
     }
 }
