Small nodes are delegates and planners last

At 109 nodes a delegate answers some 180 heartbeats a second. Change: nodes register the cores that they may use (settings processorShare x processorCores); in the order of a domain, nodes below half a core come after the larger ones. Fleets whose nodes all have half a core or more keep their order.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
@@ -121,6 +121,7 @@
                 1,
                 0,
                 0,
+                1,
                 ColdBounds.OFF));
     }
 
--- a/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
@@ -93,6 +93,7 @@
                 1,
                 0,
                 0,
+                1,
                 ColdBounds.OFF);
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -460,10 +460,10 @@
     private List<PlannerChoice.Candidate> candidates(long nowMillis) {
         boolean anyPeerLive = peers.keySet().stream().anyMatch(name -> isLive(name, nowMillis));
         List<PlannerChoice.Candidate> candidates = new ArrayList<>();
-        candidates.add(new PlannerChoice.Candidate(settings.name(), settings.failureDomain()));
+        candidates.add(new PlannerChoice.Candidate(settings.name(), settings.failureDomain(), settings.cores()));
         for (Peer peer : peers.values()) {
             if (!stoppingPeers.contains(peer.name()) && (!anyPeerLive || isLive(peer.name(), nowMillis))) {
-                candidates.add(new PlannerChoice.Candidate(peer.name(), peer.failureDomain()));
+                candidates.add(peer.candidate());
             }
         }
         return candidates;
--- a/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
@@ -102,7 +102,8 @@
                 Names.require(node.getName()),
                 new FailureDomainId(node.getFailureDomain()),
                 address.host() + ":" + address.port(),
-                node.getStartedMillis());
+                node.getStartedMillis(),
+                node.isSetProcessorCores() ? node.getProcessorCores() : 1);
     }
 
     private static byte[] encode(TRelayNode node) {
