Home nodes get a smaller part where there are fewer targets than nodes

Plain services, whose answers report no load here, kept the halved part for good. Change: the home nodes' part grows with the targets per node up to four fifths and is at least that of any other node; the scale starts at one. Measured: PlacementAtScaleTest, NodesShareTargetsTest, ColdVmsTest, RequestCostTest, RelayDispatcherTest: 59 of 59.

--- a/relay/src/main/java/org/apricotdeal/relay/policy/HomeNodes.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/HomeNodes.java
@@ -67,16 +67,21 @@
      * Returns which of a target's free slots this node may use in a heartbeat round. The parts of all nodes add up to one,
      * so that together they do not send more requests than there are slots.
      *
+     * <p>Where there are fewer targets than nodes, many nodes are home nodes of none of them, so the home nodes' part is
+     * smaller, down to that of any other node.
+     *
      * @param home whether this node is a home node of the target
+     * @param targets number of targets that serve the same requests
      * @return this node's share
      */
-    SlotShare slotShare(boolean home) {
+    SlotShare slotShare(boolean home, int targets) {
+        int count = nodes.size();
         if (!areFew()) {
-            return SlotShare.amongAll(nodes.size());
+            return SlotShare.amongAll(count);
         }
-        return home
-                ? SlotShare.ofHomeNode(HOME_SHARE / COUNT)
-                : SlotShare.ofOtherNode((1 - HOME_SHARE) / (nodes.size() - COUNT));
+        double homeShare = HOME_SHARE * Math.min(1, (double) targets / count);
+        double homePart = Math.max(homeShare / COUNT, 1.0 / count);
+        return home ? SlotShare.ofHomeNode(homePart) : SlotShare.ofOtherNode((1 - COUNT * homePart) / (count - COUNT));
     }
 
     private static Comparator<FleetNode> order(Target target) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
@@ -238,6 +238,7 @@
     }
 
     private void beginRound(TargetState state, long nowMillis) {
-        state.beginRound(homeNodes.slotShare(state.isHome()), random.nextDouble(), nowMillis);
+        state.beginRound(
+                homeNodes.slotShare(state.isHome(), state.queue().targets.size()), random.nextDouble(), nowMillis);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ShareScale.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ShareScale.java
@@ -11,11 +11,10 @@
 final class ShareScale {
     private static final double MIN = 0.25;
     private static final double MAX = 4;
-    private static final double START = 0.5;
     private static final double INCREASE = 1.01;
     private static final double DECREASE = 0.9;
 
-    private double value = START;
+    private double value = 1;
 
     /** Returns the factor of this node's part of scarce slots. */
     double value() {
