Keep the former shares where targets are few

Change: below half as many targets as nodes the home nodes share the free slots among four and the others among all, with 1.5 requests beyond, as before.

--- a/relay/src/main/java/org/apricotdeal/relay/policy/HomeNodes.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/HomeNodes.java
@@ -23,6 +23,9 @@
     /** Part of the free slots of a target that its home nodes share in a larger fleet; the others share the rest. */
     private static final double HOME_SHARE = 0.8;
 
+    /** Number of targets per node from which a node often has several requests for a target in a heartbeat round. */
+    private static final double MIN_TARGETS_PER_NODE = 0.5;
+
     private final FleetNode self;
     private List<FleetNode> nodes;
 
@@ -67,8 +70,9 @@
      * Returns which of a target's free slots this node may use in a heartbeat round. The parts of all nodes add up to one,
      * so that together they do not send more requests than there are slots.
      *
-     * <p>Where there are fewer targets than nodes, many nodes are home nodes of none of them, so the home nodes' part is
-     * smaller, down to that of any other node.
+     * <p>Where nodes are many and targets few, a node seldom has a request for a target in a round, and its part would be a
+     * small fraction of a request: callers would be refused while slots are free. There the home nodes share the free slots
+     * among them, and the others as well.
      *
      * @param home whether this node is a home node of the target
      * @param targets number of targets that serve the same requests
@@ -79,9 +83,12 @@
         if (!areFew()) {
             return SlotShare.amongAll(count);
         }
-        double homeShare = HOME_SHARE * Math.min(1, (double) targets / count);
-        double homePart = Math.max(homeShare / COUNT, 1.0 / count);
-        return home ? SlotShare.ofHomeNode(homePart) : SlotShare.ofOtherNode((1 - COUNT * homePart) / (count - COUNT));
+        if (targets < count * MIN_TARGETS_PER_NODE) {
+            return SlotShare.amongAll(home ? COUNT : count);
+        }
+        return home
+                ? SlotShare.ofHomeNode(HOME_SHARE / COUNT)
+                : SlotShare.ofOtherNode((1 - HOME_SHARE) / (count - COUNT));
     }
 
     private static Comparator<FleetNode> order(Target target) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/SlotShare.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/SlotShare.java
@@ -17,7 +17,7 @@
     /** The queue of an engine holds a few requests beyond its slots. */
     private static final double EXTRA_REQUESTS = 1.5;
 
-    /** Returns the share of a node in a small fleet, in which all nodes use all targets alike. */
+    /** Returns the share of one of a number of nodes that use a target alike; they may exceed the slots a little. */
     static SlotShare amongAll(int nodes) {
         return new SlotShare(1.0 / nodes, EXTRA_REQUESTS, false, true);
     }
