--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
@@ -121,7 +121,6 @@
                 1,
                 0,
                 0,
-                1,
                 ColdBounds.OFF));
     }
 
--- a/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
@@ -93,7 +93,6 @@
                 1,
                 0,
                 0,
-                1,
                 ColdBounds.OFF);
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -460,10 +460,10 @@
     private List<PlannerChoice.Candidate> candidates(long nowMillis) {
         boolean anyPeerLive = peers.keySet().stream().anyMatch(name -> isLive(name, nowMillis));
         List<PlannerChoice.Candidate> candidates = new ArrayList<>();
-        candidates.add(new PlannerChoice.Candidate(settings.name(), settings.failureDomain(), settings.cores()));
+        candidates.add(new PlannerChoice.Candidate(settings.name(), settings.failureDomain()));
         for (Peer peer : peers.values()) {
             if (!stoppingPeers.contains(peer.name()) && (!anyPeerLive || isLive(peer.name(), nowMillis))) {
-                candidates.add(peer.candidate());
+                candidates.add(new PlannerChoice.Candidate(peer.name(), peer.failureDomain()));
             }
         }
         return candidates;
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -23,6 +23,7 @@
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.peer.FleetLoads;
 import org.apricotdeal.relay.peer.HeartbeatPartners;
+import org.apricotdeal.relay.peer.PlannerChoice;
 import org.apricotdeal.relay.poison.CrashNews;
 import org.apricotdeal.relay.policy.RelayEvent;
 import org.apricotdeal.relay.policy.TargetId;
@@ -131,7 +132,7 @@
         this.metrics = metrics;
         this.self = self;
         this.ownDomain = new FailureDomainId(self.getFailureDomain());
-        this.partners = new HeartbeatPartners(Registration.peer(self).candidate());
+        this.partners = new HeartbeatPartners(new PlannerChoice.Candidate(self.getName(), ownDomain));
     }
 
     void startSending() {
@@ -144,7 +145,9 @@
         Set<String> recipients;
         synchronized (partners) {
             recipients = partners.choose(
-                    snapshot.peers().stream().map(Peer::candidate).toList(),
+                    snapshot.peers().stream()
+                            .map(peer -> new PlannerChoice.Candidate(peer.name(), peer.failureDomain()))
+                            .toList(),
                     snapshot.stopping(),
                     clock.monotonicMillis());
             setDelegate(partners.isDelegate());
--- a/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
@@ -102,8 +102,7 @@
                 Names.require(node.getName()),
                 new FailureDomainId(node.getFailureDomain()),
                 address.host() + ":" + address.port(),
-                node.getStartedMillis(),
-                node.isSetProcessorCores() ? node.getProcessorCores() : 1);
+                node.getStartedMillis());
     }
 
     private static byte[] encode(TRelayNode node) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -100,7 +100,6 @@
         });
         TRelayNode self = new TRelayNode(
                 settings.name(), settings.failureDomain().value(), settings.peerAddress(), clock.wallMillis());
-        self.setProcessorCores(settings.cores());
         registration = new Registration(self, store, fleet, clock, log);
         VmWatcher vms = new VmWatcher(store, adapter.codec(), fleet, clock, log);
         CatalogueWatcher watcher = new CatalogueWatcher(store, adapter.codec(), catalogues, evacuations, clock, log);
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelaySettings.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelaySettings.java
@@ -32,7 +32,6 @@
  * @param nodes minimum number of nodes among which the allowance is divided; the number of registered nodes if it is larger
  * @param memoryMegabytes memory of the machine in megabytes; 0 if it is not known
  * @param maxDescriptors maximum number of descriptors of the process; 0 for that of the operating system
- * @param cores cores of usual speed that the node may use
  * @param coldBounds bound on the requests to a cold VM, over all nodes
  */
 public record RelaySettings(
@@ -55,14 +54,12 @@
         int nodes,
         int memoryMegabytes,
         int maxDescriptors,
-        double cores,
         ColdBounds coldBounds) {
     /** Section whose presence puts a node into relay mode. */
     public static final String SECTION = "relay";
 
     private static final long MAX_MILLIS = 600_000;
     private static final long MAX_MEGABYTES = 1_000_000;
-    private static final int MAX_CORES = 1_000;
     private static final int MAX_PORT = 65_535;
 
     /** Copies the list. */
@@ -119,7 +116,6 @@
                 (int) limits.integer("nodes", 4L, 1, 10_000),
                 (int) limits.integer("memoryMegabytes", 0L, 0, MAX_MEGABYTES),
                 (int) limits.integer("maxDescriptors", 0L, 0, Integer.MAX_VALUE),
-                limits.decimal("processorShare", 1.0, 0, 1) * limits.decimal("processorCores", 1.0, 0, MAX_CORES),
                 new ColdBounds(optionalDecimal(limits, "coldOverrun"), optionalDecimal(limits, "coldSlack")));
         for (SectionReader reader : List.of(relay, listen, platform, limits)) {
             reader.reportUnknown();
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayNode.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayNode.java
@@ -14,7 +14,6 @@
   private static final org.apache.thrift.protocol.TField FAILURE_DOMAIN_FIELD_DESC = new org.apache.thrift.protocol.TField("failureDomain", org.apache.thrift.protocol.TType.STRING, (short)2);
   private static final org.apache.thrift.protocol.TField PEER_ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("peerAddress", org.apache.thrift.protocol.TType.STRING, (short)3);
   private static final org.apache.thrift.protocol.TField STARTED_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("startedMillis", org.apache.thrift.protocol.TType.I64, (short)4);
-  private static final org.apache.thrift.protocol.TField PROCESSOR_CORES_FIELD_DESC = new org.apache.thrift.protocol.TField("processorCores", org.apache.thrift.protocol.TType.DOUBLE, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TRelayNodeStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TRelayNodeTupleSchemeFactory();
@@ -23,15 +22,13 @@
   public @org.apache.thrift.annotation.Nullable java.lang.String failureDomain; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String peerAddress; // required
   public long startedMillis; // required
-  public double processorCores; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     NAME((short)1, "name"),
     FAILURE_DOMAIN((short)2, "failureDomain"),
     PEER_ADDRESS((short)3, "peerAddress"),
-    STARTED_MILLIS((short)4, "startedMillis"),
-    PROCESSOR_CORES((short)5, "processorCores");
+    STARTED_MILLIS((short)4, "startedMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -55,8 +52,6 @@
           return PEER_ADDRESS;
         case 4: // STARTED_MILLIS
           return STARTED_MILLIS;
-        case 5: // PROCESSOR_CORES
-          return PROCESSOR_CORES;
         default:
           return null;
       }
@@ -101,9 +96,7 @@
 
   // isset id assignments
   private static final int __STARTEDMILLIS_ISSET_ID = 0;
-  private static final int __PROCESSORCORES_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.PROCESSOR_CORES};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -115,8 +108,6 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.STARTED_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("startedMillis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.PROCESSOR_CORES, new org.apache.thrift.meta_data.FieldMetaData("processorCores", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TRelayNode.class, metaDataMap);
   }
@@ -153,7 +144,6 @@
       this.peerAddress = other.peerAddress;
     }
     this.startedMillis = other.startedMillis;
-    this.processorCores = other.processorCores;
   }
 
   @Override
@@ -168,8 +158,6 @@
     this.peerAddress = null;
     setStartedMillisIsSet(false);
     this.startedMillis = 0;
-    setProcessorCoresIsSet(false);
-    this.processorCores = 0.0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -270,29 +258,6 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STARTEDMILLIS_ISSET_ID, value);
   }
 
-  public double getProcessorCores() {
-    return this.processorCores;
-  }
-
-  public TRelayNode setProcessorCores(double processorCores) {
-    this.processorCores = processorCores;
-    setProcessorCoresIsSet(true);
-    return this;
-  }
-
-  public void unsetProcessorCores() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PROCESSORCORES_ISSET_ID);
-  }
-
-  /** Returns true if field processorCores is set (has been assigned a value) and false otherwise */
-  public boolean isSetProcessorCores() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PROCESSORCORES_ISSET_ID);
-  }
-
-  public void setProcessorCoresIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PROCESSORCORES_ISSET_ID, value);
-  }
-
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -328,14 +293,6 @@
       }
       break;
 
-    case PROCESSOR_CORES:
-      if (value == null) {
-        unsetProcessorCores();
-      } else {
-        setProcessorCores((java.lang.Double)value);
-      }
-      break;
-
     }
   }
 
@@ -355,9 +312,6 @@
     case STARTED_MILLIS:
       return getStartedMillis();
 
-    case PROCESSOR_CORES:
-      return getProcessorCores();
-
     }
     throw new java.lang.IllegalStateException();
   }
@@ -378,8 +332,6 @@
       return isSetPeerAddress();
     case STARTED_MILLIS:
       return isSetStartedMillis();
-    case PROCESSOR_CORES:
-      return isSetProcessorCores();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -433,15 +385,6 @@
         return false;
     }
 
-    boolean this_present_processorCores = true && this.isSetProcessorCores();
-    boolean that_present_processorCores = true && that.isSetProcessorCores();
-    if (this_present_processorCores || that_present_processorCores) {
-      if (!(this_present_processorCores && that_present_processorCores))
-        return false;
-      if (this.processorCores != that.processorCores)
-        return false;
-    }
-
     return true;
   }
 
@@ -463,10 +406,6 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(startedMillis);
 
-    hashCode = hashCode * 8191 + ((isSetProcessorCores()) ? 131071 : 524287);
-    if (isSetProcessorCores())
-      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(processorCores);
-
     return hashCode;
   }
 
@@ -518,16 +457,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetProcessorCores(), other.isSetProcessorCores());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetProcessorCores()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.processorCores, other.processorCores);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     return 0;
   }
 
@@ -579,12 +508,6 @@
     sb.append("startedMillis:");
     sb.append(this.startedMillis);
     first = false;
-    if (isSetProcessorCores()) {
-      if (!first) sb.append(", ");
-      sb.append("processorCores:");
-      sb.append(this.processorCores);
-      first = false;
-    }
     sb.append(")");
     return sb.toString();
   }
@@ -674,14 +597,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 5: // PROCESSOR_CORES
-            if (schemeField.type == org.apache.thrift.protocol.TType.DOUBLE) {
-              struct.processorCores = iprot.readDouble();
-              struct.setProcessorCoresIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -719,11 +634,6 @@
       oprot.writeFieldBegin(STARTED_MILLIS_FIELD_DESC);
       oprot.writeI64(struct.startedMillis);
       oprot.writeFieldEnd();
-      if (struct.isSetProcessorCores()) {
-        oprot.writeFieldBegin(PROCESSOR_CORES_FIELD_DESC);
-        oprot.writeDouble(struct.processorCores);
-        oprot.writeFieldEnd();
-      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -746,14 +656,6 @@
       oprot.writeString(struct.failureDomain);
       oprot.writeString(struct.peerAddress);
       oprot.writeI64(struct.startedMillis);
-      java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetProcessorCores()) {
-        optionals.set(0);
-      }
-      oprot.writeBitSet(optionals, 1);
-      if (struct.isSetProcessorCores()) {
-        oprot.writeDouble(struct.processorCores);
-      }
     }
 
     @Override
@@ -767,11 +669,6 @@
       struct.setPeerAddressIsSet(true);
       struct.startedMillis = iprot.readI64();
       struct.setStartedMillisIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
-      if (incoming.get(0)) {
-        struct.processorCores = iprot.readDouble();
-        struct.setProcessorCoresIsSet(true);
-      }
     }
   }
 
--- a/wire-gen/src/main/thrift/relay.thrift
+++ b/wire-gen/src/main/thrift/relay.thrift
@@ -7,7 +7,6 @@
   2: required string failureDomain;
   3: required string peerAddress;
   4: required i64 startedMillis;
-  5: optional double processorCores;  // cores of usual speed that the node may use
 }
 
 // Requests of one node at one target.
