--- a/proofs/src/test/java/org/apricotdeal/proofs/process/ProcessFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/ProcessFleet.java
@@ -249,6 +249,7 @@
 
     /** Waits until a node is ready and serves a completion. */
     void awaitServing(String node) throws Exception {
+        awaitReady(node);
         await(node + " serves", () -> complete(node, "ready", 1, false).statusCode() == 200);
     }
 
--- a/proofs/src/test/java/org/apricotdeal/proofs/process/VmLossTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/VmLossTest.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -86,17 +87,21 @@
         });
     }
 
-    /** Returns a serving replica that works on streams now. */
+    /** Returns a serving replica that works on streams now; a VM reports its load a little late. */
     private JsonNode busyReplica() throws Exception {
-        List<JsonNode> serving = serving();
-        for (JsonNode replica : serving) {
-            String first = replica.path("members").path(0).asText();
-            JsonNode load = fleet.get(first, "/engine/state").path("load");
-            if (load.path("running").asInt() > 0) {
-                return replica;
+        AtomicReference<JsonNode> busy = new AtomicReference<>();
+        ProcessFleet.await("a stream is in progress", () -> {
+            for (JsonNode replica : serving()) {
+                String first = replica.path("members").path(0).asText();
+                JsonNode load = fleet.get(first, "/engine/state").path("load");
+                if (load.path("running").asInt() > 0) {
+                    busy.set(replica);
+                    return true;
+                }
             }
-        }
-        throw new AssertionError("no stream is in progress at " + serving);
+            return false;
+        });
+        return busy.get();
     }
 
     private String stream(String node, String prompt) {
