Sum the demand of all nodes for the planners

The planner of a failure domain divided its VMs by what its own node counted, about a thirtieth of the traffic (24 requests of the large model in the window): planners of one fleet saw shares of 25, 27 and 47 % at the same time.

The planner adds the sum to its own node's; a single node divides as before.

FleetDemandTest (30 nodes in three failure domains): all planners divide by the same share, within 0.05 of the true one; with the planner's own demand in place of the sum it fails.

--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -23,6 +23,7 @@
 import org.apricotdeal.relay.model.UpstreamEntry;
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.model.VmReport;
+import org.apricotdeal.relay.peer.FleetDemand;
 import org.apricotdeal.relay.peer.PlannerChoice;
 import org.apricotdeal.relay.policy.FleetNode;
 import org.apricotdeal.relay.policy.ModelDemand;
@@ -96,6 +97,7 @@
     private final PlannerStatisticsLog statisticsLog;
     private final NodeLoadLog nodeLoadLog;
     private final ColdVmFeed coldVms;
+    private final FleetDemand peerDemand = new FleetDemand();
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, Long> lastHeardMillis = new HashMap<>();
     private final Set<String> stoppingPeers = new HashSet<>();
@@ -175,6 +177,11 @@
         return unresponsiveVms;
     }
 
+    /** Returns the demand as the other nodes report it, which the planners add to that of this node. */
+    FleetDemand peerDemand() {
+        return peerDemand;
+    }
+
     /** Returns whether this node is stopping and no longer plans. */
     boolean isStopping() {
         return stopping;
@@ -491,7 +498,7 @@
         Set<VmId> unresponsive = new HashSet<>();
         vms.stream().map(UpstreamVm::id).filter(table::isUnresponsive).forEach(unresponsive::add);
         boolean startup = settings.firstStart() && nowMillis - startedMillis < STARTUP_MILLIS;
-        Map<QueueId, QueueDemand> demandByQueue = relay.demand();
+        Map<QueueId, QueueDemand> demandByQueue = peerDemand.sumWithOthers(relay.demand(), nowMillis);
         ModelDemand demand = startup ? ModelDemand.UNKNOWN : ModelDemand.of(upstream.id(), engine, demandByQueue);
         List<PlannedOrder> planned = planner.plan(new ReplicaPlanner.Input(
                 nowMillis,
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -21,10 +21,13 @@
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.kernel.misc.HostPort;
 import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.relay.peer.FleetDemand;
 import org.apricotdeal.relay.peer.FleetLoads;
 import org.apricotdeal.relay.peer.HeartbeatPartners;
 import org.apricotdeal.relay.peer.PlannerChoice;
 import org.apricotdeal.relay.poison.CrashNews;
+import org.apricotdeal.relay.policy.QueueDemand;
+import org.apricotdeal.relay.policy.QueueId;
 import org.apricotdeal.relay.policy.RelayEvent;
 import org.apricotdeal.relay.policy.TargetId;
 import org.apricotdeal.wire.gen.TRelayHeartbeat;
@@ -47,8 +50,9 @@
 
 /**
  * Exchanges heartbeats with the nodes that {@link HeartbeatPartners} chooses. A heartbeat carries the number of requests at
- * each target, the nodes recently heard, the version of the sender's catalogue and the operator's evacuations, and changes
- * of VM entries if the receiver needs them. The response to a heartbeat is a heartbeat of the receiver.
+ * each target and the demand by queue, the nodes recently heard, the version of the sender's catalogue and the operator's
+ * evacuations, and changes of VM entries if the receiver needs them. The response to a heartbeat is a heartbeat of the
+ * receiver.
  */
 final class Heartbeats extends Handler.Abstract implements AutoCloseable {
     /** Path of heartbeats on the port for peers. */
@@ -182,9 +186,8 @@
 
     private void send(Peer peer) {
         boolean sameDomain = peer.failureDomain().equals(ownDomain);
-        TRelayHeartbeat heartbeat = sameDomain
-                ? heartbeat(TRelayScope.NODE, relay.running())
-                : heartbeat(TRelayScope.DOMAIN, domainLoads());
+        TRelayHeartbeat heartbeat =
+                sameDomain ? heartbeat(TRelayScope.NODE, relay.running(), relay.demand()) : domainHeartbeat();
         PeerState peerState = peerStates.get(peer.name());
         if (peerState != null) {
             addMissingUpdates(heartbeat, peerState, !sameDomain && (storeFollower || peerState.storeAway()));
@@ -222,7 +225,8 @@
         return false;
     }
 
-    private TRelayHeartbeat heartbeat(TRelayScope scope, Map<TargetId, Integer> running) {
+    private TRelayHeartbeat heartbeat(
+            TRelayScope scope, Map<TargetId, Integer> running, Map<QueueId, QueueDemand> demandByQueue) {
         List<TRelayLoad> loadList = new ArrayList<>(running.size());
         running.forEach(
                 (target, count) -> loadList.add(new TRelayLoad(target.vm().value(), target.epoch(), count)));
@@ -235,6 +239,7 @@
         heartbeat.setCrashDigest(relay.crashNews().digest());
         EvacuationCodec.encode(evacuations.current(), heartbeat);
         long nowMillis = clock.monotonicMillis();
+        DemandCodec.encode(demandByQueue, heartbeat, nowMillis);
         fleet.recentlySeenNodes()
                 .forEach(node -> heartbeat.addToSeen(
                         new TRelayNodeSeen(node.name(), (int) (nowMillis - node.lastHeardMillis()), node.stopping())));
@@ -244,8 +249,21 @@
         return heartbeat;
     }
 
-    private Map<TargetId, Integer> domainLoads() {
-        return loads.sumOfOwnDomain(relay.running(), clock.monotonicMillis());
+    private TRelayHeartbeat domainHeartbeat() {
+        long nowMillis = clock.monotonicMillis();
+        return heartbeat(
+                TRelayScope.DOMAIN,
+                loads.sumOfOwnDomain(relay.running(), nowMillis),
+                fleet.peerDemand().sumOfOwnDomain(relay.demand(), nowMillis));
+    }
+
+    /** Returns a heartbeat with the sums over all nodes but the receiver. */
+    private TRelayHeartbeat fleetHeartbeat(String receiver) {
+        long nowMillis = clock.monotonicMillis();
+        return heartbeat(
+                TRelayScope.FLEET,
+                loads.sumWithout(relay.running(), receiver, nowMillis),
+                fleet.peerDemand().sumWithout(relay.demand(), receiver, nowMillis));
     }
 
     /**
@@ -298,10 +316,7 @@
 
     private TRelayHeartbeat replyTo(Peer sender) {
         boolean sameDomain = sender.failureDomain().equals(ownDomain);
-        TRelayHeartbeat reply = sameDomain
-                ? heartbeat(
-                        TRelayScope.FLEET, loads.sumWithout(relay.running(), sender.name(), clock.monotonicMillis()))
-                : heartbeat(TRelayScope.DOMAIN, domainLoads());
+        TRelayHeartbeat reply = sameDomain ? fleetHeartbeat(sender.name()) : domainHeartbeat();
         PeerState peerState = peerStates.get(sender.name());
         addMissingUpdates(reply, peerState, sameDomain || storeFollower || peerState.storeAway());
         return reply;
@@ -383,12 +398,21 @@
         for (TRelayLoad load : heartbeat.getLoads()) {
             running.put(new TargetId(new VmId(load.getVm()), load.getNumber()), load.getRunning());
         }
+        Map<QueueId, QueueDemand> demandByQueue = DemandCodec.decode(heartbeat, nowMillis);
+        FleetDemand peerDemand = fleet.peerDemand();
         TRelayScope scope = heartbeat.isSetScope() ? heartbeat.getScope() : TRelayScope.NODE;
         switch (scope) {
-            case NODE -> loads.recordNode(sender.name(), running, nowMillis);
-            case DOMAIN -> loads.recordDomain(sender.failureDomain(), running, nowMillis);
+            case NODE -> {
+                loads.recordNode(sender.name(), running, nowMillis);
+                peerDemand.recordNode(sender.name(), demandByQueue, nowMillis);
+            }
+            case DOMAIN -> {
+                loads.recordDomain(sender.failureDomain(), running, nowMillis);
+                peerDemand.recordDomain(sender.failureDomain(), demandByQueue, nowMillis);
+            }
             case FLEET -> {
                 loads.recordRest(running, nowMillis);
+                peerDemand.recordRest(demandByQueue, nowMillis);
                 relay.put(new RelayEvent.PeerLoadsChanged(running));
             }
             default -> throw new IllegalStateException("scope " + scope);
--- a/relay/src/main/java/org/apricotdeal/relay/node/PlannerStatisticsLog.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/PlannerStatisticsLog.java
@@ -77,7 +77,7 @@
         }
     }
 
-    /** Logs the demand for each model, as measured by the planner's node, and the resulting shares of the VMs. */
+    /** Logs the demand for each model, as measured by all known nodes, and the resulting shares of the VMs. */
     void logDemand(long nowMillis, PlannerKey key, Map<QueueId, QueueDemand> demand, Map<ModelId, Double> shares) {
         if (nowMillis - lastDemandMillis.getOrDefault(key, Long.MIN_VALUE / 2) < DEMAND_PERIOD_MILLIS) {
             return;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ModelDemand.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ModelDemand.java
@@ -22,7 +22,7 @@
     /** Unknown demand: the configured shares apply, and no model refuses requests. */
     public static final ModelDemand UNKNOWN = new ModelDemand(Map.of(), Set.of());
 
-    /** Number of requests that the configured shares weigh as much as; a few seconds of a small node's traffic. */
+    /** Number of requests that the configured shares weigh as much as; a few seconds of a small fleet's traffic. */
     private static final double CONFIGURED_SHARE_WEIGHT = 50;
 
     /**
@@ -41,11 +41,11 @@
     }
 
     /**
-     * Derives the demand from the measurements of this node.
+     * Derives the demand from measurements of all nodes that serve the upstream, as far as they are known.
      *
      * @param upstream upstream of the models
      * @param engine profile of the engines
-     * @param demandByQueue demand by queue at this node
+     * @param demandByQueue demand by queue, summed over the nodes
      * @return demand for the models
      */
     public static ModelDemand of(UpstreamId upstream, EngineProfile engine, Map<QueueId, QueueDemand> demandByQueue) {
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayHeartbeat.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayHeartbeat.java
@@ -25,6 +25,7 @@
   private static final org.apache.thrift.protocol.TField CRASHES_FIELD_DESC = new org.apache.thrift.protocol.TField("crashes", org.apache.thrift.protocol.TType.LIST, (short)14);
   private static final org.apache.thrift.protocol.TField TRIALS_FIELD_DESC = new org.apache.thrift.protocol.TField("trials", org.apache.thrift.protocol.TType.LIST, (short)15);
   private static final org.apache.thrift.protocol.TField EVACUATIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("evacuations", org.apache.thrift.protocol.TType.STRUCT, (short)16);
+  private static final org.apache.thrift.protocol.TField DEMAND_FIELD_DESC = new org.apache.thrift.protocol.TField("demand", org.apache.thrift.protocol.TType.LIST, (short)17);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TRelayHeartbeatStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TRelayHeartbeatTupleSchemeFactory();
@@ -48,6 +49,7 @@
   public @org.apache.thrift.annotation.Nullable java.util.List<TRelayCrash> crashes; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<TRelayTrial> trials; // optional
   public @org.apache.thrift.annotation.Nullable TRelayEvacuations evacuations; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<TRelayDemand> demand; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -69,7 +71,8 @@
     CRASH_DIGEST((short)13, "crashDigest"),
     CRASHES((short)14, "crashes"),
     TRIALS((short)15, "trials"),
-    EVACUATIONS((short)16, "evacuations");
+    EVACUATIONS((short)16, "evacuations"),
+    DEMAND((short)17, "demand");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -115,6 +118,8 @@
           return TRIALS;
         case 16: // EVACUATIONS
           return EVACUATIONS;
+        case 17: // DEMAND
+          return DEMAND;
         default:
           return null;
       }
@@ -165,7 +170,7 @@
   private static final int __VMAGEMILLIS_ISSET_ID = 4;
   private static final int __CRASHDIGEST_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.VM_REVISION,_Fields.STORE_AWAY,_Fields.VM_NEWS,_Fields.STOPPING,_Fields.SCOPE,_Fields.SEEN,_Fields.VM_AGE_MILLIS,_Fields.SILENT_VMS,_Fields.CRASH_DIGEST,_Fields.CRASHES,_Fields.TRIALS,_Fields.EVACUATIONS};
+  private static final _Fields optionals[] = {_Fields.VM_REVISION,_Fields.STORE_AWAY,_Fields.VM_NEWS,_Fields.STOPPING,_Fields.SCOPE,_Fields.SEEN,_Fields.VM_AGE_MILLIS,_Fields.SILENT_VMS,_Fields.CRASH_DIGEST,_Fields.CRASHES,_Fields.TRIALS,_Fields.EVACUATIONS,_Fields.DEMAND};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -204,6 +209,9 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayTrial.class))));
     tmpMap.put(_Fields.EVACUATIONS, new org.apache.thrift.meta_data.FieldMetaData("evacuations", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayEvacuations.class)));
+    tmpMap.put(_Fields.DEMAND, new org.apache.thrift.meta_data.FieldMetaData("demand", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayDemand.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TRelayHeartbeat.class, metaDataMap);
   }
@@ -281,6 +289,13 @@
     if (other.isSetEvacuations()) {
       this.evacuations = new TRelayEvacuations(other.evacuations);
     }
+    if (other.isSetDemand()) {
+      java.util.List<TRelayDemand> __this__demand = new java.util.ArrayList<TRelayDemand>(other.demand.size());
+      for (TRelayDemand other_element : other.demand) {
+        __this__demand.add(new TRelayDemand(other_element));
+      }
+      this.demand = __this__demand;
+    }
   }
 
   @Override
@@ -311,6 +326,7 @@
     this.crashes = null;
     this.trials = null;
     this.evacuations = null;
+    this.demand = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -764,6 +780,47 @@
     }
   }
 
+  public int getDemandSize() {
+    return (this.demand == null) ? 0 : this.demand.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<TRelayDemand> getDemandIterator() {
+    return (this.demand == null) ? null : this.demand.iterator();
+  }
+
+  public void addToDemand(TRelayDemand elem) {
+    if (this.demand == null) {
+      this.demand = new java.util.ArrayList<TRelayDemand>();
+    }
+    this.demand.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<TRelayDemand> getDemand() {
+    return this.demand;
+  }
+
+  public TRelayHeartbeat setDemand(@org.apache.thrift.annotation.Nullable java.util.List<TRelayDemand> demand) {
+    this.demand = demand;
+    return this;
+  }
+
+  public void unsetDemand() {
+    this.demand = null;
+  }
+
+  /** Returns true if field demand is set (has been assigned a value) and false otherwise */
+  public boolean isSetDemand() {
+    return this.demand != null;
+  }
+
+  public void setDemandIsSet(boolean value) {
+    if (!value) {
+      this.demand = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -887,6 +944,14 @@
       }
       break;
 
+    case DEMAND:
+      if (value == null) {
+        unsetDemand();
+      } else {
+        setDemand((java.util.List<TRelayDemand>)value);
+      }
+      break;
+
     }
   }
 
@@ -939,6 +1004,9 @@
     case EVACUATIONS:
       return getEvacuations();
 
+    case DEMAND:
+      return getDemand();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -981,6 +1049,8 @@
       return isSetTrials();
     case EVACUATIONS:
       return isSetEvacuations();
+    case DEMAND:
+      return isSetDemand();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1133,6 +1203,15 @@
         return false;
     }
 
+    boolean this_present_demand = true && this.isSetDemand();
+    boolean that_present_demand = true && that.isSetDemand();
+    if (this_present_demand || that_present_demand) {
+      if (!(this_present_demand && that_present_demand))
+        return false;
+      if (!this.demand.equals(that.demand))
+        return false;
+    }
+
     return true;
   }
 
@@ -1198,6 +1277,10 @@
     if (isSetEvacuations())
       hashCode = hashCode * 8191 + evacuations.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetDemand()) ? 131071 : 524287);
+    if (isSetDemand())
+      hashCode = hashCode * 8191 + demand.hashCode();
+
     return hashCode;
   }
 
@@ -1359,6 +1442,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetDemand(), other.isSetDemand());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetDemand()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.demand, other.demand);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1502,6 +1595,16 @@
       }
       first = false;
     }
+    if (isSetDemand()) {
+      if (!first) sb.append(", ");
+      sb.append("demand:");
+      if (this.demand == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.demand);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1585,14 +1688,14 @@
           case 3: // LOADS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list50 = iprot.readListBegin();
-                struct.loads = new java.util.ArrayList<TRelayLoad>(_list50.size);
-                @org.apache.thrift.annotation.Nullable TRelayLoad _elem51;
-                for (int _i52 = 0; _i52 < _list50.size; ++_i52)
+                org.apache.thrift.protocol.TList _list60 = iprot.readListBegin();
+                struct.loads = new java.util.ArrayList<TRelayLoad>(_list60.size);
+                @org.apache.thrift.annotation.Nullable TRelayLoad _elem61;
+                for (int _i62 = 0; _i62 < _list60.size; ++_i62)
                 {
-                  _elem51 = new TRelayLoad();
-                  _elem51.read(iprot);
-                  struct.loads.add(_elem51);
+                  _elem61 = new TRelayLoad();
+                  _elem61.read(iprot);
+                  struct.loads.add(_elem61);
                 }
                 iprot.readListEnd();
               }
@@ -1645,14 +1748,14 @@
           case 10: // SEEN
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list53 = iprot.readListBegin();
-                struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list53.size);
-                @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem54;
-                for (int _i55 = 0; _i55 < _list53.size; ++_i55)
+                org.apache.thrift.protocol.TList _list63 = iprot.readListBegin();
+                struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list63.size);
+                @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem64;
+                for (int _i65 = 0; _i65 < _list63.size; ++_i65)
                 {
-                  _elem54 = new TRelayNodeSeen();
-                  _elem54.read(iprot);
-                  struct.seen.add(_elem54);
+                  _elem64 = new TRelayNodeSeen();
+                  _elem64.read(iprot);
+                  struct.seen.add(_elem64);
                 }
                 iprot.readListEnd();
               }
@@ -1672,14 +1775,14 @@
           case 12: // SILENT_VMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
-                struct.silentVms = new java.util.ArrayList<TRelaySilentVm>(_list56.size);
-                @org.apache.thrift.annotation.Nullable TRelaySilentVm _elem57;
-                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
+                org.apache.thrift.protocol.TList _list66 = iprot.readListBegin();
+                struct.silentVms = new java.util.ArrayList<TRelaySilentVm>(_list66.size);
+                @org.apache.thrift.annotation.Nullable TRelaySilentVm _elem67;
+                for (int _i68 = 0; _i68 < _list66.size; ++_i68)
                 {
-                  _elem57 = new TRelaySilentVm();
-                  _elem57.read(iprot);
-                  struct.silentVms.add(_elem57);
+                  _elem67 = new TRelaySilentVm();
+                  _elem67.read(iprot);
+                  struct.silentVms.add(_elem67);
                 }
                 iprot.readListEnd();
               }
@@ -1699,14 +1802,14 @@
           case 14: // CRASHES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list59 = iprot.readListBegin();
-                struct.crashes = new java.util.ArrayList<TRelayCrash>(_list59.size);
-                @org.apache.thrift.annotation.Nullable TRelayCrash _elem60;
-                for (int _i61 = 0; _i61 < _list59.size; ++_i61)
+                org.apache.thrift.protocol.TList _list69 = iprot.readListBegin();
+                struct.crashes = new java.util.ArrayList<TRelayCrash>(_list69.size);
+                @org.apache.thrift.annotation.Nullable TRelayCrash _elem70;
+                for (int _i71 = 0; _i71 < _list69.size; ++_i71)
                 {
-                  _elem60 = new TRelayCrash();
-                  _elem60.read(iprot);
-                  struct.crashes.add(_elem60);
+                  _elem70 = new TRelayCrash();
+                  _elem70.read(iprot);
+                  struct.crashes.add(_elem70);
                 }
                 iprot.readListEnd();
               }
@@ -1718,14 +1821,14 @@
           case 15: // TRIALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list62 = iprot.readListBegin();
-                struct.trials = new java.util.ArrayList<TRelayTrial>(_list62.size);
-                @org.apache.thrift.annotation.Nullable TRelayTrial _elem63;
-                for (int _i64 = 0; _i64 < _list62.size; ++_i64)
+                org.apache.thrift.protocol.TList _list72 = iprot.readListBegin();
+                struct.trials = new java.util.ArrayList<TRelayTrial>(_list72.size);
+                @org.apache.thrift.annotation.Nullable TRelayTrial _elem73;
+                for (int _i74 = 0; _i74 < _list72.size; ++_i74)
                 {
-                  _elem63 = new TRelayTrial();
-                  _elem63.read(iprot);
-                  struct.trials.add(_elem63);
+                  _elem73 = new TRelayTrial();
+                  _elem73.read(iprot);
+                  struct.trials.add(_elem73);
                 }
                 iprot.readListEnd();
               }
@@ -1743,6 +1846,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 17: // DEMAND
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list75 = iprot.readListBegin();
+                struct.demand = new java.util.ArrayList<TRelayDemand>(_list75.size);
+                @org.apache.thrift.annotation.Nullable TRelayDemand _elem76;
+                for (int _i77 = 0; _i77 < _list75.size; ++_i77)
+                {
+                  _elem76 = new TRelayDemand();
+                  _elem76.read(iprot);
+                  struct.demand.add(_elem76);
+                }
+                iprot.readListEnd();
+              }
+              struct.setDemandIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1774,9 +1896,9 @@
         oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-          for (TRelayLoad _iter65 : struct.loads)
+          for (TRelayLoad _iter78 : struct.loads)
           {
-            _iter65.write(oprot);
+            _iter78.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1816,9 +1938,9 @@
           oprot.writeFieldBegin(SEEN_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.seen.size()));
-            for (TRelayNodeSeen _iter66 : struct.seen)
+            for (TRelayNodeSeen _iter79 : struct.seen)
             {
-              _iter66.write(oprot);
+              _iter79.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1835,9 +1957,9 @@
           oprot.writeFieldBegin(SILENT_VMS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.silentVms.size()));
-            for (TRelaySilentVm _iter67 : struct.silentVms)
+            for (TRelaySilentVm _iter80 : struct.silentVms)
             {
-              _iter67.write(oprot);
+              _iter80.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1854,9 +1976,9 @@
           oprot.writeFieldBegin(CRASHES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.crashes.size()));
-            for (TRelayCrash _iter68 : struct.crashes)
+            for (TRelayCrash _iter81 : struct.crashes)
             {
-              _iter68.write(oprot);
+              _iter81.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1868,9 +1990,9 @@
           oprot.writeFieldBegin(TRIALS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.trials.size()));
-            for (TRelayTrial _iter69 : struct.trials)
+            for (TRelayTrial _iter82 : struct.trials)
             {
-              _iter69.write(oprot);
+              _iter82.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1884,6 +2006,20 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.demand != null) {
+        if (struct.isSetDemand()) {
+          oprot.writeFieldBegin(DEMAND_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.demand.size()));
+            for (TRelayDemand _iter83 : struct.demand)
+            {
+              _iter83.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1906,9 +2042,9 @@
       oprot.writeI64(struct.catalogueVersion);
       {
         oprot.writeI32(struct.loads.size());
-        for (TRelayLoad _iter70 : struct.loads)
+        for (TRelayLoad _iter84 : struct.loads)
         {
-          _iter70.write(oprot);
+          _iter84.write(oprot);
         }
       }
       java.util.BitSet optionals = new java.util.BitSet();
@@ -1948,7 +2084,10 @@
       if (struct.isSetEvacuations()) {
         optionals.set(11);
       }
-      oprot.writeBitSet(optionals, 12);
+      if (struct.isSetDemand()) {
+        optionals.set(12);
+      }
+      oprot.writeBitSet(optionals, 13);
       if (struct.isSetVmRevision()) {
         oprot.writeI64(struct.vmRevision);
       }
@@ -1967,9 +2106,9 @@
       if (struct.isSetSeen()) {
         {
           oprot.writeI32(struct.seen.size());
-          for (TRelayNodeSeen _iter71 : struct.seen)
+          for (TRelayNodeSeen _iter85 : struct.seen)
           {
-            _iter71.write(oprot);
+            _iter85.write(oprot);
           }
         }
       }
@@ -1979,9 +2118,9 @@
       if (struct.isSetSilentVms()) {
         {
           oprot.writeI32(struct.silentVms.size());
-          for (TRelaySilentVm _iter72 : struct.silentVms)
+          for (TRelaySilentVm _iter86 : struct.silentVms)
           {
-            _iter72.write(oprot);
+            _iter86.write(oprot);
           }
         }
       }
@@ -1991,24 +2130,33 @@
       if (struct.isSetCrashes()) {
         {
           oprot.writeI32(struct.crashes.size());
-          for (TRelayCrash _iter73 : struct.crashes)
+          for (TRelayCrash _iter87 : struct.crashes)
           {
-            _iter73.write(oprot);
+            _iter87.write(oprot);
           }
         }
       }
       if (struct.isSetTrials()) {
         {
           oprot.writeI32(struct.trials.size());
-          for (TRelayTrial _iter74 : struct.trials)
+          for (TRelayTrial _iter88 : struct.trials)
           {
-            _iter74.write(oprot);
+            _iter88.write(oprot);
           }
         }
       }
       if (struct.isSetEvacuations()) {
         struct.evacuations.write(oprot);
       }
+      if (struct.isSetDemand()) {
+        {
+          oprot.writeI32(struct.demand.size());
+          for (TRelayDemand _iter89 : struct.demand)
+          {
+            _iter89.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
@@ -2020,18 +2168,18 @@
       struct.catalogueVersion = iprot.readI64();
       struct.setCatalogueVersionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list75 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.loads = new java.util.ArrayList<TRelayLoad>(_list75.size);
-        @org.apache.thrift.annotation.Nullable TRelayLoad _elem76;
-        for (int _i77 = 0; _i77 < _list75.size; ++_i77)
+        org.apache.thrift.protocol.TList _list90 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.loads = new java.util.ArrayList<TRelayLoad>(_list90.size);
+        @org.apache.thrift.annotation.Nullable TRelayLoad _elem91;
+        for (int _i92 = 0; _i92 < _list90.size; ++_i92)
         {
-          _elem76 = new TRelayLoad();
-          _elem76.read(iprot);
-          struct.loads.add(_elem76);
+          _elem91 = new TRelayLoad();
+          _elem91.read(iprot);
+          struct.loads.add(_elem91);
         }
       }
       struct.setLoadsIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(12);
+      java.util.BitSet incoming = iprot.readBitSet(13);
       if (incoming.get(0)) {
         struct.vmRevision = iprot.readI64();
         struct.setVmRevisionIsSet(true);
@@ -2055,14 +2203,14 @@
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list78 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list78.size);
-          @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem79;
-          for (int _i80 = 0; _i80 < _list78.size; ++_i80)
+          org.apache.thrift.protocol.TList _list93 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list93.size);
+          @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem94;
+          for (int _i95 = 0; _i95 < _list93.size; ++_i95)
           {
-            _elem79 = new TRelayNodeSeen();
-            _elem79.read(iprot);
-            struct.seen.add(_elem79);
+            _elem94 = new TRelayNodeSeen();
+            _elem94.read(iprot);
+            struct.seen.add(_elem94);
           }
         }
         struct.setSeenIsSet(true);
@@ -2073,14 +2221,14 @@
       }
       if (incoming.get(7)) {
         {
-          org.apache.thrift.protocol.TList _list81 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.silentVms = new java.util.ArrayList<TRelaySilentVm>(_list81.size);
-          @org.apache.thrift.annotation.Nullable TRelaySilentVm _elem82;
-          for (int _i83 = 0; _i83 < _list81.size; ++_i83)
+          org.apache.thrift.protocol.TList _list96 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.silentVms = new java.util.ArrayList<TRelaySilentVm>(_list96.size);
+          @org.apache.thrift.annotation.Nullable TRelaySilentVm _elem97;
+          for (int _i98 = 0; _i98 < _list96.size; ++_i98)
           {
-            _elem82 = new TRelaySilentVm();
-            _elem82.read(iprot);
-            struct.silentVms.add(_elem82);
+            _elem97 = new TRelaySilentVm();
+            _elem97.read(iprot);
+            struct.silentVms.add(_elem97);
           }
         }
         struct.setSilentVmsIsSet(true);
@@ -2091,28 +2239,28 @@
       }
       if (incoming.get(9)) {
         {
-          org.apache.thrift.protocol.TList _list84 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.crashes = new java.util.ArrayList<TRelayCrash>(_list84.size);
-          @org.apache.thrift.annotation.Nullable TRelayCrash _elem85;
-          for (int _i86 = 0; _i86 < _list84.size; ++_i86)
+          org.apache.thrift.protocol.TList _list99 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.crashes = new java.util.ArrayList<TRelayCrash>(_list99.size);
+          @org.apache.thrift.annotation.Nullable TRelayCrash _elem100;
+          for (int _i101 = 0; _i101 < _list99.size; ++_i101)
           {
-            _elem85 = new TRelayCrash();
-            _elem85.read(iprot);
-            struct.crashes.add(_elem85);
+            _elem100 = new TRelayCrash();
+            _elem100.read(iprot);
+            struct.crashes.add(_elem100);
           }
         }
         struct.setCrashesIsSet(true);
       }
       if (incoming.get(10)) {
         {
-          org.apache.thrift.protocol.TList _list87 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.trials = new java.util.ArrayList<TRelayTrial>(_list87.size);
-          @org.apache.thrift.annotation.Nullable TRelayTrial _elem88;
-          for (int _i89 = 0; _i89 < _list87.size; ++_i89)
+          org.apache.thrift.protocol.TList _list102 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.trials = new java.util.ArrayList<TRelayTrial>(_list102.size);
+          @org.apache.thrift.annotation.Nullable TRelayTrial _elem103;
+          for (int _i104 = 0; _i104 < _list102.size; ++_i104)
           {
-            _elem88 = new TRelayTrial();
-            _elem88.read(iprot);
-            struct.trials.add(_elem88);
+            _elem103 = new TRelayTrial();
+            _elem103.read(iprot);
+            struct.trials.add(_elem103);
           }
         }
         struct.setTrialsIsSet(true);
@@ -2122,6 +2270,20 @@
         struct.evacuations.read(iprot);
         struct.setEvacuationsIsSet(true);
       }
+      if (incoming.get(12)) {
+        {
+          org.apache.thrift.protocol.TList _list105 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.demand = new java.util.ArrayList<TRelayDemand>(_list105.size);
+          @org.apache.thrift.annotation.Nullable TRelayDemand _elem106;
+          for (int _i107 = 0; _i107 < _list105.size; ++_i107)
+          {
+            _elem106 = new TRelayDemand();
+            _elem106.read(iprot);
+            struct.demand.add(_elem106);
+          }
+        }
+        struct.setDemandIsSet(true);
+      }
     }
   }
 
--- a/wire-gen/src/main/thrift/relay.thrift
+++ b/wire-gen/src/main/thrift/relay.thrift
@@ -79,6 +79,17 @@
   2: required map<string, i64> sinceRevision;  // by failure domain: revision of the operator's word
 }
 
+// Demand for a queue of an engine's upstream, of the nodes that the loads of the heartbeat are of.
+struct TRelayDemand {
+  1: required string upstream;
+  2: optional string model;           // absent: a plain service
+  3: required i32 ageMillis;          // time since the oldest of the figures was measured
+  4: required double sampleWeight;    // requests that the rates are based on, less for older ones
+  5: required double newRequestsPerSecond;
+  6: required map<i32, double> refusedPerSecond;   // by priority
+  7: required double serviceMillis;
+}
+
 // Sent to a few nodes, and given back by them as the answer.
 struct TRelayHeartbeat {
   1: required TRelayNode sender;
@@ -97,4 +108,5 @@
   14: optional list<TRelayCrash> crashes;   // those, where the receiver's digest differs
   15: optional list<TRelayTrial> trials;
   16: optional TRelayEvacuations evacuations;  // absent: the sender does not know them yet
+  17: optional list<TRelayDemand> demand;      // by queue; absent: the sender does not measure it
 }
