Show evacuations and cold VMs in ./apricotdeal status

An operator who evacuates a failure domain had to read the metrics of each node in relay mode: status asked a path that only nodes of the other mode answer. A node in relay mode now answers /admin/status on its ports for peers and metrics, not on that for callers: readiness with its reason, the catalogue's version, the planner of its domain and what it plans itself, requests in progress and waiting, and for each evacuation its revision, since when the node knows of it and what it still runs there, and the cold VMs. The tool prints each of these in a line of its own. The gauge requests_waiting reads a value that the dispatcher's thread leaves at each tick, since the queues belong to that thread.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
@@ -60,7 +60,8 @@
                 List.of(new FailureDomainId("a")),
                 new Ports(callerAddress, readinessAddress, peerAddress, freeAddress()),
                 drainMillis,
-                store.address());
+                store.address(),
+                ColdBounds.OFF);
         node.start();
     }
 
@@ -79,6 +80,12 @@
 
     /** Adds a node that reaches the store at the given address. */
     Member addNode(String name, String failureDomain, int domains, String storeAddress) throws Exception {
+        return addNode(name, failureDomain, domains, storeAddress, ColdBounds.OFF);
+    }
+
+    /** Adds a node that bounds the requests to cold VMs. */
+    Member addNode(String name, String failureDomain, int domains, String storeAddress, ColdBounds coldBounds)
+            throws Exception {
         List<FailureDomainId> all = new ArrayList<>();
         for (int i = 0; i < domains; i++) {
             all.add(new FailureDomainId("d" + i));
@@ -86,7 +93,7 @@
         String callers = freeAddress();
         String metrics = freeAddress();
         Ports ports = new Ports(callers, freeAddress(), freeAddress(), metrics);
-        RelayNode added = node(name, failureDomain, all, ports, DRAIN_MILLIS, storeAddress);
+        RelayNode added = node(name, failureDomain, all, ports, DRAIN_MILLIS, storeAddress, coldBounds);
         added.start();
         return new Member(added, callers, metrics);
     }
@@ -100,7 +107,8 @@
             List<FailureDomainId> domains,
             Ports ports,
             long drainMillis,
-            String storeAddress) {
+            String storeAddress,
+            ColdBounds coldBounds) {
         return new RelayNode(new RelaySettings(
                 name,
                 new FailureDomainId(failureDomain),
@@ -121,7 +129,7 @@
                 1,
                 0,
                 0,
-                ColdBounds.OFF));
+                coldBounds));
     }
 
     /** Writes a configuration with a stream route, a booking route and one customer. */
--- a/relay/src/main/java/org/apricotdeal/relay/node/ColdVmFeed.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/ColdVmFeed.java
@@ -25,7 +25,7 @@
     private Map<VmId, ColdVm> published = Map.of();
     private final Set<VmId> cold = new HashSet<>();
     private final Set<VmId> unknown = new HashSet<>();
-    private volatile int coldCount;
+    private volatile Map<VmId, ColdVm> coldVms = Map.of();
 
     /**
      * Creates a feed that has published nothing.
@@ -37,7 +37,12 @@
     ColdVmFeed(ColdBounds bounds, DecisionLog log, MetricRegistry metrics) {
         this.bounds = bounds;
         this.log = log;
-        metrics.register("vms.cold", (Gauge<Integer>) () -> coldCount);
+        metrics.register("vms.cold", (Gauge<Integer>) () -> coldVms.size());
+    }
+
+    /** Returns the VMs that were cold at the last update and tolerate only a limited rate of requests. */
+    Map<VmId, ColdVm> coldVms() {
+        return coldVms;
     }
 
     /** Returns whether a VM was cold at the last update, so that its end is still to be reported. */
@@ -99,6 +104,8 @@
             }
         });
         unknown.retainAll(vms.keySet());
-        coldCount = cold.size();
+        Map<VmId, ColdVm> stillCold = new HashMap<>(vms);
+        stillCold.keySet().retainAll(cold);
+        coldVms = Map.copyOf(stillCold);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/EvacuationHolder.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/EvacuationHolder.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
@@ -55,6 +56,17 @@
         return current.domains().contains(domain);
     }
 
+    /**
+     * Returns for how long this node has known that a failure domain is evacuated.
+     *
+     * @param domain the failure domain
+     * @return time in milliseconds; empty if it is not evacuated
+     */
+    OptionalLong knownForMillis(FailureDomainId domain) {
+        Long atMillis = heardMillis.get(domain);
+        return atMillis == null ? OptionalLong.empty() : OptionalLong.of(clock.monotonicMillis() - atMillis);
+    }
+
     /** Puts in force what the store listed or a peer told, if it is of a later revision. */
     synchronized void offer(Evacuations offered, String source) {
         adopt(current.latest(offered), source);
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -24,6 +24,7 @@
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.model.VmReport;
 import org.apricotdeal.relay.peer.PlannerChoice;
+import org.apricotdeal.relay.policy.ColdVm;
 import org.apricotdeal.relay.policy.FleetNode;
 import org.apricotdeal.relay.policy.ModelDemand;
 import org.apricotdeal.relay.policy.PlannedOrder;
@@ -102,7 +103,9 @@
     private final long startedMillis;
     private final String plannerName;
     private RelayCatalogue catalogue;
-    private List<Target> targets = List.of();
+    private volatile List<Target> targets = List.of();
+    private volatile String planner = "";
+    private volatile Set<PlannerKey> plans = Set.of();
     private boolean targetsOutdated;
     private boolean peersListed;
     private volatile PeerSnapshot peerSnapshot = new PeerSnapshot(List.of(), Set.of(), Map.of());
@@ -185,6 +188,31 @@
         return hasPublishedTargets;
     }
 
+    /** Returns the number of requests that this node runs in each evacuated failure domain. */
+    Map<FailureDomainId, Integer> runningInEvacuated() {
+        return evacuations.running();
+    }
+
+    /** Returns the VMs that tolerate only a limited rate of requests now. */
+    Map<VmId, ColdVm> coldVms() {
+        return coldVms.coldVms();
+    }
+
+    /** Returns the node that plans this node's failure domain, as far as this node knows; empty before it has planned. */
+    String planner() {
+        return planner;
+    }
+
+    /** Returns what this node plans. */
+    Set<PlannerKey> plans() {
+        return plans;
+    }
+
+    /** Returns the number of targets, of all failure domains. */
+    int targetCount() {
+        return targets.size();
+    }
+
     private void step(FleetEvent event) {
         ownDelay.observe(clock.monotonicMillis());
         switch (event) {
@@ -451,6 +479,8 @@
         for (PlannerKey key : ownPlanners) {
             runPlanner(nowMillis, key);
         }
+        planner = PlannerChoice.planner(settings.failureDomain(), candidates).orElse("");
+        plans = Set.copyOf(ownPlanners);
     }
 
     /**
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetEvacuations.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetEvacuations.java
@@ -53,6 +53,11 @@
         return toPoll;
     }
 
+    /** Returns the number of requests that this node runs in each evacuated failure domain; none before the first count. */
+    Map<FailureDomainId, Integer> running() {
+        return Map.copyOf(running);
+    }
+
     /** Returns whether the operator's words are known. */
     boolean isKnown() {
         return known;
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -69,6 +69,7 @@
     private final CallerResources callerResources;
     private volatile Map<TargetId, Integer> running = Map.of();
     private volatile Map<QueueId, QueueDemand> demand = Map.of();
+    private volatile int waiting;
     private long demandUpdatedMillis;
     private volatile SuspicionListener suspicionListener = (vms, faultyAddress, reason) -> {};
     private volatile Function<String, OptionalInt> loadReader = header -> OptionalInt.empty();
@@ -121,7 +122,7 @@
         this.log = log;
         this.metrics = metrics;
         metrics.register("requests.in.progress", (Gauge<Integer>) exchanges::size);
-        metrics.register("requests.waiting", (Gauge<Integer>) dispatcher::waitingRequests);
+        metrics.register("requests.waiting", (Gauge<Integer>) () -> waiting);
         this.duty = new Duty<>("dispatch", RING_SLOTS, TICK_MILLIS, this::step, this::tick);
     }
 
@@ -160,6 +161,11 @@
         return running;
     }
 
+    /** Returns the number of requests that waited in all queues at the last tick. */
+    int waiting() {
+        return waiting;
+    }
+
     /** Returns the demand of each queue of an engine. */
     Map<QueueId, QueueDemand> demand() {
         return demand;
@@ -301,6 +307,7 @@
             failOverdue();
         }
         running = dispatcher.runningRequests();
+        waiting = dispatcher.waitingRequests();
         crashNews = dispatcher.crashNews();
         logBlame(dispatcher.blamedParts());
         long nowMillis = clock.monotonicMillis();
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -40,7 +40,6 @@
     private final DecisionLog log;
     private final QueuedThreadPool threads;
     private final HttpClient client;
-    private final SelectorProbe selectorProbe;
     private final RelayDuty relay;
     private final FleetDuty fleet;
     private final CatalogueHolder catalogues;
@@ -49,6 +48,7 @@
     private final Heartbeats heartbeats;
     private final IngressHandler ingress;
     private final List<StoreThread> storeThreads;
+    private final NodeStatus status;
     private final RelayServer server;
 
     /**
@@ -62,7 +62,6 @@
         threads = RelayClients.newThreadPool();
         UpstreamConnector connector = new UpstreamConnector();
         client = RelayClients.startClient(threads, connector);
-        selectorProbe = new SelectorProbe(connector::runOnSelector, clock);
         PlatformAdapter adapter = adapter(settings.adapter());
         WatchStore store = new CountedStore(
                 adapter.store(client, settings.storeAddress(), settings.storeTimeoutMillis()),
@@ -108,13 +107,15 @@
         heartbeats = new Heartbeats(
                 self, client, relay, fleet, catalogues, cataloguePull, evacuations, watcher, vms, clock, log, metrics);
         ingress = new IngressHandler(catalogues, adapter, relay, clock);
+        SelectorProbe selectorProbe = new SelectorProbe(connector::runOnSelector, clock);
+        status = new NodeStatus(settings, catalogues, evacuations, fleet, relay, selectorProbe, clock);
         server = new RelayServer(
                 settings,
                 threads,
                 ingress,
                 heartbeats,
                 cataloguePull,
-                this::isReady,
+                status,
                 metrics,
                 catalogues,
                 relay.callerResources());
@@ -146,13 +147,6 @@
                 .write();
     }
 
-    private boolean isReady() {
-        return catalogues.version() > 0
-                && evacuations.current().isKnown()
-                && fleet.hasPublishedTargets()
-                && selectorProbe.isResponsive();
-    }
-
     /**
      * Stops gracefully: reports that it is not ready, hands over its planning, continues to accept and serve requests for a
      * while, and ends before the platform kills the process.
@@ -162,7 +156,7 @@
         long endMillis = startMillis + settings.drainMillis() - END_MARGIN_MILLIS;
         log.state("stopping").with("inProgress", relay.inProgress()).write();
         ingress.drain(startMillis + Math.min(ACCEPT_REQUESTS_MILLIS, settings.drainMillis() / 2));
-        server.drain();
+        status.drain();
         fleet.put(new FleetEvent.Stopping());
         registration.close();
         registration.deregister();
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
@@ -3,7 +3,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 
 import com.codahale.metrics.MetricRegistry;
 import org.apricotdeal.kernel.misc.HostPort;
@@ -41,9 +40,8 @@
     private final IngressHandler ingress;
     private final Heartbeats heartbeats;
     private final CataloguePull cataloguePull;
-    private final BooleanSupplier ready;
+    private final NodeStatus status;
     private final MetricRegistry metrics;
-    private volatile boolean draining;
 
     RelayServer(
             RelaySettings settings,
@@ -51,14 +49,14 @@
             IngressHandler ingress,
             Heartbeats heartbeats,
             CataloguePull cataloguePull,
-            BooleanSupplier ready,
+            NodeStatus status,
             MetricRegistry metrics,
             CatalogueHolder catalogues,
             CallerResources resources) {
         this.ingress = ingress;
         this.heartbeats = heartbeats;
         this.cataloguePull = cataloguePull;
-        this.ready = ready;
+        this.status = status;
         this.metrics = metrics;
         server = new Server(threads);
         this.resources = resources;
@@ -130,13 +128,13 @@
         server.stop();
     }
 
-    void drain() {
-        draining = true;
+    private static void answer(Response response, Callback callback, int code, String text) {
+        answer(response, callback, code, "text/plain", text);
     }
 
-    private static void answer(Response response, Callback callback, int status, String text) {
-        response.setStatus(status);
-        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain");
+    private static void answer(Response response, Callback callback, int code, String contentType, String text) {
+        response.setStatus(code);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, contentType);
         response.write(true, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), callback);
     }
 
@@ -149,7 +147,7 @@
                 return ingress.handle(request, response, callback);
             }
             if (connector == readiness) {
-                boolean isReady = !draining && ready.getAsBoolean();
+                boolean isReady = status.notReadyReason().isEmpty();
                 answer(
                         response,
                         callback,
@@ -164,6 +162,10 @@
                     answer(response, callback, HttpStatus.OK_200, MetricsText.render(metrics));
                     yield true;
                 }
+                case NodeStatus.PATH -> {
+                    answer(response, callback, HttpStatus.OK_200, "application/json", status.json());
+                    yield true;
+                }
                 default -> {
                     answer(response, callback, HttpStatus.NOT_FOUND_404, "not found\n");
                     yield true;
--- a/tool/src/main/java/org/apricotdeal/tool/fleet/NodeQueryCommand.java
+++ b/tool/src/main/java/org/apricotdeal/tool/fleet/NodeQueryCommand.java
@@ -54,12 +54,24 @@
     private void print(String node, JsonNode answer, Console console) {
         if (listField.isEmpty()) {
             console.out().println(node + ": " + line(answer));
+            answer.properties().forEach(field -> printObjects(field.getKey(), field.getValue(), console));
             return;
         }
         console.out().println(node + ": " + answer.path(listField).size() + " " + listField);
         answer.path(listField).forEach(item -> console.out().println("  " + line(item)));
     }
 
+    /** Prints each object of a list in a line of its own. */
+    private static void printObjects(String name, JsonNode list, Console console) {
+        if (isObjects(list)) {
+            list.forEach(item -> console.out().println("  " + name + ": " + line(item)));
+        }
+    }
+
+    private static boolean isObjects(JsonNode value) {
+        return value.isArray() && value.path(0).isObject();
+    }
+
     private static String line(JsonNode object) {
         List<String> parts = new ArrayList<>();
         object.properties().forEach(field -> parts.add(field.getKey() + "=" + text(field.getValue())));
@@ -70,6 +82,9 @@
         if (!value.isArray()) {
             return value.asText();
         }
+        if (isObjects(value)) {
+            return String.valueOf(value.size());
+        }
         List<String> items = new ArrayList<>();
         value.forEach(item -> items.add(item.asText()));
         return String.join(",", items);
