Let bodies that trickle and connections that stall give way to others

A crowd whose bodies trickle, 1 KiB each 200 ms, counted as progressing and kept the memory for large bodies; connections that all have a request whose body stops short kept every connection, as only those without a request gave way.

What progresses is now in proportion to what is held: a body owes all of it in 10 s, an unread answer in 30 s. If all connections are taken and have a request, the one whose body or answer has not progressed for the longest time, 500 ms at least, gives way.

Of unread answers that keep all connections there is no test.

--- a/proofs/src/test/java/org/apricotdeal/proofs/process/HostileFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/HostileFleet.java
@@ -1,6 +1,7 @@
 package org.apricotdeal.proofs.process;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -20,7 +21,8 @@
 
 /**
  * One node in relay mode as a process with little memory and few descriptors, before a VM that answers ({@code /book/}), VMs
- * that never answer ({@code /hold/}) and a VM with large answers ({@code /load/}), and its clients.
+ * that never answer ({@code /hold/}), a VM with large answers ({@code /load/}) and one that tells the size of a request
+ * ({@code /size/}), and its clients.
  */
 final class HostileFleet implements AutoCloseable {
     /** Maximum number of descriptors of the node. */
@@ -29,12 +31,19 @@
     /** Maximum size of a body. */
     static final int BODY_BYTES = 1024 * 1024;
 
+    /** Maximum size of a head. */
+    static final int HEAD_BYTES = 20_000;
+
+    /** Maximum time for a head to arrive. */
+    static final int HEAD_MILLIS = 3_000;
+
     /** Size of an answer of the VM with large answers; more than a connection buffers. */
     private static final int ANSWER_BYTES = 3_500_000;
 
     private static final int HOLDING_VMS = 6;
     private static final int PART_BYTES = 16 * 1024;
     private static final int READ_TIMEOUT_MILLIS = 10_000;
+    private static final int STATUS_BYTES = "HTTP/1.1 200".length();
     private static final String KEY = "key-1";
 
     private final UsersStoreStandin store = new UsersStoreStandin();
@@ -42,6 +51,7 @@
     private final UsersWorkerStandin service;
     private final List<Socket> clients = Collections.synchronizedList(new ArrayList<>());
     private final int callerPort = StandinFixture.freePort();
+    private final int metricsPort = StandinFixture.freePort();
     private final Path directory = Files.createTempDirectory("hostile");
     final ChildProcess node;
 
@@ -54,6 +64,7 @@
             }));
         }
         register("l0", "load", new ScriptedServer(HostileFleet::answerMuch));
+        register("w0", "size", new ScriptedServer(HostileFleet::answerSize));
         store.put("op/config", catalogue());
         Path settings = directory.resolve("node.ini");
         Files.writeString(settings, settings());
@@ -73,6 +84,17 @@
                         + "Content-Length: " + ANSWER_BYTES + "\r\n\r\n" + "a".repeat(ANSWER_BYTES));
     }
 
+    /** Answers with the number of lines named a and the size of the body. */
+    private static void answerSize(ScriptedServer.Connection connection) throws IOException {
+        ScriptedServer.Received received = connection.read();
+        String size =
+                received.head().lines().filter(line -> line.startsWith("a:")).count() + " lines, "
+                        + received.body().length() + " bytes";
+        connection.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + received.header("x-attempt-id")
+                + "\r\nX-Response-Signature: s\r\nConnection: close\r\nContent-Length: " + size.length() + "\r\n\r\n"
+                + size);
+    }
+
     private void register(String id, String service, ScriptedServer vm) {
         vms.add(vm);
         store.put(
@@ -85,7 +107,7 @@
     private static String catalogue() {
         StringBuilder routes = new StringBuilder();
         StringBuilder services = new StringBuilder();
-        for (String[] route : new String[][] {{"book", "shop"}, {"hold", "hold"}, {"load", "load"}}) {
+        for (String[] route : new String[][] {{"book", "shop"}, {"hold", "hold"}, {"load", "load"}, {"size", "size"}}) {
             String comma = routes.isEmpty() ? "" : ",";
             routes.append(comma).append("""
                     {"name":"%s","host":"h.example","path-prefix":"/%s/","type":"non_idempotent","timeout-ms":60000,
@@ -97,9 +119,9 @@
         }
         return """
                 {"version":1,"routes":[%s],"services":[%s],
-                "limits":{"max-header-bytes":16384,"max-body-bytes":%d,"header-timeout-ms":3000,"idle-timeout-ms":60000},
+                "limits":{"max-header-bytes":%d,"max-body-bytes":%d,"header-timeout-ms":%d,"idle-timeout-ms":60000},
                 "tenants":[{"name":"customer-1","api-keys":["%s"],"priority":1}]}
-                """.formatted(routes, services, BODY_BYTES, KEY);
+                """.formatted(routes, services, HEAD_BYTES, BODY_BYTES, HEAD_MILLIS, KEY);
     }
 
     private String settings() {
@@ -127,11 +149,7 @@
                 repeatRatio = 0.2
                 repeatAllowance = 20
                 """.formatted(
-                        callerPort,
-                        StandinFixture.freePort(),
-                        StandinFixture.freePort(),
-                        StandinFixture.freePort(),
-                        store.address());
+                        callerPort, StandinFixture.freePort(), StandinFixture.freePort(), metricsPort, store.address());
     }
 
     /** Returns the beginning of a request; further headers and an empty line have to follow. */
@@ -156,6 +174,46 @@
         }
     }
 
+    /** Sends a request again on its connection after a pause; returns the status of the second answer, or why there is none. */
+    String requestAfterPause(String text, long pauseMillis) throws InterruptedException {
+        try (Socket socket = connect(0)) {
+            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+            byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+            socket.getOutputStream().write(bytes);
+            Thread.sleep(pauseMillis);
+            InputStream answers = socket.getInputStream();
+            answers.skipNBytes(answers.available());
+            socket.getOutputStream().write(bytes);
+            return new String(answers.readNBytes(STATUS_BYTES), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            return "failed: " + e;
+        }
+    }
+
+    /** Returns the value of a metric of the node; 0 if there is none. */
+    long metric(String name) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), metricsPort)) {
+            String get = "GET /metrics HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n";
+            socket.getOutputStream().write(get.getBytes(StandardCharsets.UTF_8));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8)
+                    .lines()
+                    .filter(line -> line.startsWith(name + " "))
+                    .mapToLong(line -> Long.parseLong(line.substring(name.length() + 1)))
+                    .sum();
+        }
+    }
+
+    /** Returns what the lines {@code caller_curbed} of the node's log name as limits. */
+    List<String> curbed() throws IOException {
+        return Files.readAllLines(directory.resolve("node.log")).stream()
+                .filter(line -> line.contains(" event=caller_curbed "))
+                .map(line -> line.replaceAll(
+                        ".* limit=([a-z.]+) connections=\\d+ bodyBytes=\\d+ " + "headBytes=\\d+ answerBytes=\\d+$",
+                        "$1"))
+                .distinct()
+                .toList();
+    }
+
     private Socket connect(int receiveBufferBytes) throws IOException {
         Socket socket = new Socket();
         if (receiveBufferBytes > 0) {
@@ -178,14 +236,30 @@
         List<Thread> senders = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             String own = start.replace("X-Attempt-Id: ", "X-Attempt-Id: " + i + "-");
-            senders.add(Thread.ofVirtual().start(() -> send(own, part, parts)));
+            senders.add(Thread.ofVirtual().start(() -> send(own, part, parts, 0)));
         }
         for (Thread sender : senders) {
             sender.join(READ_TIMEOUT_MILLIS / 2);
         }
     }
 
-    private void send(String start, String part, int parts) {
+    /**
+     * Starts clients that send a part again and again with a pause after each, and returns at once.
+     *
+     * @param count number of clients
+     * @param start first bytes of each
+     * @param part bytes that each repeats
+     * @param parts number of repetitions
+     * @param pauseMillis time between two parts
+     */
+    void trickle(int count, String start, String part, int parts, long pauseMillis) {
+        for (int i = 0; i < count; i++) {
+            String own = start.replace("X-Attempt-Id: ", "X-Attempt-Id: " + i + "-");
+            Thread.ofVirtual().start(() -> send(own, part, parts, pauseMillis));
+        }
+    }
+
+    private void send(String start, String part, int parts, long pauseMillis) {
         try {
             Socket socket = connect(PART_BYTES);
             clients.add(socket);
@@ -194,7 +268,10 @@
             byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
             for (int i = 0; i < parts; i++) {
                 out.write(bytes);
+                Thread.sleep(pauseMillis);
             }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         } catch (IOException e) {
             // The node or the test has closed the connection, or the node accepts no more.
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/CallerConnection.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CallerConnection.java
@@ -24,6 +24,7 @@
     private final CallerResources resources;
     private volatile long beganMillis;
     private volatile boolean headArriving;
+    private volatile StalledHolder holder;
     private int headBytes;
     private int reservedBytes;
 
@@ -82,15 +83,35 @@
         headBytes = 0;
     }
 
-    /** Returns the time of the last beginning of a request, or of the connection; the future while a request is handled. */
+    /** Sets what the request holds that is read, or the response that is written; null while neither depends on the caller. */
+    void setHolder(StalledHolder newHolder) {
+        holder = newHolder;
+    }
+
+    boolean isWithoutRequest() {
+        return getParser().inHeaderState();
+    }
+
+    /**
+     * Returns the time of the last beginning of a request, or of the connection; while a body is read or a response is
+     * written, that of its last progress; the future while the node handles a request.
+     */
     @Override
     public long progressMillis() {
-        return getParser().inHeaderState() ? beganMillis : Long.MAX_VALUE;
+        if (isWithoutRequest()) {
+            return beganMillis;
+        }
+        StalledHolder current = holder;
+        return current == null ? Long.MAX_VALUE : current.progressMillis();
     }
 
     @Override
     public boolean giveWay() {
         resources.record("connections");
+        StalledHolder current = isWithoutRequest() ? null : holder;
+        if (current != null) {
+            return current.giveWay();
+        }
         getEndPoint().close();
         return true;
     }
@@ -114,6 +135,7 @@
             releaseHead();
             beganMillis = resources.nowMillis();
             headArriving = true;
+            holder = null;
             super.messageBegin();
         }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/CallerResources.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CallerResources.java
@@ -1,5 +1,6 @@
 package org.apricotdeal.relay.node;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -59,21 +60,29 @@
     }
 
     /**
-     * Adds a connection. If there are too many, closes the one that has been without a request for the longest time, or the
-     * new one if all others have one.
+     * Adds a connection. If there are too many, closes the one that has been without a request for the longest time; if all
+     * have one, the one that has stalled for the longest time in sending its body or reading its answer; else the new one.
      */
     void opened(CallerConnection connection) {
         while (connections.size() >= limits.connections()) {
-            Optional<CallerConnection> idle = StalledHolder.longestStalled(connections, nowMillis(), 0);
-            if (idle.isEmpty() || !idle.get().giveWay()) {
+            Optional<CallerConnection> stalled = longestStalled();
+            if (stalled.isEmpty() || !stalled.get().giveWay()) {
                 connection.giveWay();
                 return;
             }
-            connections.remove(idle.get());
+            connections.remove(stalled.get());
         }
         connections.add(connection);
     }
 
+    private Optional<CallerConnection> longestStalled() {
+        List<CallerConnection> idle =
+                connections.stream().filter(CallerConnection::isWithoutRequest).toList();
+        long nowMillis = nowMillis();
+        return StalledHolder.longestStalled(idle, nowMillis, 0)
+                .or(() -> StalledHolder.longestStalled(connections, nowMillis, StalledHolder.MIN_STALL_MILLIS));
+    }
+
     void closed(CallerConnection connection) {
         connections.remove(connection);
     }
--- a/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
@@ -172,6 +172,9 @@
         UnreadAnswer held = new UnreadAnswer(resources, endPoint, sizeBytes);
         answer = held;
         held.hold();
+        if (request.getConnectionMetaData().getConnection() instanceof CallerConnection connection) {
+            connection.setHolder(held);
+        }
         if (completed.get()) {
             releaseAnswer();
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -42,8 +42,8 @@
     /** About the time that callers take to send a large body. */
     private static final String BODY_RETRY_SECONDS = "1";
 
-    /** Content after which a body counts as progressing; single bytes now and then are none. */
-    private static final int PROGRESS_BYTES = 1_024;
+    /** Time in which a body has to arrive while others need its memory. */
+    private static final long BODY_HOLD_MILLIS = 10_000;
 
     private final BufferLimit bodyLimit;
     private final CatalogueHolder catalogues;
@@ -198,10 +198,9 @@
         private final Callback callback;
         private final Arrival arrival;
         private final long maxBytes;
-        private final RequestBody body = new RequestBody(bodyLimit);
+        private final RequestBody body;
         private final AtomicBoolean reading = new AtomicBoolean(true);
-        private volatile long progressMillis;
-        private int progressBytes;
+        private final TransferProgress progress;
 
         BodyReader(Request request, Response response, Callback callback, Arrival arrival, long maxBytes) {
             this.request = request;
@@ -209,7 +208,8 @@
             this.callback = callback;
             this.arrival = arrival;
             this.maxBytes = maxBytes;
-            this.progressMillis = arrival.arrivedMillis();
+            this.body = new RequestBody(bodyLimit);
+            this.progress = new TransferProgress(BODY_HOLD_MILLIS, arrival.arrivedMillis());
         }
 
         /** Reads the body if there is memory for it; a caller whose body cannot be read is told at once. */
@@ -221,12 +221,13 @@
                 }
             }
             bodyLimit.add(this);
+            reads(this);
             run();
         }
 
         @Override
         public long progressMillis() {
-            return progressMillis;
+            return progress.progressMillis();
         }
 
         @Override
@@ -250,15 +251,19 @@
         /** Ends reading; returns false if the body has given way. */
         private boolean endReading() {
             bodyLimit.remove(this);
+            reads(null);
             return reading.compareAndSet(true, false);
         }
 
+        private void reads(StalledHolder holder) {
+            if (request.getConnectionMetaData().getConnection() instanceof CallerConnection connection) {
+                connection.setHolder(holder);
+            }
+        }
+
         private boolean add(Content.Chunk chunk) {
             int sizeBytes = body.size() + chunk.remaining();
-            if (sizeBytes - progressBytes >= PROGRESS_BYTES) {
-                progressBytes = sizeBytes;
-                progressMillis = clock.monotonicMillis();
-            }
+            progress.add(chunk.remaining(), body.reservedBytes(), clock.monotonicMillis());
             while (!body.add(chunk.getByteBuffer())) {
                 if (!reading.get() || !bodyLimit.makeRoom(clock.monotonicMillis(), sizeBytes)) {
                     return false;
--- a/relay/src/main/java/org/apricotdeal/relay/node/UnreadAnswer.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UnreadAnswer.java
@@ -4,21 +4,25 @@
 
 /** A complete response in memory that its caller has not read yet; callers that read none of theirs give way. */
 final class UnreadAnswer implements BufferLimit.Holder {
+    /** Time in which an answer has to be read while others need its memory; longer than for a body, as its work is done. */
+    private static final long ANSWER_HOLD_MILLIS = 30_000;
+
     private final CallerResources resources;
     private final WatchedEndPoint caller;
     private final int sizeBytes;
-    private final long sinceMillis;
+    private final TransferProgress progress;
     private final AtomicBoolean held = new AtomicBoolean(true);
 
     UnreadAnswer(CallerResources resources, WatchedEndPoint caller, int sizeBytes) {
         this.resources = resources;
         this.caller = caller;
         this.sizeBytes = sizeBytes;
-        this.sinceMillis = resources.nowMillis();
+        this.progress = new TransferProgress(ANSWER_HOLD_MILLIS, resources.nowMillis());
     }
 
     /** Takes the memory, which the response already has, without regard to the limit. */
     void hold() {
+        caller.watchFlushes(count -> progress.add(count, sizeBytes, resources.nowMillis()));
         resources.answers().hold(sizeBytes);
         resources.answers().add(this);
     }
@@ -35,7 +39,7 @@
 
     @Override
     public long progressMillis() {
-        return Math.max(sinceMillis, resources.nowMillis() - caller.millisSinceFlush());
+        return progress.progressMillis();
     }
 
     @Override
--- a/relay/src/main/java/org/apricotdeal/relay/node/WatchedEndPoint.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/WatchedEndPoint.java
@@ -6,7 +6,7 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CancellationException;
-import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
 
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ManagedSelector;
@@ -26,7 +26,7 @@
     private final ReadTurn turn = new ReadTurn();
     private ByteBuffer readAheadBuffer = BufferUtil.EMPTY_BUFFER;
     private Watch watch;
-    private volatile long flushedNanos = System.nanoTime();
+    private volatile IntConsumer onFlush = count -> {};
 
     WatchedEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
         super(channel, selector, key, scheduler);
@@ -55,15 +55,13 @@
     public boolean flush(ByteBuffer... buffers) throws IOException {
         long before = BufferUtil.remaining(buffers);
         boolean flushed = super.flush(buffers);
-        if (flushed || BufferUtil.remaining(buffers) < before) {
-            flushedNanos = System.nanoTime();
-        }
+        onFlush.accept((int) (before - BufferUtil.remaining(buffers)));
         return flushed;
     }
 
-    /** Returns the time since the caller last accepted bytes, in milliseconds. */
-    long millisSinceFlush() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - flushedNanos);
+    /** Sets what is told the number of bytes whenever the caller may have accepted some. */
+    void watchFlushes(IntConsumer listener) {
+        onFlush = listener;
     }
 
     /**
