Keep connections that are idle for longer than a head may take

A caller's connection without a request was closed with 408 after header-timeout-ms: Jetty announces the beginning of a head also when it parses an empty buffer after a response, and the time of that was taken for a head that arrives.

A head counts as arriving from its first byte on. CallerLimitsTest.idleConnectionIsKept: on the code before the second request of a connection got no answer after a pause of 6 s (header-timeout-ms 3000, idle-timeout-ms 60000); now 200.

--- a/proofs/src/test/java/org/apricotdeal/proofs/process/CallerLimitsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/CallerLimitsTest.java
@@ -1,12 +1,14 @@
 package org.apricotdeal.proofs.process;
 
 import java.io.IOException;
+import java.util.List;
 
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 /** Tests that a crowd that trickles keeps nothing from others, that an operator sees each crowd, and what calm callers get. */
@@ -83,6 +85,15 @@
         assertTrue(fleet.node.descriptors() < HostileFleet.MAX_DESCRIPTORS);
     }
 
+    /** A caller that uses a connection again after a pause longer than a head may take. */
+    @Test
+    public void idleConnectionIsKept() throws Exception {
+        String request = HostileFleet.head("/book/x", "first") + NO_BODY;
+        assertTrue(
+                fleet.requestAfterPause(request, 2 * HostileFleet.HEAD_MILLIS).startsWith(SERVED));
+        assertEquals(fleet.curbed(), List.of());
+    }
+
     @DataProvider
     public Object[][] curbedCrowds() {
         String book = HostileFleet.head("/book/x", "");
--- a/relay/src/main/java/org/apricotdeal/relay/node/CallerConnection.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CallerConnection.java
@@ -116,8 +116,9 @@
         return true;
     }
 
+    /** Returns whether a part of a head has arrived; Jetty also announces a head of which there is no byte yet. */
     boolean isHeadOverdue(long beforeMillis) {
-        return headArriving && beganMillis < beforeMillis;
+        return headArriving && !getParser().isStart() && beganMillis < beforeMillis;
     }
 
     void closeOverdueHead() {
