Serve the largest request that the catalogue allows

A request with more than 8 KiB of header lines got 502, since the HTTP client limits the heads that it sends to 8 KiB; one with more than 16 KiB got 431 whatever max-header-bytes says. A body in chunks reserved up to twice max-body-bytes.

The limits follow the catalogue, with room for what becomes longer when it is sent on. CallerLimitsTest.largestRequestIsServedInCalm (head of max-header-bytes with one line each four bytes and body of max-body-bytes, with a length and in chunks; nothing is curbed): on the code before 431 at 20,000 bytes and 502 at 16,000; now 200.

--- a/proofs/src/test/java/org/apricotdeal/proofs/process/CallerLimitsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/CallerLimitsTest.java
@@ -22,6 +22,7 @@
     private static final int PART_BYTES = 16 * 1024;
     private static final String PART = "a".repeat(PART_BYTES);
     private static final int PARTS = HostileFleet.BODY_BYTES / PART_BYTES - 1;
+    private static final String CHUNKS = ("4000\r\n" + PART + END).repeat(PARTS + 1) + "0\r\n\r\n";
     private static final String KIBIBYTE = "a".repeat(1_024);
     private static final int CROWD = 80;
 
@@ -133,4 +134,20 @@
                 && fleet.metric("callers_held_head_bytes") == 0
                 && fleet.metric("callers_held_answer_bytes") == 0;
     }
+
+    /** A head of the maximum size with many lines, together with the largest body, alone on a node. */
+    @Test
+    public void largestRequestIsServedInCalm() throws Exception {
+        assertServed(WHOLE, BODY);
+        assertServed("Transfer-Encoding: chunked\r\n\r\n", CHUNKS);
+        assertEquals(fleet.curbed(), List.of());
+    }
+
+    private void assertServed(String lastLine, String body) {
+        String head = HostileFleet.head("/size/x", "largest" + body.length()) + "Connection: close\r\n";
+        int lines = (HostileFleet.HEAD_BYTES - head.length() - lastLine.length()) / 4;
+        String answer = fleet.request(head + "a:\r\n".repeat(lines) + lastLine + body);
+        assertTrue(answer.startsWith(SERVED), answer);
+        assertTrue(answer.endsWith(lines + " lines, " + HostileFleet.BODY_BYTES + " bytes"), answer);
+    }
 }
--- a/proofs/src/test/java/org/apricotdeal/relay/node/RequestBodyTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/RequestBodyTest.java
@@ -28,9 +28,9 @@
     @Test(dataProvider = "lengths")
     public void sumOfBodiesIsLimited(long length) {
         BufferLimit limit = new BufferLimit(LIMIT_BYTES);
-        RequestBody first = new RequestBody(limit);
-        RequestBody second = new RequestBody(limit);
-        RequestBody third = new RequestBody(limit);
+        RequestBody first = new RequestBody(limit, LIMIT_BYTES);
+        RequestBody second = new RequestBody(limit, LIMIT_BYTES);
+        RequestBody third = new RequestBody(limit, LIMIT_BYTES);
         assertTrue(read(first, length));
         int admitted = read(second, length) ? 2 : 1;
         assertFalse(admitted == 2 && read(third, length));
@@ -44,13 +44,21 @@
 
     @Test
     public void contentIsThatOfTheRequest() {
-        RequestBody body = new RequestBody(new BufferLimit(LIMIT_BYTES));
+        RequestBody body = new RequestBody(new BufferLimit(LIMIT_BYTES), LIMIT_BYTES);
         assertTrue(body.tryReserve(2));
         assertTrue(body.add(ByteBuffer.wrap(new byte[] {1, 2})));
         assertTrue(body.add(ByteBuffer.wrap(new byte[] {3})));
         assertEquals(body.content(), ByteBuffer.wrap(new byte[] {1, 2, 3}));
     }
 
+    /** The largest body of a caller that names no length fits where the largest body with a length does. */
+    @Test
+    public void bodyInChunksTakesNoMoreThanLargestBody() {
+        BufferLimit limit = new BufferLimit(BODY_BYTES);
+        assertTrue(read(new RequestBody(limit, BODY_BYTES), -1));
+        assertEquals(limit.reservedBytes(), BODY_BYTES);
+    }
+
     private static boolean read(RequestBody body, long length) {
         if (!body.tryReserve(length)) {
             return false;
--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -208,7 +208,7 @@
             this.callback = callback;
             this.arrival = arrival;
             this.maxBytes = maxBytes;
-            this.body = new RequestBody(bodyLimit);
+            this.body = new RequestBody(bodyLimit, maxBytes);
             this.progress = new TransferProgress(BODY_HOLD_MILLIS, arrival.arrivedMillis());
         }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -91,6 +91,7 @@
         relay.onLeavingVms(target -> fleet.put(new FleetEvent.VmLeaves(target)));
         catalogues = new CatalogueHolder(adapter.codec(), log);
         catalogues.subscribe(catalogue -> {
+            client.setMaxRequestHeadersSize(catalogue.callerLimits().sentHeadBytes());
             relay.put(new RelayEvent.CatalogueChanged(catalogue));
             fleet.put(new FleetEvent.CatalogueChanged(catalogue));
         });
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
@@ -22,7 +22,7 @@
 
 /** HTTP server of a node in relay mode, with ports for callers, readiness checks, peers and metrics. */
 final class RelayServer {
-    private static final int MAX_HEADER_BYTES = 16 * 1024;
+    private static final int HEADER_BYTES = 16 * 1024;
     private static final int BUFFER_BYTES = 4 * 1024;
 
     /** Idle timeout until a catalogue sets one for callers. */
@@ -62,7 +62,8 @@
         this.metrics = metrics;
         server = new Server(threads);
         this.resources = resources;
-        callers = new CallerConnector(server, new CallerConnectionFactory(configuration(), resources));
+        HttpConfiguration callerHttp = configuration();
+        callers = new CallerConnector(server, new CallerConnectionFactory(callerHttp, resources));
         listen(callers, settings.callerAddress());
         readiness = connector(settings.readinessAddress());
         connector(settings.peerAddress());
@@ -70,6 +71,7 @@
         server.setHandler(new PortRouter());
         server.setErrorHandler(new JettyErrorHandler());
         catalogues.subscribe(catalogue -> {
+            callerHttp.setRequestHeaderSize(catalogue.callerLimits().headBytes());
             resources.setHeadTimeout(catalogue.callerLimits().headerTimeoutMillis());
             if (catalogue.callerLimits().idleTimeoutMillis() > 0) {
                 callers.setIdleTimeout(catalogue.callerLimits().idleTimeoutMillis());
@@ -83,7 +85,7 @@
 
     private static HttpConfiguration configuration() {
         HttpConfiguration http = new HttpConfiguration();
-        http.setRequestHeaderSize(MAX_HEADER_BYTES);
+        http.setRequestHeaderSize(HEADER_BYTES);
         http.setHeaderCacheSize(0);
         http.setSendServerVersion(false);
         http.setSendDateHeader(false);
--- a/relay/src/main/java/org/apricotdeal/relay/node/RequestBody.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RequestBody.java
@@ -11,13 +11,21 @@
     private static final int INITIAL_BYTES = 1_024;
 
     private final BufferLimit limit;
+    private final long maxBytes;
     private byte[] bytes = new byte[0];
     private int size;
     private int reservedBytes;
     private boolean released;
 
-    RequestBody(BufferLimit limit) {
+    /**
+     * Creates an empty body.
+     *
+     * @param limit limit of the memory of all bodies
+     * @param maxBytes maximum size of a body, beyond which no memory is reserved in advance
+     */
+    RequestBody(BufferLimit limit, long maxBytes) {
         this.limit = limit;
+        this.maxBytes = maxBytes;
     }
 
     /** Reserves the memory of a body of a known length; returns false if there is not enough. */
@@ -39,7 +47,8 @@
             return false;
         }
         int needed = size + content.remaining();
-        if (needed > bytes.length && !tryReserve(Math.max(needed, Math.max(INITIAL_BYTES, 2L * bytes.length)))) {
+        long ahead = Math.min(maxBytes, Math.max(INITIAL_BYTES, 2L * bytes.length));
+        if (needed > bytes.length && !tryReserve(Math.max(needed, ahead))) {
             return false;
         }
         int added = content.remaining();
