Nodes of an evacuated failure domain get a part of the others' targets

The home nodes of a target are nodes of its failure domain. During an evacuation callers still reach the nodes there; these were home nodes of nothing that may receive requests, and shared a fifth of the others' slots with all nodes that are no home nodes.

They now count as near to an equal part of the targets of each other failure domain. Ranks for cold VMs disregard evacuations, so that nodes that know of one and nodes that don't agree about who may send there. Evacuated targets no longer count as home targets, nor as targets by which the shares are chosen.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimPlacement.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimPlacement.java
@@ -10,6 +10,9 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -48,7 +51,7 @@
 
     private static final long IDLE_CONNECTION_MILLIS = 4_000;
     private static final int MAX_CLIENTS_PER_NODE = 8;
-    private static final List<String> DOMAINS = List.of("a", "b", "c", "d", "e");
+    static final List<String> DOMAINS = List.of("a", "b", "c", "d", "e");
     private static final QueueId QUEUE = new QueueId(new UpstreamId("chat"), Optional.of(new ModelId("m1")));
 
     private final UniformRandomProvider random;
@@ -59,6 +62,7 @@
     private final PriorityQueue<Step> steps = new PriorityQueue<>(Comparator.comparingLong(Step::atMillis));
     private final double arrivalsPerMilli;
     private final Map<TargetId, Integer> sentByTarget = new HashMap<>();
+    private final Map<FailureDomainId, Arrivals> arrivals = new HashMap<>();
     private long nowMillis = 1_000;
     private long lastId;
     private int sent;
@@ -74,7 +78,14 @@
     private record Step(long atMillis, Runnable action) {}
 
     /** A node with its idle connections by target, as the times of their last use. */
-    private record Node(RelayDispatcher dispatcher, Map<TargetId, Deque<Long>> idleConnections) {}
+    private record Node(
+            RelayDispatcher dispatcher, FailureDomainId failureDomain, Map<TargetId, Deque<Long>> idleConnections) {}
+
+    /** Requests that arrived at the nodes of a failure domain, and how many of them were refused. */
+    private static final class Arrivals {
+        private int arrived;
+        private int refused;
+    }
 
     /**
      * Creates a fleet whose targets and nodes know each other.
@@ -91,7 +102,7 @@
                     fleetNode,
                     new RetryBudget(10_000, 0.2, 100, 1),
                     RandomSource.SPLIT_MIX_64.create(seed * NODES + nodes.size()));
-            Node node = new Node(dispatcher, new HashMap<>());
+            Node node = new Node(dispatcher, fleetNode.failureDomain(), new HashMap<>());
             nodes.add(node);
             dispatcher.step(nowMillis, new RelayEvent.NodesChanged(nodes()));
             dispatcher.step(nowMillis, new RelayEvent.TargetsChanged(targets));
@@ -146,6 +157,25 @@
         nodes.forEach(node -> step(node, new RelayEvent.TargetsChanged(changed)));
     }
 
+    /** Evacuates the replicas of the first failure domains; callers still reach the nodes there. */
+    void evacuate(int domainCount) {
+        Set<FailureDomainId> domains =
+                IntStream.range(0, domainCount).mapToObj(SimPlacement::domain).collect(Collectors.toSet());
+        nodes.forEach(node -> step(node, new RelayEvent.EvacuationsChanged(domains)));
+    }
+
+    /** Returns the share of the requests to the nodes of failure domains that were refused since the last reset. */
+    double refusedShare(int fromDomain, int toDomain) {
+        int arrived = 0;
+        int refusedThere = 0;
+        for (int i = fromDomain; i < toDomain; i++) {
+            Arrivals there = arrivals.getOrDefault(domain(i), new Arrivals());
+            arrived += there.arrived;
+            refusedThere += there.refused;
+        }
+        return (double) refusedThere / Math.max(1, arrived);
+    }
+
     /** Returns the share of sends to replicas opened later whose slots were all occupied. */
     double overfullShareOfOpenedTargets() {
         return (double) overfullOpened / Math.max(1, sentOpened);
@@ -189,6 +219,7 @@
                 1,
                 nowMillis,
                 nowMillis + RelayFixture.TIMEOUT_MILLIS);
+        arrivals.computeIfAbsent(node.failureDomain(), domain -> new Arrivals()).arrived++;
         step(node, new RelayEvent.RequestArrived(arrival));
     }
 
@@ -196,7 +227,10 @@
         for (RelayAction action : node.dispatcher().step(nowMillis, event)) {
             switch (action) {
                 case RelayAction.Send send -> send(node, send);
-                case RelayAction.Refuse refusal -> refused++;
+                case RelayAction.Refuse refusal -> {
+                    refused++;
+                    arrivals.computeIfAbsent(node.failureDomain(), domain -> new Arrivals()).refused++;
+                }
                 default -> throw new IllegalStateException("no target fails here, but " + action);
             }
         }
@@ -257,6 +291,7 @@
         newConnections = 0;
         refused = 0;
         sentByTarget.clear();
+        arrivals.clear();
     }
 
     /** Returns the share of sends to targets whose slots were all occupied. */
--- a/relay/src/main/java/org/apricotdeal/relay/policy/HomeNodes.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/HomeNodes.java
@@ -2,8 +2,10 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.Set;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import org.apricotdeal.kernel.id.FailureDomainId;
 
 /**
  * Assigns a few home nodes to each target, which send most of its requests.
@@ -15,6 +17,10 @@
  *
  * <p>Nodes are ranked for each target by rendezvous hashing, nodes of the target's failure domain first. A node or
  * target that comes or goes therefore changes only its own assignments.
+ *
+ * <p>Callers still reach the nodes of a failure domain that is being evacuated, while the targets of which these would be
+ * home nodes get nothing. Each of these nodes counts as near to an equal part of the targets of each other failure domain,
+ * so that all nodes have about as many home targets, and no caller is worse off by the node that it has reached.
  */
 final class HomeNodes {
     /** Number of home nodes of a target; in a fleet of up to this many nodes, all nodes use all targets alike. */
@@ -26,8 +32,15 @@
     /** Number of targets per node from which a node often has several requests for a target in a heartbeat round. */
     private static final double MIN_TARGETS_PER_NODE = 0.5;
 
+    /** Makes the choice of near targets independent of the ranks. */
+    private static final String NEAR_SALT = "near/";
+
     private final FleetNode self;
     private List<FleetNode> nodes;
+    private Set<FailureDomainId> evacuated = Set.of();
+
+    /** Number of failure domains with nodes that are not being evacuated. */
+    private int openDomains = 1;
 
     /**
      * Creates the assignment of a node that knows no other nodes yet.
@@ -42,16 +55,38 @@
     /** Sets the nodes of the fleet, including this one. */
     void setNodes(List<FleetNode> changed) {
         nodes = List.copyOf(changed);
+        countOpenDomains();
+    }
+
+    /** Sets the failure domains that the operator evacuates. */
+    void setEvacuated(Set<FailureDomainId> domains) {
+        evacuated = Set.copyOf(domains);
+        countOpenDomains();
+    }
+
+    private void countOpenDomains() {
+        openDomains = Math.max(1, (int) nodes.stream()
+                .map(FleetNode::failureDomain)
+                .filter(domain -> !evacuated.contains(domain))
+                .distinct()
+                .count());
     }
 
-    /** Returns whether the node with a rank is a home node; in a small fleet all are. */
-    boolean isHome(int rank) {
-        return !areFew() || rank < COUNT;
+    /** Returns whether this node is a home node of a target; in a small fleet all are. */
+    boolean isHome(Target target) {
+        return !areFew() || preceding(order(target, evacuated)) < COUNT;
     }
 
-    /** Returns the number of nodes that precede this one among the home nodes of a target; {@link #COUNT} if it is none. */
+    /**
+     * Returns the number of nodes that precede this one among the home nodes of a target; {@link #COUNT} if it is none.
+     * Evacuations are disregarded, so that nodes that have not heard of one give each node the same rank.
+     */
     int rank(Target target) {
-        Comparator<FleetNode> order = order(target);
+        return preceding(order(target, Set.of()));
+    }
+
+    /** Counts the nodes that precede this one, up to {@link #COUNT}. */
+    private int preceding(Comparator<FleetNode> order) {
         int preceding = 0;
         for (FleetNode node : nodes) {
             if (order.compare(node, self) < 0 && ++preceding >= COUNT) {
@@ -75,7 +110,7 @@
      * among them, and the others as well.
      *
      * @param home whether this node is a home node of the target
-     * @param targets number of targets that serve the same requests
+     * @param targets number of targets that serve the same requests and are not being evacuated
      * @return this node's share
      */
     SlotShare slotShare(boolean home, int targets) {
@@ -91,15 +126,23 @@
                 : SlotShare.ofOtherNode((1 - HOME_SHARE) / (count - COUNT));
     }
 
-    private static Comparator<FleetNode> order(Target target) {
-        return Comparator.comparing((FleetNode node) -> !node.failureDomain().equals(target.failureDomain()))
-                .thenComparingLong(node -> rank(node, target))
+    private Comparator<FleetNode> order(Target target, Set<FailureDomainId> withoutTargets) {
+        return Comparator.comparing((FleetNode node) -> !isNear(node, target, withoutTargets))
+                .thenComparingLong(node -> hash(node.name(), target))
                 .thenComparing(FleetNode::name);
     }
 
-    private static long rank(FleetNode node, Target target) {
+    private boolean isNear(FleetNode node, Target target, Set<FailureDomainId> withoutTargets) {
+        if (node.failureDomain().equals(target.failureDomain())) {
+            return true;
+        }
+        return withoutTargets.contains(node.failureDomain())
+                && Math.floorMod(hash(NEAR_SALT + node.name(), target), openDomains) == 0;
+    }
+
+    private static long hash(String node, Target target) {
         return Hashing.komihash4_3()
-                .hashCharsToLong(node.name() + "/" + target.id().vm().value() + "/"
+                .hashCharsToLong(node + "/" + target.id().vm().value() + "/"
                         + target.id().epoch());
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
@@ -137,18 +137,17 @@
                 return state;
             }));
         }
-        added.forEach(state -> beginRound(state, nowMillis));
         queues.values().forEach(QueueState::updateEvacuated);
+        added.forEach(state -> beginRound(state, nowMillis));
     }
 
     private TargetState newTarget(Target target, QueueState queue, long nowMillis) {
         TargetState state = new TargetState(target, queue);
         state.pauseUntil(pausedUntilMillis.getOrDefault(target.id().vm(), NEVER_MILLIS));
-        int rank = homeNodes.rank(target);
-        state.setHome(homeNodes.isHome(rank));
+        state.setHome(homeNodes.isHome(target));
         state.setEvacuated(evacuated.contains(target.failureDomain()));
         state.setColdLimit(coldLimit(state));
-        fleetKnownMillis.ifPresent(sinceMillis -> state.setHomeRank(rank, sinceMillis));
+        fleetKnownMillis.ifPresent(sinceMillis -> state.setHomeRank(homeNodes.rank(target), sinceMillis));
         queue.averagePeersRunning().ifPresent(average -> state.assumePeersRunning(average, nowMillis));
         return state;
     }
@@ -171,11 +170,16 @@
         }
     }
 
-    /** Sets the failure domains that the operator evacuates. */
+    /** Sets the failure domains that the operator evacuates; their nodes send most of their requests elsewhere. */
     void setEvacuated(Set<FailureDomainId> domains) {
         evacuated = domains;
-        targets.values().forEach(state -> state.setEvacuated(domains.contains(state.target.failureDomain())));
+        homeNodes.setEvacuated(domains);
+        for (TargetState state : targets.values()) {
+            state.setEvacuated(domains.contains(state.target.failureDomain()));
+            state.setHome(homeNodes.isHome(state.target));
+        }
         queues.values().forEach(QueueState::updateEvacuated);
+        queues.values().forEach(QueueState::updateHomeTargets);
     }
 
     /**
@@ -202,9 +206,8 @@
             fleetKnownMillis = OptionalLong.of(nowMillis);
         }
         for (TargetState state : targets.values()) {
-            int rank = homeNodes.rank(state.target);
-            state.setHome(homeNodes.isHome(rank));
-            state.setHomeRank(rank, nowMillis);
+            state.setHome(homeNodes.isHome(state.target));
+            state.setHomeRank(homeNodes.rank(state.target), nowMillis);
         }
         queues.values().forEach(QueueState::updateHomeTargets);
     }
@@ -239,6 +242,6 @@
 
     private void beginRound(TargetState state, long nowMillis) {
         state.beginRound(
-                homeNodes.slotShare(state.isHome(), state.queue().targets.size()), random.nextDouble(), nowMillis);
+                homeNodes.slotShare(state.isHome(), state.queue().openTargets()), random.nextDouble(), nowMillis);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
@@ -27,7 +27,7 @@
     final TreeSet<RequestState> waiting = new TreeSet<>(ORDER);
     final List<TargetState> targets = new ArrayList<>();
 
-    /** Those of the targets of which this node is a home node. */
+    /** Those of the targets of which this node is a home node, without evacuated ones. */
     final List<TargetState> homeTargets = new ArrayList<>();
 
     final MovingAverage serviceMillis;
@@ -40,6 +40,7 @@
     private final Optional<CostEstimator> costs;
     private final TypicalTime typicalStart;
     private boolean anyEvacuated;
+    private int openTargets;
     private OptionalDouble averagePeersRunning = OptionalDouble.empty();
 
     /**
@@ -69,7 +70,7 @@
 
     void addTarget(TargetState target) {
         targets.add(target);
-        if (target.isHome()) {
+        if (isOpenHome(target)) {
             homeTargets.add(target);
         }
     }
@@ -100,22 +101,31 @@
                 .learn(request.arrival, size, nowMillis - request.startedMillis));
     }
 
-    /** Selects the home targets again after the nodes of the fleet have changed. */
+    /** Selects the home targets again after the nodes of the fleet or the evacuations have changed. */
     void updateHomeTargets() {
         homeTargets.clear();
-        targets.stream().filter(TargetState::isHome).forEach(homeTargets::add);
+        targets.stream().filter(QueueState::isOpenHome).forEach(homeTargets::add);
+    }
+
+    private static boolean isOpenHome(TargetState target) {
+        return target.isHome() && !target.isEvacuated();
     }
 
     /** Counts with evacuated targets from now on, after the targets or the evacuations have changed. */
     void updateEvacuated() {
-        anyEvacuated = targets.stream().anyMatch(TargetState::isEvacuated);
+        openTargets =
+                (int) targets.stream().filter(target -> !target.isEvacuated()).count();
+        anyEvacuated = openTargets < targets.size();
+    }
+
+    /** Returns the number of targets that are not being evacuated. */
+    int openTargets() {
+        return openTargets;
     }
 
     /** Returns why a request is refused for which no target is available. */
     RefusalReason noTargetReason() {
-        return anyEvacuated && targets.stream().allMatch(TargetState::isEvacuated)
-                ? RefusalReason.EVACUATED
-                : RefusalReason.NO_TARGET;
+        return anyEvacuated && openTargets == 0 ? RefusalReason.EVACUATED : RefusalReason.NO_TARGET;
     }
 
     /**
