Send no VM more tokens than it can hold

An engine whose requests exceed its memory crashes with all of them; only the number of requests was bounded. Requests of up to a sixth of the memory divided by the slots always fit; larger ones share the other half of the memory by fixed parts of the nodes (TargetMemory, docs/design/vm-memory.md). One that exceeds this node's part of every target is refused at once (TOO_LARGE) and not counted as demand; smaller ones pass one that waits. The limit is the catalogue's, or else the head's last report; unknown bars nothing.

--- a/relay/src/main/java/org/apricotdeal/relay/model/RequestSize.java
+++ b/relay/src/main/java/org/apricotdeal/relay/model/RequestSize.java
@@ -16,4 +16,9 @@
             throw new IllegalArgumentException("negative number of tokens");
         }
     }
+
+    /** Returns the number of tokens that the request occupies in the memory of an engine at most. */
+    public long maxTokens() {
+        return (long) promptTokens + maxAnswerTokens;
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/model/VmReport.java
+++ b/relay/src/main/java/org/apricotdeal/relay/model/VmReport.java
@@ -20,6 +20,7 @@
  * @param running number of requests that the VM is executing
  * @param slowdown factor by which the VM is slower than normal; 1 is normal
  * @param coldRemainingMillis time for which the VM remains cold; empty if it does not report it
+ * @param memory memory for the requests that the VM holds; empty if it does not report it
  */
 public record VmReport(
         Optional<FabricDomainId> fabricDomain,
@@ -32,14 +33,15 @@
         int waiting,
         int running,
         double slowdown,
-        OptionalLong coldRemainingMillis) {
+        OptionalLong coldRemainingMillis,
+        Optional<MemoryUse> memory) {
     /** Copies the list. */
     public VmReport {
         stagedModels = List.copyOf(stagedModels);
     }
 
     /**
-     * Creates the report of a VM that does not say whether it is cold.
+     * Creates the report of a VM that says neither whether it is cold nor what it holds.
      *
      * @param fabricDomain fabric domain, if the VM reports it
      * @param startedWallMillis wall-clock time of its start; 0 if the VM does not report it
@@ -74,6 +76,7 @@
                 waiting,
                 running,
                 slowdown,
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                Optional.empty());
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -287,7 +287,10 @@
         }
         boolean wasUnresponsive = table.isUnresponsive(vm);
         switch (report) {
-            case Result.Ok<VmReport, String>(VmReport state) -> table.applyReport(vm, state, clock.monotonicMillis());
+            case Result.Ok<VmReport, String>(VmReport state) -> {
+                table.applyReport(vm, state, clock.monotonicMillis());
+                state.memory().ifPresent(use -> relay.put(new RelayEvent.VmMemoryReported(vm, use)));
+            }
             case Result.Err<VmReport, String>(String reason) -> {
                 table.recordMissedCall(vm, clock.monotonicMillis());
                 metrics.counter("vm.reports.missed").inc();
--- a/relay/src/main/java/org/apricotdeal/relay/policy/HomeNodes.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/HomeNodes.java
@@ -29,6 +29,9 @@
     /** Part of the free slots of a target that its home nodes share in a larger fleet; the others share the rest. */
     private static final double HOME_SHARE = 0.8;
 
+    /** Part of the memory for large requests that belongs to the first home node. */
+    private static final double FIRST_MEMORY_PART = 0.5;
+
     /** Number of targets per node from which a node often has several requests for a target in a heartbeat round. */
     private static final double MIN_TARGETS_PER_NODE = 0.5;
 
@@ -72,9 +75,36 @@
                 .count());
     }
 
-    /** Returns whether this node is a home node of a target; in a small fleet all are. */
-    boolean isHome(Target target) {
-        return !areFew() || preceding(order(target, evacuated)) < COUNT;
+    /** Returns the number of home nodes of a target that precede this one; {@link #COUNT} if it is none. */
+    int homeRank(Target target) {
+        return preceding(order(target, evacuated));
+    }
+
+    /** Returns whether the node with a rank is a home node; in a small fleet all are. */
+    boolean isHome(int homeRank) {
+        return !areFew() || homeRank < COUNT;
+    }
+
+    /**
+     * Returns the part of the memory for large requests of a target that belongs to this node. The parts of all nodes add up
+     * to one. The first home node has half of it, so that a single request may be large.
+     *
+     * @param homeRank rank of this node among the home nodes of the target
+     * @return part, above 0 and at most 1
+     */
+    double memoryPart(int homeRank) {
+        if (nodes.size() == 1) {
+            return 1;
+        }
+        if (homeRank == 0) {
+            return FIRST_MEMORY_PART;
+        }
+        if (!areFew()) {
+            return (1 - FIRST_MEMORY_PART) / (nodes.size() - 1);
+        }
+        return homeRank < COUNT
+                ? (HOME_SHARE - FIRST_MEMORY_PART) / (COUNT - 1)
+                : (1 - HOME_SHARE) / (nodes.size() - COUNT);
     }
 
     /**
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
@@ -16,6 +16,7 @@
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.EngineProfile;
+import org.apricotdeal.relay.model.MemoryUse;
 import org.apricotdeal.relay.model.ModelSpec;
 import org.apricotdeal.relay.model.RelayCatalogue;
 import org.apricotdeal.relay.model.UpstreamEntry;
@@ -144,7 +145,7 @@
     private TargetState newTarget(Target target, QueueState queue, long nowMillis) {
         TargetState state = new TargetState(target, queue);
         state.pauseUntil(pausedUntilMillis.getOrDefault(target.id().vm(), NEVER_MILLIS));
-        state.setHome(homeNodes.isHome(target));
+        setHome(state);
         state.setEvacuated(evacuated.contains(target.failureDomain()));
         state.setColdLimit(coldLimit(state));
         fleetKnownMillis.ifPresent(sinceMillis -> state.setHomeRank(homeNodes.rank(target), sinceMillis));
@@ -152,6 +153,21 @@
         return state;
     }
 
+    private void setHome(TargetState state) {
+        int homeRank = homeNodes.homeRank(state.target);
+        state.setHome(homeNodes.isHome(homeRank));
+        state.memory().setPart(homeNodes.memoryPart(homeRank));
+    }
+
+    /** Records the memory that a VM has reported, for the targets whose requests it receives. */
+    void recordMemory(VmId vm, MemoryUse use, long nowMillis) {
+        for (TargetState state : targets.values()) {
+            if (state.target.id().vm().equals(vm)) {
+                state.memory().recordReport(use, state.running, nowMillis);
+            }
+        }
+    }
+
     /** Forgets the targets that are no longer listed and run no requests any more. */
     void removeUnlistedTargets() {
         targets.values()
@@ -176,7 +192,7 @@
         homeNodes.setEvacuated(domains);
         for (TargetState state : targets.values()) {
             state.setEvacuated(domains.contains(state.target.failureDomain()));
-            state.setHome(homeNodes.isHome(state.target));
+            setHome(state);
         }
         queues.values().forEach(QueueState::updateEvacuated);
         queues.values().forEach(QueueState::updateHomeTargets);
@@ -206,7 +222,7 @@
             fleetKnownMillis = OptionalLong.of(nowMillis);
         }
         for (TargetState state : targets.values()) {
-            state.setHome(homeNodes.isHome(state.target));
+            setHome(state);
             state.setHomeRank(homeNodes.rank(state.target), nowMillis);
         }
         queues.values().forEach(QueueState::updateHomeTargets);
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
@@ -82,6 +82,22 @@
                 : arrival.size().map(size -> costs.get().estimate(arrival, size));
     }
 
+    /** Returns whether a request is too large for all targets, so that it would wait in vain. */
+    boolean isTooLarge(RequestState request) {
+        return !targets.isEmpty()
+                && targets.stream().noneMatch(target -> target.memory().couldFit(request));
+    }
+
+    /** Returns whether a target is kept from a large request by its memory only, so that smaller requests may be sent. */
+    boolean isHeldByMemory(RequestState request, long nowMillis) {
+        for (TargetState target : targets) {
+            if (target.memory().isLarge(request) && target.bar(request, nowMillis) == TargetBar.MEMORY) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Records that the first bytes of an answer have arrived. */
     void recordStart(RequestState request, long nowMillis) {
         long tookMillis = nowMillis - request.dispatchedMillis;
@@ -123,6 +139,15 @@
         return openTargets;
     }
 
+    /** Records a refusal, which counts as demand for more targets. */
+    void recordRefusal(RequestState request, RefusalReason reason, long nowMillis) {
+        lastRefusedMillis = nowMillis;
+        demand.recordRefusal(nowMillis, request.arrival.priority());
+        if (!request.returningCaller && reason != RefusalReason.NO_TARGET && reason != RefusalReason.EVACUATED) {
+            newCallerRefusedMillis = nowMillis;
+        }
+    }
+
     /** Returns why a request is refused for which no target is available. */
     RefusalReason noTargetReason() {
         return anyEvacuated && openTargets == 0 ? RefusalReason.EVACUATED : RefusalReason.NO_TARGET;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RefusalReason.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RefusalReason.java
@@ -6,6 +6,8 @@
     NO_TARGET,
     /** Only targets in failure domains that the operator evacuates are left for the request. */
     EVACUATED,
+    /** The request fits into the memory of no target, even of an empty one. */
+    TOO_LARGE,
     /** The request is predicted to start too late for its objective. */
     OVERLOAD,
     /** The request has waited too long for a target. */
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -12,6 +12,7 @@
 import org.apricotdeal.kernel.duty.StateMachine;
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.relay.model.MemoryUse;
 import org.apricotdeal.relay.model.RelayCatalogue;
 import org.apricotdeal.relay.poison.BlamedParts;
 import org.apricotdeal.relay.poison.CrashNews;
@@ -183,6 +184,7 @@
             case RelayEvent.EvacuationsChanged(Set<FailureDomainId> domains) -> changeEvacuations(domains);
             case RelayEvent.ColdVmsChanged(Map<VmId, ColdVm> vms) -> changeColdVms(vms);
             case RelayEvent.VmPaused(VmId vm, long untilMillis) -> registry.pause(vm, untilMillis, nowMillis);
+            case RelayEvent.VmMemoryReported(VmId vm, MemoryUse use) -> registry.recordMemory(vm, use, nowMillis);
             case RelayEvent.CrashNewsReceived(CrashNews news) -> {
                 poison.detector().merge(news, nowMillis);
                 holdBackSuspects();
@@ -199,11 +201,15 @@
         QueueState queue = registry.queue(arrival.queue());
         OptionalLong heldUntilMillis = poison.heldUntilMillis(queue, arrival, nowMillis);
         if (heldUntilMillis.isPresent()) {
-            refuseSuspect(arrival, queue, heldUntilMillis.getAsLong());
+            refuseUnservable(arrival, queue, RefusalReason.SUSPECT_PROMPT, heldUntilMillis.getAsLong());
             return;
         }
         RequestState request =
                 new RequestState(arrival, queue, ++lastSequence, returningCallers.check(queue, arrival, nowMillis));
+        if (queue.isTooLarge(request)) {
+            refuseUnservable(arrival, queue, RefusalReason.TOO_LARGE, nowMillis);
+            return;
+        }
         budget.recordRequest(arrival.queue().upstream(), nowMillis);
         if (!request.returningCaller) {
             queue.demand.recordNewRequest(nowMillis);
@@ -248,7 +254,7 @@
         RequestState request = queue.waiting.isEmpty() ? null : queue.waiting.first();
         while (request != null) {
             TargetState target = targetChooser.choose(queue, request, poison, nowMillis);
-            if (target == null && !poison.isRestricted(request, nowMillis)) {
+            if (target == null && !othersMayPass(request)) {
                 return;
             }
             RequestState next = queue.waiting.higher(request);
@@ -260,6 +266,11 @@
         }
     }
 
+    /** Returns whether a request that cannot be sent waits for a reason that need not concern those behind it. */
+    private boolean othersMayPass(RequestState request) {
+        return poison.isRestricted(request, nowMillis) || request.queue.isHeldByMemory(request, nowMillis);
+    }
+
     private void send(RequestState request, TargetState target) {
         int load = target.load(nowMillis);
         request.target = target;
@@ -304,13 +315,13 @@
         }
         registry.queue(request.arrival.queue()).waiting.remove(request);
         if (request.running() && !request.isRunning(attempt)) {
-            release(request);
+            request.release();
             actions.add(new RelayAction.CancelAttempt(attempt.exchange()));
         } else if (request.running()) {
             request.target.recordProgress(nowMillis);
             request.queue.recordEnd(request, nowMillis);
             poison.onFinished(request, nowMillis);
-            release(request);
+            request.release();
         }
         dispatchWaiting(request.queue);
     }
@@ -322,18 +333,13 @@
         }
         request.queue.waiting.remove(request);
         if (request.running()) {
-            release(request);
+            request.release();
             actions.add(new RelayAction.CancelAttempt(id));
         }
         actions.add(new RelayAction.DropExchange(id));
         dispatchWaiting(request.queue);
     }
 
-    private static void release(RequestState request) {
-        request.target.running.remove(request);
-        request.target = null;
-    }
-
     // Retries.
 
     private void onAttemptFailed(AttemptId attempt, AttemptOutcome outcome) {
@@ -342,7 +348,7 @@
             return;
         }
         TargetState target = request.target;
-        release(request);
+        request.release();
         switch (outcome) {
             case NOT_SENT -> {
                 suspect(target, "no connection");
@@ -412,12 +418,7 @@
 
     private void refuse(RequestState request, RefusalReason reason, long retryAfterMillis, QueueEstimate estimate) {
         requests.remove(request.arrival.id());
-        QueueState queue = request.queue;
-        queue.lastRefusedMillis = nowMillis;
-        queue.demand.recordRefusal(nowMillis, request.arrival.priority());
-        if (!request.returningCaller && reason != RefusalReason.NO_TARGET && reason != RefusalReason.EVACUATED) {
-            queue.newCallerRefusedMillis = nowMillis;
-        }
+        request.queue.recordRefusal(request, reason, nowMillis);
         RefusalDetails details = estimate.refusalDetails(nowMillis - request.arrival.arrivedMillis());
         actions.add(new RelayAction.Refuse(request.arrival.id(), reason, retryAfterMillis, details));
     }
@@ -446,7 +447,7 @@
             return;
         }
         request.mayHaveRun = true;
-        release(request);
+        request.release();
         actions.add(new RelayAction.CancelAttempt(request.arrival.id()));
         failSuspect(request, nowMillis);
     }
@@ -456,16 +457,16 @@
         if (request.mayHaveRun) {
             actions.add(new RelayAction.GiveUp(request.arrival.id(), RefusalReason.SUSPECT_PROMPT));
         } else {
-            refuseSuspect(request.arrival, request.queue, heldUntilMillis);
+            refuseUnservable(request.arrival, request.queue, RefusalReason.SUSPECT_PROMPT, heldUntilMillis);
         }
     }
 
     /** Refuses a request without counting it as demand, since more replicas would not serve it. */
-    private void refuseSuspect(Arrival arrival, QueueState queue, long heldUntilMillis) {
+    private void refuseUnservable(Arrival arrival, QueueState queue, RefusalReason reason, long heldUntilMillis) {
         RefusalDetails details = new RefusalDetails(
                 queue.waiting.size(), -1, queue.freeSlots(nowMillis), 0, nowMillis - arrival.arrivedMillis());
         long retryAfterMillis = Math.max(ReturnTimes.MIN_NO_TARGET_RETRY_MILLIS, heldUntilMillis - nowMillis);
-        actions.add(new RelayAction.Refuse(arrival.id(), RefusalReason.SUSPECT_PROMPT, retryAfterMillis, details));
+        actions.add(new RelayAction.Refuse(arrival.id(), reason, retryAfterMillis, details));
     }
 
     // Timeouts and stalls.
@@ -515,7 +516,7 @@
 
     private void move(RequestState request) {
         actions.add(new RelayAction.CancelAttempt(request.arrival.id()));
-        release(request);
+        request.release();
         request.mayHaveRun = true;
         request.queue.waiting.add(request);
     }
@@ -558,7 +559,7 @@
         request.queue.waiting.remove(request);
         if (request.running()) {
             request.mayHaveRun = true;
-            release(request);
+            request.release();
             actions.add(new RelayAction.CancelAttempt(request.arrival.id()));
         }
         fail(request, RefusalReason.TIMEOUT);
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
@@ -7,6 +7,7 @@
 
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.relay.model.MemoryUse;
 import org.apricotdeal.relay.model.RelayCatalogue;
 import org.apricotdeal.relay.poison.CrashNews;
 
@@ -103,6 +104,14 @@
         }
     }
 
+    /**
+     * A VM has reported the memory for the requests that it holds.
+     *
+     * @param vm VM that receives the requests of its targets
+     * @param use requests of all nodes
+     */
+    record VmMemoryReported(VmId vm, MemoryUse use) implements RelayEvent {}
+
     /**
      * The registered nodes have been listed.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RequestState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RequestState.java
@@ -66,4 +66,10 @@
     boolean running() {
         return target != null;
     }
+
+    /** Ends the current attempt. */
+    void release() {
+        target.running.remove(this);
+        target = null;
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetBar.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetBar.java
@@ -12,6 +12,8 @@
     COLD,
     /** This node has no free slot at it. */
     FULL,
+    /** The request does not fit into its memory beside those that it holds. */
+    MEMORY,
     /** Nothing; it may receive a request. */
     NONE
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetBuilder.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetBuilder.java
@@ -56,7 +56,8 @@
                     head.release(),
                     head.failureDomain(),
                     engine.slotsPerReplica(),
-                    group.members().stream().map(UpstreamVm::id).toList()));
+                    group.members().stream().map(UpstreamVm::id).toList(),
+                    engine.memoryTokens()));
         }
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetChooser.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetChooser.java
@@ -110,7 +110,7 @@
     }
 
     private static boolean isUsable(TargetState state, RequestState request, PoisonGuard poison, long nowMillis) {
-        return state.freeSlots(nowMillis) > 0
+        return state.bar(request, nowMillis) == TargetBar.NONE
                 && !request.triedTargets.contains(state.target.id())
                 && poison.mayReceive(state, request, nowMillis);
     }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -42,6 +42,7 @@
     private final QueueState queue;
     private final Optional<ModelRelease> served;
     private final TargetPace pace = new TargetPace();
+    private final TargetMemory memory;
     private double readUntilMillis;
     private int peersRunning;
     private double averagePeersRunning;
@@ -62,6 +63,7 @@
     TargetState(Target target, QueueState queue) {
         this.target = target;
         this.queue = queue;
+        this.memory = new TargetMemory(target.memoryTokens(), target.slots());
         this.served = target.queue()
                 .model()
                 .map(model -> new ModelRelease(target.queue().upstream(), model, target.release()));
@@ -255,6 +257,10 @@
         coldLimit.ifPresent(limit -> limit.recordSend(nowMillis));
     }
 
+    TargetMemory memory() {
+        return memory;
+    }
+
     /** Records that the engine receives a prompt, which it reads after those that it has received before. */
     private void recordPrompt(RequestCost cost, long nowMillis) {
         readUntilMillis = Math.max((double) nowMillis, readUntilMillis) + pace(nowMillis) * cost.readMillis();
@@ -288,7 +294,13 @@
      * Decides whether the target may receive a request now. Every way of sending one asks this method: first attempts,
      * retries, moved and resumed requests, and the probes of suspected targets.
      */
-    TargetBar bar(long nowMillis) {
+    TargetBar bar(RequestState request, long nowMillis) {
+        TargetBar bar = bar(nowMillis);
+        return bar == TargetBar.NONE && !memory.fits(request, running, nowMillis) ? TargetBar.MEMORY : bar;
+    }
+
+    /** Returns what keeps the target from any request. */
+    private TargetBar bar(long nowMillis) {
         if (evacuated) {
             return TargetBar.EVACUATED;
         }
