--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
@@ -16,6 +16,7 @@
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.EngineProfile;
+import org.apricotdeal.relay.model.MemoryUse;
 import org.apricotdeal.relay.model.ModelSpec;
 import org.apricotdeal.relay.model.RelayCatalogue;
 import org.apricotdeal.relay.model.UpstreamEntry;
@@ -137,22 +138,36 @@
                 return state;
             }));
         }
-        added.forEach(state -> beginRound(state, nowMillis));
         queues.values().forEach(QueueState::updateEvacuated);
+        added.forEach(state -> beginRound(state, nowMillis));
     }
 
     private TargetState newTarget(Target target, QueueState queue, long nowMillis) {
         TargetState state = new TargetState(target, queue);
         state.pauseUntil(pausedUntilMillis.getOrDefault(target.id().vm(), NEVER_MILLIS));
-        int rank = homeNodes.rank(target);
-        state.setHome(homeNodes.isHome(rank));
+        setHome(state);
         state.setEvacuated(evacuated.contains(target.failureDomain()));
         state.setColdLimit(coldLimit(state));
-        fleetKnownMillis.ifPresent(sinceMillis -> state.setHomeRank(rank, sinceMillis));
+        fleetKnownMillis.ifPresent(sinceMillis -> state.setHomeRank(homeNodes.rank(target), sinceMillis));
         queue.averagePeersRunning().ifPresent(average -> state.assumePeersRunning(average, nowMillis));
         return state;
     }
 
+    private void setHome(TargetState state) {
+        int homeRank = homeNodes.homeRank(state.target);
+        state.setHome(homeNodes.isHome(homeRank));
+        state.memory().setPart(homeNodes.memoryPart(homeRank));
+    }
+
+    /** Records the memory that a VM has reported, for the targets whose requests it receives. */
+    void recordMemory(VmId vm, MemoryUse use, long nowMillis) {
+        for (TargetState state : targets.values()) {
+            if (state.target.id().vm().equals(vm)) {
+                state.memory().recordReport(use, state.running, nowMillis);
+            }
+        }
+    }
+
     /** Forgets the targets that are no longer listed and run no requests any more. */
     void removeUnlistedTargets() {
         targets.values()
@@ -171,11 +186,16 @@
         }
     }
 
-    /** Sets the failure domains that the operator evacuates. */
+    /** Sets the failure domains that the operator evacuates; their nodes send most of their requests elsewhere. */
     void setEvacuated(Set<FailureDomainId> domains) {
         evacuated = domains;
-        targets.values().forEach(state -> state.setEvacuated(domains.contains(state.target.failureDomain())));
+        homeNodes.setEvacuated(domains);
+        for (TargetState state : targets.values()) {
+            state.setEvacuated(domains.contains(state.target.failureDomain()));
+            setHome(state);
+        }
         queues.values().forEach(QueueState::updateEvacuated);
+        queues.values().forEach(QueueState::updateHomeTargets);
     }
 
     /**
@@ -202,9 +222,8 @@
             fleetKnownMillis = OptionalLong.of(nowMillis);
         }
         for (TargetState state : targets.values()) {
-            int rank = homeNodes.rank(state.target);
-            state.setHome(homeNodes.isHome(rank));
-            state.setHomeRank(rank, nowMillis);
+            setHome(state);
+            state.setHomeRank(homeNodes.rank(state.target), nowMillis);
         }
         queues.values().forEach(QueueState::updateHomeTargets);
     }
@@ -239,6 +258,6 @@
 
     private void beginRound(TargetState state, long nowMillis) {
         state.beginRound(
-                homeNodes.slotShare(state.isHome(), state.queue().targets.size()), random.nextDouble(), nowMillis);
+                homeNodes.slotShare(state.isHome(), state.queue().openTargets()), random.nextDouble(), nowMillis);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
@@ -27,7 +27,7 @@
     final TreeSet<RequestState> waiting = new TreeSet<>(ORDER);
     final List<TargetState> targets = new ArrayList<>();
 
-    /** Those of the targets of which this node is a home node. */
+    /** Those of the targets of which this node is a home node, without evacuated ones. */
     final List<TargetState> homeTargets = new ArrayList<>();
 
     final MovingAverage serviceMillis;
@@ -40,6 +40,7 @@
     private final Optional<CostEstimator> costs;
     private final TypicalTime typicalStart;
     private boolean anyEvacuated;
+    private int openTargets;
     private OptionalDouble averagePeersRunning = OptionalDouble.empty();
 
     /**
@@ -69,7 +70,7 @@
 
     void addTarget(TargetState target) {
         targets.add(target);
-        if (target.isHome()) {
+        if (isOpenHome(target)) {
             homeTargets.add(target);
         }
     }
@@ -81,6 +82,22 @@
                 : arrival.size().map(size -> costs.get().estimate(arrival, size));
     }
 
+    /** Returns whether a request is too large for all targets, so that it would wait in vain. */
+    boolean isTooLarge(RequestState request) {
+        return !targets.isEmpty()
+                && targets.stream().noneMatch(target -> target.memory().couldFit(request));
+    }
+
+    /** Returns whether a target is kept from a large request by its memory only, so that smaller requests may be sent. */
+    boolean isHeldByMemory(RequestState request, long nowMillis) {
+        for (TargetState target : targets) {
+            if (target.memory().isLarge(request) && target.bar(request, nowMillis) == TargetBar.MEMORY) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Records that the first bytes of an answer have arrived. */
     void recordStart(RequestState request, long nowMillis) {
         long tookMillis = nowMillis - request.dispatchedMillis;
@@ -100,22 +117,40 @@
                 .learn(request.arrival, size, nowMillis - request.startedMillis));
     }
 
-    /** Selects the home targets again after the nodes of the fleet have changed. */
+    /** Selects the home targets again after the nodes of the fleet or the evacuations have changed. */
     void updateHomeTargets() {
         homeTargets.clear();
-        targets.stream().filter(TargetState::isHome).forEach(homeTargets::add);
+        targets.stream().filter(QueueState::isOpenHome).forEach(homeTargets::add);
+    }
+
+    private static boolean isOpenHome(TargetState target) {
+        return target.isHome() && !target.isEvacuated();
     }
 
     /** Counts with evacuated targets from now on, after the targets or the evacuations have changed. */
     void updateEvacuated() {
-        anyEvacuated = targets.stream().anyMatch(TargetState::isEvacuated);
+        openTargets =
+                (int) targets.stream().filter(target -> !target.isEvacuated()).count();
+        anyEvacuated = openTargets < targets.size();
+    }
+
+    /** Returns the number of targets that are not being evacuated. */
+    int openTargets() {
+        return openTargets;
+    }
+
+    /** Records a refusal, which counts as demand for more targets. */
+    void recordRefusal(RequestState request, RefusalReason reason, long nowMillis) {
+        lastRefusedMillis = nowMillis;
+        demand.recordRefusal(nowMillis, request.arrival.priority());
+        if (!request.returningCaller && reason != RefusalReason.NO_TARGET && reason != RefusalReason.EVACUATED) {
+            newCallerRefusedMillis = nowMillis;
+        }
     }
 
     /** Returns why a request is refused for which no target is available. */
     RefusalReason noTargetReason() {
-        return anyEvacuated && targets.stream().allMatch(TargetState::isEvacuated)
-                ? RefusalReason.EVACUATED
-                : RefusalReason.NO_TARGET;
+        return anyEvacuated && openTargets == 0 ? RefusalReason.EVACUATED : RefusalReason.NO_TARGET;
     }
 
     /**
