Count calls to the store by caller and kind

A node's line node_load told the calls to the store as one number, so the dearest price of a fleet of many small nodes could not be split. CountedStore now counts each kind of call of each caller, and node_load shows them.

--- a/relay/src/main/java/org/apricotdeal/relay/node/CountedStore.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CountedStore.java
@@ -1,53 +1,70 @@
 package org.apricotdeal.relay.node;
 
-import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.relay.port.StoreFault;
 import org.apricotdeal.relay.port.WatchStore;
 
-/** Decorates a store with a counter of its calls. */
+/** Decorates a store with counters of its calls: one of all calls, and one for each kind of call of each caller. */
 final class CountedStore implements WatchStore {
+    /** Name of the counter of all calls, and beginning of the names of the others. */
+    static final String CALLS = "store.calls";
+
     private final WatchStore store;
-    private final Counter calls;
+    private final MetricRegistry metrics;
+    private final String task;
 
-    CountedStore(WatchStore store, Counter calls) {
+    /**
+     * Decorates a store.
+     *
+     * @param store the store
+     * @param metrics registry of the counters
+     * @param task name of the caller, such as {@code vms}
+     */
+    CountedStore(WatchStore store, MetricRegistry metrics, String task) {
         this.store = store;
-        this.calls = calls;
+        this.metrics = metrics;
+        this.task = task;
+    }
+
+    private void count(String kind) {
+        metrics.counter(CALLS).inc();
+        metrics.counter(CALLS + "." + task + "." + kind).inc();
     }
 
     @Override
     public Result<Range, StoreFault> range(String prefix, boolean stale) {
-        calls.inc();
+        count(stale ? "staleRange" : "range");
         return store.range(prefix, stale);
     }
 
     @Override
     public Result<Changes, StoreFault> watch(String prefix, long afterRevision, long waitMillis) {
-        calls.inc();
+        count("watch");
         return store.watch(prefix, afterRevision, waitMillis);
     }
 
     @Override
     public Result<Long, StoreFault> write(String key, byte[] value, long leaseId) {
-        calls.inc();
+        count("write");
         return store.write(key, value, leaseId);
     }
 
     @Override
     public Result<Long, StoreFault> grantLease(long ttlMillis) {
-        calls.inc();
+        count("grant");
         return store.grantLease(ttlMillis);
     }
 
     @Override
     public Result<Long, StoreFault> renewLease(long leaseId) {
-        calls.inc();
+        count("renewal");
         return store.renewLease(leaseId);
     }
 
     @Override
     public Result<Boolean, StoreFault> endLease(long leaseId) {
-        calls.inc();
+        count("end");
         return store.endLease(leaseId);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/NodeLoadLog.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/NodeLoadLog.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricFilter;
 import com.codahale.metrics.MetricRegistry;
 
 /**
@@ -25,7 +26,7 @@
         "heartbeats.failed",
         "heartbeats.sent.bytes",
         "catalogues.sent.bytes",
-        "store.calls",
+        CountedStore.CALLS,
         "vm.reports.asked"
     };
 
@@ -59,11 +60,31 @@
         lastCpuMillis = cpuMillis;
         DecisionLog.Line line = log.state("node_load").with("overMillis", elapsedMillis);
         for (String counter : COUNTERS) {
-            long count = metrics.counter(counter).getCount();
-            Long before = lastCounts.put(counter, count);
-            line.with(counter, count - (before == null ? 0 : before));
+            line.with(counter, countSinceLastLine(counter));
         }
-        line.with("processorMillis", spent).write();
+        line.with("storeCalls", storeCallsByKind())
+                .with("processorMillis", spent)
+                .write();
+    }
+
+    private long countSinceLastLine(String counter) {
+        long count = metrics.counter(counter).getCount();
+        Long before = lastCounts.put(counter, count);
+        return count - (before == null ? 0 : before);
+    }
+
+    /** Returns the calls to the store by caller and kind, such as {@code vms.watch}, without those that did not occur. */
+    private Map<String, Long> storeCallsByKind() {
+        Map<String, Long> calls = new TreeMap<>();
+        String prefix = CountedStore.CALLS + ".";
+        for (String counter :
+                metrics.getCounters(MetricFilter.startsWith(prefix)).keySet()) {
+            long count = countSinceLastLine(counter);
+            if (count > 0) {
+                calls.put(counter.substring(prefix.length()), count);
+            }
+        }
+        return calls;
     }
 
     /** Sums processor time by thread name, ignoring the number at the end of the name. */
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -64,9 +64,7 @@
         client = RelayClients.startClient(threads, connector);
         selectorProbe = new SelectorProbe(connector::runOnSelector, clock);
         PlatformAdapter adapter = adapter(settings.adapter());
-        WatchStore store = new CountedStore(
-                adapter.store(client, settings.storeAddress(), settings.storeTimeoutMillis()),
-                metrics.counter("store.calls"));
+        WatchStore store = adapter.store(client, settings.storeAddress(), settings.storeTimeoutMillis());
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create();
         RetryBudget budget = new RetryBudget(
                 settings.retryWindowMillis(), settings.retryRatio(), settings.retryAllowance(), settings.nodes());
@@ -100,9 +98,10 @@
         });
         TRelayNode self = new TRelayNode(
                 settings.name(), settings.failureDomain().value(), settings.peerAddress(), clock.wallMillis());
-        registration = new Registration(self, store, fleet, clock, log);
-        VmWatcher vms = new VmWatcher(store, adapter.codec(), fleet, clock, log);
-        CatalogueWatcher watcher = new CatalogueWatcher(store, adapter.codec(), catalogues, evacuations, clock, log);
+        registration = new Registration(self, counted(store, "registration"), fleet, clock, log);
+        VmWatcher vms = new VmWatcher(counted(store, "vms"), adapter.codec(), fleet, clock, log);
+        CatalogueWatcher watcher =
+                new CatalogueWatcher(counted(store, "catalogue"), adapter.codec(), catalogues, evacuations, clock, log);
         storeThreads = List.of(watcher, vms, registration);
         CataloguePull cataloguePull = new CataloguePull(client, catalogues, watcher::isStoreFailing, clock, metrics);
         heartbeats = new Heartbeats(
@@ -120,6 +119,10 @@
                 relay.callerResources());
     }
 
+    private WatchStore counted(WatchStore store, String task) {
+        return new CountedStore(store, metrics, task);
+    }
+
     private static PlatformAdapter adapter(String name) {
         for (PlatformAdapter adapter : ServiceLoader.load(PlatformAdapter.class)) {
             if (adapter.name().equals(name)) {
