--- a/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
@@ -26,7 +26,7 @@
 /** A fleet duty of node {@code n1} in failure domain {@code b} with unreachable VMs, and its log. */
 final class FleetDutyFixture implements AutoCloseable {
     static final FailureDomainId PLANNED_DOMAIN = new FailureDomainId("a");
-    private static final FailureDomainId OWN_DOMAIN = new FailureDomainId("b");
+    static final FailureDomainId OWN_DOMAIN = new FailureDomainId("b");
 
     final FleetDuty fleet;
     final DecisionLog log;
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -222,11 +222,16 @@
             case FleetEvent.EvacuationsChanged(Set<FailureDomainId> domains) ->
                 evacuations.change(domains).forEach(vm -> poll(vm, 0));
             case FleetEvent.PeersListed(List<Peer> listed) -> applyPeerList(listed);
+            case FleetEvent.PeersConfirmed confirmed -> publishNodes();
             case FleetEvent.HeartbeatReceived(
                     Peer sender,
                     List<FleetEvent.NodeSeen> others,
                     boolean senderStopping) -> {
-                peers.putIfAbsent(sender.name(), sender);
+                // A node that has restarted, perhaps on a different machine, replaces the one of its name.
+                peers.merge(
+                        sender.name(),
+                        sender,
+                        (known, now) -> now.startedMillis() > known.startedMillis() ? now : known);
                 recordHeard(sender.name(), clock.monotonicMillis(), senderStopping);
                 others.forEach(node -> recordHeard(node.name(), node.lastHeardMillis(), node.stopping()));
                 publishPeerSnapshot();
@@ -339,14 +344,15 @@
         }
         lastHeardMillis.keySet().removeIf(name -> !isLive(name, nowMillis) && !peers.containsKey(name));
         publishPeerSnapshot();
-        relay.put(new RelayEvent.NodesChanged(knownNodes()));
+        publishNodes();
     }
 
-    private List<FleetNode> knownNodes() {
+    /** Tells the dispatcher the known nodes, also unchanged ones: it counts for how long they have been so many. */
+    private void publishNodes() {
         List<FleetNode> nodes = new ArrayList<>();
         nodes.add(new FleetNode(settings.name(), settings.failureDomain()));
         peers.values().forEach(peer -> nodes.add(new FleetNode(peer.name(), peer.failureDomain())));
-        return nodes;
+        relay.put(new RelayEvent.NodesChanged(nodes));
     }
 
     private void tick() {
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetEvent.java
@@ -47,6 +47,9 @@
     /** The nodes registered in the store were listed. */
     record PeersListed(List<Peer> peers) implements FleetEvent {}
 
+    /** Heartbeats show that the known nodes are all nodes, and that they are there. */
+    record PeersConfirmed() implements FleetEvent {}
+
     /** A node sent a heartbeat with the other nodes that it knows; a stopping node no longer plans. */
     record HeartbeatReceived(Peer sender, List<NodeSeen> seen, boolean stopping) implements FleetEvent {}
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
@@ -13,11 +13,15 @@
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.platform.VersionedValue;
+import org.apricotdeal.relay.peer.RegistrationReads;
 import org.apricotdeal.relay.port.StoreFault;
 import org.apricotdeal.relay.port.WatchStore;
 import org.apricotdeal.wire.gen.TRelayNode;
 
-/** Keeps this node registered in the store under a lease, and reads the registrations of the other nodes. */
+/**
+ * Keeps this node registered in the store under a lease, and reads the registrations of the other nodes when
+ * {@link RegistrationReads} calls for it.
+ */
 final class Registration extends StoreThread {
     private static final String PREFIX = "apricotdeal/nodes/";
     private static final long LEASE_TTL_MILLIS = 4_000;
@@ -28,6 +32,7 @@
     private final WatchStore store;
     private final FleetDuty fleet;
     private final DecisionLog log;
+    private final RegistrationReads reads;
     private final String key;
     private final byte[] entry;
     private long lease;
@@ -37,6 +42,7 @@
         this.store = store;
         this.fleet = fleet;
         this.log = log;
+        this.reads = new RegistrationReads(clock.monotonicMillis());
         this.key = PREFIX + self.getName();
         this.entry = encode(self);
     }
@@ -54,10 +60,21 @@
                 return callFailed(fault);
             }
         }
-        if (store.range(PREFIX, true) instanceof Result.Ok<WatchStore.Range, StoreFault>(WatchStore.Range range)) {
+        updatePeers();
+        return RENEW_MILLIS;
+    }
+
+    private void updatePeers() {
+        PeerSnapshot known = fleet.peerSnapshot();
+        long nowMillis = clock().monotonicMillis();
+        List<String> names = known.peers().stream().map(Peer::name).toList();
+        if (!reads.isDue(names, known.lastHeardMillis(), nowMillis)) {
+            fleet.put(new FleetEvent.PeersConfirmed());
+        } else if (store.range(PREFIX, true)
+                instanceof Result.Ok<WatchStore.Range, StoreFault>(WatchStore.Range range)) {
+            reads.recordRead(nowMillis);
             fleet.put(new FleetEvent.PeersListed(peers(range.items())));
         }
-        return RENEW_MILLIS;
     }
 
     private Result<Long, StoreFault> register() {
