--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/HeartbeatPartnersTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/HeartbeatPartnersTest.java
@@ -37,12 +37,14 @@
         }
         Set<String> before = fleet.storeFollowers();
         assertEquals(before.size(), 2, before.toString());
+        assertEquals(fleet.firstStoreFollowers().size(), 1);
         fleet.down.addAll(before);
         for (int round = 0; round < 10; round++) {
             fleet.runRound();
         }
         Set<String> after = fleet.storeFollowers();
         assertEquals(after.size(), 2, after.toString());
+        assertEquals(fleet.firstStoreFollowers().size(), 1);
         assertTrue(before.stream().noneMatch(after::contains), after.toString());
     }
 
@@ -71,6 +73,12 @@
             return followers;
         }
 
+        List<String> firstStoreFollowers() {
+            return storeFollowers().stream()
+                    .filter(name -> partners.get(name).isFirstStoreFollower())
+                    .toList();
+        }
+
         /** Runs one round; returns the number of heartbeats sent. */
         int runRound() {
             nowMillis += PERIOD_MILLIS;
--- a/proofs/src/test/java/org/apricotdeal/relay/node/VmWatcherTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/VmWatcherTest.java
@@ -19,14 +19,17 @@
     /** Empty store that can be made unavailable. */
     private static final class EmptyStore implements WatchStore {
         private boolean unavailable;
+        private int calls;
 
         @Override
         public Result<Range, StoreFault> range(String prefix, boolean stale) {
+            calls++;
             return unavailable ? Result.err(new StoreFault.Refused("away")) : Result.ok(new Range(List.of(), 1));
         }
 
         @Override
         public Result<Changes, StoreFault> watch(String prefix, long afterRevision, long waitMillis) {
+            calls++;
             return unavailable ? Result.err(new StoreFault.Refused("away")) : Result.ok(new Changes(List.of(), 1));
         }
 
@@ -72,7 +75,7 @@
         watcher.runOnce();
         assertTrue(watcher.isStoreFailing());
         store.unavailable = false;
-        watcher.setFollowsStore(false);
+        watcher.setSource(VmWatcher.Source.PEERS);
         for (int i = 0; i < 100; i++) {
             clock.advance(200);
             watcher.applyPeerUpdate(new WatchStore.Changes(List.of(), 1), 100);
@@ -105,4 +108,40 @@
             assertEquals(watcher.removeAtMillis(), clock.monotonicMillis() + REREGISTRATION_MILLIS);
         });
     }
+
+    /** A delegate that the store answers no more goes on sending what it knows; others would all call the store at 1.5 s. */
+    @Test
+    public void reserveCallsStoreBeforeDataOfPeersIsTooOldForOthers() {
+        runScenario((watcher, store, clock) -> {
+            watcher.runOnce();
+            watcher.setSource(VmWatcher.Source.RESERVE);
+            for (int ageMillis = 200; ageMillis <= 1_000; ageMillis += 200) {
+                assertEquals(store.calls, 1);
+                clock.advance(200);
+                watcher.applyPeerUpdate(new WatchStore.Changes(List.of(), 1), ageMillis);
+                watcher.runOnce();
+            }
+            assertEquals(store.calls, 2);
+        });
+    }
+
+    /** Each call has a price, and two followers of one store would learn the same twice. */
+    @Test
+    public void reserveCallsStoreOnlyWhenUpdatesOfPeersStop() {
+        runScenario((watcher, store, clock) -> {
+            watcher.runOnce();
+            watcher.setSource(VmWatcher.Source.RESERVE);
+            for (int i = 0; i < 100; i++) {
+                clock.advance(200);
+                watcher.applyPeerUpdate(new WatchStore.Changes(List.of(), 1), 500);
+                watcher.runOnce();
+            }
+            assertEquals(store.calls, 1);
+            // The updates stop: others must still get current data from the reserve.
+            clock.advance(500);
+            watcher.runOnce();
+            assertEquals(store.calls, 2);
+            assertTrue(watcher.changesSince(0).isPresent());
+        });
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -152,8 +152,8 @@
                     clock.monotonicMillis());
             setDelegate(partners.isDelegate());
             storeFollower = partners.isStoreFollower();
+            vms.setSource(vmSource());
         }
-        vms.setFollowsStore(storeFollower);
         catalogueWatcher.setFollowsDelegate(!storeFollower);
         if (delegate) {
             relay.put(new RelayEvent.PeerLoadsChanged(loads.sumOfOthers(clock.monotonicMillis())));
@@ -171,6 +171,13 @@
         return sinceMillis != null && clock.monotonicMillis() - sinceMillis < TIMEOUT_MILLIS;
     }
 
+    private VmWatcher.Source vmSource() {
+        if (partners.isFirstStoreFollower()) {
+            return VmWatcher.Source.STORE;
+        }
+        return storeFollower ? VmWatcher.Source.RESERVE : VmWatcher.Source.PEERS;
+    }
+
     private void setDelegate(boolean isDelegate) {
         if (delegate != isDelegate) {
             log.state(isDelegate ? "delegate_took_over" : "delegate_yielded")
--- a/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
@@ -18,8 +18,8 @@
 
 /**
  * Watches the VM entries in the store at intervals, because each heartbeat of a VM would end a waiting watch and each call
- * has a cost. A node that is not the delegate of its failure domain, or that the store rejects, gets changes of VMs from
- * peers, and calls the store if the peers have no current data.
+ * has a cost. One delegate watches for all nodes, with a second one in reserve. A node that is neither, or that the store
+ * rejects, gets changes of VMs from peers, and calls the store if the peers have no current data.
  */
 final class VmWatcher extends StoreWatcher {
     /** Time between two watches; a leaving VM is noticed well within the two seconds that the platform allows. */
@@ -36,6 +36,25 @@
     /** Age of a peer's update that still shows that the store is available to some nodes; a few heartbeat periods. */
     private static final long MAX_PEER_UPDATE_AGE_MILLIS = 1_000;
 
+    /**
+     * The same for the reserve of the delegate that watches the store. It and the next value are shorter, so that the reserve
+     * has called the store before the data of all other nodes is too old and each of them calls it.
+     */
+    private static final long MAX_RESERVE_UPDATE_AGE_MILLIS = 500;
+
+    /** Age from which data of peers no longer replaces that of the store for the reserve. */
+    private static final long MAX_RESERVE_AGE_MILLIS = 1_000;
+
+    /** Where a node gets the changes of VM entries from. */
+    enum Source {
+        /** The store: the node watches for the others. */
+        STORE,
+        /** Peers as long as their updates come without a gap, or else the store. */
+        RESERVE,
+        /** Peers, or the store if they have no current data. */
+        PEERS
+    }
+
     private final RecordCodec codec;
     private final FleetDuty fleet;
     private final VmEntryLog entries = new VmEntryLog();
@@ -45,7 +64,7 @@
     /** Time at which the store last confirmed the entries known here, to this node or a peer. */
     private volatile long confirmedMillis = Long.MIN_VALUE / 2;
 
-    private volatile boolean followsStore = true;
+    private volatile Source source = Source.STORE;
 
     VmWatcher(WatchStore store, RecordCodec codec, FleetDuty fleet, Clock clock, DecisionLog log) {
         super("vms", store, codec.vmPrefix(), clock, log);
@@ -74,9 +93,9 @@
         return WATCH_INTERVAL_MILLIS;
     }
 
-    /** Sets whether this node watches the store itself or uses the updates of peers as long as they are current. */
-    void setFollowsStore(boolean follows) {
-        followsStore = follows;
+    /** Sets where this node gets the changes from. */
+    void setSource(Source changed) {
+        source = changed;
     }
 
     @Override
@@ -86,11 +105,19 @@
 
     @Override
     boolean isStandby() {
-        return !followsStore && ageMillis() < MAX_AGE_MILLIS && hasRecentPeerUpdate();
+        return switch (source) {
+            case STORE -> false;
+            case RESERVE -> ageMillis() < MAX_RESERVE_AGE_MILLIS && hasPeerUpdateWithin(MAX_RESERVE_UPDATE_AGE_MILLIS);
+            case PEERS -> ageMillis() < MAX_AGE_MILLIS && hasRecentPeerUpdate();
+        };
     }
 
     private boolean hasRecentPeerUpdate() {
-        return clock().monotonicMillis() - peerUpdateMillis < MAX_PEER_UPDATE_AGE_MILLIS;
+        return hasPeerUpdateWithin(MAX_PEER_UPDATE_AGE_MILLIS);
+    }
+
+    private boolean hasPeerUpdateWithin(long millis) {
+        return clock().monotonicMillis() - peerUpdateMillis < millis;
     }
 
     @Override
@@ -151,7 +178,7 @@
      * @param updateAgeMillis time since the store confirmed the data
      */
     synchronized void applyPeerUpdate(WatchStore.Changes update, long updateAgeMillis) {
-        if (followsStore && !isStoreFailing()) {
+        if (source == Source.STORE && !isStoreFailing()) {
             return;
         }
         peerUpdateMillis = clock().monotonicMillis();
--- a/relay/src/main/java/org/apricotdeal/relay/peer/HeartbeatPartners.java
+++ b/relay/src/main/java/org/apricotdeal/relay/peer/HeartbeatPartners.java
@@ -30,7 +30,7 @@
     private final Map<String, Long> lastHeartbeatMillis = new HashMap<>();
     private final Map<String, Long> contactedSinceMillis = new HashMap<>();
     private boolean delegate = true;
-    private boolean storeFollower = true;
+    private int precedingDelegates;
 
     /**
      * Creates the chooser of a node that knows no other nodes yet.
@@ -68,7 +68,17 @@
      * @return true if fewer than two responsive delegates precede it in the order of the domains
      */
     public boolean isStoreFollower() {
-        return storeFollower;
+        return delegate && precedingDelegates < STORE_FOLLOWERS;
+    }
+
+    /**
+     * Returns whether this node is the first of the delegates that follow the VM entries, as of the last call of
+     * {@link #choose}. The others may rely on its updates, which heartbeats bring them several times a second.
+     *
+     * @return true if no responsive delegate precedes it in the order of the domains
+     */
+    public boolean isFirstStoreFollower() {
+        return delegate && precedingDelegates == 0;
     }
 
     /**
@@ -90,15 +100,15 @@
         }
         Set<String> chosen = new HashSet<>();
         delegate = !chooseInDomain(domains.remove(self.failureDomain()), stopping, nowMillis, chosen);
-        int precedingDelegates = 0;
+        int preceding = 0;
         if (delegate) {
             for (List<PlannerChoice.Candidate> nodes : domains.values()) {
                 FailureDomainId domain = nodes.getFirst().failureDomain();
                 boolean responsive = chooseInDomain(nodes, stopping, nowMillis, chosen);
-                precedingDelegates += responsive && domain.compareTo(self.failureDomain()) < 0 ? 1 : 0;
+                preceding += responsive && domain.compareTo(self.failureDomain()) < 0 ? 1 : 0;
             }
         }
-        storeFollower = delegate && precedingDelegates < STORE_FOLLOWERS;
+        precedingDelegates = preceding;
         contactedSinceMillis.keySet().retainAll(chosen);
         for (String name : chosen) {
             contactedSinceMillis.putIfAbsent(name, nowMillis);
