--- a/proofs/src/test/java/org/apricotdeal/relay/node/CatalogueWatcherTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/CatalogueWatcherTest.java
@@ -15,6 +15,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 /** Tests what a node takes from the operator's keys: the newest catalogue, and the evacuations of failure domains. */
 public final class CatalogueWatcherTest {
@@ -74,6 +75,19 @@
         });
     }
 
+    /** A hundred nodes pay for each end of a wait; a node on its own needs it to notice a dead connection. */
+    @Test
+    public void onlyNodesWithoutDelegateEndTheirWaitsSoon() {
+        runScenario((watcher, catalogues, evacuations, fixture) -> {
+            assertTrue(watcher.waitMillis() <= 2_000);
+            watcher.setFollowsDelegate(true);
+            long minuteMillis = 60_000;
+            assertTrue(minuteMillis / watcher.waitMillis() <= 2, watcher.waitMillis() + " ms");
+            watcher.setFollowsDelegate(false);
+            assertTrue(watcher.waitMillis() <= 2_000);
+        });
+    }
+
     /** Unknown failure domains and unreadable keys cost a log line; values do not matter. */
     @Test
     public void evacuationsAreReadFromKeys() {
--- a/relay/src/main/java/org/apricotdeal/relay/node/CatalogueWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CatalogueWatcher.java
@@ -20,8 +20,11 @@
     /** A dead connection is detected only when the wait ends, and a new catalogue must be in force within seconds. */
     private static final long WAIT_MILLIS = 2_000;
 
-    /** A node that exchanges heartbeats with a delegate gets new catalogues from it if its own connection is dead. */
-    private static final long WAIT_WITH_DELEGATE_MILLIS = 12_000;
+    /**
+     * A node that exchanges heartbeats with a delegate learns from it of new catalogues and evacuations if its own connection
+     * is dead; so it waits nearly as long as the platform allows, because each end of a wait costs a call on each node.
+     */
+    private static final long WAIT_WITH_DELEGATE_MILLIS = 25_000;
 
     private static final String SOURCE = "store";
 
