--- a/relay/src/main/java/org/apricotdeal/relay/node/CatalogueWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CatalogueWatcher.java
@@ -26,12 +26,6 @@
      */
     private static final long WAIT_WITH_DELEGATE_MILLIS = 25_000;
 
-    /**
-     * Pause after a change beside a delegate, so that versions in quick succession cost each node fewer calls and less reading.
-     * It ends before a node that has heard of the next version asks a peer for it.
-     */
-    private static final long PAUSE_AFTER_CHANGE_MILLIS = 400;
-
     private static final String SOURCE = "store";
 
     private static final long MISSING_CATALOGUE_PAUSE_MILLIS = 200;
@@ -100,7 +94,7 @@
                 break;
             }
         }
-        return followsDelegate && !changes.changes().isEmpty() ? PAUSE_AFTER_CHANGE_MILLIS : 0;
+        return 0;
     }
 
     private boolean isCatalogue(VersionedValue item) {
