Count no lost connection as a crash if its VM answers afterwards

Two resets 12 ms apart should count as one cause; but both VMs had a record of an earlier reset in the same epoch, whose times the new losses took over, so they counted as two. None of these VMs had crashed.

A loss is now void once its VM answers, in the same epoch, a request that was sent after the loss. The flag goes with the crash reports in the heartbeats; a later loss in the epoch has a record, and a time, of its own.

PoisonDetectorTest: resetsOfVmsThatServeOnBlameNothing and survivalIsMerged fail with the flag never set (blamed: doc, first), as before; 59 of 59 of PoisonDetectorTest, CrashNewsCodecTest, PoisonNodesTest, PoisonRequestsTest and SuspectPromptTest pass now.

--- a/proofs/src/test/java/org/apricotdeal/relay/node/CrashNewsCodecTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/CrashNewsCodecTest.java
@@ -26,12 +26,13 @@
 
     private static CrashNews news(long offsetMillis) {
         CrashReport crash = new CrashReport(
-                new CrashId(new VmId("e1"), 7),
+                new CrashId(new VmId("e1"), 7, 2),
                 SERVED,
                 1_000 + offsetMillis,
                 Set.of(List.of(FIRST, DEADLY), List.of(FIRST)),
                 Set.of(FIRST),
-                Set.of(FIRST));
+                Set.of(FIRST),
+                true);
         PartTrial trial = new PartTrial(new ServedPart(SERVED, DEADLY), 2_000 + offsetMillis, 3, true);
         return new CrashNews(42, List.of(crash), List.of(trial));
     }
--- a/proofs/src/test/java/org/apricotdeal/relay/poison/PoisonDetectorTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/poison/PoisonDetectorTest.java
@@ -190,4 +190,53 @@
         detector.merge(other.news(), 1_100);
         assertEquals(blamed(), Set.of("dead"));
     }
+
+    private void survive(long sentMillis, String vm) {
+        detector.recordSurvival(new CrashId(new VmId(vm), 1), sentMillis, sentMillis + 50);
+    }
+
+    /** Two connections are reset 12 ms apart, at VMs whose connections were reset before and that serve on (issue 28). */
+    @Test
+    public void resetsOfVmsThatServeOnBlameNothing() {
+        crash(1_000, "v1", "first", "doc");
+        survive(1_100, "v1");
+        crash(2_000, "v2", "first", "doc");
+        survive(2_100, "v2");
+        crash(9_000, "v1", "first", "doc");
+        crash(9_012, "v2", "first", "doc");
+        assertEquals(blamed(), Set.of());
+    }
+
+    /** A VM that survived a reset crashes later in the same epoch. */
+    @Test
+    public void crashesAfterSurvivedResetsAreCounted() {
+        crash(1_000, "v1", "dead");
+        survive(1_100, "v1");
+        crash(9_000, "v1", "dead");
+        crash(9_400, "v2", "dead");
+        assertEquals(blamed(), Set.of("dead"));
+    }
+
+    /** Answers to requests that were sent before a crash may arrive after it. */
+    @Test
+    public void answersToEarlierRequestsShowNoSurvival() {
+        crash(1_000, "v1", "dead");
+        survive(999, "v1");
+        crash(1_400, "v2", "dead");
+        assertEquals(blamed(), Set.of("dead"));
+    }
+
+    /** Another node hears that the VM lives on. */
+    @Test
+    public void survivalIsMerged() {
+        PoisonDetector other = new PoisonDetector("n2");
+        crash(1_000, "v1", "doc");
+        other.merge(detector.news(), 1_010);
+        survive(1_100, "v1");
+        long digestBefore = other.news().digest();
+        other.merge(detector.news(), 1_200);
+        assertTrue(other.news().digest() != digestBefore, "the news differ");
+        other.recordCrash(new CrashId(new VmId("v2"), 1), SERVED, prompt("doc"), 9_000);
+        assertEquals(other.blamed(), List.of());
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/CrashNewsCodec.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CrashNewsCodec.java
@@ -32,7 +32,7 @@
     }
 
     private static TRelayCrash encode(CrashReport crash, long nowMillis) {
-        return new TRelayCrash(
+        TRelayCrash encoded = new TRelayCrash(
                 crash.served().upstream().value(),
                 crash.served().model().value(),
                 crash.served().release(),
@@ -42,6 +42,9 @@
                 crash.prompts().stream().map(CrashNewsCodec::texts).toList(),
                 texts(crash.soundParts()),
                 texts(crash.clearedParts()));
+        encoded.setSurvivals(crash.id().survivals());
+        encoded.setSurvived(crash.survived());
+        return encoded;
     }
 
     private static TRelayTrial encode(PartTrial trial, long nowMillis) {
@@ -88,12 +91,13 @@
                 .forEach(prompt ->
                         prompts.add(prompt.stream().map(PromptPartId::new).toList()));
         return new CrashReport(
-                new CrashId(new VmId(crash.getVm()), crash.getNumber()),
+                new CrashId(new VmId(crash.getVm()), crash.getNumber(), crash.getSurvivals()),
                 served(crash.getUpstream(), crash.getModel(), crash.getRelease()),
                 nowMillis - crash.getAgeMillis(),
                 prompts,
                 parts(crash.getSoundParts()),
-                parts(crash.getClearedParts()));
+                parts(crash.getClearedParts()),
+                crash.isSurvived());
     }
 
     private static PartTrial decode(TRelayTrial trial, long nowMillis) {
--- a/relay/src/main/java/org/apricotdeal/relay/poison/CrashReport.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/CrashReport.java
@@ -15,6 +15,7 @@
  * @param prompts shared parts of each lost request that was not being answered yet
  * @param soundParts parts that had been answered before the crash
  * @param clearedParts parts that have been answered since the crash
+ * @param survived whether the VM has answered a later request in the same epoch, so that only connections were lost
  */
 public record CrashReport(
         CrashId id,
@@ -22,7 +23,8 @@
         long atMillis,
         Set<List<PromptPartId>> prompts,
         Set<PromptPartId> soundParts,
-        Set<PromptPartId> clearedParts) {
+        Set<PromptPartId> clearedParts,
+        boolean survived) {
     /** Maximum number of prompts of a report; a replica runs and queues fewer requests. */
     private static final int MAX_PROMPTS = 64;
 
@@ -43,7 +45,7 @@
      * @return the report
      */
     static CrashReport of(CrashId id, ModelRelease served, long atMillis, List<PromptPartId> prompt) {
-        return new CrashReport(id, served, atMillis, Set.of(List.copyOf(prompt)), Set.of(), Set.of());
+        return new CrashReport(id, served, atMillis, Set.of(List.copyOf(prompt)), Set.of(), Set.of(), false);
     }
 
     /**
@@ -63,15 +65,20 @@
                 Math.min(atMillis, other.atMillis),
                 allPrompts,
                 union(soundParts, other.soundParts),
-                union(clearedParts, other.clearedParts));
+                union(clearedParts, other.clearedParts),
+                survived || other.survived);
     }
 
     CrashReport withSound(PromptPartId part) {
-        return new CrashReport(id, served, atMillis, prompts, union(soundParts, Set.of(part)), clearedParts);
+        return new CrashReport(id, served, atMillis, prompts, union(soundParts, Set.of(part)), clearedParts, survived);
     }
 
     CrashReport withCleared(PromptPartId part) {
-        return new CrashReport(id, served, atMillis, prompts, soundParts, union(clearedParts, Set.of(part)));
+        return new CrashReport(id, served, atMillis, prompts, soundParts, union(clearedParts, Set.of(part)), survived);
+    }
+
+    CrashReport withSurvival() {
+        return new CrashReport(id, served, atMillis, prompts, soundParts, clearedParts, true);
     }
 
     /** Returns all parts of the lost requests. */
--- a/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
@@ -103,19 +103,47 @@
     /**
      * Records that a request was lost by a crash before it was answered.
      *
-     * @param id identifies the crash
+     * @param first identifies the first loss in the epoch
      * @param served what the VM served
      * @param prompt shared parts of the request
      * @param nowMillis monotonic time
      */
-    public void recordCrash(CrashId id, ModelRelease served, List<PromptPartId> prompt, long nowMillis) {
+    public void recordCrash(CrashId first, ModelRelease served, List<PromptPartId> prompt, long nowMillis) {
         if (prompt.isEmpty()) {
             return;
         }
-        addCrash(CrashReport.of(id, served, nowMillis, prompt));
+        addCrash(CrashReport.of(lastLoss(first), served, nowMillis, prompt));
         review(nowMillis);
     }
 
+    /** Returns the id of the last loss in an epoch, which the VM is not known to have survived. */
+    private CrashId lastLoss(CrashId first) {
+        CrashId last = first;
+        for (CrashReport report : crashes.values()) {
+            CrashId id = report.id();
+            if (id.vm().equals(first.vm()) && id.epoch() == first.epoch() && id.survivals() >= last.survivals()) {
+                last = report.survived() ? id.next() : id;
+            }
+        }
+        return last;
+    }
+
+    /**
+     * Records that a VM answers, which shows that it has not crashed in this epoch before the request was sent.
+     *
+     * @param first identifies the first loss in the epoch
+     * @param sentMillis monotonic time at which the request was sent
+     * @param nowMillis monotonic time
+     */
+    public void recordSurvival(CrashId first, long sentMillis, long nowMillis) {
+        CrashId id = lastLoss(first);
+        CrashReport report = crashes.get(id);
+        if (report != null && report.atMillis() < sentMillis) {
+            crashes.put(id, report.withSurvival());
+            review(nowMillis);
+        }
+    }
+
     /**
      * Records that a request is being answered, which clears its parts of the crashes so far.
      *
@@ -320,8 +348,9 @@
     }
 
     private boolean supportsBlame(CrashReport crash) {
-        return blamed.stream()
-                .anyMatch(blame -> blame.served().equals(crash.served()) && crash.isExplainedBy(blame.parts()));
+        return !crash.survived()
+                && blamed.stream()
+                        .anyMatch(blame -> blame.served().equals(crash.served()) && crash.isExplainedBy(blame.parts()));
     }
 
     private void dropExcessCrashes() {
@@ -339,9 +368,11 @@
     private List<BlamedParts> inferBlame(long nowMillis) {
         Map<ModelRelease, List<CrashReport>> crashesByServed = new HashMap<>();
         for (CrashReport crash : crashes.values()) {
-            crashesByServed
-                    .computeIfAbsent(crash.served(), served -> new ArrayList<>())
-                    .add(crash);
+            if (!crash.survived()) {
+                crashesByServed
+                        .computeIfAbsent(crash.served(), served -> new ArrayList<>())
+                        .add(crash);
+            }
         }
         Map<ModelRelease, List<BlamedParts>> blameByServed = new HashMap<>();
         crashesByServed.forEach(
@@ -378,7 +409,8 @@
             crash.prompts().forEach(prompt -> prompts.add(prompt.toString()));
             sum += Hashing.komihash4_3()
                     .hashCharsToLong(crash.id() + " " + crash.served() + " " + prompts + " "
-                            + new TreeSet<>(crash.soundParts()) + " " + new TreeSet<>(crash.clearedParts()));
+                            + new TreeSet<>(crash.soundParts()) + " " + new TreeSet<>(crash.clearedParts()) + " "
+                            + crash.survived());
         }
         for (PartTrial trial : trials.values()) {
             sum += Hashing.komihash4_3().hashCharsToLong(trial.tried() + " " + trial.count() + " " + trial.passed());
--- a/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
@@ -114,6 +114,8 @@
             return;
         }
         request.answered = true;
+        TargetId id = request.target.target.id();
+        detector.recordSurvival(new CrashId(id.vm(), id.epoch()), request.dispatchedMillis, nowMillis);
         request.target
                 .served()
                 .ifPresent(served -> detector.recordAnswer(served, request.arrival.sharedParts(), nowMillis));
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayCrash.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayCrash.java
@@ -19,6 +19,8 @@
   private static final org.apache.thrift.protocol.TField PROMPTS_FIELD_DESC = new org.apache.thrift.protocol.TField("prompts", org.apache.thrift.protocol.TType.LIST, (short)7);
   private static final org.apache.thrift.protocol.TField SOUND_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("soundParts", org.apache.thrift.protocol.TType.LIST, (short)8);
   private static final org.apache.thrift.protocol.TField CLEARED_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("clearedParts", org.apache.thrift.protocol.TType.LIST, (short)9);
+  private static final org.apache.thrift.protocol.TField SURVIVALS_FIELD_DESC = new org.apache.thrift.protocol.TField("survivals", org.apache.thrift.protocol.TType.I32, (short)10);
+  private static final org.apache.thrift.protocol.TField SURVIVED_FIELD_DESC = new org.apache.thrift.protocol.TField("survived", org.apache.thrift.protocol.TType.BOOL, (short)11);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TRelayCrashStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TRelayCrashTupleSchemeFactory();
@@ -32,6 +34,8 @@
   public @org.apache.thrift.annotation.Nullable java.util.List<java.util.List<java.lang.String>> prompts; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> soundParts; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> clearedParts; // required
+  public int survivals; // optional
+  public boolean survived; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -43,7 +47,9 @@
     AGE_MILLIS((short)6, "ageMillis"),
     PROMPTS((short)7, "prompts"),
     SOUND_PARTS((short)8, "soundParts"),
-    CLEARED_PARTS((short)9, "clearedParts");
+    CLEARED_PARTS((short)9, "clearedParts"),
+    SURVIVALS((short)10, "survivals"),
+    SURVIVED((short)11, "survived");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -77,6 +83,10 @@
           return SOUND_PARTS;
         case 9: // CLEARED_PARTS
           return CLEARED_PARTS;
+        case 10: // SURVIVALS
+          return SURVIVALS;
+        case 11: // SURVIVED
+          return SURVIVED;
         default:
           return null;
       }
@@ -122,7 +132,10 @@
   // isset id assignments
   private static final int __NUMBER_ISSET_ID = 0;
   private static final int __AGEMILLIS_ISSET_ID = 1;
+  private static final int __SURVIVALS_ISSET_ID = 2;
+  private static final int __SURVIVED_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.SURVIVALS,_Fields.SURVIVED};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -148,6 +161,10 @@
     tmpMap.put(_Fields.CLEARED_PARTS, new org.apache.thrift.meta_data.FieldMetaData("clearedParts", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.SURVIVALS, new org.apache.thrift.meta_data.FieldMetaData("survivals", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.SURVIVED, new org.apache.thrift.meta_data.FieldMetaData("survived", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TRelayCrash.class, metaDataMap);
   }
@@ -215,6 +232,8 @@
       java.util.List<java.lang.String> __this__clearedParts = new java.util.ArrayList<java.lang.String>(other.clearedParts);
       this.clearedParts = __this__clearedParts;
     }
+    this.survivals = other.survivals;
+    this.survived = other.survived;
   }
 
   @Override
@@ -235,6 +254,10 @@
     this.prompts = null;
     this.soundParts = null;
     this.clearedParts = null;
+    setSurvivalsIsSet(false);
+    this.survivals = 0;
+    setSurvivedIsSet(false);
+    this.survived = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -506,6 +529,52 @@
     }
   }
 
+  public int getSurvivals() {
+    return this.survivals;
+  }
+
+  public TRelayCrash setSurvivals(int survivals) {
+    this.survivals = survivals;
+    setSurvivalsIsSet(true);
+    return this;
+  }
+
+  public void unsetSurvivals() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SURVIVALS_ISSET_ID);
+  }
+
+  /** Returns true if field survivals is set (has been assigned a value) and false otherwise */
+  public boolean isSetSurvivals() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SURVIVALS_ISSET_ID);
+  }
+
+  public void setSurvivalsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SURVIVALS_ISSET_ID, value);
+  }
+
+  public boolean isSurvived() {
+    return this.survived;
+  }
+
+  public TRelayCrash setSurvived(boolean survived) {
+    this.survived = survived;
+    setSurvivedIsSet(true);
+    return this;
+  }
+
+  public void unsetSurvived() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SURVIVED_ISSET_ID);
+  }
+
+  /** Returns true if field survived is set (has been assigned a value) and false otherwise */
+  public boolean isSetSurvived() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SURVIVED_ISSET_ID);
+  }
+
+  public void setSurvivedIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SURVIVED_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -581,6 +650,22 @@
       }
       break;
 
+    case SURVIVALS:
+      if (value == null) {
+        unsetSurvivals();
+      } else {
+        setSurvivals((java.lang.Integer)value);
+      }
+      break;
+
+    case SURVIVED:
+      if (value == null) {
+        unsetSurvived();
+      } else {
+        setSurvived((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -615,6 +700,12 @@
     case CLEARED_PARTS:
       return getClearedParts();
 
+    case SURVIVALS:
+      return getSurvivals();
+
+    case SURVIVED:
+      return isSurvived();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -645,6 +736,10 @@
       return isSetSoundParts();
     case CLEARED_PARTS:
       return isSetClearedParts();
+    case SURVIVALS:
+      return isSetSurvivals();
+    case SURVIVED:
+      return isSetSurvived();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -743,6 +838,24 @@
         return false;
     }
 
+    boolean this_present_survivals = true && this.isSetSurvivals();
+    boolean that_present_survivals = true && that.isSetSurvivals();
+    if (this_present_survivals || that_present_survivals) {
+      if (!(this_present_survivals && that_present_survivals))
+        return false;
+      if (this.survivals != that.survivals)
+        return false;
+    }
+
+    boolean this_present_survived = true && this.isSetSurvived();
+    boolean that_present_survived = true && that.isSetSurvived();
+    if (this_present_survived || that_present_survived) {
+      if (!(this_present_survived && that_present_survived))
+        return false;
+      if (this.survived != that.survived)
+        return false;
+    }
+
     return true;
   }
 
@@ -782,6 +895,14 @@
     if (isSetClearedParts())
       hashCode = hashCode * 8191 + clearedParts.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetSurvivals()) ? 131071 : 524287);
+    if (isSetSurvivals())
+      hashCode = hashCode * 8191 + survivals;
+
+    hashCode = hashCode * 8191 + ((isSetSurvived()) ? 131071 : 524287);
+    if (isSetSurvived())
+      hashCode = hashCode * 8191 + ((survived) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -883,6 +1004,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSurvivals(), other.isSetSurvivals());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSurvivals()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.survivals, other.survivals);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSurvived(), other.isSetSurvived());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSurvived()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.survived, other.survived);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -970,6 +1111,18 @@
       sb.append(this.clearedParts);
     }
     first = false;
+    if (isSetSurvivals()) {
+      if (!first) sb.append(", ");
+      sb.append("survivals:");
+      sb.append(this.survivals);
+      first = false;
+    }
+    if (isSetSurvived()) {
+      if (!first) sb.append(", ");
+      sb.append("survived:");
+      sb.append(this.survived);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1152,6 +1305,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 10: // SURVIVALS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.survivals = iprot.readI32();
+              struct.setSurvivalsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 11: // SURVIVED
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.survived = iprot.readBool();
+              struct.setSurvivedIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1243,6 +1412,16 @@
         }
         oprot.writeFieldEnd();
       }
+      if (struct.isSetSurvivals()) {
+        oprot.writeFieldBegin(SURVIVALS_FIELD_DESC);
+        oprot.writeI32(struct.survivals);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetSurvived()) {
+        oprot.writeFieldBegin(SURVIVED_FIELD_DESC);
+        oprot.writeBool(struct.survived);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1294,6 +1473,20 @@
           oprot.writeString(_iter27);
         }
       }
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetSurvivals()) {
+        optionals.set(0);
+      }
+      if (struct.isSetSurvived()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetSurvivals()) {
+        oprot.writeI32(struct.survivals);
+      }
+      if (struct.isSetSurvived()) {
+        oprot.writeBool(struct.survived);
+      }
     }
 
     @Override
@@ -1353,6 +1546,15 @@
         }
       }
       struct.setClearedPartsIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(2);
+      if (incoming.get(0)) {
+        struct.survivals = iprot.readI32();
+        struct.setSurvivalsIsSet(true);
+      }
+      if (incoming.get(1)) {
+        struct.survived = iprot.readBool();
+        struct.setSurvivedIsSet(true);
+      }
     }
   }
 
--- a/wire-gen/src/main/thrift/relay.thrift
+++ b/wire-gen/src/main/thrift/relay.thrift
@@ -60,6 +60,8 @@
   7: required list<list<string>> prompts;      // shared parts of each lost request
   8: required list<string> soundParts;         // answered before the crash
   9: required list<string> clearedParts;       // answered since the crash
+  10: optional i32 survivals;                  // earlier losses under this number that the VM survived
+  11: optional bool survived;                  // the VM has answered since, so that it has not crashed
 }
 
 // Trials of a part that is blamed for crashes.
