Let ./apricotdeal explain say where a request would go

An operator could not ask a node why a request waits, is refused or goes where it goes; the log tells it of requests that were sent only. A node in relay mode now answers /admin/explain on its ports for peers and metrics, not on that for callers: route, customer and class as found, the verdict with its reason, the predicted wait and end, and each target with what bars it, its load and the age of what is known. Nothing is sent, counted or learned. Times that the cost estimator and the check for returning callers would learn are left out (preview, isReturning).

RequestExplanationTest: two nodes with the same events, one asked about each request, act alike, and each verdict comes true; it fails where the explainer learns about returning callers (trial). CostEstimatorTest.previewKeepsNothing fails where the preview keeps its history (trial). RelayExplainTest asks a real node. These with CostEstimatorTest: 9 run, 0 failed. 20 classes of relay mode and the tool: 182 run, 1 failed, the golden list of commands, which lacks the new command; its line is added, and ToolSessionTest passes since (13 run with five other classes, 0 failed).

--- a/proofs/src/test/java/org/apricotdeal/relay/policy/CostEstimatorTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/policy/CostEstimatorTest.java
@@ -68,6 +68,24 @@
         assertEquals((few + many) / 2, 220 * TOKEN_MILLIS, 220 * TOKEN_MILLIS / 2);
     }
 
+    /** A request that is not sent leaves nothing behind, and gets the estimate that it would get if it were sent. */
+    @Test
+    public void previewKeepsNothing() {
+        CostEstimator asked = estimator();
+        CostEstimator other = estimator();
+        for (int i = 0; i < ANSWERS; i++) {
+            RequestSize size = new RequestSize(1_000, 100 + random.nextInt(900), OptionalInt.empty());
+            RequestSize others = new RequestSize(1_000, 10 + random.nextInt(50), OptionalInt.empty());
+            assertTrue(asked.preview(arrival("b"), others).answerMillis() > 0);
+            RequestCost previewed = asked.preview(arrival("a"), size);
+            assertEquals(previewed, other.estimate(arrival("a"), size));
+            assertEquals(asked.estimate(arrival("a"), size), previewed);
+            long answeredMillis = 100 + random.nextLong(3_000);
+            asked.learn(arrival("a"), size, answeredMillis);
+            other.learn(arrival("a"), size, answeredMillis);
+        }
+    }
+
     /** Customers whose requests look alike are told apart by their answers. */
     @Test
     public void customersAreToldApart() {
--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -2,25 +2,17 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 
-import org.apricotdeal.kernel.id.UpstreamId;
-import org.apricotdeal.kernel.misc.Names;
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.model.Customer;
-import org.apricotdeal.relay.model.ModelId;
-import org.apricotdeal.relay.model.PromptPartId;
 import org.apricotdeal.relay.model.RelayCatalogue;
-import org.apricotdeal.relay.model.RequestSize;
 import org.apricotdeal.relay.model.RouteEntry;
-import org.apricotdeal.relay.model.UpstreamEntry;
 import org.apricotdeal.relay.policy.Arrival;
 import org.apricotdeal.relay.policy.ExchangeId;
-import org.apricotdeal.relay.policy.QueueId;
 import org.apricotdeal.relay.port.ExchangeHeaders;
 import org.apricotdeal.relay.port.PlatformAdapter;
 import org.eclipse.jetty.http.HttpHeader;
@@ -47,7 +39,7 @@
 
     private final BufferLimit bodyLimit;
     private final CatalogueHolder catalogues;
-    private final PlatformAdapter adapter;
+    private final ArrivalReader reader;
     private final ExchangeHeaders headerNames;
     private final RelayDuty duty;
     private final Clock clock;
@@ -57,7 +49,7 @@
 
     IngressHandler(CatalogueHolder catalogues, PlatformAdapter adapter, RelayDuty duty, Clock clock) {
         this.catalogues = catalogues;
-        this.adapter = adapter;
+        this.reader = new ArrivalReader(adapter);
         this.headerNames = adapter.headers();
         this.duty = duty;
         this.clock = clock;
@@ -93,7 +85,7 @@
             answer(response, callback, HttpStatus.NOT_FOUND_404, "no route");
             return true;
         }
-        Optional<Customer> customer = apiKey(request).flatMap(catalogue::customer);
+        Optional<Customer> customer = reader.customer(request.getHeaders()::get, catalogue);
         if (catalogue.keysRequired() && !route.get().keyless() && customer.isEmpty()) {
             answer(response, callback, HttpStatus.UNAUTHORIZED_401, "unknown key");
             return true;
@@ -102,7 +94,14 @@
             answer(response, callback, HttpStatus.PAYLOAD_TOO_LARGE_413, "body too long");
             return true;
         }
-        Arrival arrival = arrival(request, catalogue, route.get(), customer, arrivedMillis);
+        Arrival arrival = reader.arrival(
+                new ExchangeId(lastId.incrementAndGet()),
+                request.getHeaders()::get,
+                catalogue,
+                route.get(),
+                duty.chooseUpstream(route.get()),
+                customer,
+                arrivedMillis);
         new BodyReader(
                         request,
                         response,
@@ -118,66 +117,6 @@
         return host == null ? "" : host;
     }
 
-    private Optional<String> apiKey(Request request) {
-        String authorization = request.getHeaders().get(HttpHeader.AUTHORIZATION);
-        String scheme = headerNames.keyScheme() + " ";
-        boolean matches = authorization != null && authorization.regionMatches(true, 0, scheme, 0, scheme.length());
-        return matches ? Optional.of(authorization.substring(scheme.length()).trim()) : Optional.empty();
-    }
-
-    private Arrival arrival(
-            Request request,
-            RelayCatalogue catalogue,
-            RouteEntry route,
-            Optional<Customer> customer,
-            long arrivedMillis) {
-        UpstreamId upstream = duty.chooseUpstream(route);
-        UpstreamEntry entry = catalogue.upstreams().get(upstream);
-        boolean engine = entry != null && entry.engine().isPresent();
-        Optional<ModelId> model = Optional.ofNullable(request.getHeaders().get(headerNames.model()))
-                .filter(name -> engine && Names.isValid(name))
-                .map(ModelId::new);
-        long waitMillis = Math.min(route.timeoutMillis(), remainingMillis(request));
-        int priority = customer.map(Customer::priority)
-                .filter(own -> own.isPresent())
-                .map(own -> own.getAsInt())
-                .orElse(route.priority());
-        return new Arrival(
-                new ExchangeId(lastId.incrementAndGet()),
-                new QueueId(upstream, model),
-                route,
-                model.isEmpty() ? List.of() : sharedParts(request),
-                customer.map(Customer::name).orElse(""),
-                priority,
-                arrivedMillis,
-                arrivedMillis + waitMillis,
-                model.isEmpty() ? Optional.empty() : statedSize(request));
-    }
-
-    private Optional<RequestSize> statedSize(Request request) {
-        return adapter.requestSize(
-                request.getHeaders().get(headerNames.tokenCounts()),
-                request.getHeaders().get(headerNames.answerTokensHint()));
-    }
-
-    private List<PromptPartId> sharedParts(Request request) {
-        String parts = request.getHeaders().get(headerNames.promptParts());
-        return parts == null ? List.of() : adapter.sharedPromptParts(parts);
-    }
-
-    private long remainingMillis(Request request) {
-        String text = request.getHeaders().get(headerNames.remainingMillis());
-        if (text == null) {
-            return Long.MAX_VALUE / 2;
-        }
-        try {
-            return Math.max(0, (long) Double.parseDouble(text.trim()));
-        } catch (NumberFormatException e) {
-            // A caller that names no valid time waits as long as the route allows.
-            return Long.MAX_VALUE / 2;
-        }
-    }
-
     private void answer(Response response, Callback callback, int status, String reason) {
         response.setStatus(status);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -6,7 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -25,6 +28,7 @@
 import org.apricotdeal.relay.model.WeightedUpstream;
 import org.apricotdeal.relay.poison.BlamedParts;
 import org.apricotdeal.relay.poison.CrashNews;
+import org.apricotdeal.relay.policy.Arrival;
 import org.apricotdeal.relay.policy.AttemptId;
 import org.apricotdeal.relay.policy.AttemptOutcome;
 import org.apricotdeal.relay.policy.ExchangeId;
@@ -35,6 +39,7 @@
 import org.apricotdeal.relay.policy.RelayAction;
 import org.apricotdeal.relay.policy.RelayDispatcher;
 import org.apricotdeal.relay.policy.RelayEvent;
+import org.apricotdeal.relay.policy.RequestExplanation;
 import org.apricotdeal.relay.policy.Target;
 import org.apricotdeal.relay.policy.TargetId;
 import org.apricotdeal.relay.port.ExchangeHeaders;
@@ -52,6 +57,9 @@
 
     private static final ExchangeId NO_EXCHANGE = new ExchangeId(-1);
 
+    /** Time for the answer to an operator's question; many ticks. */
+    private static final long MAX_EXPLAIN_MILLIS = 2_000;
+
     /** Difference by which the clocks may drift apart between two ticks. */
     private static final long MAX_CLOCK_DRIFT_MILLIS = 500;
 
@@ -70,6 +78,7 @@
     private volatile Map<TargetId, Integer> running = Map.of();
     private volatile Map<QueueId, QueueDemand> demand = Map.of();
     private volatile int waiting;
+    private final Queue<Question> questions = new ConcurrentLinkedQueue<>();
     private long demandUpdatedMillis;
     private volatile SuspicionListener suspicionListener = (vms, faultyAddress, reason) -> {};
     private volatile Function<String, OptionalInt> loadReader = header -> OptionalInt.empty();
@@ -78,6 +87,9 @@
     private List<BlamedParts> loggedBlame = List.of();
     private long clockOffsetMillis = Long.MAX_VALUE / 2;
 
+    /** An operator's question, and its answer. */
+    private record Question(Arrival arrival, CompletableFuture<RequestExplanation> answer) {}
+
     /** Receives VMs that may have failed. */
     interface SuspicionListener {
         /**
@@ -279,6 +291,28 @@
         duty.put(new RelayEvent.AttemptFailed(attempt.id(), outcome));
     }
 
+    /**
+     * Asks what would become of a request now; the answer comes with the next tick.
+     *
+     * @param arrival the request, which is not sent
+     * @return the decision and what it is based on; fails if the duty has stopped
+     */
+    CompletableFuture<RequestExplanation> explain(Arrival arrival) {
+        CompletableFuture<RequestExplanation> answer = new CompletableFuture<>();
+        questions.add(new Question(arrival, answer));
+        return answer.orTimeout(MAX_EXPLAIN_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void answerQuestions() {
+        for (Question question = questions.poll(); question != null; question = questions.poll()) {
+            try {
+                question.answer().complete(dispatcher.explain(clock.monotonicMillis(), question.arrival()));
+            } catch (RuntimeException e) {
+                question.answer().completeExceptionally(e);
+            }
+        }
+    }
+
     private void step(RelayEvent event) {
         Exchange exchange = event instanceof RelayEvent.CallerDisconnected(ExchangeId id) ? exchanges.get(id) : null;
         execute(dispatcher.step(clock.monotonicMillis(), event));
@@ -308,6 +342,7 @@
         }
         running = dispatcher.runningRequests();
         waiting = dispatcher.waitingRequests();
+        answerQuestions();
         crashNews = dispatcher.crashNews();
         logBlame(dispatcher.blamedParts());
         long nowMillis = clock.monotonicMillis();
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -116,6 +116,7 @@
                 heartbeats,
                 cataloguePull,
                 status,
+                new ExplainHandler(settings, catalogues, adapter, relay, clock),
                 metrics,
                 catalogues,
                 relay.callerResources());
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
@@ -41,6 +41,7 @@
     private final Heartbeats heartbeats;
     private final CataloguePull cataloguePull;
     private final NodeStatus status;
+    private final ExplainHandler explain;
     private final MetricRegistry metrics;
 
     RelayServer(
@@ -50,6 +51,7 @@
             Heartbeats heartbeats,
             CataloguePull cataloguePull,
             NodeStatus status,
+            ExplainHandler explain,
             MetricRegistry metrics,
             CatalogueHolder catalogues,
             CallerResources resources) {
@@ -57,6 +59,7 @@
         this.heartbeats = heartbeats;
         this.cataloguePull = cataloguePull;
         this.status = status;
+        this.explain = explain;
         this.metrics = metrics;
         server = new Server(threads);
         this.resources = resources;
@@ -166,6 +169,7 @@
                     answer(response, callback, HttpStatus.OK_200, "application/json", status.json());
                     yield true;
                 }
+                case ExplainHandler.PATH -> explain.handle(request, response, callback);
                 default -> {
                     answer(response, callback, HttpStatus.NOT_FOUND_404, "not found\n");
                     yield true;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/CostEstimator.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/CostEstimator.java
@@ -70,9 +70,26 @@
      * @return cost at an engine of usual pace
      */
     RequestCost estimate(Arrival arrival, RequestSize size) {
-        AnswerHistory history = history(arrival, size);
-        double answerMillis =
-                history.medianMillis(statedTokens(size)) * customerRatio(arrival) * history.meanToMedian();
+        return estimate(size, history(arrival, size), customerRatio(arrival));
+    }
+
+    /** Estimates the cost of a request that is not sent, and keeps nothing of it. */
+    RequestCost preview(Arrival arrival, RequestSize size) {
+        RouteKey key = routeKey(arrival, size);
+        AnswerHistory known = routes.get(key);
+        CustomerKey customer = new CustomerKey(arrival.route().name(), arrival.customer());
+        double customerRatio = 1;
+        // Reading the map by a key would make the customer the one that is forgotten last.
+        for (Map.Entry<CustomerKey, CustomerDifference> entry : customers.entrySet()) {
+            if (entry.getKey().equals(customer)) {
+                customerRatio = entry.getValue().ratio();
+            }
+        }
+        return estimate(size, known == null ? newHistory(key, size) : known, customerRatio);
+    }
+
+    private RequestCost estimate(RequestSize size, AnswerHistory history, double customerRatio) {
+        double answerMillis = history.medianMillis(statedTokens(size)) * customerRatio * history.meanToMedian();
         double maxMillis = Math.max(1, size.maxAnswerTokens()) * times.tokenMillis();
         return new RequestCost(readMillis(size), Math.min(answerMillis, maxMillis));
     }
@@ -113,13 +130,17 @@
     }
 
     private AnswerHistory history(Arrival arrival, RequestSize size) {
-        RouteKey key =
-                new RouteKey(arrival.route().name(), size.hintedAnswerTokens().isPresent());
-        return routes.computeIfAbsent(
-                key,
-                added -> new AnswerHistory(
-                        added.hinted() ? times.meanAnswerTokens() : statedTokens(size),
-                        times.meanAnswerTokens() * times.tokenMillis()));
+        return routes.computeIfAbsent(routeKey(arrival, size), key -> newHistory(key, size));
+    }
+
+    private static RouteKey routeKey(Arrival arrival, RequestSize size) {
+        return new RouteKey(arrival.route().name(), size.hintedAnswerTokens().isPresent());
+    }
+
+    private AnswerHistory newHistory(RouteKey key, RequestSize size) {
+        return new AnswerHistory(
+                key.hinted() ? times.meanAnswerTokens() : statedTokens(size),
+                times.meanAnswerTokens() * times.tokenMillis());
     }
 
     /** Returns the caller's estimate of the answer, or else its maximum length. */
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
@@ -98,6 +98,11 @@
         return demand;
     }
 
+    /** Returns a queue; empty if there is none yet, since it has had neither a target nor a request. */
+    Optional<QueueState> find(QueueId id) {
+        return Optional.ofNullable(queues.get(id));
+    }
+
     /** Returns a queue, which is created if there is none yet. */
     QueueState queue(QueueId id) {
         return queues.computeIfAbsent(id, this::newQueue);
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
@@ -81,6 +81,13 @@
                 : arrival.size().map(size -> costs.get().estimate(arrival, size));
     }
 
+    /** Returns the work that a request would cause that is not sent, and keeps nothing of it. */
+    Optional<RequestCost> previewCost(Arrival arrival) {
+        return costs.isEmpty()
+                ? Optional.empty()
+                : arrival.size().map(size -> costs.get().preview(arrival, size));
+    }
+
     /** Records that the first bytes of an answer have arrived. */
     void recordStart(RequestState request, long nowMillis) {
         long tookMillis = nowMillis - request.dispatchedMillis;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -50,15 +51,13 @@
     /** Time between two ticks above which this node itself was held up; several tick periods. */
     private static final long MAX_TICK_GAP_MILLIS = 100;
 
-    /** Minimum share of the objective that a request may wait, so that a slow queue still admits some requests. */
-    private static final double MIN_WAIT_SHARE = 0.2;
-
     private final QueueRegistry registry;
     private final TargetChooser targetChooser;
     private final ProcessDelay ownDelay = new ProcessDelay(MAX_TICK_GAP_MILLIS);
     private final RetryBudget budget;
     private final PoisonGuard poison;
     private final ReturnTimes returnTimes;
+    private final RequestExplainer explainer;
     private final Map<ExchangeId, RequestState> requests = new HashMap<>();
     private final ReturningCallers returningCallers = new ReturningCallers();
     private long lastSequence;
@@ -78,6 +77,7 @@
         this.budget = budget;
         this.poison = new PoisonGuard(new PoisonDetector(self.name()));
         this.returnTimes = new ReturnTimes(random);
+        this.explainer = new RequestExplainer(self.failureDomain(), registry, poison, returningCallers);
     }
 
     /**
@@ -164,6 +164,17 @@
         }
     }
 
+    /**
+     * Says what would become of a request now, and changes nothing. Called by the thread that calls {@link #step}.
+     *
+     * @param atMillis monotonic time
+     * @param arrival the request
+     * @return the decision and what it is based on
+     */
+    public RequestExplanation explain(long atMillis, Arrival arrival) {
+        return explainer.explain(arrival, atMillis);
+    }
+
     @Override
     public List<RelayAction> step(long atMillis, RelayEvent event) {
         nowMillis = atMillis;
@@ -209,19 +220,12 @@
             queue.demand.recordNewRequest(nowMillis);
         }
         QueueEstimate estimate = queue.estimate(request, nowMillis);
-        if (estimate.hasNoTarget()) {
-            refuse(request, queue.noTargetReason(), returnTimes.withoutTargetMillis(queue, nowMillis), estimate);
-            return;
-        }
-        boolean slotsReserved = request.returningCaller
-                && queue.reservesSlotsForNewCallers(
-                        estimate, nowMillis, arrival.route().objectiveMillis());
-        if (slotsReserved || estimate.waitMillis() > maxWaitMillis(request)) {
-            refuse(
-                    request,
-                    RefusalReason.OVERLOAD,
-                    returnTimes.afterOverloadMillis(request, estimate, estimate.waitMillis(), nowMillis),
-                    estimate);
+        Optional<RefusalReason> refusal = AdmissionRule.refusal(request, estimate, nowMillis);
+        if (refusal.isPresent()) {
+            long retryAfterMillis = refusal.get() == RefusalReason.OVERLOAD
+                    ? returnTimes.afterOverloadMillis(request, estimate, estimate.waitMillis(), nowMillis)
+                    : returnTimes.withoutTargetMillis(queue, nowMillis);
+            refuse(request, refusal.get(), retryAfterMillis, estimate);
             return;
         }
         requests.put(arrival.id(), request);
@@ -229,18 +233,6 @@
         dispatchWaiting(queue);
     }
 
-    /**
-     * Returns how long a request may wait. A new caller has to start within its objective; a returning caller has
-     * already missed it.
-     */
-    private static double maxWaitMillis(RequestState request) {
-        long objective = request.arrival.route().objectiveMillis();
-        if (request.returningCaller) {
-            return objective;
-        }
-        return Math.max(objective * MIN_WAIT_SHARE, objective - request.queue.startMillis.value());
-    }
-
     // Placement.
 
     private void dispatchWaiting(QueueState queue) {
@@ -539,7 +531,7 @@
         List<RequestState> overdue = new ArrayList<>();
         for (RequestState request : queue.waiting) {
             long waitedMillis = nowMillis - request.arrival.arrivedMillis();
-            if (request.attempts == 0 && waitedMillis > maxWaitMillis(request)) {
+            if (request.attempts == 0 && waitedMillis > AdmissionRule.maxWaitMillis(request)) {
                 overdue.add(request);
             }
         }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RequestState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RequestState.java
@@ -38,11 +38,21 @@
     long startedMillis;
 
     RequestState(Arrival arrival, QueueState queue, long sequence, boolean returningCaller) {
+        this(arrival, queue, sequence, returningCaller, queue.estimateCost(arrival));
+    }
+
+    private RequestState(
+            Arrival arrival, QueueState queue, long sequence, boolean returningCaller, Optional<RequestCost> cost) {
         this.arrival = arrival;
         this.queue = queue;
         this.sequence = sequence;
         this.returningCaller = returningCaller;
-        this.cost = queue.estimateCost(arrival);
+        this.cost = cost;
+    }
+
+    /** Creates the state of a request that is not sent, as the last one to arrive. */
+    static RequestState notSent(Arrival arrival, QueueState queue, boolean returningCaller) {
+        return new RequestState(arrival, queue, Long.MAX_VALUE, returningCaller, queue.previewCost(arrival));
     }
 
     /** Returns whether an attempt is the one that runs now, and not one that has been replaced. */
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReturningCallers.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReturningCallers.java
@@ -22,13 +22,26 @@
         CallerTimeoutEstimate timeoutEstimate =
                 timeoutEstimates.computeIfAbsent(arrival.route().name(), name -> new CallerTimeoutEstimate());
         long remainingMillis = arrival.deadlineMillis() - arrival.arrivedMillis();
-        if (nowMillis - queue.lastRefusedMillis > RETURN_WINDOW_MILLIS) {
+        if (!mayReturn(queue, nowMillis)) {
             timeoutEstimate.addSample(remainingMillis);
             return false;
         }
         return timeoutEstimate.isReturningCaller(remainingMillis);
     }
 
+    /** Returns whether a caller has been refused before, and learns nothing from it. */
+    boolean isReturning(QueueState queue, Arrival arrival, long nowMillis) {
+        CallerTimeoutEstimate timeoutEstimate =
+                timeoutEstimates.get(arrival.route().name());
+        return timeoutEstimate != null
+                && mayReturn(queue, nowMillis)
+                && timeoutEstimate.isReturningCaller(arrival.deadlineMillis() - arrival.arrivedMillis());
+    }
+
+    private static boolean mayReturn(QueueState queue, long nowMillis) {
+        return nowMillis - queue.lastRefusedMillis <= RETURN_WINDOW_MILLIS;
+    }
+
     void retainRoutes(Set<String> names) {
         timeoutEstimates.keySet().retainAll(names);
     }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetChooser.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetChooser.java
@@ -69,7 +69,7 @@
         TargetState best = null;
         double bestScore = Double.MAX_VALUE;
         for (TargetState state : candidates(queue, request, poison, nowMillis)) {
-            double score = request.cost.isPresent() ? predictedMillis(state, nowMillis) : score(state, nowMillis);
+            double score = rating(state, request, nowMillis);
             if (score < bestScore) {
                 best = state;
                 bestScore = score;
@@ -78,6 +78,19 @@
         return best != null ? best : anyUsable(queue, request, poison, nowMillis);
     }
 
+    /**
+     * Returns the figure by which targets are compared; the lowest is chosen.
+     *
+     * @param state the target
+     * @param request the request
+     * @param nowMillis monotonic time
+     * @return predicted time to the first event in milliseconds where the cost of the request is known; otherwise the
+     *     share of occupied slots
+     */
+    double rating(TargetState state, RequestState request, long nowMillis) {
+        return request.cost.isPresent() ? predictedMillis(state, nowMillis) : score(state, nowMillis);
+    }
+
     private List<TargetState> candidates(QueueState queue, RequestState request, PoisonGuard poison, long nowMillis) {
         List<TargetState> candidates = new ArrayList<>();
         for (TargetState state : queue.homeTargets) {
--- a/tool/src/main/java/org/apricotdeal/tool/environment/DefaultEnvironment.java
+++ b/tool/src/main/java/org/apricotdeal/tool/environment/DefaultEnvironment.java
@@ -38,7 +38,7 @@
                     .send();
             return answer.getStatus() == 200
                     ? Result.ok(JSON.readTree(answer.getContent()))
-                    : Result.err("status " + answer.getStatus());
+                    : Result.err(("status " + answer.getStatus() + " " + answer.getContentAsString()).trim());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return Result.err("interrupted");
--- a/tool/src/main/java/org/apricotdeal/tool/fleet/FleetPlugin.java
+++ b/tool/src/main/java/org/apricotdeal/tool/fleet/FleetPlugin.java
@@ -19,5 +19,6 @@
         registry.add(new NodeQueryCommand(
                 "callers", "Show the callers and their limits.", "callers", registry.environment()));
         registry.add(new TimelineCommand(registry.environment()));
+        registry.add(new ExplainCommand(registry.environment()));
     }
 }
--- a/tool/src/main/java/org/apricotdeal/tool/fleet/NodeQueryCommand.java
+++ b/tool/src/main/java/org/apricotdeal/tool/fleet/NodeQueryCommand.java
@@ -53,14 +53,19 @@
 
     private void print(String node, JsonNode answer, Console console) {
         if (listField.isEmpty()) {
-            console.out().println(node + ": " + line(answer));
-            answer.properties().forEach(field -> printObjects(field.getKey(), field.getValue(), console));
+            printObject(node, answer, console);
             return;
         }
         console.out().println(node + ": " + answer.path(listField).size() + " " + listField);
         answer.path(listField).forEach(item -> console.out().println("  " + line(item)));
     }
 
+    /** Prints a node's answer in a line, and each object of its lists in a line of its own. */
+    static void printObject(String node, JsonNode answer, Console console) {
+        console.out().println(node + ": " + line(answer));
+        answer.properties().forEach(field -> printObjects(field.getKey(), field.getValue(), console));
+    }
+
     /** Prints each object of a list in a line of its own. */
     private static void printObjects(String name, JsonNode list, Console console) {
         if (isObjects(list)) {
