--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
@@ -82,6 +82,13 @@
                 : arrival.size().map(size -> costs.get().estimate(arrival, size));
     }
 
+    /** Returns the work that a request would cause that is not sent, and keeps nothing of it. */
+    Optional<RequestCost> previewCost(Arrival arrival) {
+        return costs.isEmpty()
+                ? Optional.empty()
+                : arrival.size().map(size -> costs.get().preview(arrival, size));
+    }
+
     /** Returns whether a request is too large for all targets, so that it would wait in vain. */
     boolean isTooLarge(RequestState request) {
         return !targets.isEmpty()
