Load weights onto VMs left over from large replicas

While VMs are lost in series a third of the VM-seconds serves nobody (docs/design/moving-demand.md): survivors of a large replica are too few for their own model, and weights of another one were loaded onto an idle VM only beside an idle holder of it.

LeftoverUse: idle VMs of a fabric domain that are too few for a replica of their own model load the weights of a model that refuses requests. A survivor loses nothing by that until it joins, as it keeps its last model beside the weights of its host.

--- a/relay/src/main/java/org/apricotdeal/relay/policy/WeightStaging.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/WeightStaging.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
+import org.apricotdeal.kernel.id.FabricDomainId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.ModelId;
 import org.apricotdeal.relay.model.ModelSpec;
@@ -18,8 +20,9 @@
  *
  * <p>VMs without weights come first. They get the model that is furthest below its share and lacks the smallest part
  * of a replica in their fabric domain. Next come idle VMs that complete a replica of a model that is further below
- * its share than their own. Last, members of smaller replicas load the weights of larger ones in reserve, so that a
- * large replica that loses members needs no load. Before the first request this costs almost nothing.
+ * its share than their own, and idle VMs that are too few for a replica of their own model ({@link LeftoverUse}). Last,
+ * members of smaller replicas load the weights of larger ones in reserve, so that a large replica that loses members
+ * needs no load. Before the first request this costs almost nothing.
  */
 final class WeightStaging {
     /** Number of loads that are reserved for VMs that do not serve, since a running load cannot be cancelled. */
@@ -98,7 +101,7 @@
     Optional<Choice> chooseNext(Input input, int freeLoads) {
         Optional<Choice> choice = chooseForEmptyVm(input);
         if (choice.isEmpty() && (input.planning().startup() || freeLoads > RESERVED_LOADS)) {
-            choice = chooseForIdleVm(input).or(() -> chooseReserve(input));
+            choice = chooseForIdleVm(input).or(() -> chooseForLeftover(input)).or(() -> chooseReserve(input));
         }
         boolean allowed = choice.isPresent()
                 && (input.planning().startup()
@@ -154,6 +157,33 @@
         return Optional.empty();
     }
 
+    /** Chooses an idle VM that can be spared for a model that refuses requests ({@link LeftoverUse}). */
+    private Optional<Choice> chooseForLeftover(Input input) {
+        ReplicaPlanner.Input planning = input.planning();
+        if (planning.startup() || planning.demand().refusingModels().isEmpty()) {
+            return Optional.empty();
+        }
+        Map<Optional<FabricDomainId>, List<UpstreamVm>> fabrics =
+                planning.vms().stream().collect(Collectors.groupingBy(UpstreamVm::fabricDomain));
+        for (UpstreamVm vm : planning.vms()) {
+            if (!isIdle(input, vm) || !mayLoad(input, vm)) {
+                continue;
+            }
+            LeftoverUse use = new LeftoverUse(
+                    planning.engine(),
+                    planning.demand(),
+                    input.balance(),
+                    fabrics.get(vm.fabricDomain()),
+                    other -> isIdle(input, other) && !planning.unresponsive().contains(other.id()),
+                    (other, model) -> other.hasWeights(model) || isLoading(other, model));
+            Optional<ModelSpec> model = use.modelFor(vm);
+            if (model.isPresent()) {
+                return Optional.of(new Choice(vm, model.get(), "left over"));
+            }
+        }
+        return Optional.empty();
+    }
+
     private boolean isUseful(Input input, UpstreamVm vm, ModelSpec model) {
         if (!isIdle(input, vm) || vm.hasWeights(model.id()) || isLoading(vm)) {
             return false;
