Count and log bodies that are refused for lack of memory

Refused bodies were neither counted nor logged, though OPERATIONS promises it and heads do so. Change: a refusal for lack of memory is recorded as well.

--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -213,6 +213,7 @@
 
         private void refuse() {
             body.release();
+            duty.callerResources().record("body");
             response.getHeaders().put(HttpHeader.RETRY_AFTER, BODY_RETRY_SECONDS);
             answer(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503, "too many bodies");
         }
