Derive what can be derived, and rank targets only for changed nodes

- HomeNodes.setNodes says whether the nodes have changed.
- QueueState.anyEvacuated follows from the number of open targets; ColdVmFeed copied all VMs to keep the cold ones.
- EngineProfile and Target lose the constructors that repeat all fields but the newest; tests say that no memory is told.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/EvacuatedTargetsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/EvacuatedTargetsTest.java
@@ -1,6 +1,7 @@
 package org.apricotdeal.proofs.relay;
 
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.apricotdeal.kernel.id.FailureDomainId;
@@ -22,9 +23,23 @@
     private static final FailureDomainId OTHER = new FailureDomainId("b");
     private static final Target HERE = RelayFixture.target("v1", 4);
     private static final Target THERE = new Target(
-            new TargetId(new VmId("v2"), 1), RelayFixture.QUEUE, "v2:80", "v1", OTHER, 4, List.of(new VmId("v2")));
+            new TargetId(new VmId("v2"), 1),
+            RelayFixture.QUEUE,
+            "v2:80",
+            "v1",
+            OTHER,
+            4,
+            List.of(new VmId("v2")),
+            OptionalLong.empty());
     private static final Target THERE_TOO = new Target(
-            new TargetId(new VmId("v3"), 1), RelayFixture.QUEUE, "v3:80", "v1", OTHER, 4, List.of(new VmId("v3")));
+            new TargetId(new VmId("v3"), 1),
+            RelayFixture.QUEUE,
+            "v3:80",
+            "v1",
+            OTHER,
+            4,
+            List.of(new VmId("v3")),
+            OptionalLong.empty());
 
     private static List<RelayAction> evacuate(RelayFixture relay, FailureDomainId... domains) {
         return relay.step(new RelayEvent.EvacuationsChanged(Set.of(domains)));
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/PoisonedFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/PoisonedFleet.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.BiPredicate;
@@ -83,7 +84,8 @@
                     release,
                     RelayFixture.HOME,
                     SLOTS,
-                    List.of(vm));
+                    List.of(vm),
+                    OptionalLong.empty());
         }
     }
 
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayDispatcherTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayDispatcherTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.apricotdeal.kernel.id.UpstreamId;
@@ -248,7 +249,14 @@
         RelayFixture relay = new RelayFixture();
         QueueId shop = new QueueId(new UpstreamId("shop"), Optional.empty());
         Target target = new Target(
-                new TargetId(new VmId("s1"), 1), shop, "s1:80", "v1", RelayFixture.HOME, 6, List.of(new VmId("s1")));
+                new TargetId(new VmId("s1"), 1),
+                shop,
+                "s1:80",
+                "v1",
+                RelayFixture.HOME,
+                6,
+                List.of(new VmId("s1")),
+                OptionalLong.empty());
         relay.setTargets(target);
         relay.step(new RelayEvent.RequestArrived(relay.arrival(shop, RetrySafety.ONCE, 1)));
         assertEquals(RelayFixture.actionsOfType(relay.advance(700), RelayAction.SuspectTarget.class), List.of());
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFixture.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.apache.commons.rng.simple.RandomSource;
 import org.apricotdeal.kernel.id.FailureDomainId;
@@ -66,7 +67,7 @@
 
     static Target target(String vm, int slots) {
         VmId id = new VmId(vm);
-        return new Target(new TargetId(id, 1), QUEUE, vm + ":80", "v1", HOME, slots, List.of(id));
+        return new Target(new TargetId(id, 1), QUEUE, vm + ":80", "v1", HOME, slots, List.of(id), OptionalLong.empty());
     }
 
     static RouteEntry route(RetrySafety retrySafety, int maxAttempts) {
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ReplicaPlannerTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ReplicaPlannerTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.apricotdeal.kernel.id.FabricDomainId;
@@ -81,8 +82,8 @@
     /** The VMs of an engine upstream may serve without forming replicas; its catalogue then lists no models. */
     @Test
     public void engineWithoutModelsGetsNoOrders() {
-        EngineProfile engine =
-                new EngineProfile(12, 5, 7.8, 0.13, 0.01, 45.9, 979, 154, 200, 5, 7, 300, 2.5, List.of());
+        EngineProfile engine = new EngineProfile(
+                12, 5, 7.8, 0.13, 0.01, 45.9, 979, 154, 200, 5, 7, 300, 2.5, List.of(), OptionalLong.empty());
         UpstreamVm vm = new UpstreamVm(
                 new VmId("v1"),
                 new UpstreamId("chat"),
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RequestCostTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RequestCostTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -217,7 +218,21 @@
 
     static RelayCatalogue catalogue() {
         EngineProfile engine = new EngineProfile(
-                SLOTS, 1, TOKEN_MILLIS, 0, 0, READ_TOKENS_PER_MILLI, 1_100, 112, 0, 5, 7, 300, 2.5, List.of());
+                SLOTS,
+                1,
+                TOKEN_MILLIS,
+                0,
+                0,
+                READ_TOKENS_PER_MILLI,
+                1_100,
+                112,
+                0,
+                5,
+                7,
+                300,
+                2.5,
+                List.of(),
+                OptionalLong.empty());
         UpstreamEntry upstream = new UpstreamEntry(RelayFixture.QUEUE.upstream(), "/health", 100, Optional.of(engine));
         return new RelayCatalogue(
                 1,
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RequestExplanationTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RequestExplanationTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.apache.commons.rng.UniformRandomProvider;
@@ -37,12 +38,21 @@
 
     private static Target target(String vm, FailureDomainId domain, int slots) {
         VmId id = new VmId(vm);
-        return new Target(new TargetId(id, 1), RelayFixture.QUEUE, vm + ":80", "v1", domain, slots, List.of(id));
+        return new Target(
+                new TargetId(id, 1),
+                RelayFixture.QUEUE,
+                vm + ":80",
+                "v1",
+                domain,
+                slots,
+                List.of(id),
+                OptionalLong.empty());
     }
 
     private static RelayFixture overloadedNode() {
         RelayFixture node = new RelayFixture();
-        EngineProfile engine = new EngineProfile(4, 5, 1, 0.1, 0.01, 45.9, 10, 10, 0, 50, 7, 50, 2.5, List.of());
+        EngineProfile engine =
+                new EngineProfile(4, 5, 1, 0.1, 0.01, 45.9, 10, 10, 0, 50, 7, 50, 2.5, List.of(), OptionalLong.empty());
         UpstreamEntry chat = new UpstreamEntry(RelayFixture.QUEUE.upstream(), "/h", 50, Optional.of(engine));
         node.step(new RelayEvent.CatalogueChanged(new RelayCatalogue(
                 1,
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
@@ -70,7 +71,8 @@
                     2.5,
                     List.of(
                             new ModelSpec(new ModelId("m0"), largeReplica, 0.5, 1, 16_000 / loadSpeedup, 1_600),
-                            new ModelSpec(new ModelId("m1"), 2, 0.5, 0.6, 12_000 / loadSpeedup, 1_100)));
+                            new ModelSpec(new ModelId("m1"), 2, 0.5, 0.6, 12_000 / loadSpeedup, 1_100)),
+                    OptionalLong.empty());
         }
     }
 
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimPlacement.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimPlacement.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -128,7 +129,8 @@
         List<Target> targets = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             VmId vm = new VmId("v" + i);
-            targets.add(new Target(new TargetId(vm, 1), QUEUE, vm + ":80", "v1", domain(i), SLOTS, List.of(vm)));
+            targets.add(new Target(
+                    new TargetId(vm, 1), QUEUE, vm + ":80", "v1", domain(i), SLOTS, List.of(vm), OptionalLong.empty()));
         }
         return targets;
     }
--- a/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
@@ -175,7 +176,8 @@
                 "v1",
                 new FailureDomainId("a"),
                 6,
-                List.of(new VmId(id)));
+                List.of(new VmId(id)),
+                OptionalLong.empty());
     }
 
     /** The part of a node between callers and VMs, without the store. */
--- a/proofs/src/test/java/org/apricotdeal/relay/node/FleetDemandTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FleetDemandTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -53,7 +54,8 @@
             2.5,
             List.of(
                     new ModelSpec(new ModelId("m0"), 8, 0.5, 1, 16_000, 1_600),
-                    new ModelSpec(new ModelId("m1"), 2, 0.5, 0.6, 12_000, 1_100)));
+                    new ModelSpec(new ModelId("m1"), 2, 0.5, 0.6, 12_000, 1_100)),
+            OptionalLong.empty());
     private static final int DOMAINS = 3;
     private static final int NODES_PER_DOMAIN = 10;
     private static final double WINDOW_SECONDS = 15;
--- a/proofs/src/test/java/org/apricotdeal/relay/node/UnregisteredPlannerTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/UnregisteredPlannerTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.apricotdeal.kernel.id.UpstreamId;
 import org.apricotdeal.kernel.time.SystemClock;
@@ -87,7 +88,8 @@
     }
 
     static RelayCatalogue catalogue() {
-        EngineProfile engine = new EngineProfile(4, 5, 1, 0.1, 0.01, 45.9, 10, 10, 0, 50, 7, 50, 2.5, List.of());
+        EngineProfile engine =
+                new EngineProfile(4, 5, 1, 0.1, 0.01, 45.9, 10, 10, 0, 50, 7, 50, 2.5, List.of(), OptionalLong.empty());
         UpstreamEntry chat = new UpstreamEntry(new UpstreamId("chat"), "/h", 50, Optional.of(engine));
         return new RelayCatalogue(
                 1,
--- a/relay/src/main/java/org/apricotdeal/relay/node/ColdVmFeed.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/ColdVmFeed.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -104,8 +105,6 @@
             }
         });
         unknown.retainAll(vms.keySet());
-        Map<VmId, ColdVm> stillCold = new HashMap<>(vms);
-        stillCold.keySet().retainAll(cold);
-        coldVms = Map.copyOf(stillCold);
+        coldVms = cold.stream().collect(Collectors.toUnmodifiableMap(id -> id, vms::get));
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/HomeNodes.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/HomeNodes.java
@@ -55,10 +55,14 @@
         this.nodes = List.of(self);
     }
 
-    /** Sets the nodes of the fleet, including this one. */
-    void setNodes(List<FleetNode> changed) {
-        nodes = List.copyOf(changed);
+    /** Sets the nodes of the fleet, including this one; returns false if they are the same as before. */
+    boolean setNodes(List<FleetNode> current) {
+        if (Set.copyOf(current).equals(Set.copyOf(nodes))) {
+            return false;
+        }
+        nodes = List.copyOf(current);
         countOpenDomains();
+        return true;
     }
 
     /** Sets the failure domains that the operator evacuates. */
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
@@ -221,8 +221,11 @@
         return Optional.ofNullable(coldLimits.get(state.target.id().vm()));
     }
 
+    /** Sets the nodes of the fleet; unchanged ones, which are told again and again, cost no new ranks of all targets. */
     void setNodes(List<FleetNode> nodes, long nowMillis) {
-        homeNodes.setNodes(nodes);
+        if (!homeNodes.setNodes(nodes) && fleetKnownMillis.isPresent()) {
+            return;
+        }
         if (fleetKnownMillis.isEmpty()) {
             fleetKnownMillis = OptionalLong.of(nowMillis);
         }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
@@ -39,7 +39,6 @@
     long nextReturnAtMillis;
     private final Optional<CostEstimator> costs;
     private final TypicalTime typicalStart;
-    private boolean anyEvacuated;
     private int openTargets;
     private OptionalDouble averagePeersRunning = OptionalDouble.empty();
 
@@ -134,11 +133,14 @@
         return target.isHome() && !target.isEvacuated();
     }
 
-    /** Counts with evacuated targets from now on, after the targets or the evacuations have changed. */
+    /** Counts the targets again that are not being evacuated, after the targets or the evacuations have changed. */
     void updateEvacuated() {
         openTargets =
                 (int) targets.stream().filter(target -> !target.isEvacuated()).count();
-        anyEvacuated = openTargets < targets.size();
+    }
+
+    private boolean anyEvacuated() {
+        return openTargets < targets.size();
     }
 
     /** Returns the number of targets that are not being evacuated. */
@@ -157,7 +159,7 @@
 
     /** Returns why a request is refused for which no target is available. */
     RefusalReason noTargetReason() {
-        return anyEvacuated && openTargets == 0 ? RefusalReason.EVACUATED : RefusalReason.NO_TARGET;
+        return anyEvacuated() && openTargets == 0 ? RefusalReason.EVACUATED : RefusalReason.NO_TARGET;
     }
 
     /**
@@ -166,7 +168,7 @@
      * @return the removed requests
      */
     List<RequestState> removeWaitingForEvacuated() {
-        if (!anyEvacuated || waiting.isEmpty()) {
+        if (!anyEvacuated() || waiting.isEmpty()) {
             return List.of();
         }
         List<RequestState> removed =
--- a/relay/src/main/java/org/apricotdeal/relay/policy/Target.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/Target.java
@@ -31,26 +31,4 @@
     public Target {
         members = List.copyOf(members);
     }
-
-    /**
-     * Creates a destination whose memory is not known.
-     *
-     * @param id identifies the target
-     * @param queue queue of the requests that it serves
-     * @param address host and port
-     * @param release software release of the VM that receives the requests; empty if it reports none
-     * @param failureDomain failure domain of the VM that receives the requests
-     * @param slots maximum number of concurrent requests
-     * @param members all VMs that the target depends on; the first receives the requests
-     */
-    public Target(
-            TargetId id,
-            QueueId queue,
-            String address,
-            String release,
-            FailureDomainId failureDomain,
-            int slots,
-            List<VmId> members) {
-        this(id, queue, address, release, failureDomain, slots, members, OptionalLong.empty());
-    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetBuilder.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetBuilder.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.EngineProfile;
@@ -88,7 +89,8 @@
                     vm.release(),
                     vm.failureDomain(),
                     vm.slots(),
-                    members));
+                    members,
+                    OptionalLong.empty()));
         }
     }
 }
