--- a/relay/src/main/java/org/apricotdeal/relay/node/ExplainHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/ExplainHandler.java
@@ -1,14 +1,12 @@
 package org.apricotdeal.relay.node;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -103,16 +101,16 @@
     }
 
     private Map<String, String> headers(Fields query) {
-        Map<String, String> headers = new HashMap<>();
+        Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
         for (String header : query.getValuesOrEmpty("header")) {
             int colon = header.indexOf(':');
             headers.put(
-                    header.substring(0, colon).trim().toLowerCase(Locale.ROOT),
+                    header.substring(0, colon).trim(),
                     header.substring(colon + 1).trim());
         }
         String key = query.getValue("key");
         if (key != null) {
-            headers.put(HttpHeader.AUTHORIZATION.lowerCaseName(), keyScheme + " " + key);
+            headers.put(HttpHeader.AUTHORIZATION.asString(), keyScheme + " " + key);
         }
         return headers;
     }
@@ -127,8 +125,7 @@
             root.put("verdict", "reject").put("reason", catalogue.isEmpty() ? "no catalogue" : "no route");
             return Optional.empty();
         }
-        Optional<Customer> customer =
-                reader.customer(name -> headers.get(name.toLowerCase(Locale.ROOT)), catalogue.get());
+        Optional<Customer> customer = reader.customer(headers::get, catalogue.get());
         root.put("catalogueVersion", catalogue.get().version());
         root.put("route", route.get().name());
         root.put("customer", customer.map(Customer::name).orElse(""));
@@ -141,7 +138,7 @@
                 .orElseThrow();
         Arrival arrival = reader.arrival(
                 NOT_SENT,
-                name -> headers.get(name.toLowerCase(Locale.ROOT)),
+                headers::get,
                 catalogue.get(),
                 route.get(),
                 upstream.upstream(),
@@ -197,8 +194,6 @@
     }
 
     private static void answer(Response response, Callback callback, int status, ObjectNode root) {
-        response.setStatus(status);
-        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
-        response.write(true, ByteBuffer.wrap(root.toString().getBytes(StandardCharsets.UTF_8)), callback);
+        RelayServer.answer(response, callback, status, "application/json", root.toString());
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
@@ -137,7 +137,8 @@
         answer(response, callback, code, "text/plain", text);
     }
 
-    private static void answer(Response response, Callback callback, int code, String contentType, String text) {
+    /** Answers with a whole text. */
+    static void answer(Response response, Callback callback, int code, String contentType, String text) {
         response.setStatus(code);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, contentType);
         response.write(true, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), callback);
