Log revisions of the store that decrease, and evacuations that are ignored

Nothing said that a listing was older than what a node knew, nor that it was ignored for that, so the hypotheses of the restored store could not be told apart. Adds the log lines store_revision_decreased and evacuations_outdated and the counter evacuations.outdated; decides nothing.

--- a/relay/src/main/java/org/apricotdeal/relay/node/EvacuationHolder.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/EvacuationHolder.java
@@ -69,7 +69,16 @@
 
     /** Puts in force what the store listed or a peer told, if it is of a later revision. */
     synchronized void offer(Evacuations offered, String source) {
-        adopt(current.latest(offered), source);
+        Evacuations latest = current.latest(offered);
+        if (!latest.equals(offered) && !offered.domains().equals(current.domains())) {
+            metrics.counter("evacuations.outdated").inc();
+            log.request("evacuations_outdated")
+                    .with("offered", offered.revision())
+                    .with("known", current.revision())
+                    .with("from", source)
+                    .write();
+        }
+        adopt(latest, source);
     }
 
     /** Puts changes in force that a watch returned. */
--- a/relay/src/main/java/org/apricotdeal/relay/node/StoreThread.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/StoreThread.java
@@ -122,6 +122,14 @@
         return clock;
     }
 
+    DecisionLog log() {
+        return log;
+    }
+
+    String task() {
+        return task;
+    }
+
     @Override
     public void close() {
         stopped = true;
--- a/relay/src/main/java/org/apricotdeal/relay/node/StoreWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/StoreWatcher.java
@@ -13,6 +13,7 @@
     private final WatchStore store;
     private final String prefix;
     private long revision = -1;
+    private long lastRevision = -1;
 
     /**
      * Creates a watcher.
@@ -66,8 +67,10 @@
             case Result.Err<WatchStore.Range, StoreFault>(StoreFault fault) -> callFailed(fault);
             case Result.Ok<WatchStore.Range, StoreFault>(WatchStore.Range range) -> {
                 callSucceeded();
+                reportDecrease(range.revision());
                 long pauseMillis = onListed(range);
                 revision = range.revision();
+                lastRevision = revision;
                 yield pauseMillis;
             }
         };
@@ -84,8 +87,21 @@
                 callSucceeded();
                 long pauseMillis = onChanged(changes);
                 revision = Math.max(revision, changes.revision());
+                lastRevision = revision;
                 yield pauseMillis;
             }
         };
     }
+
+    /** Logs that the store has returned with a lower revision than it had before. */
+    private void reportDecrease(long listedRevision) {
+        long knownRevision = Math.max(lastRevision, peerRevision());
+        if (listedRevision < knownRevision) {
+            log().state("store_revision_decreased")
+                    .with("matter", task())
+                    .with("listed", listedRevision)
+                    .with("known", knownRevision)
+                    .write();
+        }
+    }
 }
