The log says whether a request had arrived when the node answered it

answered_at_once named status and reason only, so that an answer in the middle of a body could not be told from one after it. It says bodyComplete now, and answered_before_body counts the answers that were sent while a body was still arriving. No logic changes.

--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -122,10 +122,11 @@
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
         // A connection whose body has not arrived is closed; unless that is announced, the caller's next request is
         // lost.
-        if (draining || !response.getRequest().consumeAvailable()) {
+        boolean bodyComplete = response.getRequest().consumeAvailable();
+        if (draining || !bodyComplete) {
             response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
         }
-        duty.recordImmediateResponse(status, reason);
+        duty.recordImmediateResponse(status, reason, bodyComplete);
         byte[] body = ("{\"error\":\"" + reason.toLowerCase(Locale.ROOT) + "\"}").getBytes(StandardCharsets.UTF_8);
         response.write(true, ByteBuffer.wrap(body), callback);
     }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -221,11 +221,22 @@
         }
     }
 
-    void recordImmediateResponse(int status, String reason) {
+    /**
+     * Counts and logs a response that the node gives itself.
+     *
+     * @param status status of the response
+     * @param reason reason for it
+     * @param bodyComplete whether the request had arrived to its end
+     */
+    void recordImmediateResponse(int status, String reason, boolean bodyComplete) {
         metrics.counter("answered.at.once." + status).inc();
+        if (!bodyComplete) {
+            metrics.counter("answered.before.body").inc();
+        }
         log.request("answered_at_once")
                 .with("status", status)
                 .with("reason", reason)
+                .with("bodyComplete", bodyComplete)
                 .write();
     }
 
