An answer reaches a caller that is still sending

A caller that sent its body in pieces found its connection reset when the node refused the request on its head (404, 401, 413, 503): the write failed with "broken pipe", and a caller that stops there has neither answer nor refusal. The node closed the connection while the body was arriving, and bytes that arrive at a closed socket cause a reset, which may overtake what was sent before (RFC 9112, 9.6). The same happened wherever the node or Jetty closes a connection on which the caller goes on sending: 408 and 503 of closeWith, 400 and 431, a body without length that grows too long, and the last answer of a connection at a stop.

The refusal goes out at once as before. BodyDrain then reads the rest of the body and discards it, within bounds of time and size; it counts as a response not yet written, so that a graceful stop waits for it, and as a stalled holder of the connection, so that it gives way to others. A connection whose output has ended lingers: Jetty lets go of it, LingeringConnections discards what still arrives until the caller closes its end or 2 s are over. Lingering connections count within the limit of connections and are the first to be closed; a response that is aborted is still closed at once.

An early refusal says Connection: close as before, as RelayNodeTest.rejectionBeforeBodyAnnouncesConnectionClose wants. The connection stays open where the body came with the head.

FailingActionsTest passes the new argument of CallerConnector; HostileFleet.connect is visible to the new test. No check changed.

--- a/proofs/src/test/java/org/apricotdeal/proofs/process/HostileFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/HostileFleet.java
@@ -214,7 +214,7 @@
                 .toList();
     }
 
-    private Socket connect(int receiveBufferBytes) throws IOException {
+    Socket connect(int receiveBufferBytes) throws IOException {
         Socket socket = new Socket();
         if (receiveBufferBytes > 0) {
             socket.setReceiveBufferSize(receiveBufferBytes);
--- a/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
@@ -219,7 +219,7 @@
             catalogues.subscribe(catalogue -> relay.put(new RelayEvent.CatalogueChanged(catalogue)));
             catalogues.offer(CONFIGURATION.getBytes(StandardCharsets.UTF_8), "test");
             server = new Server(threads);
-            callers = new CallerConnector(server, new HttpConnectionFactory());
+            callers = new CallerConnector(server, new HttpConnectionFactory(), new LingeringConnections());
             callers.setHost("127.0.0.1");
             server.addConnector(callers);
             server.setHandler(new IngressHandler(catalogues, adapter, relay, clock));
--- a/relay/src/main/java/org/apricotdeal/relay/node/CallerResources.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CallerResources.java
@@ -22,6 +22,7 @@
     private final BufferLimit heads;
     private final BufferLimit answers;
     private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+    private final LingeringConnections lingering = new LingeringConnections();
     private volatile long headTimeoutMillis;
 
     CallerResources(ResourceLimits limits, Clock clock, DecisionLog log, MetricRegistry metrics) {
@@ -36,6 +37,7 @@
         metrics.register("callers.held.head.bytes", (Gauge<Long>) heads::reservedBytes);
         metrics.register("callers.held.answer.bytes", (Gauge<Long>) answers::reservedBytes);
         metrics.register("callers.connections", (Gauge<Integer>) connections::size);
+        metrics.register("callers.lingering", (Gauge<Integer>) lingering::size);
     }
 
     BufferLimit bodies() {
@@ -50,6 +52,11 @@
         return answers;
     }
 
+    /** Returns the callers' connections that are about to be closed. */
+    LingeringConnections lingering() {
+        return lingering;
+    }
+
     long nowMillis() {
         return clock.monotonicMillis();
     }
@@ -60,11 +67,15 @@
     }
 
     /**
-     * Adds a connection. If there are too many, closes the one that has been without a request for the longest time; if all
-     * have one, the one that has stalled for the longest time in sending its body or reading its answer; else the new one.
+     * Adds a connection. If there are too many, closes those that linger; then the one that has been without a request for
+     * the longest time; if all have one, the one that has stalled for the longest time in sending its body or reading its
+     * answer; else the new one.
      */
     void opened(CallerConnection connection) {
-        while (connections.size() >= limits.connections()) {
+        while (connections.size() + lingering.size() >= limits.connections()) {
+            if (lingering.closeOldest()) {
+                continue;
+            }
             Optional<CallerConnection> stalled = longestStalled();
             if (stalled.isEmpty() || !stalled.get().giveWay()) {
                 connection.giveWay();
--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -37,6 +37,9 @@
     /** Time in which a body has to arrive while others need its memory. */
     private static final long BODY_HOLD_MILLIS = 10_000;
 
+    /** Content beyond the limit of a body that a caller may send after its request has been answered. */
+    private static final long EXCESS_BODY_BYTES = 4 * 1024 * 1024;
+
     private final BufferLimit bodyLimit;
     private final CatalogueHolder catalogues;
     private final ArrivalReader reader;
@@ -120,15 +123,30 @@
     private void answer(Response response, Callback callback, int status, String reason) {
         response.setStatus(status);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        BodyDrain drain = new BodyDrain(response.getRequest(), maxDiscardedBytes(), clock);
+        boolean bodyComplete = drain.discardArrived();
         // A connection whose body has not arrived is closed; unless that is announced, the caller's next request is
         // lost.
-        boolean bodyComplete = response.getRequest().consumeAvailable();
         if (draining || !bodyComplete) {
             response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
         }
         duty.recordImmediateResponse(status, reason, bodyComplete);
         byte[] body = ("{\"error\":\"" + reason.toLowerCase(Locale.ROOT) + "\"}").getBytes(StandardCharsets.UTF_8);
-        response.write(true, ByteBuffer.wrap(body), callback);
+        if (bodyComplete) {
+            response.write(true, ByteBuffer.wrap(body), callback);
+            return;
+        }
+        duty.responseExpected();
+        Callback drained = Callback.from(callback, duty::responseWritten);
+        response.write(true, ByteBuffer.wrap(body), drain.thenComplete(drained));
+    }
+
+    private long maxDiscardedBytes() {
+        long maxBodyBytes = catalogues
+                .current()
+                .map(catalogue -> catalogue.callerLimits().maxBodyBytes())
+                .orElse(0L);
+        return Math.min(maxBodyBytes, Long.MAX_VALUE - EXCESS_BODY_BYTES) + EXCESS_BODY_BYTES;
     }
 
     /** Reads a body to its end without blocking and then submits the request, unless it has to give way to others. */
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayServer.java
@@ -64,7 +64,8 @@
         server = new Server(threads);
         this.resources = resources;
         HttpConfiguration callerHttp = configuration();
-        callers = new CallerConnector(server, new CallerConnectionFactory(callerHttp, resources));
+        callers =
+                new CallerConnector(server, new CallerConnectionFactory(callerHttp, resources), resources.lingering());
         listen(callers, settings.callerAddress());
         readiness = connector(settings.readinessAddress());
         connector(settings.peerAddress());
--- a/relay/src/main/java/org/apricotdeal/relay/node/WatchedEndPoint.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/WatchedEndPoint.java
@@ -24,12 +24,22 @@
     private static final int READ_AHEAD_BYTES = 2_048;
 
     private final ReadTurn turn = new ReadTurn();
+    private final LingeringConnections lingering;
+    private final SelectionKey key;
     private ByteBuffer readAheadBuffer = BufferUtil.EMPTY_BUFFER;
     private Watch watch;
+    private volatile boolean outputEnded;
     private volatile IntConsumer onFlush = count -> {};
 
-    WatchedEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
+    WatchedEndPoint(
+            SocketChannel channel,
+            ManagedSelector selector,
+            SelectionKey key,
+            Scheduler scheduler,
+            LingeringConnections lingering) {
         super(channel, selector, key, scheduler);
+        this.key = key;
+        this.lingering = lingering;
     }
 
     @Override
@@ -79,9 +89,32 @@
         } catch (IOException e) {
             // The caller has closed the connection.
         }
+        endOutput();
+    }
+
+    /** Ends the output and closes the connection, which lingers until the caller has read its end. */
+    void endOutput() {
+        shutdownOutput();
         close();
     }
 
+    @Override
+    protected void doShutdownOutput() {
+        super.doShutdownOutput();
+        outputEnded = true;
+    }
+
+    /** Leaves the connection to linger if its response is complete; one that is aborted is closed at once. */
+    @Override
+    public void doClose() {
+        if (!outputEnded) {
+            super.doClose();
+            return;
+        }
+        key.cancel();
+        lingering.add(getChannel(), getScheduler());
+    }
+
     /**
      * Starts watching for a disconnect. Must be called after the request has been read completely, and must be ended before
      * the response is completed.
