Move a request off a silent VM only if another VM can receive it

Callers saw: a stream that had begun was cut at the deadline of its request, though its VM went on after 1.3 s of silence and no other VM was there. Cause: after 550 ms without progress the dispatcher cancelled the attempt if the queue had any free slot. The free slots of the silent VM itself and of VMs that the request had tried counted, and several requests were moved for one free slot; none of these could be sent again. Evidence: SilentVmTest.streamStaysWhereNoOtherVmCanReceiveIt failed 3 of 3 times on (given_up reason=TIMEOUT begun=true). The target is now chosen first, and the request is sent to it in the same step, so an attempt is cancelled only for one that takes its place.

--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SilentVmTest.java
@@ -0,0 +1,63 @@
+package org.apricotdeal.proofs.relay;
+
+import java.io.IOException;
+
+import org.apricotdeal.proofs.http.ScriptedServer;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertTrue;
+
+/** Tests that the silence of a VM ends no answer while the request has time left. */
+public final class SilentVmTest {
+    private static final String CHUNKED_END = "0\r\n\r\n";
+
+    /** Longer than the time after which a silent VM is suspected. */
+    private static final long SHORT_SILENCE_MILLIS = 1_300;
+
+    private RelayFleet fleet;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        fleet = new RelayFleet(1, 1);
+        fleet.configure(3, RelayFleet.KEY);
+        fleet.awaitServing(15);
+        fleet.store.put(
+                "op/config",
+                RelayFleet.configuration(4, RelayFleet.KEY)
+                        .replace("\"timeout-ms\":1000", "\"timeout-ms\":6000")
+                        .replace("\"timeout-ms\":2000", "\"timeout-ms\":6000"));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        fleet.close();
+    }
+
+    @Test
+    public void streamStaysWhereNoOtherVmCanReceiveIt() throws Exception {
+        try (ScriptedServer vm = new ScriptedServer(connection -> serveStream(connection, SHORT_SILENCE_MILLIS))) {
+            fleet.replaceService("silent", vm, 4);
+            String answer = fleet.call("POST", "/watch/x", "silent", RelayFleet.KEY);
+            assertTrue(answer.endsWith(CHUNKED_END), answer);
+        }
+    }
+
+    private static void serveStream(ScriptedServer.Connection connection, long silentMillis) throws IOException {
+        ScriptedServer.Received received = connection.read();
+        connection.write(head(received.header("x-attempt-id")) + "Content-Type: text/event-stream\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\n" + chunk(1));
+        RelayFleet.pause(silentMillis);
+        connection.write(chunk(2) + CHUNKED_END);
+    }
+
+    private static String head(String id) {
+        return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: s\r\n";
+    }
+
+    private static String chunk(int number) {
+        String event = "id: " + number + "\ndata: token " + number + "\n\n";
+        return Integer.toHexString(event.length()) + "\r\n" + event + "\r\n";
+    }
+}
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -495,24 +495,24 @@
         }
         state.lastProgressMillis = nowMillis;
         for (RequestState request : List.copyOf(state.running)) {
-            if (canMove(request)) {
-                move(request);
-            }
+            moveIfPossible(request);
         }
     }
 
-    private void move(RequestState request) {
+    /** Sends a request to another target, unless none can receive it now: its own may still go on. */
+    private void moveIfPossible(RequestState request) {
+        if (!request.arrival.route().retryable()
+                || request.attempts >= request.arrival.route().maxAttempts()) {
+            return;
+        }
+        TargetState other = targetChooser.choose(request.queue, request, poison, nowMillis);
+        if (other == null || !budget.tryRetry(request.queue.id.upstream(), nowMillis)) {
+            return;
+        }
         actions.add(new RelayAction.CancelAttempt(request.arrival.id()));
         request.release();
         request.mayHaveRun = true;
-        request.queue.waiting.add(request);
-    }
-
-    private boolean canMove(RequestState request) {
-        return request.arrival.route().retryable()
-                && request.attempts < request.arrival.route().maxAttempts()
-                && request.queue.freeSlots(nowMillis) > 0
-                && budget.tryRetry(request.queue.id.upstream(), nowMillis);
+        send(request, other);
     }
 
     private void suspect(TargetState state, String reason) {
