Let a VM be silent for as long as its request has time

Callers saw: a booking whose VM answered after 4.4 s, within its time, got 502; a stream whose VM paused for 4.4 s ended with its connection. Cause: the idle timeout of pooled connections to VMs, 4 s, also ended a connection with a request in progress. The idle timeout of a request is now its remaining time and a second; the dispatcher cancels the attempt at the deadline. Jetty restores the timeout of the connection after the request.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SilentVmTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SilentVmTest.java
@@ -13,6 +13,9 @@
 public final class SilentVmTest {
     private static final String CHUNKED_END = "0\r\n\r\n";
 
+    /** Longer than the idle timeout of connections to VMs, and shorter than the time of the request. */
+    private static final long LONG_SILENCE_MILLIS = 4_400;
+
     /** Longer than the time after which a silent VM is suspected. */
     private static final long SHORT_SILENCE_MILLIS = 1_300;
 
@@ -35,6 +38,24 @@
         fleet.close();
     }
 
+    @Test
+    public void bookingIsAnsweredAfterLongSilence() throws Exception {
+        try (ScriptedServer vm = new ScriptedServer(connection -> serveBooking(connection, LONG_SILENCE_MILLIS))) {
+            fleet.replaceService("silent", vm, 4);
+            String answer = fleet.call("POST", "/book/x", "silent", RelayFleet.KEY);
+            assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+        }
+    }
+
+    @Test
+    public void streamGoesOnAfterLongSilence() throws Exception {
+        try (ScriptedServer vm = new ScriptedServer(connection -> serveStream(connection, LONG_SILENCE_MILLIS))) {
+            fleet.replaceService("silent", vm, 4);
+            String answer = fleet.call("POST", "/watch/x", "silent", RelayFleet.KEY);
+            assertTrue(answer.endsWith(CHUNKED_END), answer);
+        }
+    }
+
     @Test
     public void streamStaysWhereNoOtherVmCanReceiveIt() throws Exception {
         try (ScriptedServer vm = new ScriptedServer(connection -> serveStream(connection, SHORT_SILENCE_MILLIS))) {
@@ -44,6 +65,12 @@
         }
     }
 
+    private static void serveBooking(ScriptedServer.Connection connection, long silentMillis) throws IOException {
+        String id = connection.read().header("x-attempt-id");
+        RelayFleet.pause(silentMillis);
+        connection.write(head(id) + "Connection: close\r\nContent-Length: 2\r\n\r\nok");
+    }
+
     private static void serveStream(ScriptedServer.Connection connection, long silentMillis) throws IOException {
         ScriptedServer.Received received = connection.read();
         connection.write(head(received.header("x-attempt-id")) + "Content-Type: text/event-stream\r\n"
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
 import org.apricotdeal.kernel.id.FailureDomainId;
@@ -42,6 +43,9 @@
      */
     private static final long MAX_BEGINNING_MILLIS = 20;
 
+    /** Time after the deadline of a request in which its attempt has been cancelled. */
+    private static final long IDLE_MARGIN_MILLIS = 1_000;
+
     private final Exchange exchange;
     private final AttemptId id;
     private final Target target;
@@ -161,6 +165,8 @@
             request.body(
                     new ByteBufferRequestContent((String) null, exchange.body().content()));
         }
+        // The idle timeout of pooled connections would end an answer whose VM is silent for longer.
+        request.idleTimeout(remainingMillis() + IDLE_MARGIN_MILLIS, TimeUnit.MILLISECONDS);
         request.onRequestBegin(this::begin);
         request.onResponseHeaders(this::onHeaders);
         request.onResponseContentAsync(this::onContent);
@@ -183,8 +189,7 @@
                 headers.add(field);
             }
         }
-        long remainingMillis = Math.max(1, exchange.arrival().deadlineMillis() - clock.monotonicMillis());
-        headers.put(headerNames.remainingMillis(), Long.toString(remainingMillis));
+        headers.put(headerNames.remainingMillis(), Long.toString(remainingMillis()));
         headers.put(headerNames.targetVm(), target.id().vm().value());
         headers.put(
                 headerNames.priority(),
@@ -197,6 +202,10 @@
         }
     }
 
+    private long remainingMillis() {
+        return Math.max(1, exchange.arrival().deadlineMillis() - clock.monotonicMillis());
+    }
+
     /** Called when a connection is there, for which the attempt may have waited, and before any byte is written. */
     private synchronized void begin(Request begun) {
         if (evacuated.test(target.failureDomain())) {
