Leave an answer that has begun at a silent VM for two seconds

Callers saw: a stream was cut although its VM went on. It had been moved after 550 ms of silence, and the second VM did not run it, or closed. Cause: an answer that has begun was given up for one that might not come. A sound VM may be silent for a second or so and go on. A request whose answer has not begun still moves after 550 ms; one whose answer has begun after 2 s, which is half the time after which an engine gives a silent member up. The case of RelayDispatcherTest that expected a begun stream to move within a second is replaced by two: one whose answer has not begun moves within a second, a begun one not before 1.9 s and within 2.5 s.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayDispatcherTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayDispatcherTest.java
@@ -149,22 +149,43 @@
 
     @Test
     public void streamMovesFromStalledTargetToAnother() {
+        RelayFixture relay = new RelayFixture();
+        relay.setTargets(RelayFixture.target("v1", 2), RelayFixture.target("v2", 2));
+        RelayAction.Send sent = RelayFixture.onlySend(relay.arrive(RetrySafety.STREAM));
+        List<RelayAction> actions = relay.advance(1_000);
+        assertMoved(actions, sent);
+        assertSuspected(actions, sent);
+    }
+
+    /** A sound VM may be silent for a second in the middle of an answer, which ends if no other VM can resume it. */
+    @Test
+    public void streamThatHasBegunMovesAfterTwoSecondsOfSilence() {
         RelayFixture relay = new RelayFixture();
         relay.setTargets(RelayFixture.target("v1", 2), RelayFixture.target("v2", 2));
         RelayAction.Send sent = RelayFixture.onlySend(relay.arrive(RetrySafety.STREAM));
         relay.step(new RelayEvent.AnswerStarted(sent.attempt()));
         List<RelayAction> actions = relay.advance(1_000);
+        assertSuspected(actions, sent);
+        assertEquals(RelayFixture.actionsOfType(actions, RelayAction.CancelAttempt.class), List.of());
+        assertEquals(RelayFixture.actionsOfType(relay.advance(900), RelayAction.CancelAttempt.class), List.of());
+        assertMoved(relay.advance(600), sent);
+    }
+
+    private static void assertMoved(List<RelayAction> actions, RelayAction.Send sent) {
         assertEquals(
                 RelayFixture.actionsOfType(actions, RelayAction.CancelAttempt.class)
                         .size(),
                 1,
                 actions.toString());
+        assertNotEquals(RelayFixture.onlySend(actions).target(), sent.target());
+    }
+
+    private static void assertSuspected(List<RelayAction> actions, RelayAction.Send sent) {
         assertEquals(
                 RelayFixture.actionsOfType(actions, RelayAction.SuspectTarget.class)
                         .getFirst()
                         .target(),
                 sent.target());
-        assertNotEquals(RelayFixture.onlySend(actions).target(), sent.target());
     }
 
     /**
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SilentVmTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SilentVmTest.java
@@ -65,6 +65,36 @@
         }
     }
 
+    @Test
+    public void streamGoesOnAfterSilenceBesideFullVm() throws Exception {
+        try (ScriptedServer vm = new ScriptedServer(connection -> serveStream(connection, SHORT_SILENCE_MILLIS));
+                ScriptedServer other = new ScriptedServer(SilentVmTest::refuse)) {
+            fleet.replaceService("silent", vm, 4);
+            Thread.ofVirtual().start(() -> {
+                RelayFleet.pause(200);
+                fleet.registerService("other", other, 4);
+            });
+            RelayFleet.pause(100);
+            String answer = fleet.call("POST", "/watch/x", "silent", RelayFleet.KEY);
+            assertTrue(answer.endsWith(CHUNKED_END), answer);
+        }
+    }
+
+    @Test
+    public void streamGoesOnAfterSilenceBesideResettingVm() throws Exception {
+        try (ScriptedServer vm = new ScriptedServer(connection -> serveStream(connection, SHORT_SILENCE_MILLIS));
+                ScriptedServer other = new ScriptedServer(ScriptedServer.Connection::read)) {
+            fleet.replaceService("silent", vm, 4);
+            Thread.ofVirtual().start(() -> {
+                RelayFleet.pause(200);
+                fleet.registerService("other", other, 4);
+            });
+            RelayFleet.pause(100);
+            String answer = fleet.call("POST", "/watch/x", "silent", RelayFleet.KEY);
+            assertTrue(answer.endsWith(CHUNKED_END), answer);
+        }
+    }
+
     private static void serveBooking(ScriptedServer.Connection connection, long silentMillis) throws IOException {
         String id = connection.read().header("x-attempt-id");
         RelayFleet.pause(silentMillis);
@@ -79,6 +109,12 @@
         connection.write(chunk(2) + CHUNKED_END);
     }
 
+    private static void refuse(ScriptedServer.Connection connection) throws IOException {
+        String id = connection.read().header("x-attempt-id");
+        connection.write("HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: " + id
+                + "\r\nX-Not-Executed: 1\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    }
+
     private static String head(String id) {
         return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: s\r\n";
     }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -35,7 +35,8 @@
  * two heartbeats of the other nodes, this node uses an equal share of the free slots.
  *
  * <p><em>Stall detection:</em> a target is suspected if none of its requests makes progress. It receives no new
- * requests, and its running requests that may be retried move to other targets. Time for which this node itself was
+ * requests, and its running requests that may be retried move to other targets, later those whose answer has begun.
+ * Time for which this node itself was
  * held up does not count, because progress made meanwhile has not been seen yet.
  *
  * <p><em>Suspect prompts:</em> a request whose prompt has parts that crash VMs is refused before it is sent, and ended
@@ -49,6 +50,12 @@
     /** A replica sends events every few steps; without any for this long it has lost a member or its head. */
     private static final long STALL_MILLIS = 550;
 
+    /**
+     * Time without progress after which a request whose answer has begun moves too. A sound target may be silent for a
+     * second and go on, whereas an answer that has begun ends with its connection if no other target can resume it.
+     */
+    private static final long BEGUN_STALL_MILLIS = 2_000;
+
     /** Time between two ticks above which this node itself was held up; several tick periods. */
     private static final long MAX_TICK_GAP_MILLIS = 100;
 
@@ -267,7 +274,7 @@
         request.dispatchedMillis = nowMillis;
         request.triedTargets.add(target.target.id());
         if (target.running.isEmpty()) {
-            target.lastProgressMillis = nowMillis;
+            target.startObservation(nowMillis);
         }
         target.recordSend(request, nowMillis);
         poison.onSend(request, target, nowMillis);
@@ -501,7 +508,9 @@
 
     /** Sends a request to another target, unless none can receive it now: its own may still go on. */
     private void moveIfPossible(RequestState request) {
-        if (!request.arrival.route().retryable()
+        boolean mayGoOn = request.started && request.target.silentMillis(nowMillis) < BEGUN_STALL_MILLIS;
+        if (mayGoOn
+                || !request.arrival.route().retryable()
                 || request.attempts >= request.arrival.route().maxAttempts()) {
             return;
         }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -39,6 +39,7 @@
     final Set<RequestState> running = new LinkedHashSet<>();
     long lastProgressMillis;
 
+    private long silentSinceMillis;
     private final QueueState queue;
     private final Optional<ModelRelease> served;
     private final TargetPace pace = new TargetPace();
@@ -380,6 +381,18 @@
     /** Disregards a time during which this node could not see the progress of the target. */
     void excuseDelay(long delayMillis, long nowMillis) {
         lastProgressMillis = Math.min(nowMillis, lastProgressMillis + delayMillis);
+        silentSinceMillis = Math.min(nowMillis, silentSinceMillis + delayMillis);
+    }
+
+    /** Begins to observe the target, which ran no requests of this node. */
+    void startObservation(long nowMillis) {
+        lastProgressMillis = nowMillis;
+        silentSinceMillis = nowMillis;
+    }
+
+    /** Returns for how long none of the target's requests has made progress, over all stalls since. */
+    long silentMillis(long nowMillis) {
+        return nowMillis - silentSinceMillis;
     }
 
     /** Records bytes from the target; the latest of all its requests determines its progress. */
@@ -388,6 +401,7 @@
             return;
         }
         lastProgressMillis = atMillis;
+        silentSinceMillis = atMillis;
         consecutiveStalls = 0;
         if (atMillis >= excludedUntilMillis) {
             exclusionMillis = 0;
