A crowd of refused callers takes no connection from others

Shows that a crowd of twice as many callers as the node has descriptors, refused and trickling bodies without end, keeps no ordinary request out, and that no connection is left or lingers afterwards. It does not tell whether a drain gave way or ended at its bounds.

--- a/proofs/src/test/java/org/apricotdeal/proofs/process/CurbedWhileSendingTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/CurbedWhileSendingTest.java
@@ -64,6 +64,18 @@
         }
     }
 
+    /** Refused callers that send on without end take no connection from others. */
+    @Test
+    public void refusedCallersGiveWay() throws Exception {
+        String refused = HostileFleet.head("/gone/x", "") + "Transfer-Encoding: chunked\r\n\r\n";
+        fleet.trickle(2 * HostileFleet.MAX_DESCRIPTORS, refused, "1\r\na\r\n", PARTS, TRICKLE_MILLIS);
+        ProcessFleet.await(
+                "an ordinary request is served", () -> fleet.ordinaryRequest().startsWith("HTTP/1.1 200"));
+        assertTrue(fleet.node.descriptors() < HostileFleet.MAX_DESCRIPTORS);
+        ProcessFleet.await("no connection is left", () -> fleet.metric("callers_connections") == 0);
+        ProcessFleet.await("none lingers", () -> fleet.metric("callers_lingering") == 0);
+    }
+
     /** Sends a body in parts and returns the whole answer. */
     private static String sendBody(Socket caller) throws Exception {
         for (int i = 0; i < PARTS; i++) {
