A refused request has no claim to its connection

Found by the review of the drain, by reading: a trickle kept a refused request's connection for 10 s although others needed it, since each piece counted as progress; and a drain that was closed by its bounds relied on Jetty to fail its demand, else a stop would have waited for its response. A drain now counts as stalled from its start, and ends itself. Lingering connections read 4 KiB at a time.

--- a/relay/src/main/java/org/apricotdeal/relay/node/BodyDrain.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/BodyDrain.java
@@ -1,6 +1,9 @@
 package org.apricotdeal.relay.node;
 
+import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.apricotdeal.kernel.time.Clock;
@@ -99,14 +102,16 @@
         return InvocationType.NON_BLOCKING;
     }
 
+    /** Returns the time of the start: a request that has its response has no claim to a connection that others need. */
     @Override
     public long progressMillis() {
-        return progress.progressMillis();
+        return startMillis;
     }
 
     @Override
     public boolean giveWay() {
         caller.close();
+        failed(new ClosedChannelException());
         return true;
     }
 
@@ -121,6 +126,8 @@
         }
         if (bytes > maxBytes) {
             caller.endOutput();
+            failed(new IOException("the body is too long to be discarded"));
+            return;
         }
         request.demand(this::drain);
     }
@@ -129,10 +136,11 @@
         if (ended.get()) {
             return;
         }
-        long endMillis = Math.min(startMillis + MAX_MILLIS, progressMillis() + MAX_STALL_MILLIS);
+        long endMillis = Math.min(startMillis + MAX_MILLIS, progress.progressMillis() + MAX_STALL_MILLIS);
         long remainingMillis = endMillis - clock.monotonicMillis();
         if (remainingMillis <= 0) {
             caller.endOutput();
+            failed(new TimeoutException("the body has not arrived in time"));
             return;
         }
         caller.getScheduler().schedule(this::closeWhenOverdue, remainingMillis, TimeUnit.MILLISECONDS);
--- a/relay/src/main/java/org/apricotdeal/relay/node/LingeringConnections.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/LingeringConnections.java
@@ -17,7 +17,7 @@
 final class LingeringConnections {
     private static final long LINGER_MILLIS = 2_000;
     private static final long READ_INTERVAL_MILLIS = 50;
-    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int BUFFER_BYTES = 4 * 1024;
 
     /** Maximum number of buffers read from a connection at a time. */
     private static final int MAX_READS = 16;
