A stop answers what is still running at its end

Callers saw: a booking at a VM that was silent when its node was stopped got no answer; the process ended 700 ms before its grace and the connection was closed. Cause: a stop waits for the responses until its time is up, and then just ends. At the end of the wait, requests that were not sent are now refused (503), those that were sent get 502, and the process waits up to 300 ms for these to be written. A begun stream is still cut: nothing else can end it.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SilentVmTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SilentVmTest.java
@@ -19,6 +19,8 @@
     /** Longer than the time after which a silent VM is suspected. */
     private static final long SHORT_SILENCE_MILLIS = 1_300;
 
+    private static final long HANG_MILLIS = 20_000;
+
     private RelayFleet fleet;
 
     @BeforeMethod
@@ -95,6 +97,21 @@
         }
     }
 
+    @Test
+    public void stopAnswersRequestAtSilentVm() throws Exception {
+        try (ScriptedServer vm = new ScriptedServer(connection -> serveBooking(connection, HANG_MILLIS))) {
+            fleet.replaceService("silent", vm, 4);
+            Thread stopping = Thread.ofPlatform().start(() -> {
+                RelayFleet.pause(300);
+                fleet.node.stopGracefully();
+                fleet.node.close();
+            });
+            String answer = fleet.call("POST", "/book/x", "silent", RelayFleet.KEY);
+            stopping.join();
+            assertTrue(answer.startsWith("HTTP/1.1 50"), answer);
+        }
+    }
+
     private static void serveBooking(ScriptedServer.Connection connection, long silentMillis) throws IOException {
         String id = connection.read().header("x-attempt-id");
         RelayFleet.pause(silentMillis);
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -6,10 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -26,7 +24,6 @@
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.model.RouteEntry;
 import org.apricotdeal.relay.model.WeightedUpstream;
-import org.apricotdeal.relay.poison.BlamedParts;
 import org.apricotdeal.relay.poison.CrashNews;
 import org.apricotdeal.relay.policy.Arrival;
 import org.apricotdeal.relay.policy.AttemptId;
@@ -55,10 +52,10 @@
     /** Time after its deadline at which a request that has no answer is failed; several ticks. */
     private static final long OVERDUE_MILLIS = 200;
 
-    private static final ExchangeId NO_EXCHANGE = new ExchangeId(-1);
+    /** Short, because other nodes can serve the request. */
+    private static final long STOP_RETRY_MILLIS = 50;
 
-    /** Time for the answer to an operator's question; many ticks. */
-    private static final long MAX_EXPLAIN_MILLIS = 2_000;
+    private static final ExchangeId NO_EXCHANGE = new ExchangeId(-1);
 
     /** Difference by which the clocks may drift apart between two ticks. */
     private static final long MAX_CLOCK_DRIFT_MILLIS = 500;
@@ -78,18 +75,16 @@
     private volatile Map<TargetId, Integer> running = Map.of();
     private volatile Map<QueueId, QueueDemand> demand = Map.of();
     private volatile int waiting;
-    private final Queue<Question> questions = new ConcurrentLinkedQueue<>();
+    private volatile boolean ending;
+    private final PendingQuestions questions = new PendingQuestions();
     private long demandUpdatedMillis;
     private volatile SuspicionListener suspicionListener = (vms, faultyAddress, reason) -> {};
     private volatile Function<String, OptionalInt> loadReader = header -> OptionalInt.empty();
     private volatile Consumer<TargetId> leavingListener = target -> {};
     private volatile CrashNews crashNews = CrashNews.NONE;
-    private List<BlamedParts> loggedBlame = List.of();
+    private final BlameLog blameLog;
     private long clockOffsetMillis = Long.MAX_VALUE / 2;
 
-    /** An operator's question, and its answer. */
-    private record Question(Arrival arrival, CompletableFuture<RequestExplanation> answer) {}
-
     /** Receives VMs that may have failed. */
     interface SuspicionListener {
         /**
@@ -133,6 +128,7 @@
         this.random = random;
         this.log = log;
         this.metrics = metrics;
+        this.blameLog = new BlameLog(log, metrics, clock);
         metrics.register("requests.in.progress", (Gauge<Integer>) exchanges::size);
         metrics.register("requests.waiting", (Gauge<Integer>) () -> waiting);
         this.duty = new Duty<>("dispatch", RING_SLOTS, TICK_MILLIS, this::step, this::tick);
@@ -309,19 +305,7 @@
      * @return the decision and what it is based on; fails if the duty has stopped
      */
     CompletableFuture<RequestExplanation> explain(Arrival arrival) {
-        CompletableFuture<RequestExplanation> answer = new CompletableFuture<>();
-        questions.add(new Question(arrival, answer));
-        return answer.orTimeout(MAX_EXPLAIN_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    private void answerQuestions() {
-        for (Question question = questions.poll(); question != null; question = questions.poll()) {
-            try {
-                question.answer().complete(dispatcher.explain(clock.monotonicMillis(), question.arrival()));
-            } catch (RuntimeException e) {
-                question.answer().completeExceptionally(e);
-            }
-        }
+        return questions.ask(arrival);
     }
 
     private void step(RelayEvent event) {
@@ -350,12 +334,15 @@
             execute(dispatcher.step(clock.monotonicMillis(), new RelayEvent.Tick()));
         } finally {
             failOverdue();
+            if (ending) {
+                failRemaining();
+            }
         }
         running = dispatcher.runningRequests();
         waiting = dispatcher.waitingRequests();
-        answerQuestions();
+        questions.answerAll(arrival -> dispatcher.explain(clock.monotonicMillis(), arrival));
         crashNews = dispatcher.crashNews();
-        logBlame(dispatcher.blamedParts());
+        blameLog.update(dispatcher.blamedParts(), crashNews);
         long nowMillis = clock.monotonicMillis();
         if (nowMillis - demandUpdatedMillis >= DEMAND_PERIOD_MILLIS) {
             demandUpdatedMillis = nowMillis;
@@ -372,31 +359,6 @@
         clockOffsetMillis = offsetMillis;
     }
 
-    private void logBlame(List<BlamedParts> blamed) {
-        for (BlamedParts blame : blamed) {
-            if (loggedBlame.stream().noneMatch(blame::hasSameParts)) {
-                metrics.counter("parts.blamed").inc();
-                logBlame("parts_blamed", blame);
-            }
-        }
-        for (BlamedParts blame : loggedBlame) {
-            if (blamed.stream().noneMatch(blame::hasSameParts)) {
-                logBlame("parts_cleared", blame);
-            }
-        }
-        loggedBlame = blamed;
-    }
-
-    private void logBlame(String event, BlamedParts blame) {
-        log.state(event)
-                .with("served", blame.served())
-                .with("parts", blame.parts())
-                .with("lastCrashAgeMillis", clock.monotonicMillis() - blame.lastCrashMillis())
-                .with("certain", blame.certain())
-                .with("crashesKnown", crashNews.crashes().size())
-                .write();
-    }
-
     /** Executes actions one by one: what one of them throws must not cost the later ones, which answer other callers. */
     private void execute(List<RelayAction> actions) {
         Deque<RelayAction> pending = new ArrayDeque<>(actions);
@@ -491,11 +453,35 @@
             if (exchange.isCompleted() || nowMillis < exchange.arrival().deadlineMillis() + OVERDUE_MILLIS) {
                 continue;
             }
-            ExchangeId id = exchange.arrival().id();
             metrics.counter("requests.overdue").inc();
-            execute(List.of(new RelayAction.CancelAttempt(id), new RelayAction.GiveUp(id, RefusalReason.TIMEOUT)));
-            execute(dispatcher.step(nowMillis, new RelayEvent.CallerDisconnected(id)));
+            end(exchange, new RelayAction.GiveUp(exchange.arrival().id(), RefusalReason.TIMEOUT));
+        }
+    }
+
+    private void failRemaining() {
+        for (Exchange exchange : exchanges.values()) {
+            if (!exchange.isCompleted()) {
+                metrics.counter("requests.ended.by.stop").inc();
+                end(exchange, endByStop(exchange));
+            }
+        }
+    }
+
+    private RelayAction endByStop(Exchange exchange) {
+        Arrival arrival = exchange.arrival();
+        if (exchange.attempt() != null) {
+            return new RelayAction.GiveUp(arrival.id(), RefusalReason.STOPPING);
         }
+        long waitedMillis = clock.monotonicMillis() - arrival.arrivedMillis();
+        RefusalDetails details = new RefusalDetails(0, -1, 0, 0, waitedMillis);
+        return new RelayAction.Refuse(arrival.id(), RefusalReason.STOPPING, STOP_RETRY_MILLIS, details);
+    }
+
+    /** Ends a request whatever the dispatcher thinks of it. */
+    private void end(Exchange exchange, RelayAction lastAction) {
+        ExchangeId id = exchange.arrival().id();
+        execute(List.of(new RelayAction.CancelAttempt(id), lastAction));
+        execute(dispatcher.step(clock.monotonicMillis(), new RelayEvent.CallerDisconnected(id)));
     }
 
     private void send(RelayAction.Send send) {
@@ -580,16 +566,30 @@
         suspicionListener.suspect(target.members(), Optional.empty(), reason);
     }
 
-    /** Waits until all responses have been written: those of slow callers take longer than the requests. */
-    void awaitIdle(long untilMillis) {
+    /**
+     * Ends the requests that are still here, before the process ends: with a refusal if they were not sent, else with an
+     * error response, or by closing the connection if a part of the response has been written.
+     */
+    void endRemaining() {
+        ending = true;
+    }
+
+    /**
+     * Waits until all responses have been written: those of slow callers take longer than the requests.
+     *
+     * @param untilMillis end of the wait
+     * @return false if responses remain
+     */
+    boolean awaitIdle(long untilMillis) {
         while (inProgress() > 0 && clock.monotonicMillis() < untilMillis) {
             try {
                 TimeUnit.MILLISECONDS.sleep(TICK_MILLIS);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
-                return;
+                return false;
             }
         }
+        return inProgress() == 0;
     }
 
     @Override
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -31,6 +31,9 @@
     /** Margin before the time at which the platform kills the process. */
     private static final long END_MARGIN_MILLIS = 700;
 
+    /** Time for the responses to requests that are still running at the end; a part of the margin. */
+    private static final long LAST_RESPONSES_MILLIS = 300;
+
     /** Node count of the largest fleet, by which the retry budget is divided until the registered nodes are known. */
     private static final int ASSUMED_NODES = 400;
 
@@ -166,7 +169,10 @@
         registration.close();
         registration.deregister();
         sleep(Math.min(MIN_DRAIN_MILLIS, settings.drainMillis() / 2));
-        relay.awaitIdle(endMillis);
+        if (!relay.awaitIdle(endMillis)) {
+            relay.endRemaining();
+            relay.awaitIdle(endMillis + LAST_RESPONSES_MILLIS);
+        }
         log.state("stopped").with("cutOff", relay.inProgress()).write();
         log.close();
     }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RefusalReason.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RefusalReason.java
@@ -19,5 +19,7 @@
     /** The attempt broke off and must not be repeated. */
     BROKEN,
     /** The deadline of the request has passed. */
-    TIMEOUT
+    TIMEOUT,
+    /** The process ends. */
+    STOPPING
 }
