--- a/lab/src/main/java/org/apricotdeal/lab/soak/TargetsNode.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/TargetsNode.java
@@ -206,7 +206,7 @@
             if (asked < 0 || answer.changes().isEmpty()) {
                 adopt(latest(answer.listing()));
             } else {
-                adopt(words.with(answer.changes().get(), answer.revision()));
+                adopt(words.with(answer.changes().get(), answer.listing().revision()));
             }
             answer.vms().forEach(this::applyEntry);
             watchedRevision = Math.max(watchedRevision, answer.revision());
@@ -219,7 +219,7 @@
 
     private void adopt(Evacuations adopted) {
         Invariants.check(
-                adopted.revision() >= words.revision(),
+                !words.revision().isAfter(adopted.revision()),
                 "evacuations-monotonic",
                 () -> self.name() + " goes back from " + words + " to " + adopted);
         boolean changed =
--- a/lab/src/main/java/org/apricotdeal/lab/soak/TargetsStore.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/TargetsStore.java
@@ -10,9 +10,12 @@
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.policy.Evacuations;
+import org.apricotdeal.relay.port.StoreRevision;
 
 /** The users' store: the operator's words and the entries of the VMs, each write with a revision of its own. */
 final class TargetsStore {
+    private static final long INCARNATION = 1;
+
     private final List<Evacuations.Change> history = new ArrayList<>();
     private final Map<FailureDomainId, Long> sinceRevision = new HashMap<>();
     private final Map<FailureDomainId, Long> obeyFromMillis = new HashMap<>();
@@ -77,7 +80,7 @@
     }
 
     Evacuations words() {
-        return new Evacuations(revision, sinceRevision);
+        return new Evacuations(new StoreRevision(INCARNATION, revision), sinceRevision);
     }
 
     /** Returns when the word to evacuate a domain was acknowledged; empty if none is in force. */
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/VmEntryLogTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/VmEntryLogTest.java
@@ -12,6 +12,8 @@
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.policy.VmEntryLog;
 import org.apricotdeal.relay.port.StoreChange;
+import org.apricotdeal.relay.port.StoreRevision;
+import org.apricotdeal.relay.port.VmHeartbeat;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -23,7 +25,7 @@
 
     @BeforeMethod
     public void reset() {
-        log = new VmEntryLog();
+        log = new VmEntryLog(VmEntryLogTest::heartbeat);
     }
 
     private static UpstreamVm vm(String id, boolean leaving) {
@@ -43,17 +45,27 @@
                 Optional.empty());
     }
 
+    private static StoreRevision at(long number) {
+        return new StoreRevision(1, number);
+    }
+
+    /** The test's entries end with the number of their heartbeat. */
+    private static Optional<VmHeartbeat> heartbeat(byte[] value) {
+        String text = new String(value, StandardCharsets.UTF_8);
+        return Optional.of(new VmHeartbeat(1, Long.parseLong(text.substring(text.indexOf('@') + 1))));
+    }
+
     private static VersionedValue item(String id, long revision) {
         return new VersionedValue("servers/" + id, revision, (id + "@" + revision).getBytes(StandardCharsets.UTF_8));
     }
 
     private void write(String id, long revision, boolean leaving) {
         log.recordWrite(item(id, revision), Optional.of(vm(id, leaving)));
-        log.advanceTo(revision);
+        log.advanceTo(at(revision));
     }
 
     private List<String> changesSince(long revision) {
-        return log.changesSince(revision).stream()
+        return log.changesSince(at(revision)).stream()
                 .map(change -> switch (change) {
                     case StoreChange.Written(VersionedValue item) -> new String(item.value(), StandardCharsets.UTF_8);
                     case StoreChange.Deleted(String key, long at) -> key + " removed@" + at;
@@ -63,8 +75,8 @@
 
     @Test
     public void emptyLogHasNoChanges() {
-        assertEquals(log.revision(), VmEntryLog.NO_REVISION);
-        assertEquals(changesSince(VmEntryLog.NO_REVISION), List.of());
+        assertEquals(log.revision(), StoreRevision.NONE);
+        assertEquals(changesSince(-1), List.of());
     }
 
     @Test
@@ -74,7 +86,7 @@
         write("v1", 12, false);
         assertEquals(changesSince(11), List.of());
         assertEquals(changesSince(9), List.of("v1@12", "v2@11"));
-        assertEquals(log.revision(), 12);
+        assertEquals(log.revision(), at(12));
     }
 
     @Test
@@ -98,9 +110,9 @@
     public void entriesMissingFromListAreRemoved() {
         write("v1", 10, false);
         write("v2", 11, false);
-        log.replaceAll(List.of(item("v2", 14)), Map.of("servers/v2", vm("v2", false)), 20);
+        log.replaceAll(List.of(item("v2", 14)), Map.of("servers/v2", vm("v2", false)), at(20));
         assertEquals(changesSince(11), List.of("servers/v1 removed@20"));
-        assertEquals(log.revision(), 20);
+        assertEquals(log.revision(), at(20));
     }
 
     @Test
@@ -108,7 +120,7 @@
         for (int i = 0; i < 2_000; i++) {
             log.recordRemoval("servers/v" + i, i);
         }
-        List<String> changes = changesSince(VmEntryLog.NO_REVISION);
+        List<String> changes = changesSince(-1);
         assertEquals(changes.size(), 512);
         assertEquals(changes.getLast(), "servers/v1999 removed@1999");
     }
--- a/proofs/src/test/java/org/apricotdeal/relay/node/CatalogueWatcherTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/CatalogueWatcherTest.java
@@ -11,6 +11,7 @@
 import org.apricotdeal.platform.VersionedValue;
 import org.apricotdeal.relay.port.RecordCodec;
 import org.apricotdeal.relay.port.StoreChange;
+import org.apricotdeal.relay.port.StoreRevision;
 import org.apricotdeal.relay.port.WatchStore;
 import org.testng.annotations.Test;
 
@@ -44,6 +45,10 @@
         }
     }
 
+    private static StoreRevision at(long number) {
+        return new StoreRevision(1, number);
+    }
+
     private static VersionedValue item(String key, long revision, String value) {
         return new VersionedValue(key, revision, value.getBytes(StandardCharsets.UTF_8));
     }
@@ -62,7 +67,7 @@
             List<Long> adopted = new ArrayList<>();
             catalogues.subscribe(catalogue -> adopted.add(catalogue.version()));
             watcher.onChanged(
-                    new WatchStore.Changes(List.of(catalogue(2, "12"), catalogue(3, "15"), catalogue(4, "19")), 4));
+                    new WatchStore.Changes(List.of(catalogue(2, "12"), catalogue(3, "15"), catalogue(4, "19")), at(4)));
             assertEquals(adopted, List.of(19L));
         });
     }
@@ -70,7 +75,7 @@
     @Test
     public void unreadableNewestCatalogueLeavesTheOneBefore() {
         runScenario((watcher, catalogues, evacuations, fixture) -> {
-            watcher.onChanged(new WatchStore.Changes(List.of(catalogue(3, "15"), catalogue(4, "no number")), 4));
+            watcher.onChanged(new WatchStore.Changes(List.of(catalogue(3, "15"), catalogue(4, "no number")), at(4)));
             assertEquals(catalogues.version(), 15);
         });
     }
@@ -93,14 +98,14 @@
     public void evacuationsAreReadFromKeys() {
         runScenario((watcher, catalogues, evacuations, fixture) -> {
             watcher.onListed(new WatchStore.Range(
-                    List.of(item("op/evacuate/a", 2, "no JSON"), item("op/evacuate/", 3, "{}")), 5));
+                    List.of(item("op/evacuate/a", 2, "no JSON"), item("op/evacuate/", 3, "{}")), at(5)));
             assertEquals(evacuations.current().domains(), Set.of(A));
             watcher.onChanged(new WatchStore.Changes(
                     List.of(
                             new StoreChange.Deleted("op/evacuate/a", 6),
                             new StoreChange.Written(item("op/evacuate/a b", 7, "{}")),
                             new StoreChange.Written(item("op/evacuate/elsewhere", 8, "{}"))),
-                    8));
+                    at(8)));
             assertEquals(evacuations.current().domains(), Set.of(new FailureDomainId("elsewhere")));
             fixture.awaitLog("event=evacuation_unreadable");
             fixture.awaitLog("known=false");
--- a/proofs/src/test/java/org/apricotdeal/relay/node/CountedStoreTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/CountedStoreTest.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 
 import com.codahale.metrics.MetricRegistry;
+import org.apricotdeal.relay.port.StoreLease;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertTrue;
@@ -17,8 +18,8 @@
         RegistrationStore store = new RegistrationStore();
         new CountedStore(store, metrics, "vms").range("servers/", false);
         CountedStore registration = new CountedStore(store, metrics, "registration");
-        registration.renewLease(1);
-        registration.renewLease(1);
+        registration.renewLease(new StoreLease(1, 1));
+        registration.renewLease(new StoreLease(1, 1));
         registration.range("nodes/", true);
         ByteArrayOutputStream written = new ByteArrayOutputStream();
         try (DecisionLog log =
--- a/proofs/src/test/java/org/apricotdeal/relay/node/RegistrationStore.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/RegistrationStore.java
@@ -6,10 +6,14 @@
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.platform.VersionedValue;
 import org.apricotdeal.relay.port.StoreFault;
+import org.apricotdeal.relay.port.StoreLease;
+import org.apricotdeal.relay.port.StoreRevision;
 import org.apricotdeal.relay.port.WatchStore;
 
 /** Fake store that holds registrations, counts its calls and can lose responses. */
 final class RegistrationStore implements WatchStore {
+    private static final StoreRevision FIRST = new StoreRevision(1, 1);
+
     final List<VersionedValue> items = new ArrayList<>();
     int ranges;
     int renewals;
@@ -23,37 +27,37 @@
     @Override
     public Result<Range, StoreFault> range(String prefix, boolean stale) {
         ranges++;
-        return reply(new Range(List.copyOf(items), 1));
+        return reply(new Range(List.copyOf(items), FIRST));
     }
 
     @Override
-    public Result<Changes, StoreFault> watch(String prefix, long afterRevision, long waitMillis) {
-        return reply(new Changes(List.of(), 1));
+    public Result<Changes, StoreFault> watch(String prefix, StoreRevision after, long waitMillis) {
+        return reply(new Changes(List.of(), FIRST));
     }
 
     @Override
-    public Result<Long, StoreFault> write(String key, byte[] value, long leaseId) {
+    public Result<StoreRevision, StoreFault> write(String key, byte[] value, StoreLease lease) {
         if (!loses) {
             items.removeIf(item -> item.key().equals(key));
             items.add(new VersionedValue(key, 1, value));
         }
-        return reply(1L);
+        return reply(FIRST);
     }
 
     @Override
-    public Result<Long, StoreFault> grantLease(long ttlMillis) {
+    public Result<StoreLease, StoreFault> grantLease(long ttlMillis) {
         grants++;
-        return reply(1L);
+        return reply(new StoreLease(1, FIRST.incarnation()));
     }
 
     @Override
-    public Result<Long, StoreFault> renewLease(long leaseId) {
+    public Result<Long, StoreFault> renewLease(StoreLease lease) {
         renewals++;
-        return reply(leaseId);
+        return reply(lease.id());
     }
 
     @Override
-    public Result<Boolean, StoreFault> endLease(long leaseId) {
+    public Result<Boolean, StoreFault> endLease(StoreLease lease) {
         return reply(true);
     }
 }
--- a/proofs/src/test/java/org/apricotdeal/relay/node/VmWatcherTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/VmWatcherTest.java
@@ -5,6 +5,8 @@
 import org.apricotdeal.adapter.UsersPlatform;
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.relay.port.StoreFault;
+import org.apricotdeal.relay.port.StoreLease;
+import org.apricotdeal.relay.port.StoreRevision;
 import org.apricotdeal.relay.port.WatchStore;
 import org.testng.annotations.Test;
 
@@ -16,6 +18,9 @@
     /** Time for VMs to register again after their entries expired in an outage of the store. */
     private static final long REREGISTRATION_MILLIS = 2_200;
 
+    private static final StoreRevision FIRST = new StoreRevision(1, 1);
+    private static final VmUpdate NOTHING_NEW = new VmUpdate(FIRST, new WatchStore.Changes(List.of(), FIRST));
+
     /** Empty store that can be made unavailable. */
     private static final class EmptyStore implements WatchStore {
         private boolean unavailable;
@@ -24,32 +29,32 @@
         @Override
         public Result<Range, StoreFault> range(String prefix, boolean stale) {
             calls++;
-            return unavailable ? Result.err(new StoreFault.Refused("away")) : Result.ok(new Range(List.of(), 1));
+            return unavailable ? Result.err(new StoreFault.Refused("away")) : Result.ok(new Range(List.of(), FIRST));
         }
 
         @Override
-        public Result<Changes, StoreFault> watch(String prefix, long afterRevision, long waitMillis) {
+        public Result<Changes, StoreFault> watch(String prefix, StoreRevision after, long waitMillis) {
             calls++;
-            return unavailable ? Result.err(new StoreFault.Refused("away")) : Result.ok(new Changes(List.of(), 1));
+            return unavailable ? Result.err(new StoreFault.Refused("away")) : Result.ok(new Changes(List.of(), FIRST));
         }
 
         @Override
-        public Result<Long, StoreFault> write(String key, byte[] value, long leaseId) {
+        public Result<StoreRevision, StoreFault> write(String key, byte[] value, StoreLease lease) {
             throw new UnsupportedOperationException();
         }
 
         @Override
-        public Result<Long, StoreFault> grantLease(long ttlMillis) {
+        public Result<StoreLease, StoreFault> grantLease(long ttlMillis) {
             throw new UnsupportedOperationException();
         }
 
         @Override
-        public Result<Long, StoreFault> renewLease(long leaseId) {
+        public Result<Long, StoreFault> renewLease(StoreLease lease) {
             throw new UnsupportedOperationException();
         }
 
         @Override
-        public Result<Boolean, StoreFault> endLease(long leaseId) {
+        public Result<Boolean, StoreFault> endLease(StoreLease lease) {
             throw new UnsupportedOperationException();
         }
     }
@@ -78,7 +83,7 @@
         watcher.setSource(VmWatcher.Source.PEERS);
         for (int i = 0; i < 100; i++) {
             clock.advance(200);
-            watcher.applyPeerUpdate(new WatchStore.Changes(List.of(), 1), 100);
+            watcher.applyPeerUpdate(NOTHING_NEW, 100);
             watcher.runOnce();
         }
     }
@@ -118,7 +123,7 @@
             for (int ageMillis = 200; ageMillis <= 1_000; ageMillis += 200) {
                 assertEquals(store.calls, 1);
                 clock.advance(200);
-                watcher.applyPeerUpdate(new WatchStore.Changes(List.of(), 1), ageMillis);
+                watcher.applyPeerUpdate(NOTHING_NEW, ageMillis);
                 watcher.runOnce();
             }
             assertEquals(store.calls, 2);
@@ -133,7 +138,7 @@
             watcher.setSource(VmWatcher.Source.RESERVE);
             for (int i = 0; i < 100; i++) {
                 clock.advance(200);
-                watcher.applyPeerUpdate(new WatchStore.Changes(List.of(), 1), 500);
+                watcher.applyPeerUpdate(NOTHING_NEW, 500);
                 watcher.runOnce();
             }
             assertEquals(store.calls, 1);
@@ -141,7 +146,7 @@
             clock.advance(500);
             watcher.runOnce();
             assertEquals(store.calls, 2);
-            assertTrue(watcher.changesSince(0).isPresent());
+            assertTrue(watcher.changesSince(FIRST).isPresent());
         });
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/CountedStore.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CountedStore.java
@@ -3,6 +3,8 @@
 import com.codahale.metrics.MetricRegistry;
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.relay.port.StoreFault;
+import org.apricotdeal.relay.port.StoreLease;
+import org.apricotdeal.relay.port.StoreRevision;
 import org.apricotdeal.relay.port.WatchStore;
 
 /** Decorates a store with counters of its calls: one of all calls, and one for each kind of call of each caller. */
@@ -39,32 +41,32 @@
     }
 
     @Override
-    public Result<Changes, StoreFault> watch(String prefix, long afterRevision, long waitMillis) {
+    public Result<Changes, StoreFault> watch(String prefix, StoreRevision after, long waitMillis) {
         count("watch");
-        return store.watch(prefix, afterRevision, waitMillis);
+        return store.watch(prefix, after, waitMillis);
     }
 
     @Override
-    public Result<Long, StoreFault> write(String key, byte[] value, long leaseId) {
+    public Result<StoreRevision, StoreFault> write(String key, byte[] value, StoreLease lease) {
         count("write");
-        return store.write(key, value, leaseId);
+        return store.write(key, value, lease);
     }
 
     @Override
-    public Result<Long, StoreFault> grantLease(long ttlMillis) {
+    public Result<StoreLease, StoreFault> grantLease(long ttlMillis) {
         count("grant");
         return store.grantLease(ttlMillis);
     }
 
     @Override
-    public Result<Long, StoreFault> renewLease(long leaseId) {
+    public Result<Long, StoreFault> renewLease(StoreLease lease) {
         count("renewal");
-        return store.renewLease(leaseId);
+        return store.renewLease(lease);
     }
 
     @Override
-    public Result<Boolean, StoreFault> endLease(long leaseId) {
+    public Result<Boolean, StoreFault> endLease(StoreLease lease) {
         count("end");
-        return store.endLease(leaseId);
+        return store.endLease(lease);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/EvacuationCodec.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/EvacuationCodec.java
@@ -6,6 +6,7 @@
 
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.relay.policy.Evacuations;
+import org.apricotdeal.relay.port.StoreRevision;
 import org.apricotdeal.wire.gen.TRelayEvacuations;
 import org.apricotdeal.wire.gen.TRelayHeartbeat;
 
@@ -18,7 +19,10 @@
         if (evacuations.isKnown()) {
             Map<String, Long> sinceRevision = new HashMap<>();
             evacuations.sinceRevision().forEach((domain, revision) -> sinceRevision.put(domain.value(), revision));
-            heartbeat.setEvacuations(new TRelayEvacuations(evacuations.revision(), sinceRevision));
+            TRelayEvacuations encoded =
+                    new TRelayEvacuations(evacuations.revision().number(), sinceRevision);
+            encoded.setIncarnation(evacuations.revision().incarnation());
+            heartbeat.setEvacuations(encoded);
         }
     }
 
@@ -36,6 +40,7 @@
         evacuations
                 .getSinceRevision()
                 .forEach((domain, revision) -> sinceRevision.put(new FailureDomainId(domain), revision));
-        return Optional.of(new Evacuations(evacuations.getRevision(), sinceRevision));
+        return Optional.of(new Evacuations(
+                new StoreRevision(evacuations.getIncarnation(), evacuations.getRevision()), sinceRevision));
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/EvacuationHolder.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/EvacuationHolder.java
@@ -14,8 +14,9 @@
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.policy.Evacuations;
+import org.apricotdeal.relay.port.StoreRevision;
 
-/** Holds the failure domains that the operator evacuates, whose revision never decreases within a process. */
+/** Holds the failure domains that the operator evacuates, whose revision never becomes an earlier one within a process. */
 final class EvacuationHolder {
     private final Set<FailureDomainId> knownDomains;
     private final Clock clock;
@@ -38,7 +39,10 @@
         this.clock = clock;
         this.log = log;
         this.metrics = metrics;
-        metrics.register("evacuations.revision", (Gauge<Long>) () -> current.revision());
+        metrics.register(
+                "evacuations.revision", (Gauge<Long>) () -> current.revision().number());
+        metrics.register("evacuations.incarnation", (Gauge<Long>)
+                () -> current.revision().incarnation());
         metrics.register(
                 "evacuations.domains", (Gauge<Integer>) () -> current.domains().size());
     }
@@ -82,7 +86,7 @@
     }
 
     /** Puts changes in force that a watch returned. */
-    synchronized void apply(List<Evacuations.Change> changes, long upToRevision, String source) {
+    synchronized void apply(List<Evacuations.Change> changes, StoreRevision upToRevision, String source) {
         adopt(current.with(changes, upToRevision), source);
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -30,6 +30,7 @@
 import org.apricotdeal.relay.policy.QueueId;
 import org.apricotdeal.relay.policy.RelayEvent;
 import org.apricotdeal.relay.policy.TargetId;
+import org.apricotdeal.relay.port.StoreRevision;
 import org.apricotdeal.wire.gen.TRelayHeartbeat;
 import org.apricotdeal.wire.gen.TRelayLoad;
 import org.apricotdeal.wire.gen.TRelayNode;
@@ -108,7 +109,7 @@
      * @param vmRevision revision of the store up to which it knows the VM entries
      * @param crashDigest digest of the crashes and trials that it knows of
      */
-    private record PeerState(boolean storeAway, long vmRevision, long crashDigest) {}
+    private record PeerState(boolean storeAway, StoreRevision vmRevision, long crashDigest) {}
 
     Heartbeats(
             TRelayNode self,
@@ -239,7 +240,9 @@
                 (target, count) -> loadList.add(new TRelayLoad(target.vm().value(), target.epoch(), count)));
         TRelayHeartbeat heartbeat = new TRelayHeartbeat(self, catalogues.version(), loadList);
         heartbeat.setScope(scope);
-        heartbeat.setVmRevision(vms.revision());
+        StoreRevision vmRevision = vms.revision();
+        heartbeat.setVmRevision(vmRevision.number());
+        heartbeat.setVmIncarnation(vmRevision.incarnation());
         heartbeat.setVmAgeMillis((int) Math.min(Integer.MAX_VALUE, vms.ageMillis()));
         heartbeat.setStoreAway(vms.isStoreFailing() || catalogueWatcher.isStoreFailing());
         heartbeat.setStopping(fleet.isStopping());
@@ -397,7 +400,10 @@
     private void recordPeerState(Peer sender, TRelayHeartbeat heartbeat) {
         peerStates.put(
                 sender.name(),
-                new PeerState(heartbeat.isStoreAway(), heartbeat.getVmRevision(), heartbeat.getCrashDigest()));
+                new PeerState(
+                        heartbeat.isStoreAway(),
+                        new StoreRevision(heartbeat.getVmIncarnation(), heartbeat.getVmRevision()),
+                        heartbeat.getCrashDigest()));
     }
 
     private void recordLoads(Peer sender, TRelayHeartbeat heartbeat, long nowMillis) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/NodeStatus.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/NodeStatus.java
@@ -97,8 +97,9 @@
         root.put("inProgress", relay.inProgress());
         root.put("waiting", relay.waiting());
         root.put("targets", fleet.targetCount());
+        root.put("storeIncarnation", words.revision().incarnation());
         root.put("evacuationsKnown", words.isKnown());
-        root.put("evacuationsRevision", words.revision());
+        root.put("evacuationsRevision", words.revision().number());
         addEvacuations(root.putArray("evacuations"), words);
         addColdVms(root.putArray("coldVms"));
         return root.toString();
--- a/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
@@ -15,6 +16,8 @@
 import org.apricotdeal.platform.VersionedValue;
 import org.apricotdeal.relay.peer.RegistrationReads;
 import org.apricotdeal.relay.port.StoreFault;
+import org.apricotdeal.relay.port.StoreLease;
+import org.apricotdeal.relay.port.StoreRevision;
 import org.apricotdeal.relay.port.WatchStore;
 import org.apricotdeal.wire.gen.TRelayNode;
 
@@ -35,7 +38,7 @@
     private final RegistrationReads reads;
     private final String key;
     private final byte[] entry;
-    private long lease;
+    private Optional<StoreLease> lease = Optional.empty();
 
     Registration(TRelayNode self, WatchStore store, FleetDuty fleet, Clock clock, DecisionLog log) {
         super("registration", clock, log);
@@ -49,17 +52,15 @@
 
     @Override
     long runOnce() {
-        Result<Long, StoreFault> renewed = lease == 0 ? register() : store.renewLease(lease);
-        switch (renewed) {
-            case Result.Ok<Long, StoreFault> ok -> callSucceeded();
-            case Result.Err<Long, StoreFault>(StoreFault fault) -> {
-                if (fault instanceof StoreFault.LeaseEnded) {
-                    lease = 0;
-                    return 0;
-                }
-                return callFailed(fault);
+        Optional<StoreFault> failure = lease.isPresent() ? renew(lease.get()) : register();
+        if (failure.isPresent()) {
+            if (failure.get() instanceof StoreFault.LeaseEnded) {
+                lease = Optional.empty();
+                return 0;
             }
+            return callFailed(failure.get());
         }
+        callSucceeded();
         updatePeers();
         return RENEW_MILLIS;
     }
@@ -77,16 +78,27 @@
         }
     }
 
-    private Result<Long, StoreFault> register() {
+    private Optional<StoreFault> renew(StoreLease held) {
+        return switch (store.renewLease(held)) {
+            case Result.Ok<Long, StoreFault> ok -> Optional.empty();
+            case Result.Err<Long, StoreFault>(StoreFault fault) -> Optional.of(fault);
+        };
+    }
+
+    private Optional<StoreFault> register() {
         return switch (store.grantLease(LEASE_TTL_MILLIS)) {
-            case Result.Err<Long, StoreFault> refused -> refused;
-            case Result.Ok<Long, StoreFault>(Long granted) -> {
-                Result<Long, StoreFault> written = store.write(key, entry, granted);
-                if (written instanceof Result.Ok<Long, StoreFault>) {
-                    lease = granted;
-                    log.state("registered").with("lease", granted).write();
-                }
-                yield written;
+            case Result.Err<StoreLease, StoreFault>(StoreFault fault) -> Optional.of(fault);
+            case Result.Ok<StoreLease, StoreFault>(StoreLease granted) -> writeEntry(granted);
+        };
+    }
+
+    private Optional<StoreFault> writeEntry(StoreLease granted) {
+        return switch (store.write(key, entry, granted)) {
+            case Result.Err<StoreRevision, StoreFault>(StoreFault fault) -> Optional.of(fault);
+            case Result.Ok<StoreRevision, StoreFault> ok -> {
+                lease = Optional.of(granted);
+                log.state("registered").with("lease", granted.id()).write();
+                yield Optional.empty();
             }
         };
     }
@@ -132,11 +144,11 @@
 
     /** Removes the registration of this node, so that other nodes take over its planning immediately. */
     void deregister() {
-        long currentLease = lease;
-        if (currentLease != 0
-                && store.endLease(currentLease) instanceof Result.Err<Boolean, StoreFault>(StoreFault fault)) {
+        Optional<StoreLease> held = lease;
+        if (held.isPresent()
+                && store.endLease(held.get()) instanceof Result.Err<Boolean, StoreFault>(StoreFault fault)) {
             log.state("lease_not_ended")
-                    .with("lease", currentLease)
+                    .with("lease", held.get().id())
                     .with("fault", fault)
                     .write();
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/StoreWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/StoreWatcher.java
@@ -3,6 +3,7 @@
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.port.StoreFault;
+import org.apricotdeal.relay.port.StoreRevision;
 import org.apricotdeal.relay.port.WatchStore;
 
 /** Watches the keys with a prefix: lists them once, then watches for changes, and lists them again after each failure. */
@@ -12,8 +13,8 @@
 
     private final WatchStore store;
     private final String prefix;
-    private long revision = -1;
-    private long lastRevision = -1;
+    private StoreRevision revision = StoreRevision.NONE;
+    private StoreRevision lastRevision = StoreRevision.NONE;
 
     /**
      * Creates a watcher.
@@ -44,9 +45,9 @@
         return false;
     }
 
-    /** Returns the revision up to which a peer has supplied the changes, or -1 if none has. */
-    long peerRevision() {
-        return -1;
+    /** Returns the revision up to which a peer has supplied the changes, or {@link StoreRevision#NONE} if none has. */
+    StoreRevision peerRevision() {
+        return StoreRevision.NONE;
     }
 
     @Override
@@ -55,10 +56,10 @@
             clearFailure();
             return STAND_BY_MILLIS;
         }
-        if (revision < 0) {
+        if (!revision.isKnown()) {
             return list();
         }
-        revision = Math.max(revision, peerRevision());
+        revision = StoreRevision.latest(revision, peerRevision());
         return watch();
     }
 
@@ -67,7 +68,7 @@
             case Result.Err<WatchStore.Range, StoreFault>(StoreFault fault) -> callFailed(fault);
             case Result.Ok<WatchStore.Range, StoreFault>(WatchStore.Range range) -> {
                 callSucceeded();
-                reportDecrease(range.revision());
+                reportRestore(range.revision());
                 long pauseMillis = onListed(range);
                 revision = range.revision();
                 lastRevision = revision;
@@ -80,28 +81,29 @@
         return switch (store.watch(prefix, revision, waitMillis())) {
             case Result.Err<WatchStore.Changes, StoreFault>(StoreFault fault) -> {
                 // List again: a watch sent while the store is unavailable would go on waiting after its recovery.
-                revision = -1;
+                revision = StoreRevision.NONE;
                 yield fault instanceof StoreFault.HistoryLost ? 0 : callFailed(fault);
             }
             case Result.Ok<WatchStore.Changes, StoreFault>(WatchStore.Changes changes) -> {
                 callSucceeded();
                 long pauseMillis = onChanged(changes);
-                revision = Math.max(revision, changes.revision());
+                revision = StoreRevision.latest(revision, changes.revision());
                 lastRevision = revision;
                 yield pauseMillis;
             }
         };
     }
 
-    /** Logs that the store has returned with a lower revision than it had before. */
-    private void reportDecrease(long listedRevision) {
-        long knownRevision = Math.max(lastRevision, peerRevision());
-        if (listedRevision < knownRevision) {
-            log().state("store_revision_decreased")
-                    .with("matter", task())
-                    .with("listed", listedRevision)
-                    .with("known", knownRevision)
-                    .write();
+    /** Logs that the store has been restored from an older copy, or has returned with a lower revision nevertheless. */
+    private void reportRestore(StoreRevision listed) {
+        StoreRevision known = StoreRevision.latest(lastRevision, peerRevision());
+        if (!known.isKnown() || (listed.hasIncarnationOf(known) && !known.isAfter(listed))) {
+            return;
         }
+        log().state(listed.isAfter(known) ? "store_restored" : "store_revision_decreased")
+                .with("matter", task())
+                .with("listed", listed)
+                .with("known", known)
+                .write();
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/VmUpdateCodec.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/VmUpdateCodec.java
@@ -5,6 +5,7 @@
 
 import org.apricotdeal.platform.VersionedValue;
 import org.apricotdeal.relay.port.StoreChange;
+import org.apricotdeal.relay.port.StoreRevision;
 import org.apricotdeal.relay.port.WatchStore;
 import org.apricotdeal.wire.gen.TRelayVmEntry;
 import org.apricotdeal.wire.gen.TRelayVmNews;
@@ -13,7 +14,8 @@
 final class VmUpdateCodec {
     private VmUpdateCodec() {}
 
-    static TRelayVmNews encode(WatchStore.Changes changes) {
+    static TRelayVmNews encode(VmUpdate update) {
+        WatchStore.Changes changes = update.changes();
         List<TRelayVmEntry> entries = new ArrayList<>();
         for (StoreChange change : changes.changes()) {
             entries.add(
@@ -26,10 +28,15 @@
                         case StoreChange.Deleted(String key, long atRevision) -> new TRelayVmEntry(key, atRevision);
                     });
         }
-        return new TRelayVmNews(changes.revision(), entries);
+        TRelayVmNews news = new TRelayVmNews(changes.revision().number(), entries);
+        news.setIncarnation(changes.revision().incarnation());
+        if (!update.isComplete()) {
+            news.setAfterRevision(update.after().number());
+        }
+        return news;
     }
 
-    static WatchStore.Changes decode(TRelayVmNews update) {
+    static VmUpdate decode(TRelayVmNews update) {
         List<StoreChange> changes = new ArrayList<>();
         for (TRelayVmEntry entry : update.getEntries()) {
             changes.add(
@@ -38,6 +45,11 @@
                                     new VersionedValue(entry.getKey(), entry.getRevision(), entry.getValue()))
                             : new StoreChange.Deleted(entry.getKey(), entry.getRevision()));
         }
-        return new WatchStore.Changes(changes, update.getUpToRevision());
+        long incarnation = update.getIncarnation();
+        StoreRevision after = update.isSetAfterRevision()
+                ? new StoreRevision(incarnation, update.getAfterRevision())
+                : StoreRevision.NONE;
+        StoreRevision upToRevision = new StoreRevision(incarnation, update.getUpToRevision());
+        return new VmUpdate(after, new WatchStore.Changes(changes, upToRevision));
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
@@ -14,6 +14,7 @@
 import org.apricotdeal.relay.policy.VmEntryLog;
 import org.apricotdeal.relay.port.RecordCodec;
 import org.apricotdeal.relay.port.StoreChange;
+import org.apricotdeal.relay.port.StoreRevision;
 import org.apricotdeal.relay.port.WatchStore;
 
 /**
@@ -57,10 +58,13 @@
 
     private final RecordCodec codec;
     private final FleetDuty fleet;
-    private final VmEntryLog entries = new VmEntryLog();
+    private final VmEntryLog entries;
     private volatile long peerUpdateMillis = Long.MIN_VALUE / 2;
     private long keepMissingUntilMillis = Long.MIN_VALUE / 2;
 
+    /** Time at which this node first saw the current incarnation of a store that it had known before. */
+    private long restoredMillis = Long.MIN_VALUE / 2;
+
     /** Time at which the store last confirmed the entries known here, to this node or a peer. */
     private volatile long confirmedMillis = Long.MIN_VALUE / 2;
 
@@ -69,19 +73,26 @@
     VmWatcher(WatchStore store, RecordCodec codec, FleetDuty fleet, Clock clock, DecisionLog log) {
         super("vms", store, codec.vmPrefix(), clock, log);
         this.codec = codec;
+        this.entries = new VmEntryLog(codec::heartbeat);
         this.fleet = fleet;
     }
 
     @Override
     synchronized long onListed(WatchStore.Range range) {
+        StoreRevision known = entries.revision();
+        if (range.revision().incarnation() < known.incarnation()) {
+            return WATCH_INTERVAL_MILLIS;
+        }
+        if (known.isKnown() && !range.revision().hasIncarnationOf(known)) {
+            restoredMillis = clock().monotonicMillis();
+        }
         // If peers could follow the store all the time, missing entries did not expire in an outage: the VMs have left.
-        boolean peersFollowedStore = hasRecentPeerUpdate();
-        keepMissingUntilMillis = peersFollowedStore ? Long.MIN_VALUE / 2 : recoveredMillis() + REREGISTRATION_MILLIS;
-        Map<String, UpstreamVm> vms = new HashMap<>();
-        range.items().forEach(item -> vm(item).ifPresent(vm -> vms.put(item.key(), vm)));
-        entries.replaceAll(range.items(), vms, range.revision());
+        // Entries that the store has lost with its former incarnation are written again, like those that expired.
+        long lostMillis = hasRecentPeerUpdate() ? restoredMillis : Math.max(restoredMillis, recoveredMillis());
+        keepMissingUntilMillis = lostMillis + REREGISTRATION_MILLIS;
+        List<UpstreamVm> vms = replaceAll(range.items(), range.revision());
         confirmedMillis = clock().monotonicMillis();
-        fleet.put(new FleetEvent.AllVmsListed(List.copyOf(vms.values()), removeAtMillis()));
+        fleet.put(new FleetEvent.AllVmsListed(vms, removeAtMillis()));
         return WATCH_INTERVAL_MILLIS;
     }
 
@@ -121,7 +132,7 @@
     }
 
     @Override
-    synchronized long peerRevision() {
+    synchronized StoreRevision peerRevision() {
         return entries.revision();
     }
 
@@ -155,38 +166,71 @@
     }
 
     /** Returns the revision of the store up to which the entries are known. */
-    synchronized long revision() {
+    synchronized StoreRevision revision() {
         return entries.revision();
     }
 
     /**
      * Returns the changes for a peer that does not watch the store. Empty if this node's own data is old, or if it cannot
-     * tell yet whether missing entries expired in an outage or their VMs have left.
+     * tell yet whether missing entries expired or were lost in an outage or their VMs have left.
+     *
+     * @param after revision up to which the peer knows the entries; it gets all if that is of a different incarnation
      */
-    synchronized Optional<WatchStore.Changes> changesSince(long afterRevision) {
+    synchronized Optional<VmUpdate> changesSince(StoreRevision after) {
         boolean settled = hasRecentPeerUpdate() || reachableMillis() >= REREGISTRATION_MILLIS;
-        if (!settled || ageMillis() >= MAX_AGE_MILLIS) {
+        boolean restoredRecently = clock().monotonicMillis() - restoredMillis < REREGISTRATION_MILLIS;
+        if (!settled || restoredRecently || ageMillis() >= MAX_AGE_MILLIS) {
             return Optional.empty();
         }
-        return Optional.of(new WatchStore.Changes(entries.changesSince(afterRevision), entries.revision()));
+        StoreRevision begin = after.hasIncarnationOf(entries.revision()) ? after : StoreRevision.NONE;
+        return Optional.of(
+                new VmUpdate(begin, new WatchStore.Changes(entries.changesSince(begin), entries.revision())));
     }
 
     /**
-     * Applies changes of VM entries from a peer.
+     * Applies changes of VM entries from a peer. Ignored if they are of an earlier incarnation of the store, or begin after
+     * the revision that this node knows, as after its restart.
      *
      * @param update changes since the revision that this node reported
      * @param updateAgeMillis time since the store confirmed the data
      */
-    synchronized void applyPeerUpdate(WatchStore.Changes update, long updateAgeMillis) {
-        if (source == Source.STORE && !isStoreFailing()) {
+    synchronized void applyPeerUpdate(VmUpdate update, long updateAgeMillis) {
+        StoreRevision known = entries.revision();
+        StoreRevision upToRevision = update.changes().revision();
+        boolean follows = update.isComplete()
+                || (update.after().hasIncarnationOf(known) && !update.after().isAfter(known));
+        boolean followsStore = source == Source.STORE && !isStoreFailing();
+        if (followsStore || !follows || upToRevision.incarnation() < known.incarnation()) {
             return;
         }
         peerUpdateMillis = clock().monotonicMillis();
         confirmedMillis = Math.max(confirmedMillis, peerUpdateMillis - updateAgeMillis);
-        List<StoreChange> newChanges = new ArrayList<>(update.changes());
-        newChanges.removeIf(change -> change.revision() <= entries.revision());
+        if (known.isKnown() && !upToRevision.hasIncarnationOf(known)) {
+            // The peer has waited until VMs whose entries the store had lost have registered again.
+            List<UpstreamVm> vms = replaceAll(written(update.changes().changes()), upToRevision);
+            fleet.put(new FleetEvent.AllVmsListed(vms, peerUpdateMillis));
+            return;
+        }
+        List<StoreChange> newChanges = new ArrayList<>(update.changes().changes());
+        newChanges.removeIf(change -> change.revision() <= known.number());
         applyChanges(newChanges, peerUpdateMillis);
-        entries.advanceTo(update.revision());
+        entries.advanceTo(upToRevision);
+    }
+
+    private List<UpstreamVm> replaceAll(List<VersionedValue> items, StoreRevision atRevision) {
+        Map<String, UpstreamVm> vms = new HashMap<>();
+        items.forEach(item -> vm(item).ifPresent(vm -> vms.put(item.key(), vm)));
+        return List.copyOf(entries.replaceAll(items, vms, atRevision));
+    }
+
+    private static List<VersionedValue> written(List<StoreChange> changes) {
+        List<VersionedValue> items = new ArrayList<>();
+        for (StoreChange change : changes) {
+            if (change instanceof StoreChange.Written(VersionedValue item)) {
+                items.add(item);
+            }
+        }
+        return items;
     }
 
     private Optional<UpstreamVm> vm(VersionedValue item) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmEntryLog.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmEntryLog.java
@@ -9,44 +9,62 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 
 import org.apricotdeal.platform.VersionedValue;
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.port.StoreChange;
+import org.apricotdeal.relay.port.StoreRevision;
+import org.apricotdeal.relay.port.VmHeartbeat;
 
 /**
  * The VM entries known to a node, each with the store revision of its last change. A node that follows the store
  * uses this log to answer which entries have changed since a revision, for nodes that the store rejects.
  *
  * <p>A VM writes its entry with every heartbeat. Such a write counts as a change only if the described VM differs,
- * which keeps the messages between nodes small. This class is not thread-safe.
+ * which keeps the messages between nodes small.
+ *
+ * <p>Load pattern: the store is restored from an older copy. All revisions in the log are of one incarnation of the
+ * store, so the log begins anew with the first list of the next one. A list of a restored store may contain entries
+ * that this log has seen removed; they count as removed until their VMs have written them again. This class is not
+ * thread-safe.
  */
 public final class VmEntryLog {
-    /** Revision of an empty log. */
-    public static final long NO_REVISION = -1;
-
     /**
      * Maximum number of remembered removals, of which the oldest are dropped first; more than a fleet loses in a
      * minute.
      */
     private static final int MAX_REMOVED = 512;
 
+    private final Function<byte[], Optional<VmHeartbeat>> heartbeatReader;
     private final Map<String, Entry> entries = new HashMap<>();
-    private final Map<String, Long> removedRevisions = new LinkedHashMap<>();
-    private long revision = NO_REVISION;
+    private final Map<String, Removal> removals = new LinkedHashMap<>();
+    private StoreRevision revision = StoreRevision.NONE;
 
     /** An entry, the VM that it describes, if any, and the revision of its last change. */
     private record Entry(VersionedValue item, Optional<UpstreamVm> vm, long changeRevision) {}
 
+    /** Revision of a removal, and the last heartbeat before it, if known. */
+    private record Removal(long atRevision, Optional<VmHeartbeat> lastHeartbeat) {}
+
     /** A change and its revision; a later heartbeat of the VM may have raised the revision of the entry itself. */
     private record LoggedChange(long atRevision, StoreChange change) {}
 
+    /**
+     * Creates an empty log.
+     *
+     * @param heartbeatReader parser of the position of an entry among those that its VM has written
+     */
+    public VmEntryLog(Function<byte[], Optional<VmHeartbeat>> heartbeatReader) {
+        this.heartbeatReader = heartbeatReader;
+    }
+
     /**
      * Returns the store revision up to which the entries are known.
      *
-     * @return revision, or {@link #NO_REVISION}
+     * @return revision, or {@link StoreRevision#NONE}
      */
-    public long revision() {
+    public StoreRevision revision() {
         return revision;
     }
 
@@ -55,8 +73,8 @@
      *
      * @param upToRevision store revision; an older one has no effect
      */
-    public void advanceTo(long upToRevision) {
-        revision = Math.max(revision, upToRevision);
+    public void advanceTo(StoreRevision upToRevision) {
+        revision = StoreRevision.latest(revision, upToRevision);
     }
 
     /**
@@ -64,16 +82,41 @@
      *
      * @param items all entries of the store
      * @param vms described VMs by key, without the entries that describe none
-     * @param atRevision store revision of the list
+     * @param atRevision store revision of the list, not of an earlier incarnation than {@link #revision}
+     * @return the described VMs without those that had been removed before the store was restored
      */
-    public void replaceAll(List<VersionedValue> items, Map<String, UpstreamVm> vms, long atRevision) {
+    public List<UpstreamVm> replaceAll(
+            List<VersionedValue> items, Map<String, UpstreamVm> vms, StoreRevision atRevision) {
+        boolean restored = revision.isKnown() && !revision.hasIncarnationOf(atRevision);
+        List<UpstreamVm> present = new ArrayList<>();
         Set<String> missing = new HashSet<>(entries.keySet());
+        if (restored) {
+            missing.addAll(removals.keySet());
+            entries.replaceAll((key, entry) -> new Entry(entry.item(), entry.vm(), atRevision.number()));
+        }
         for (VersionedValue item : items) {
+            if (restored && wasRemovedAfter(item)) {
+                continue;
+            }
             missing.remove(item.key());
-            recordWrite(item, Optional.ofNullable(vms.get(item.key())));
+            Optional<UpstreamVm> vm = Optional.ofNullable(vms.get(item.key()));
+            recordWrite(item, vm);
+            vm.ifPresent(present::add);
         }
-        missing.forEach(key -> recordRemoval(key, atRevision));
+        missing.forEach(key -> recordRemoval(key, atRevision.number()));
         advanceTo(atRevision);
+        return present;
+    }
+
+    /** Returns whether an entry was removed later than it was written, in an earlier incarnation of the store. */
+    private boolean wasRemovedAfter(VersionedValue item) {
+        Removal removal = removals.get(item.key());
+        if (removal == null || removal.lastHeartbeat().isEmpty()) {
+            return false;
+        }
+        Optional<VmHeartbeat> heartbeat = heartbeatReader.apply(item.value());
+        return heartbeat.isPresent()
+                && heartbeat.get().compareTo(removal.lastHeartbeat().get()) <= 0;
     }
 
     /**
@@ -86,37 +129,42 @@
         Entry before = entries.get(item.key());
         boolean changed = before == null || !before.vm().equals(vm);
         entries.put(item.key(), new Entry(item, vm, changed ? item.revision() : before.changeRevision()));
-        removedRevisions.remove(item.key());
+        removals.remove(item.key());
     }
 
     /**
      * Records that an entry was removed.
      *
      * @param key key of the entry
-     * @param atRevision store revision of the removal
+     * @param atRevision number of the change of the store that removed it
      */
     public void recordRemoval(String key, long atRevision) {
-        entries.remove(key);
-        removedRevisions.remove(key);
-        removedRevisions.put(key, atRevision);
-        if (removedRevisions.size() > MAX_REMOVED) {
-            removedRevisions.remove(removedRevisions.keySet().iterator().next());
+        Entry removed = entries.remove(key);
+        Removal before = removals.remove(key);
+        Optional<VmHeartbeat> lastHeartbeat = removed != null
+                ? heartbeatReader.apply(removed.item().value())
+                : Optional.ofNullable(before).flatMap(Removal::lastHeartbeat);
+        removals.put(key, new Removal(atRevision, lastHeartbeat));
+        if (removals.size() > MAX_REMOVED) {
+            removals.remove(removals.keySet().iterator().next());
         }
     }
 
     /**
      * Returns the changes after a revision.
      *
-     * @param afterRevision changes up to this revision are omitted
+     * @param after changes up to this revision are omitted; all entries are returned if it is of a different incarnation
+     *     of the store
      * @return writes and removals in the order of their revisions
      */
-    public List<StoreChange> changesSince(long afterRevision) {
+    public List<StoreChange> changesSince(StoreRevision after) {
+        long afterRevision = after.hasIncarnationOf(revision) ? after.number() : StoreRevision.NONE.number();
         List<LoggedChange> changes = new ArrayList<>();
         entries.values()
                 .forEach(entry ->
                         changes.add(new LoggedChange(entry.changeRevision(), new StoreChange.Written(entry.item()))));
-        removedRevisions.forEach((key, atRevision) ->
-                changes.add(new LoggedChange(atRevision, new StoreChange.Deleted(key, atRevision))));
+        removals.forEach((key, removal) -> changes.add(
+                new LoggedChange(removal.atRevision(), new StoreChange.Deleted(key, removal.atRevision()))));
         return changes.stream()
                 .filter(item -> item.atRevision() > afterRevision)
                 .sorted(Comparator.comparingLong(LoggedChange::atRevision))
--- a/relay/src/main/java/org/apricotdeal/relay/port/RecordCodec.java
+++ b/relay/src/main/java/org/apricotdeal/relay/port/RecordCodec.java
@@ -45,6 +45,14 @@
      */
     Optional<UpstreamVm> vm(String id, byte[] value);
 
+    /**
+     * Parses the position of a VM's entry among those that the VM has written.
+     *
+     * @param value value of the entry
+     * @return the position; empty if the entry does not tell it
+     */
+    Optional<VmHeartbeat> heartbeat(byte[] value);
+
     /**
      * Parses a catalogue.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/port/StoreFault.java
+++ b/relay/src/main/java/org/apricotdeal/relay/port/StoreFault.java
@@ -19,6 +19,6 @@
     /** The store no longer has the history from which a watch should continue; all keys must be read again. */
     record HistoryLost() implements StoreFault {}
 
-    /** The lease has ended. */
+    /** The lease has ended, or its id may denote a different lease, because the store has been restored since. */
     record LeaseEnded() implements StoreFault {}
 }
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/port/VmHeartbeat.java
@@ -0,0 +1,19 @@
+package org.apricotdeal.relay.port;
+
+import java.util.Comparator;
+
+/**
+ * Position of a VM's entry among all that the VM has written, whatever the store's revisions are.
+ *
+ * @param startedWallMillis wall-clock time of the VM's start
+ * @param number number of the heartbeat since that start
+ */
+public record VmHeartbeat(long startedWallMillis, long number) implements Comparable<VmHeartbeat> {
+    private static final Comparator<VmHeartbeat> ORDER =
+            Comparator.comparingLong(VmHeartbeat::startedWallMillis).thenComparingLong(VmHeartbeat::number);
+
+    @Override
+    public int compareTo(VmHeartbeat other) {
+        return ORDER.compare(this, other);
+    }
+}
--- a/relay/src/main/java/org/apricotdeal/relay/port/WatchStore.java
+++ b/relay/src/main/java/org/apricotdeal/relay/port/WatchStore.java
@@ -10,18 +10,18 @@
     /**
      * All keys with a prefix, read page by page.
      *
-     * @param items the keys with their values and revisions
+     * @param items the keys with their values, and their revisions in the same incarnation of the store
      * @param revision revision of the store before the first page was read, from which a watch continues
      */
-    record Range(List<VersionedValue> items, long revision) {}
+    record Range(List<VersionedValue> items, StoreRevision revision) {}
 
     /**
      * Result of a watch.
      *
-     * @param changes changes ordered by revision; empty if the wait ended before a change
+     * @param changes changes ordered by revision, of the same incarnation of the store; empty if the wait ended before one
      * @param revision revision from which the next watch continues
      */
-    record Changes(List<StoreChange> changes, long revision) {}
+    record Changes(List<StoreChange> changes, StoreRevision revision) {}
 
     /**
      * Reads all keys with a prefix.
@@ -36,44 +36,44 @@
      * Waits for changes of keys with a prefix.
      *
      * @param prefix prefix of the keys
-     * @param afterRevision only changes after this revision are returned
+     * @param after only changes after this revision are returned
      * @param waitMillis longest time to wait
-     * @return the changes, or the failure
+     * @return the changes, or the failure; {@link StoreFault.HistoryLost} also if the store is of a different incarnation
      */
-    Result<Changes, StoreFault> watch(String prefix, long afterRevision, long waitMillis);
+    Result<Changes, StoreFault> watch(String prefix, StoreRevision after, long waitMillis);
 
     /**
      * Writes a key unconditionally and attaches it to a lease.
      *
      * @param key the key
      * @param value the new value
-     * @param leaseId the lease; the key is deleted when it ends
+     * @param lease the lease; the key is deleted when it ends
      * @return revision of the write, or why it failed or has an unknown outcome
      */
-    Result<Long, StoreFault> write(String key, byte[] value, long leaseId);
+    Result<StoreRevision, StoreFault> write(String key, byte[] value, StoreLease lease);
 
     /**
      * Grants a lease.
      *
      * @param ttlMillis time to live of the lease
-     * @return id of the lease, or the failure
+     * @return the lease, or the failure
      */
-    Result<Long, StoreFault> grantLease(long ttlMillis);
+    Result<StoreLease, StoreFault> grantLease(long ttlMillis);
 
     /**
      * Renews a lease.
      *
-     * @param leaseId the lease
+     * @param lease the lease
      * @return time to live in milliseconds, counted from the arrival of the call, or why the renewal failed or has an
      *     unknown outcome
      */
-    Result<Long, StoreFault> renewLease(long leaseId);
+    Result<Long, StoreFault> renewLease(StoreLease lease);
 
     /**
      * Ends a lease and deletes its keys.
      *
-     * @param leaseId the lease
+     * @param lease the lease
      * @return true, or why the call failed or has an unknown outcome
      */
-    Result<Boolean, StoreFault> endLease(long leaseId);
+    Result<Boolean, StoreFault> endLease(StoreLease lease);
 }
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayEvacuations.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayEvacuations.java
@@ -12,17 +12,20 @@
 
   private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField SINCE_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("sinceRevision", org.apache.thrift.protocol.TType.MAP, (short)2);
+  private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TRelayEvacuationsStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TRelayEvacuationsTupleSchemeFactory();
 
   public long revision; // required
   public @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> sinceRevision; // required
+  public long incarnation; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     REVISION((short)1, "revision"),
-    SINCE_REVISION((short)2, "sinceRevision");
+    SINCE_REVISION((short)2, "sinceRevision"),
+    INCARNATION((short)3, "incarnation");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -42,6 +45,8 @@
           return REVISION;
         case 2: // SINCE_REVISION
           return SINCE_REVISION;
+        case 3: // INCARNATION
+          return INCARNATION;
         default:
           return null;
       }
@@ -86,7 +91,9 @@
 
   // isset id assignments
   private static final int __REVISION_ISSET_ID = 0;
+  private static final int __INCARNATION_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.INCARNATION};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -96,6 +103,8 @@
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
+    tmpMap.put(_Fields.INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("incarnation", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TRelayEvacuations.class, metaDataMap);
   }
@@ -123,6 +132,7 @@
       java.util.Map<java.lang.String,java.lang.Long> __this__sinceRevision = new java.util.HashMap<java.lang.String,java.lang.Long>(other.sinceRevision);
       this.sinceRevision = __this__sinceRevision;
     }
+    this.incarnation = other.incarnation;
   }
 
   @Override
@@ -135,6 +145,8 @@
     setRevisionIsSet(false);
     this.revision = 0;
     this.sinceRevision = null;
+    setIncarnationIsSet(false);
+    this.incarnation = 0;
   }
 
   public long getRevision() {
@@ -196,6 +208,29 @@
     }
   }
 
+  public long getIncarnation() {
+    return this.incarnation;
+  }
+
+  public TRelayEvacuations setIncarnation(long incarnation) {
+    this.incarnation = incarnation;
+    setIncarnationIsSet(true);
+    return this;
+  }
+
+  public void unsetIncarnation() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
+  public boolean isSetIncarnation() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  public void setIncarnationIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -215,6 +250,14 @@
       }
       break;
 
+    case INCARNATION:
+      if (value == null) {
+        unsetIncarnation();
+      } else {
+        setIncarnation((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -228,6 +271,9 @@
     case SINCE_REVISION:
       return getSinceRevision();
 
+    case INCARNATION:
+      return getIncarnation();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -244,6 +290,8 @@
       return isSetRevision();
     case SINCE_REVISION:
       return isSetSinceRevision();
+    case INCARNATION:
+      return isSetIncarnation();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -279,6 +327,15 @@
         return false;
     }
 
+    boolean this_present_incarnation = true && this.isSetIncarnation();
+    boolean that_present_incarnation = true && that.isSetIncarnation();
+    if (this_present_incarnation || that_present_incarnation) {
+      if (!(this_present_incarnation && that_present_incarnation))
+        return false;
+      if (this.incarnation != that.incarnation)
+        return false;
+    }
+
     return true;
   }
 
@@ -292,6 +349,10 @@
     if (isSetSinceRevision())
       hashCode = hashCode * 8191 + sinceRevision.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetIncarnation()) ? 131071 : 524287);
+    if (isSetIncarnation())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
+
     return hashCode;
   }
 
@@ -323,6 +384,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -358,6 +429,12 @@
       sb.append(this.sinceRevision);
     }
     first = false;
+    if (isSetIncarnation()) {
+      if (!first) sb.append(", ");
+      sb.append("incarnation:");
+      sb.append(this.incarnation);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -437,6 +514,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // INCARNATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.incarnation = iprot.readI64();
+              struct.setIncarnationIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -472,6 +557,11 @@
         }
         oprot.writeFieldEnd();
       }
+      if (struct.isSetIncarnation()) {
+        oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
+        oprot.writeI64(struct.incarnation);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -499,6 +589,14 @@
           oprot.writeI64(_iter45.getValue());
         }
       }
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetIncarnation()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetIncarnation()) {
+        oprot.writeI64(struct.incarnation);
+      }
     }
 
     @Override
@@ -519,6 +617,11 @@
         }
       }
       struct.setSinceRevisionIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.incarnation = iprot.readI64();
+        struct.setIncarnationIsSet(true);
+      }
     }
   }
 
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayHeartbeat.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayHeartbeat.java
@@ -26,6 +26,7 @@
   private static final org.apache.thrift.protocol.TField TRIALS_FIELD_DESC = new org.apache.thrift.protocol.TField("trials", org.apache.thrift.protocol.TType.LIST, (short)15);
   private static final org.apache.thrift.protocol.TField EVACUATIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("evacuations", org.apache.thrift.protocol.TType.STRUCT, (short)16);
   private static final org.apache.thrift.protocol.TField DEMAND_FIELD_DESC = new org.apache.thrift.protocol.TField("demand", org.apache.thrift.protocol.TType.LIST, (short)17);
+  private static final org.apache.thrift.protocol.TField VM_INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("vmIncarnation", org.apache.thrift.protocol.TType.I64, (short)18);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TRelayHeartbeatStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TRelayHeartbeatTupleSchemeFactory();
@@ -50,6 +51,7 @@
   public @org.apache.thrift.annotation.Nullable java.util.List<TRelayTrial> trials; // optional
   public @org.apache.thrift.annotation.Nullable TRelayEvacuations evacuations; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<TRelayDemand> demand; // optional
+  public long vmIncarnation; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -72,7 +74,8 @@
     CRASHES((short)14, "crashes"),
     TRIALS((short)15, "trials"),
     EVACUATIONS((short)16, "evacuations"),
-    DEMAND((short)17, "demand");
+    DEMAND((short)17, "demand"),
+    VM_INCARNATION((short)18, "vmIncarnation");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -120,6 +123,8 @@
           return EVACUATIONS;
         case 17: // DEMAND
           return DEMAND;
+        case 18: // VM_INCARNATION
+          return VM_INCARNATION;
         default:
           return null;
       }
@@ -169,8 +174,9 @@
   private static final int __STOPPING_ISSET_ID = 3;
   private static final int __VMAGEMILLIS_ISSET_ID = 4;
   private static final int __CRASHDIGEST_ISSET_ID = 5;
+  private static final int __VMINCARNATION_ISSET_ID = 6;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.VM_REVISION,_Fields.STORE_AWAY,_Fields.VM_NEWS,_Fields.STOPPING,_Fields.SCOPE,_Fields.SEEN,_Fields.VM_AGE_MILLIS,_Fields.SILENT_VMS,_Fields.CRASH_DIGEST,_Fields.CRASHES,_Fields.TRIALS,_Fields.EVACUATIONS,_Fields.DEMAND};
+  private static final _Fields optionals[] = {_Fields.VM_REVISION,_Fields.STORE_AWAY,_Fields.VM_NEWS,_Fields.STOPPING,_Fields.SCOPE,_Fields.SEEN,_Fields.VM_AGE_MILLIS,_Fields.SILENT_VMS,_Fields.CRASH_DIGEST,_Fields.CRASHES,_Fields.TRIALS,_Fields.EVACUATIONS,_Fields.DEMAND,_Fields.VM_INCARNATION};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -212,6 +218,8 @@
     tmpMap.put(_Fields.DEMAND, new org.apache.thrift.meta_data.FieldMetaData("demand", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayDemand.class))));
+    tmpMap.put(_Fields.VM_INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("vmIncarnation", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TRelayHeartbeat.class, metaDataMap);
   }
@@ -296,6 +304,7 @@
       }
       this.demand = __this__demand;
     }
+    this.vmIncarnation = other.vmIncarnation;
   }
 
   @Override
@@ -327,6 +336,8 @@
     this.trials = null;
     this.evacuations = null;
     this.demand = null;
+    setVmIncarnationIsSet(false);
+    this.vmIncarnation = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -821,6 +832,29 @@
     }
   }
 
+  public long getVmIncarnation() {
+    return this.vmIncarnation;
+  }
+
+  public TRelayHeartbeat setVmIncarnation(long vmIncarnation) {
+    this.vmIncarnation = vmIncarnation;
+    setVmIncarnationIsSet(true);
+    return this;
+  }
+
+  public void unsetVmIncarnation() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __VMINCARNATION_ISSET_ID);
+  }
+
+  /** Returns true if field vmIncarnation is set (has been assigned a value) and false otherwise */
+  public boolean isSetVmIncarnation() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __VMINCARNATION_ISSET_ID);
+  }
+
+  public void setVmIncarnationIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VMINCARNATION_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -952,6 +986,14 @@
       }
       break;
 
+    case VM_INCARNATION:
+      if (value == null) {
+        unsetVmIncarnation();
+      } else {
+        setVmIncarnation((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -1007,6 +1049,9 @@
     case DEMAND:
       return getDemand();
 
+    case VM_INCARNATION:
+      return getVmIncarnation();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1051,6 +1096,8 @@
       return isSetEvacuations();
     case DEMAND:
       return isSetDemand();
+    case VM_INCARNATION:
+      return isSetVmIncarnation();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1212,6 +1259,15 @@
         return false;
     }
 
+    boolean this_present_vmIncarnation = true && this.isSetVmIncarnation();
+    boolean that_present_vmIncarnation = true && that.isSetVmIncarnation();
+    if (this_present_vmIncarnation || that_present_vmIncarnation) {
+      if (!(this_present_vmIncarnation && that_present_vmIncarnation))
+        return false;
+      if (this.vmIncarnation != that.vmIncarnation)
+        return false;
+    }
+
     return true;
   }
 
@@ -1281,6 +1337,10 @@
     if (isSetDemand())
       hashCode = hashCode * 8191 + demand.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetVmIncarnation()) ? 131071 : 524287);
+    if (isSetVmIncarnation())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(vmIncarnation);
+
     return hashCode;
   }
 
@@ -1452,6 +1512,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetVmIncarnation(), other.isSetVmIncarnation());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVmIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.vmIncarnation, other.vmIncarnation);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1605,6 +1675,12 @@
       }
       first = false;
     }
+    if (isSetVmIncarnation()) {
+      if (!first) sb.append(", ");
+      sb.append("vmIncarnation:");
+      sb.append(this.vmIncarnation);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1865,6 +1941,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 18: // VM_INCARNATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.vmIncarnation = iprot.readI64();
+              struct.setVmIncarnationIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -2020,6 +2104,11 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.isSetVmIncarnation()) {
+        oprot.writeFieldBegin(VM_INCARNATION_FIELD_DESC);
+        oprot.writeI64(struct.vmIncarnation);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -2087,7 +2176,10 @@
       if (struct.isSetDemand()) {
         optionals.set(12);
       }
-      oprot.writeBitSet(optionals, 13);
+      if (struct.isSetVmIncarnation()) {
+        optionals.set(13);
+      }
+      oprot.writeBitSet(optionals, 14);
       if (struct.isSetVmRevision()) {
         oprot.writeI64(struct.vmRevision);
       }
@@ -2157,6 +2249,9 @@
           }
         }
       }
+      if (struct.isSetVmIncarnation()) {
+        oprot.writeI64(struct.vmIncarnation);
+      }
     }
 
     @Override
@@ -2179,7 +2274,7 @@
         }
       }
       struct.setLoadsIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(13);
+      java.util.BitSet incoming = iprot.readBitSet(14);
       if (incoming.get(0)) {
         struct.vmRevision = iprot.readI64();
         struct.setVmRevisionIsSet(true);
@@ -2284,6 +2379,10 @@
         }
         struct.setDemandIsSet(true);
       }
+      if (incoming.get(13)) {
+        struct.vmIncarnation = iprot.readI64();
+        struct.setVmIncarnationIsSet(true);
+      }
     }
   }
 
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayVmNews.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayVmNews.java
@@ -12,17 +12,23 @@
 
   private static final org.apache.thrift.protocol.TField UP_TO_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("upToRevision", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField ENTRIES_FIELD_DESC = new org.apache.thrift.protocol.TField("entries", org.apache.thrift.protocol.TType.LIST, (short)2);
+  private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField AFTER_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("afterRevision", org.apache.thrift.protocol.TType.I64, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TRelayVmNewsStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TRelayVmNewsTupleSchemeFactory();
 
   public long upToRevision; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<TRelayVmEntry> entries; // required
+  public long incarnation; // optional
+  public long afterRevision; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     UP_TO_REVISION((short)1, "upToRevision"),
-    ENTRIES((short)2, "entries");
+    ENTRIES((short)2, "entries"),
+    INCARNATION((short)3, "incarnation"),
+    AFTER_REVISION((short)4, "afterRevision");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -42,6 +48,10 @@
           return UP_TO_REVISION;
         case 2: // ENTRIES
           return ENTRIES;
+        case 3: // INCARNATION
+          return INCARNATION;
+        case 4: // AFTER_REVISION
+          return AFTER_REVISION;
         default:
           return null;
       }
@@ -86,7 +96,10 @@
 
   // isset id assignments
   private static final int __UPTOREVISION_ISSET_ID = 0;
+  private static final int __INCARNATION_ISSET_ID = 1;
+  private static final int __AFTERREVISION_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.INCARNATION,_Fields.AFTER_REVISION};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -95,6 +108,10 @@
     tmpMap.put(_Fields.ENTRIES, new org.apache.thrift.meta_data.FieldMetaData("entries", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayVmEntry.class))));
+    tmpMap.put(_Fields.INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("incarnation", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.AFTER_REVISION, new org.apache.thrift.meta_data.FieldMetaData("afterRevision", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TRelayVmNews.class, metaDataMap);
   }
@@ -125,6 +142,8 @@
       }
       this.entries = __this__entries;
     }
+    this.incarnation = other.incarnation;
+    this.afterRevision = other.afterRevision;
   }
 
   @Override
@@ -137,6 +156,10 @@
     setUpToRevisionIsSet(false);
     this.upToRevision = 0;
     this.entries = null;
+    setIncarnationIsSet(false);
+    this.incarnation = 0;
+    setAfterRevisionIsSet(false);
+    this.afterRevision = 0;
   }
 
   public long getUpToRevision() {
@@ -203,6 +226,52 @@
     }
   }
 
+  public long getIncarnation() {
+    return this.incarnation;
+  }
+
+  public TRelayVmNews setIncarnation(long incarnation) {
+    this.incarnation = incarnation;
+    setIncarnationIsSet(true);
+    return this;
+  }
+
+  public void unsetIncarnation() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
+  public boolean isSetIncarnation() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+  }
+
+  public void setIncarnationIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
+  }
+
+  public long getAfterRevision() {
+    return this.afterRevision;
+  }
+
+  public TRelayVmNews setAfterRevision(long afterRevision) {
+    this.afterRevision = afterRevision;
+    setAfterRevisionIsSet(true);
+    return this;
+  }
+
+  public void unsetAfterRevision() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __AFTERREVISION_ISSET_ID);
+  }
+
+  /** Returns true if field afterRevision is set (has been assigned a value) and false otherwise */
+  public boolean isSetAfterRevision() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __AFTERREVISION_ISSET_ID);
+  }
+
+  public void setAfterRevisionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __AFTERREVISION_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -222,6 +291,22 @@
       }
       break;
 
+    case INCARNATION:
+      if (value == null) {
+        unsetIncarnation();
+      } else {
+        setIncarnation((java.lang.Long)value);
+      }
+      break;
+
+    case AFTER_REVISION:
+      if (value == null) {
+        unsetAfterRevision();
+      } else {
+        setAfterRevision((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -235,6 +320,12 @@
     case ENTRIES:
       return getEntries();
 
+    case INCARNATION:
+      return getIncarnation();
+
+    case AFTER_REVISION:
+      return getAfterRevision();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -251,6 +342,10 @@
       return isSetUpToRevision();
     case ENTRIES:
       return isSetEntries();
+    case INCARNATION:
+      return isSetIncarnation();
+    case AFTER_REVISION:
+      return isSetAfterRevision();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -286,6 +381,24 @@
         return false;
     }
 
+    boolean this_present_incarnation = true && this.isSetIncarnation();
+    boolean that_present_incarnation = true && that.isSetIncarnation();
+    if (this_present_incarnation || that_present_incarnation) {
+      if (!(this_present_incarnation && that_present_incarnation))
+        return false;
+      if (this.incarnation != that.incarnation)
+        return false;
+    }
+
+    boolean this_present_afterRevision = true && this.isSetAfterRevision();
+    boolean that_present_afterRevision = true && that.isSetAfterRevision();
+    if (this_present_afterRevision || that_present_afterRevision) {
+      if (!(this_present_afterRevision && that_present_afterRevision))
+        return false;
+      if (this.afterRevision != that.afterRevision)
+        return false;
+    }
+
     return true;
   }
 
@@ -299,6 +412,14 @@
     if (isSetEntries())
       hashCode = hashCode * 8191 + entries.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetIncarnation()) ? 131071 : 524287);
+    if (isSetIncarnation())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
+
+    hashCode = hashCode * 8191 + ((isSetAfterRevision()) ? 131071 : 524287);
+    if (isSetAfterRevision())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(afterRevision);
+
     return hashCode;
   }
 
@@ -330,6 +451,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIncarnation()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetAfterRevision(), other.isSetAfterRevision());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAfterRevision()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.afterRevision, other.afterRevision);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -365,6 +506,18 @@
       sb.append(this.entries);
     }
     first = false;
+    if (isSetIncarnation()) {
+      if (!first) sb.append(", ");
+      sb.append("incarnation:");
+      sb.append(this.incarnation);
+      first = false;
+    }
+    if (isSetAfterRevision()) {
+      if (!first) sb.append(", ");
+      sb.append("afterRevision:");
+      sb.append(this.afterRevision);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -443,6 +596,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // INCARNATION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.incarnation = iprot.readI64();
+              struct.setIncarnationIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 4: // AFTER_REVISION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.afterRevision = iprot.readI64();
+              struct.setAfterRevisionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -477,6 +646,16 @@
         }
         oprot.writeFieldEnd();
       }
+      if (struct.isSetIncarnation()) {
+        oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
+        oprot.writeI64(struct.incarnation);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetAfterRevision()) {
+        oprot.writeFieldBegin(AFTER_REVISION_FIELD_DESC);
+        oprot.writeI64(struct.afterRevision);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -503,6 +682,20 @@
           _iter4.write(oprot);
         }
       }
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetIncarnation()) {
+        optionals.set(0);
+      }
+      if (struct.isSetAfterRevision()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetIncarnation()) {
+        oprot.writeI64(struct.incarnation);
+      }
+      if (struct.isSetAfterRevision()) {
+        oprot.writeI64(struct.afterRevision);
+      }
     }
 
     @Override
@@ -522,6 +715,15 @@
         }
       }
       struct.setEntriesIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(2);
+      if (incoming.get(0)) {
+        struct.incarnation = iprot.readI64();
+        struct.setIncarnationIsSet(true);
+      }
+      if (incoming.get(1)) {
+        struct.afterRevision = iprot.readI64();
+        struct.setAfterRevisionIsSet(true);
+      }
     }
   }
 
--- a/wire-gen/src/main/thrift/relay.thrift
+++ b/wire-gen/src/main/thrift/relay.thrift
@@ -23,10 +23,12 @@
   3: optional binary value;           // absent: the entry was removed
 }
 
-// What a node that follows the store tells one that cannot.
+// What a node that follows the store tells one that cannot. All revisions are of one incarnation of the store.
 struct TRelayVmNews {
   1: required i64 upToRevision;
   2: required list<TRelayVmEntry> entries;
+  3: optional i64 incarnation;
+  4: optional i64 afterRevision;      // absent: these are all entries; else only what changed after this revision
 }
 
 // Whose requests the loads of a heartbeat are.
@@ -79,6 +81,7 @@
 struct TRelayEvacuations {
   1: required i64 revision;
   2: required map<string, i64> sinceRevision;  // by failure domain: revision of the operator's word
+  3: optional i64 incarnation;                 // of the store, for all revisions
 }
 
 // Demand for a queue of an engine's upstream, of the nodes that the loads of the heartbeat are of.
@@ -111,4 +114,5 @@
   15: optional list<TRelayTrial> trials;
   16: optional TRelayEvacuations evacuations;  // absent: the sender does not know them yet
   17: optional list<TRelayDemand> demand;      // by queue; absent: the sender does not measure it
+  18: optional i64 vmIncarnation;              // incarnation of the store for vmRevision
 }
