An older entry does not take back that a VM leaves

Callers of a VM that had announced that it leaves could be sent to it again: the entry of a restored store is older than the announcement, and an entry that came later always counted. A VM that leaves does so for the rest of its incarnation, as it does already when it says so in an answer. SuspectedVmTest.olderEntryDoesNotTakeBackThatVmLeaves found 1 target instead of 0 on the code before.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SuspectedVmTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SuspectedVmTest.java
@@ -128,4 +128,15 @@
         assertFalse(table.recordLeaving(new TargetId(VM, 1)), "the answer is from before the start");
         assertEquals(targets(10_100), 1);
     }
+
+    /** A restored store holds the entry that a VM had written before it announced that it leaves. */
+    @Test
+    public void olderEntryDoesNotTakeBackThatVmLeaves() {
+        table.applyEntry(entry(1).withLeaving(), 10_000);
+        assertEquals(targets(10_000), 0);
+        table.applyEntry(entry(1), 10_100);
+        assertEquals(targets(10_100), 0);
+        table.applyEntry(entry(2), 10_200);
+        assertEquals(targets(10_200), 1);
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -87,6 +87,7 @@
         if (tracked == null || entry.startedWallMillis() > tracked.vm.startedWallMillis()) {
             TrackedVm added = new TrackedVm(entry);
             added.groupChangedMillis = nowMillis;
+            added.leaving = entry.leaving();
             recordColdness(added, entry.coldRemainingMillis(), nowMillis);
             vms.put(entry.id(), added);
             return false;
@@ -95,6 +96,8 @@
             return false;
         }
         tracked.removeAtMillis = Long.MAX_VALUE;
+        // Holds for the rest of the incarnation; an entry of a restored store may be older than the announcement.
+        tracked.leaving |= entry.leaving();
         recordColdness(tracked, entry.coldRemainingMillis(), nowMillis);
         UpstreamVm current = entry.withOrdersAndGroup(tracked.vm.orderCount(), mostAdvanced(tracked, entry.group()));
         update(tracked, tracked.leaving ? current.withLeaving() : current, nowMillis);
