The stand-in store returns from an older copy, and names its era in all answers

A copy holds keys, history, leases and the counter. After a restore later writes and leases are gone, their revisions and ids are given out again, and a watch from a revision that the store does not have gets 410.

--- a/standins/src/main/java/org/apricotdeal/standins/users/UsersStore.java
+++ b/standins/src/main/java/org/apricotdeal/standins/users/UsersStore.java
@@ -11,17 +11,49 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
-/** State of the stand-in store: keys with revisions, their history, and leases. */
+/** State of the stand-in store: keys with revisions, their history, and leases. Copies of it can be restored. */
 final class UsersStore {
     private final TreeMap<String, ObjectNode> items = new TreeMap<>();
     private final List<ObjectNode> history = new ArrayList<>();
     private final Map<Long, Lease> leases = new HashMap<>();
     private long revision = 1;
     private long oldestRevision = 1;
+    private long era;
 
     /** A lease and its end. */
     private record Lease(long ttlMillis, long endsAtMillis) {}
 
+    /** The state as of a moment. */
+    record Copy(
+            Map<String, ObjectNode> items,
+            List<ObjectNode> history,
+            Map<Long, Lease> leases,
+            long revision,
+            long oldestRevision) {}
+
+    synchronized Copy copy() {
+        return new Copy(Map.copyOf(items), List.copyOf(history), Map.copyOf(leases), revision, oldestRevision);
+    }
+
+    /** Goes back to a copy: later writes and leases are lost, and their revisions and ids are given out again. */
+    synchronized void restore(Copy copy) {
+        items.clear();
+        items.putAll(copy.items());
+        history.clear();
+        history.addAll(copy.history());
+        leases.clear();
+        leases.putAll(copy.leases());
+        revision = copy.revision();
+        oldestRevision = copy.oldestRevision();
+        era++;
+        notifyAll();
+    }
+
+    /** Returns how often the store has been restored. */
+    synchronized long era() {
+        return era;
+    }
+
     synchronized void put(String key, String base64, long lease) {
         ObjectNode item = JsonNodeFactory.instance.objectNode();
         revision++;
@@ -60,11 +92,11 @@
         return page.put("truncated", false).put("at", revision);
     }
 
-    /** Waits for changes; returns null where the history does not reach back far enough. */
+    /** Waits for changes; returns null where the history does not reach back far enough, or not up to the revision yet. */
     synchronized ObjectNode watch(String prefix, long after, long waitMillis) throws InterruptedException {
         long endNanos = System.nanoTime() + waitMillis * 1_000_000;
         while (true) {
-            if (after < oldestRevision) {
+            if (after < oldestRevision || after > revision) {
                 return null;
             }
             ObjectNode reply = JsonNodeFactory.instance.objectNode();
--- a/standins/src/main/java/org/apricotdeal/standins/users/UsersStoreStandin.java
+++ b/standins/src/main/java/org/apricotdeal/standins/users/UsersStoreStandin.java
@@ -26,12 +26,17 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final long EXPIRE_MILLIS = 50;
 
+    /** Number in all answers that rises by one each time the store is restored. */
+    private static final String ERA_HEADER = "Store-Era";
+
     private final UsersStore store = new UsersStore();
     private final Door mainDoor = new Door();
     private final List<Door> doors = new CopyOnWriteArrayList<>();
     private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().daemon(true).factory());
     private final AtomicInteger calls = new AtomicInteger();
+    private volatile UsersStore.Copy copy = store.copy();
+    private volatile boolean eraNamed = true;
 
     /** What the store does with calls. */
     public enum Mode {
@@ -118,6 +123,25 @@
         store.compact();
     }
 
+    /** Makes a copy of all that the store holds, for {@link #restore}. */
+    public void copy() {
+        copy = store.copy();
+    }
+
+    /** Returns to the last copy: what came later is lost, and its revisions and leases are given out again. */
+    public void restore() {
+        store.restore(copy);
+    }
+
+    /**
+     * Sets whether answers name the store's era.
+     *
+     * @param named false for a store that does not tell that it was restored
+     */
+    public void setEraNamed(boolean named) {
+        eraNamed = named;
+    }
+
     /**
      * Writes a key as the operator or a worker does.
      *
@@ -159,28 +183,28 @@
                 return true;
             }
             if (door.mode == Mode.BUSY) {
-                reply(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503, JsonNodeFactory.instance.objectNode());
+                reply(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503, store.era(), null);
                 return true;
             }
             String path = request.getHttpURI().getPath();
-            ObjectNode answer = answer(path, Request.extractQueryParameters(request), request);
-            if (door.mode == Mode.SILENT) {
-                return true;
+            Fields query = Request.extractQueryParameters(request);
+            String body = Content.Source.asString(request);
+            ObjectNode answer;
+            long era;
+            // No restore may come between an answer and its era; a watch gives the lock up while it waits.
+            synchronized (store) {
+                answer = answer(path, query, body);
+                era = store.era();
             }
-            if (answer == null) {
-                boolean watch = path.equals("/kv-watch");
-                reply(
-                        response,
-                        callback,
-                        watch ? HttpStatus.GONE_410 : HttpStatus.NOT_FOUND_404,
-                        JsonNodeFactory.instance.objectNode());
+            if (door.mode == Mode.SILENT) {
                 return true;
             }
-            reply(response, callback, HttpStatus.OK_200, answer);
+            int missing = path.equals("/kv-watch") ? HttpStatus.GONE_410 : HttpStatus.NOT_FOUND_404;
+            reply(response, callback, answer == null ? missing : HttpStatus.OK_200, era, answer);
             return true;
         }
 
-        private ObjectNode answer(String path, Fields query, Request request) throws Exception {
+        private ObjectNode answer(String path, Fields query, String body) throws Exception {
             long nowMillis = System.currentTimeMillis();
             if (path.startsWith("/kv-keep/")) {
                 return store.keep(lastNumber(path), nowMillis);
@@ -196,13 +220,9 @@
                             query.getValue("path-prefix"),
                             Long.parseLong(query.getValue("after")),
                             Long.parseLong(query.getValue("wait-ms")));
-                case "/kv-txn" -> store.write(MAPPER.readTree(Content.Source.asString(request)));
+                case "/kv-txn" -> store.write(MAPPER.readTree(body));
                 case "/kv-lease" ->
-                    store.grant(
-                            MAPPER.readTree(Content.Source.asString(request))
-                                    .path("ttl-ms")
-                                    .asLong(),
-                            nowMillis);
+                    store.grant(MAPPER.readTree(body).path("ttl-ms").asLong(), nowMillis);
                 default -> null;
             };
         }
@@ -211,7 +231,11 @@
             return Long.parseLong(path.substring(path.lastIndexOf('/') + 1));
         }
 
-        private static void reply(Response response, Callback callback, int status, ObjectNode body) {
+        private void reply(Response response, Callback callback, int status, long era, ObjectNode answer) {
+            if (eraNamed) {
+                response.getHeaders().put(ERA_HEADER, Long.toString(era));
+            }
+            ObjectNode body = answer == null ? JsonNodeFactory.instance.objectNode() : answer;
             StandinServer.reply(response, callback, status, body.toString());
         }
     }
