--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/VmEntryLogTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/VmEntryLogTest.java
@@ -1,6 +1,7 @@
 package org.apricotdeal.proofs.relay;
 
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -21,6 +22,9 @@
 
 /** Checks the changes of VM entries that a node can report to another node. */
 public final class VmEntryLogTest {
+    /** A state of the store after it was restored, with a lower number than before. */
+    private static final StoreRevision RESTORED = new StoreRevision(2, 5);
+
     private VmEntryLog log;
 
     @BeforeMethod
@@ -49,10 +53,11 @@
         return new StoreRevision(1, number);
     }
 
-    /** The test's entries end with the number of their heartbeat. */
+    /** The test's entries end with the number of their heartbeat; a plus before it marks those of a second start. */
     private static Optional<VmHeartbeat> heartbeat(byte[] value) {
         String text = new String(value, StandardCharsets.UTF_8);
-        return Optional.of(new VmHeartbeat(1, Long.parseLong(text.substring(text.indexOf('@') + 1))));
+        return Optional.of(
+                new VmHeartbeat(text.contains("+") ? 2 : 1, Long.parseLong(text.substring(text.indexOf('@') + 1))));
     }
 
     private static VersionedValue item(String id, long revision) {
@@ -124,4 +129,55 @@
         assertEquals(changes.size(), 512);
         assertEquals(changes.getLast(), "servers/v1999 removed@1999");
     }
+
+    private static VersionedValue beat(String id, long revision, long heartbeat) {
+        return new VersionedValue("servers/" + id, revision, (id + "@" + heartbeat).getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Lists the store after it was restored with a lower revision; returns the VMs that are present. */
+    private List<String> listRestored(VersionedValue... items) {
+        Map<String, UpstreamVm> vms = new HashMap<>();
+        for (VersionedValue item : items) {
+            vms.put(item.key(), vm(item.key().substring("servers/".length()), false));
+        }
+        return log.replaceAll(List.of(items), vms, RESTORED).stream()
+                .map(vm -> vm.id().value())
+                .toList();
+    }
+
+    /** Guards against entries and removals of a former incarnation that hide those of the next one. */
+    @Test
+    public void logBeginsAnewAfterRestore() {
+        write("v1", 10, false);
+        write("v2", 11, false);
+        assertEquals(listRestored(beat("v1", 3, 11)), List.of("v1"));
+        assertEquals(log.revision(), RESTORED);
+        assertEquals(
+                log.changesSince(at(11)).stream().map(StoreChange::revision).toList(), List.of(3L, RESTORED.number()));
+        log.recordWrite(beat("v2", 8, 12), Optional.of(vm("v2", false)));
+        log.advanceTo(new StoreRevision(2, 8));
+        assertEquals(
+                log.changesSince(RESTORED).stream().map(StoreChange::revision).toList(), List.of(8L));
+    }
+
+    /** Guards against requests to a VM that has left and whose entry returned with the older copy. */
+    @Test
+    public void removedEntryOfOlderCopyCountsOnlyOnceWrittenAgain() {
+        write("v1", 10, false);
+        log.recordRemoval("servers/v1", 12);
+        assertEquals(listRestored(beat("v1", 3, 9)), List.of());
+        log.recordWrite(beat("v1", 8, 11), Optional.of(vm("v1", false)));
+        assertEquals(
+                log.changesSince(RESTORED).stream().map(StoreChange::revision).toList(), List.of(8L));
+    }
+
+    @Test
+    public void removedVmCountsWithLaterHeartbeatOrStart() {
+        write("v1", 10, false);
+        write("v2", 10, false);
+        log.recordRemoval("servers/v1", 12);
+        log.recordRemoval("servers/v2", 12);
+        VersionedValue restarted = new VersionedValue("servers/v2", 4, "v2+@1".getBytes(StandardCharsets.UTF_8));
+        assertEquals(listRestored(beat("v1", 3, 11), restarted), List.of("v1", "v2"));
+    }
 }
