What a node knows of VM entries outlasts an older copy of the store

The list of a restored store put back what a VM had written before it left or became cold, until its next heartbeat. A second list of the same incarnation also put back entries that had been removed before the restore. Both are now told by heartbeat, for entries that are no newer than what is known. A response to a watch of the former incarnation, read late after a peer has told of the next one, is ignored like such a list.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/VmEntryLogTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/VmEntryLogTest.java
@@ -166,6 +166,8 @@
         write("v1", 10, false);
         log.recordRemoval("servers/v1", 12);
         assertEquals(listRestored(beat("v1", 3, 9)), List.of());
+        // Listed once more in the same incarnation, as after a failed call.
+        assertEquals(listRestored(beat("v1", 3, 9)), List.of());
         log.recordWrite(beat("v1", 8, 11), Optional.of(vm("v1", false)));
         assertEquals(
                 log.changesSince(RESTORED).stream().map(StoreChange::revision).toList(), List.of(8L));
@@ -180,4 +182,14 @@
         VersionedValue restarted = new VersionedValue("servers/v2", 4, "v2+@1".getBytes(StandardCharsets.UTF_8));
         assertEquals(listRestored(beat("v1", 3, 11), restarted), List.of("v1", "v2"));
     }
+
+    /** Guards against requests to a leaving VM whose entry from before it left returned with the older copy. */
+    @Test
+    public void olderEntryDoesNotReplaceLaterHeartbeat() {
+        write("v1", 10, true);
+        assertEquals(listRestored(beat("v1", 3, 9)), List.of("v1"));
+        assertEquals(
+                log.changesSince(at(10)).stream().map(StoreChange::revision).toList(), List.of(RESTORED.number()));
+        assertEquals(changesSince(10), List.of("v1@10"));
+    }
 }
--- a/proofs/src/test/java/org/apricotdeal/relay/node/RestoredStoreTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/RestoredStoreTest.java
@@ -9,6 +9,7 @@
 import org.apricotdeal.adapter.UsersPlatform;
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.result.Result;
+import org.apricotdeal.platform.VersionedValue;
 import org.apricotdeal.relay.port.RecordCodec;
 import org.apricotdeal.relay.port.StoreChange;
 import org.apricotdeal.relay.port.StoreFault;
@@ -192,6 +193,20 @@
         assertEquals(behind.revision(), newest);
     }
 
+    /** Guards against a response that a node reads after a freeze, when a peer has told it of the next incarnation. */
+    @Test
+    public void lateChangesOfFormerIncarnationAreIgnored() {
+        VmWatcher watcher = vmWatcher();
+        run(watcher, 1);
+        StoreRevision former = new StoreRevision(watcher.revision().incarnation(), 90);
+        StoreRevision restored = new StoreRevision(former.incarnation() + 1, 1);
+        watcher.setSource(VmWatcher.Source.PEERS);
+        watcher.applyPeerUpdate(new VmUpdate(StoreRevision.NONE, new WatchStore.Changes(List.of(), restored)), 0);
+        VersionedValue lost = new VersionedValue("servers/v1", former.number(), new byte[0]);
+        watcher.onChanged(new WatchStore.Changes(List.of(new StoreChange.Written(lost)), former));
+        assertEquals(vms(watcher), Set.of());
+    }
+
     /** Guards against a lease id that denotes the lease of another node since the store was restored. */
     @Test
     public void leaseOfOtherNodeIsNeitherRenewedNorEnded() {
--- a/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
@@ -98,6 +98,9 @@
 
     @Override
     synchronized long onChanged(WatchStore.Changes changes) {
+        if (changes.revision().incarnation() < entries.revision().incarnation()) {
+            return WATCH_INTERVAL_MILLIS;
+        }
         applyChanges(changes.changes(), removeAtMillis());
         entries.advanceTo(changes.revision());
         confirmedMillis = clock().monotonicMillis();
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmEntryLog.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmEntryLog.java
@@ -26,8 +26,8 @@
  *
  * <p>Load pattern: the store is restored from an older copy. All revisions in the log are of one incarnation of the
  * store, so the log begins anew with the first list of the next one. A list of a restored store may contain entries
- * that this log has seen removed; they count as removed until their VMs have written them again. This class is not
- * thread-safe.
+ * that this log has seen removed or replaced; what the log has seen counts until their VMs have written them again. This
+ * class is not thread-safe.
  */
 public final class VmEntryLog {
     /**
@@ -42,7 +42,12 @@
     private StoreRevision revision = StoreRevision.NONE;
 
     /** An entry, the VM that it describes, if any, and the revision of its last change. */
-    private record Entry(VersionedValue item, Optional<UpstreamVm> vm, long changeRevision) {}
+    private record Entry(VersionedValue item, Optional<UpstreamVm> vm, long changeRevision) {
+        /** Returns this entry as if it had been written at a revision. */
+        Entry at(long revision) {
+            return new Entry(new VersionedValue(item.key(), revision, item.value()), vm, revision);
+        }
+    }
 
     /** Revision of a removal, and the last heartbeat before it, if known. */
     private record Removal(long atRevision, Optional<VmHeartbeat> lastHeartbeat) {}
@@ -83,7 +88,8 @@
      * @param items all entries of the store
      * @param vms described VMs by key, without the entries that describe none
      * @param atRevision store revision of the list, not of an earlier incarnation than {@link #revision}
-     * @return the described VMs without those that had been removed before the store was restored
+     * @return the described VMs without those that had been removed before the store was restored, and as their latest
+     *     known heartbeats describe them
      */
     public List<UpstreamVm> replaceAll(
             List<VersionedValue> items, Map<String, UpstreamVm> vms, StoreRevision atRevision) {
@@ -91,32 +97,48 @@
         List<UpstreamVm> present = new ArrayList<>();
         Set<String> missing = new HashSet<>(entries.keySet());
         if (restored) {
-            missing.addAll(removals.keySet());
-            entries.replaceAll((key, entry) -> new Entry(entry.item(), entry.vm(), atRevision.number()));
+            entries.replaceAll((key, entry) -> entry.at(atRevision.number()));
+            removals.replaceAll((key, removal) -> new Removal(atRevision.number(), removal.lastHeartbeat()));
         }
         for (VersionedValue item : items) {
-            if (restored && wasRemovedAfter(item)) {
-                continue;
+            if (!isOutdated(item)) {
+                recordWrite(item, Optional.ofNullable(vms.get(item.key())));
+            }
+            Entry entry = entries.get(item.key());
+            if (entry != null) {
+                missing.remove(item.key());
+                entry.vm().ifPresent(present::add);
             }
-            missing.remove(item.key());
-            Optional<UpstreamVm> vm = Optional.ofNullable(vms.get(item.key()));
-            recordWrite(item, vm);
-            vm.ifPresent(present::add);
         }
         missing.forEach(key -> recordRemoval(key, atRevision.number()));
         advanceTo(atRevision);
         return present;
     }
 
-    /** Returns whether an entry was removed later than it was written, in an earlier incarnation of the store. */
-    private boolean wasRemovedAfter(VersionedValue item) {
-        Removal removal = removals.get(item.key());
-        if (removal == null || removal.lastHeartbeat().isEmpty()) {
+    /** Returns whether a later heartbeat of the VM than that of an entry is known, or its removal after that entry. */
+    private boolean isOutdated(VersionedValue item) {
+        if (item.revision() > lastRevision(item.key())) {
             return false;
         }
-        Optional<VmHeartbeat> heartbeat = heartbeatReader.apply(item.value());
-        return heartbeat.isPresent()
-                && heartbeat.get().compareTo(removal.lastHeartbeat().get()) <= 0;
+        Optional<VmHeartbeat> known = lastHeartbeat(item.key());
+        Optional<VmHeartbeat> listed = heartbeatReader.apply(item.value());
+        return known.isPresent() && listed.isPresent() && listed.get().compareTo(known.get()) <= 0;
+    }
+
+    /** Returns the revision at which an entry was written or removed last; -1 if neither is known. */
+    private long lastRevision(String key) {
+        if (entries.containsKey(key)) {
+            return entries.get(key).item().revision();
+        }
+        return removals.containsKey(key) ? removals.get(key).atRevision() : StoreRevision.NONE.number();
+    }
+
+    /** Returns the last heartbeat that the entry with a key had, also before its removal. */
+    private Optional<VmHeartbeat> lastHeartbeat(String key) {
+        Entry entry = entries.get(key);
+        return entry != null
+                ? heartbeatReader.apply(entry.item().value())
+                : Optional.ofNullable(removals.get(key)).flatMap(Removal::lastHeartbeat);
     }
 
     /**
@@ -139,11 +161,9 @@
      * @param atRevision number of the change of the store that removed it
      */
     public void recordRemoval(String key, long atRevision) {
-        Entry removed = entries.remove(key);
-        Removal before = removals.remove(key);
-        Optional<VmHeartbeat> lastHeartbeat = removed != null
-                ? heartbeatReader.apply(removed.item().value())
-                : Optional.ofNullable(before).flatMap(Removal::lastHeartbeat);
+        Optional<VmHeartbeat> lastHeartbeat = lastHeartbeat(key);
+        entries.remove(key);
+        removals.remove(key);
         removals.put(key, new Removal(atRevision, lastHeartbeat));
         if (removals.size() > MAX_REMOVED) {
             removals.remove(removals.keySet().iterator().next());
