The soak targets restores the store from copies 2 to 14 s old

Words and entries that were lost are written again within about a second; restores come beside nodes that freeze, restart and are cut off, at times twice in a row. The fault ORDER_BY_NUMBER_ALONE is caught by evacuations-monotonic.

--- a/lab/src/main/java/org/apricotdeal/lab/soak/TargetsChecks.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/TargetsChecks.java
@@ -7,6 +7,7 @@
 
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.misc.Invariants;
+import org.apricotdeal.relay.port.StoreRevision;
 
 /** Checks each request that a node sends, with the true state of the store and the VMs. */
 final class TargetsChecks {
@@ -22,6 +23,7 @@
     private long coldSends;
     private long refusals;
     private int disagreements;
+    private int restores;
     private long latestMillis;
     private int mostInSecond;
 
@@ -40,6 +42,10 @@
         disagreements++;
     }
 
+    void restore() {
+        restores++;
+    }
+
     void refusedForEvacuation() {
         refusals++;
     }
@@ -51,12 +57,12 @@
      * @param vm VM that receives it
      * @param toldRevision revision of the entry that the dispatcher knew when it decided to send
      */
-    void onSend(TargetsNode node, TargetsVm vm, long toldRevision) {
+    void onSend(TargetsNode node, TargetsVm vm, StoreRevision toldRevision) {
         long nowMillis = world.scheduler().monotonicMillis();
         sends++;
         lastSendMillis.put(vm.failureDomain, nowMillis);
         checkEvacuation(node, vm, nowMillis);
-        if (vm.up && vm.isCold(nowMillis) && toldRevision >= vm.coldRevision) {
+        if (vm.up && vm.isCold(nowMillis) && vm.isToldBy(toldRevision)) {
             checkCold(node, vm, nowMillis);
         }
     }
@@ -118,7 +124,8 @@
     public String toString() {
         return sends + " requests, " + coldSends + " of them to cold VMs, at most " + mostInSecond
                 + " in a second; two views of the fleet " + disagreements
-                + " times; last request to an evacuated domain " + latestMillis + " ms after the word; "
+                + " times; the store restored " + restores + " times; last request to an evacuated domain "
+                + latestMillis + " ms after the word; "
                 + refusals
                 + " refused while all were evacuated";
     }
--- a/lab/src/main/java/org/apricotdeal/lab/soak/TargetsFault.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/TargetsFault.java
@@ -6,6 +6,8 @@
     NONE,
     /** A node obeys the word that arrives last instead of the one of the later revision. */
     LAST_WORD_WINS,
+    /** A node orders what the store says by the number of the revision alone, whatever the incarnation of the store. */
+    ORDER_BY_NUMBER_ALONE,
     /** Heartbeats do not carry the operator's words. */
     PEERS_TELL_NOTHING,
     /** The dispatcher does not hear of evacuations, and attempts do not ask again before they begin. */
--- a/lab/src/main/java/org/apricotdeal/lab/soak/TargetsFaultSource.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/TargetsFaultSource.java
@@ -9,7 +9,8 @@
 import org.apricotdeal.relay.policy.FleetNode;
 
 /**
- * Gives and takes back the operator's words, returns VMs cold, and lets the nodes fail and disagree about the fleet.
+ * Gives and takes back the operator's words, returns VMs cold, restores the store from older copies, and lets the nodes fail
+ * and disagree about the fleet.
  *
  * <p>The views of the fleet change in episodes: the nodes hold at most two disjoint ones at a time, and all agree for more
  * than a second between two episodes. Three disjoint views within a second are known to exceed the bound of a cold VM
@@ -18,6 +19,10 @@
 final class TargetsFaultSource {
     private static final long AGREE_MILLIS = 1_300;
     private static final long VIEW_SPREAD_MILLIS = 500;
+    private static final long MAX_AWAY_MILLIS = 800;
+    private static final long MIN_COPY_AGE_MILLIS = 2_000;
+    private static final long MAX_COPY_AGE_MILLIS = 14_000;
+    private static final long WRITE_AGAIN_MILLIS = 1_000;
     private static final long COLD_RETURN_DOWN_MILLIS = 1_500;
 
     private final TargetsWorld world;
@@ -43,6 +48,7 @@
         repeat(3_000, 8_000, this::cutOff);
         repeat(3_000, 7_000, this::returnDomainCold);
         repeat(300, 1_500, this::makeColdAgain);
+        repeat(3_000, 15_000, this::restoreStore);
         scheduler.every(100, this::watchAgreement);
     }
 
@@ -128,6 +134,31 @@
         }
     }
 
+    /** The store goes away for a moment, or not visibly, and returns from an older copy; at times twice in a row. */
+    private void restoreStore() {
+        world.setStoreAway(random.nextBoolean());
+        scheduler.after(random.nextLong(MAX_AWAY_MILLIS), () -> {
+            returnOlder();
+            world.setStoreAway(false);
+        });
+        if (random.nextInt(3) == 0) {
+            scheduler.after(MAX_AWAY_MILLIS + random.nextLong(MAX_AWAY_MILLIS), this::returnOlder);
+        }
+    }
+
+    private void returnOlder() {
+        if (!active) {
+            return;
+        }
+        long ageMillis = MIN_COPY_AGE_MILLIS + random.nextLong(MAX_COPY_AGE_MILLIS - MIN_COPY_AGE_MILLIS);
+        say("the store returns from a copy " + ageMillis + " ms old");
+        world.restoreStore(ageMillis);
+        scheduler.after(100 + random.nextLong(WRITE_AGAIN_MILLIS), () -> {
+            say("what the store has lost is written again");
+            world.writeAgain();
+        });
+    }
+
     private void freeze(TargetsNode node, long millis) {
         if (!node.isRunning()) {
             return;
--- a/lab/src/main/java/org/apricotdeal/lab/soak/TargetsNode.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/TargetsNode.java
@@ -33,6 +33,7 @@
 import org.apricotdeal.relay.policy.TargetBuilder;
 import org.apricotdeal.relay.policy.TargetId;
 import org.apricotdeal.relay.policy.VmTable;
+import org.apricotdeal.relay.port.StoreRevision;
 
 /**
  * A node in relay mode in the randomised run of targets: its own decision objects, with watches, heartbeats and connections
@@ -65,10 +66,10 @@
     private HeartbeatPartners partners;
     private Evacuations words;
     private VmTable table;
-    private long watchedRevision;
-    private Map<VmId, TargetsStore.VmWrite> entries;
+    private StoreRevision watchedRevision;
+    private Map<VmId, TargetsStore.ToldEntry> entries;
     private Map<VmId, ColdVm> coldVms;
-    private Map<VmId, Long> toldRevisions;
+    private Map<VmId, StoreRevision> toldRevisions;
     private List<Target> targets;
     private Map<String, Map<TargetId, Integer>> peerLoads;
     private Map<ExchangeId, AttemptId> attempts;
@@ -78,7 +79,7 @@
     private record Heartbeat(
             FleetNode sender,
             Evacuations words,
-            Map<VmId, TargetsStore.VmWrite> entries,
+            Map<VmId, TargetsStore.ToldEntry> entries,
             Map<TargetId, Integer> loads) {}
 
     TargetsNode(FleetNode self, TargetsWorld world) {
@@ -103,7 +104,7 @@
         partners = new HeartbeatPartners(candidate(self));
         words = Evacuations.UNKNOWN;
         table = new VmTable();
-        watchedRevision = -1;
+        watchedRevision = StoreRevision.NONE;
         entries = new HashMap<>();
         coldVms = Map.of();
         toldRevisions = new HashMap<>();
@@ -199,22 +200,35 @@
         if (!world.storeAnswers(this)) {
             return;
         }
-        TargetsStore.Answer answer = world.store().answer(watchedRevision);
-        long asked = watchedRevision;
+        StoreRevision asked = watchedRevision;
+        TargetsStore.Answer answer = world.fault() == TargetsFault.ORDER_BY_NUMBER_ALONE
+                ? world.store().answer(asked.number())
+                : world.store().answer(asked);
         boolean late = random.nextDouble() < LATE_ANSWERS;
         later(1 + random.nextLong(late ? MAX_LATE_MILLIS : MAX_CONNECT_MILLIS), () -> {
-            if (asked < 0 || answer.changes().isEmpty()) {
+            if (!asked.isKnown() || answer.changes().isEmpty()) {
                 adopt(latest(answer.listing()));
             } else {
                 adopt(words.with(answer.changes().get(), answer.listing().revision()));
             }
             answer.vms().forEach(this::applyEntry);
-            watchedRevision = Math.max(watchedRevision, answer.revision());
+            StoreRevision answered = answer.listing().revision();
+            watchedRevision = isLater(answered, watchedRevision) ? answered : watchedRevision;
         });
     }
 
     private Evacuations latest(Evacuations told) {
-        return world.fault() == TargetsFault.LAST_WORD_WINS ? told : words.latest(told);
+        return switch (world.fault()) {
+            case LAST_WORD_WINS -> told;
+            case ORDER_BY_NUMBER_ALONE -> isLater(told.revision(), words.revision()) ? told : words;
+            default -> words.latest(told);
+        };
+    }
+
+    private boolean isLater(StoreRevision told, StoreRevision known) {
+        return world.fault() == TargetsFault.ORDER_BY_NUMBER_ALONE
+                ? told.number() > known.number()
+                : told.isAfter(known);
     }
 
     private void adopt(Evacuations adopted) {
@@ -233,9 +247,9 @@
         }
     }
 
-    private void applyEntry(TargetsStore.VmWrite write) {
-        TargetsStore.VmWrite known = entries.get(write.vm());
-        if (known != null && known.revision() >= write.revision()) {
+    private void applyEntry(TargetsStore.ToldEntry write) {
+        TargetsStore.ToldEntry known = entries.get(write.vm());
+        if (known != null && !isLater(write.revision(), known.revision())) {
             return;
         }
         entries.put(write.vm(), write);
@@ -364,8 +378,8 @@
             switch (action) {
                 case RelayAction.Send send -> {
                     attempts.put(send.id(), send.attempt());
-                    long toldRevision =
-                            toldRevisions.getOrDefault(send.target().id().vm(), -1L);
+                    StoreRevision toldRevision =
+                            toldRevisions.getOrDefault(send.target().id().vm(), StoreRevision.NONE);
                     later(1 + random.nextLong(MAX_CONNECT_MILLIS), () -> begin(send, toldRevision));
                 }
                 case RelayAction.CancelAttempt(ExchangeId id) -> attempts.remove(id);
@@ -378,7 +392,7 @@
     }
 
     /** Sends a request once its connection is there, unless the target is evacuated meanwhile. */
-    private void begin(RelayAction.Send send, long toldRevision) {
+    private void begin(RelayAction.Send send, StoreRevision toldRevision) {
         if (!send.attempt().equals(attempts.get(send.id()))) {
             return;
         }
--- a/lab/src/main/java/org/apricotdeal/lab/soak/TargetsVm.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/TargetsVm.java
@@ -10,6 +10,7 @@
 import org.apricotdeal.kernel.id.UpstreamId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.UpstreamVm;
+import org.apricotdeal.relay.port.StoreRevision;
 
 /** A VM as it truly is, with the requests that nodes sent to it while it was cold and they knew that. */
 final class TargetsVm {
@@ -21,8 +22,10 @@
     boolean up = true;
     long startedMillis;
     long coldUntilMillis;
-    /** Revision of the store's entry that told of the current cold state. */
-    long coldRevision;
+    /** Revision of the store's entry that told of the current cold state; empty if the store has lost it. */
+    private Optional<StoreRevision> coldRevision = Optional.empty();
+
+    private long toldMillis;
 
     TargetsVm(VmId id, FailureDomainId failureDomain) {
         this.id = id;
@@ -33,6 +36,30 @@
         return nowMillis < coldUntilMillis;
     }
 
+    /** Records that the store tells of the current cold state; earlier requests count no more. */
+    void recordTold(StoreRevision atRevision, long nowMillis) {
+        coldRevision = Optional.of(atRevision);
+        toldMillis = nowMillis;
+        sendsWhileCold.clear();
+    }
+
+    /** Records that the store has returned from a copy, which does not tell of the current cold state if it is older. */
+    void recordRestored(long copiedMillis) {
+        coldRevision = coldRevision.filter(told -> toldMillis < copiedMillis);
+    }
+
+    /** Records an entry that was written after the store was restored. */
+    void recordWrittenAgain(StoreRevision atRevision, long nowMillis) {
+        if (coldRevision.isEmpty()) {
+            recordTold(atRevision, nowMillis);
+        }
+    }
+
+    /** Returns whether an entry of a revision tells of the current cold state. */
+    boolean isToldBy(StoreRevision revision) {
+        return coldRevision.isPresent() && !coldRevision.get().isAfter(revision);
+    }
+
     /** Returns the entry that the VM writes to the store. */
     UpstreamVm entry(UpstreamId upstream, long nowMillis) {
         return new UpstreamVm(
--- a/lab/src/main/java/org/apricotdeal/lab/soak/TargetsWorld.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/TargetsWorld.java
@@ -25,6 +25,7 @@
 import org.apricotdeal.relay.policy.ColdBounds;
 import org.apricotdeal.relay.policy.FleetNode;
 import org.apricotdeal.relay.policy.QueueId;
+import org.apricotdeal.relay.port.StoreRevision;
 
 /** Nodes in relay mode, VMs of a plain service, the store and the network between them, on the virtual clock. */
 final class TargetsWorld {
@@ -37,6 +38,7 @@
     private static final int MIN_NODES_PER_DOMAIN = 2;
     private static final int MAX_NODES_PER_DOMAIN = 4;
     private static final long ENTRY_MILLIS = 1_200;
+    private static final long COPY_MILLIS = 500;
     private static final long TOUCH_SAMPLE_MILLIS = 50;
     private static final double HEARTBEAT_LOSS = 0.1;
     private static final double HEARTBEAT_REPEATS = 0.05;
@@ -55,6 +57,7 @@
     private final Set<TargetsNode> storeSilentTo = new HashSet<>();
     private final Set<TargetsNode> cutOff = new HashSet<>();
     private final Map<TargetsNode, List<FleetNode>> views = new HashMap<>();
+    private boolean storeAway;
     private final RelayCatalogue catalogue;
     private final RouteEntry route;
 
@@ -96,6 +99,8 @@
                 add(new TargetsVm(new VmId("v" + d + i), domain));
             }
         }
+        store.copy(scheduler.monotonicMillis());
+        scheduler.every(COPY_MILLIS, () -> store.copy(scheduler.monotonicMillis()));
         scheduler.every(TOUCH_SAMPLE_MILLIS, () -> checks.observeTouch(inTouch()));
         nodeList.forEach(TargetsNode::start);
     }
@@ -117,7 +122,7 @@
     }
 
     /** Writes the entry of a VM as it is now; returns the revision. */
-    long writeEntry(TargetsVm vm) {
+    StoreRevision writeEntry(TargetsVm vm) {
         return store.write(
                 vm.id, vm.up ? Optional.of(vm.entry(QUEUE.upstream(), scheduler.monotonicMillis())) : Optional.empty());
     }
@@ -125,8 +130,7 @@
     /** Makes a VM cold, as after a start or while it serves. */
     void makeCold(TargetsVm vm) {
         vm.coldUntilMillis = scheduler.monotonicMillis() + COLD_START.startMillis();
-        vm.coldRevision = writeEntry(vm);
-        vm.sendsWhileCold.clear();
+        vm.recordTold(writeEntry(vm), scheduler.monotonicMillis());
     }
 
     /** Returns the nodes that the operator's words can reach now: the store answers them, or nodes that are in touch. */
@@ -151,7 +155,25 @@
     }
 
     boolean storeAnswers(TargetsNode node) {
-        return !storeSilentTo.contains(node) && !cutOff.contains(node);
+        return !storeAway && !storeSilentTo.contains(node) && !cutOff.contains(node);
+    }
+
+    /** Takes the store away from all nodes, or returns it. */
+    void setStoreAway(boolean away) {
+        storeAway = away;
+    }
+
+    /** Returns the store to a copy of an age; what it told of cold VMs since may be lost. */
+    void restoreStore(long ageMillis) {
+        long copiedMillis = store.restore(ageMillis, scheduler.monotonicMillis());
+        checks.restore();
+        vmList.forEach(vm -> vm.recordRestored(copiedMillis));
+    }
+
+    /** Writes again what the operator and the VMs had written before the store was restored. */
+    void writeAgain() {
+        store.writeWordsAgain(domains, scheduler.monotonicMillis());
+        vmList.forEach(vm -> vm.recordWrittenAgain(writeEntry(vm), scheduler.monotonicMillis()));
     }
 
     void setStoreSilent(TargetsNode node, boolean silent) {
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/TargetsRunTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/TargetsRunTest.java
@@ -25,6 +25,7 @@
     public Object[][] injectedFaults() {
         return new Object[][] {
             {TargetsFault.LAST_WORD_WINS, "evacuations-monotonic"},
+            {TargetsFault.ORDER_BY_NUMBER_ALONE, "evacuations-monotonic"},
             {TargetsFault.PEERS_TELL_NOTHING, "evacuation-obeyed"},
             {TargetsFault.EVACUATIONS_NOT_OBEYED, "evacuation-obeyed"},
             {TargetsFault.COLD_VMS_NOT_LIMITED, "cold-rate-held"},
