--- a/relay/src/main/java/org/apricotdeal/relay/node/EvacuationHolder.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/EvacuationHolder.java
@@ -18,9 +18,6 @@
 
 /** Holds the failure domains that the operator evacuates, whose revision never becomes an earlier one within a process. */
 final class EvacuationHolder {
-    /** Time within which the operator gives words again that the store has lost. */
-    private static final long REWRITE_MILLIS = 2_200;
-
     private final Set<FailureDomainId> knownDomains;
     private final Clock clock;
     private final DecisionLog log;
@@ -28,7 +25,6 @@
     private final CopyOnWriteArrayList<Consumer<Set<FailureDomainId>>> listeners = new CopyOnWriteArrayList<>();
     private final Map<FailureDomainId, Long> heardMillis = new ConcurrentHashMap<>();
     private volatile Evacuations current = Evacuations.UNKNOWN;
-    private long restoredMillis;
 
     /**
      * Creates a holder that knows nothing yet.
@@ -61,7 +57,7 @@
     }
 
     boolean isEvacuated(FailureDomainId domain) {
-        return current.includes(domain);
+        return current.domains().contains(domain);
     }
 
     /**
@@ -94,18 +90,8 @@
         adopt(current.with(changes, upToRevision), source);
     }
 
-    /** Ends the evacuations that a restored store does not hold, once the operator has had time to give them again. */
-    synchronized void expireCarriedOver() {
-        if (!current.carriedOver().isEmpty() && clock.monotonicMillis() - restoredMillis >= REWRITE_MILLIS) {
-            adopt(current.withoutCarriedOver(), "restored store");
-        }
-    }
-
     private void adopt(Evacuations adopted, String source) {
         Evacuations before = current;
-        if (!adopted.revision().hasIncarnationOf(before.revision())) {
-            restoredMillis = clock.monotonicMillis();
-        }
         if (adopted.equals(before)) {
             return;
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -146,7 +146,6 @@
     }
 
     private void sendAll() {
-        evacuations.expireCarriedOver();
         PeerSnapshot snapshot = fleet.peerSnapshot();
         Set<String> recipients;
         synchronized (partners) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/Evacuations.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/Evacuations.java
@@ -1,7 +1,6 @@
 package org.apricotdeal.relay.policy;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -15,33 +14,19 @@
  * <p>Load pattern: the operator's words reach a node by its watch, by a listing after the history was lost, and by
  * heartbeats of several peers, repeatedly and out of order. Whatever comes with the later revision holds, so an order that
  * was taken back never returns and one that was given is never lost. The store may be restored from an older copy at any
- * moment; what is known of its new incarnation then replaces all that is known of the former one. A failure domain that the
- * copy does not evacuate stays evacuated for a while, until the operator has had time to give the lost word again.
+ * moment; what is known of its new incarnation then replaces all that is known of the former one.
  *
  * @param revision revision of the store up to which the words are known; {@link StoreRevision#NONE} if none are known yet
  * @param sinceRevision number of the change, in the same incarnation of the store, that gave the word for each failure
  *     domain that is being evacuated
- * @param carriedOver failure domains whose word the store may have lost when it was restored
  */
-public record Evacuations(
-        StoreRevision revision, Map<FailureDomainId, Long> sinceRevision, Set<FailureDomainId> carriedOver) {
+public record Evacuations(StoreRevision revision, Map<FailureDomainId, Long> sinceRevision) {
     /** What a node knows that has just started. */
     public static final Evacuations UNKNOWN = new Evacuations(StoreRevision.NONE, Map.of());
 
-    /** Copies the map and the set. */
+    /** Copies the map. */
     public Evacuations {
         sinceRevision = Map.copyOf(sinceRevision);
-        carriedOver = Set.copyOf(carriedOver);
-    }
-
-    /**
-     * Creates words of which none was lost.
-     *
-     * @param revision revision of the store up to which the words are known
-     * @param sinceRevision number of the change that gave the word for each failure domain
-     */
-    public Evacuations(StoreRevision revision, Map<FailureDomainId, Long> sinceRevision) {
-        this(revision, sinceRevision, Set.of());
     }
 
     /**
@@ -65,25 +50,10 @@
     /**
      * Returns the failure domains that are being evacuated.
      *
-     * @return their ids, also those carried over
+     * @return their ids
      */
     public Set<FailureDomainId> domains() {
-        if (carriedOver.isEmpty()) {
-            return sinceRevision.keySet();
-        }
-        Set<FailureDomainId> domains = new HashSet<>(sinceRevision.keySet());
-        domains.addAll(carriedOver);
-        return domains;
-    }
-
-    /**
-     * Returns whether a failure domain is being evacuated. Called for each request that is sent.
-     *
-     * @param domain the failure domain
-     * @return true also if it is carried over
-     */
-    public boolean includes(FailureDomainId domain) {
-        return sinceRevision.containsKey(domain) || carriedOver.contains(domain);
+        return sinceRevision.keySet();
     }
 
     /**
@@ -93,22 +63,7 @@
      * @return these unless the others are of a later revision
      */
     public Evacuations latest(Evacuations others) {
-        if (!others.revision.isAfter(revision)) {
-            return this;
-        }
-        boolean restored = isKnown() && !others.revision.hasIncarnationOf(revision);
-        Set<FailureDomainId> lost = new HashSet<>(restored ? domains() : carriedOver);
-        lost.removeAll(others.sinceRevision.keySet());
-        return new Evacuations(others.revision, others.sinceRevision, lost);
-    }
-
-    /**
-     * Returns these without the failure domains carried over, once the operator has had time to give lost words again.
-     *
-     * @return these with an empty set
-     */
-    public Evacuations withoutCarriedOver() {
-        return new Evacuations(revision, sinceRevision);
+        return others.revision.isAfter(revision) ? others : this;
     }
 
     /**
@@ -124,18 +79,16 @@
             return this;
         }
         Map<FailureDomainId, Long> changed = new HashMap<>(sinceRevision);
-        Set<FailureDomainId> lost = new HashSet<>(carriedOver);
         for (Change change : changes) {
             if (change.revision() <= revision.number()) {
                 continue;
             }
-            lost.remove(change.failureDomain());
             if (change.evacuated()) {
                 changed.put(change.failureDomain(), change.revision());
             } else {
                 changed.remove(change.failureDomain());
             }
         }
-        return new Evacuations(upToRevision, changed, lost);
+        return new Evacuations(upToRevision, changed);
     }
 }
