Withhold restored entries of removed VMs whatever their heartbeat

Found by the review, by reading: a node that peers feed knows only the heartbeat of a VM's last change, so the copy's entry of a VM that had left since was newer than what it knew, and the VM would have become a target again on all nodes but the one that follows the store. The first list of a new incarnation now withholds the entries of all VMs that this node has seen removed, unless they have started anew, until they write them again. Test: VmEntryLogTest.removedEntryIsWithheldAlsoIfItsLastHeartbeatIsUnknown.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/VmEntryLogTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/VmEntryLogTest.java
@@ -173,6 +173,16 @@
                 log.changesSince(RESTORED).stream().map(StoreChange::revision).toList(), List.of(8L));
     }
 
+    /** A log that peers have fed knows an earlier heartbeat than that of the entry whose removal they told. */
+    @Test
+    public void removedEntryIsWithheldAlsoIfItsLastHeartbeatIsUnknown() {
+        write("v1", 3, false);
+        log.recordRemoval("servers/v1", 42);
+        log.withholdRemoved(List.of(beat("v1", 4, 36)));
+        assertEquals(listRestored(beat("v1", 4, 36)), List.of());
+        assertEquals(listRestored(beat("v1", 9, 37)), List.of("v1"));
+    }
+
     @Test
     public void removedVmCountsWithLaterHeartbeatOrStart() {
         write("v1", 10, false);
--- a/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/VmWatcher.java
@@ -85,6 +85,7 @@
         }
         if (known.isKnown() && !range.revision().hasIncarnationOf(known)) {
             restoredMillis = clock().monotonicMillis();
+            entries.withholdRemoved(range.items());
         }
         // If peers could follow the store all the time, missing entries did not expire in an outage: the VMs have left.
         // Entries that the store has lost with its former incarnation are written again, like those that expired.
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmEntryLog.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmEntryLog.java
@@ -115,6 +115,22 @@
         return present;
     }
 
+    /**
+     * Counts listed entries of removed VMs as outdated, for the first list of a new incarnation. Their heartbeats may be
+     * later than those known here, since nodes pass on only changes of the described VM.
+     *
+     * @param items all entries of the restored store
+     */
+    public void withholdRemoved(List<VersionedValue> items) {
+        for (VersionedValue item : items) {
+            Removal removal = removals.get(item.key());
+            Optional<VmHeartbeat> listed = removal == null ? Optional.empty() : heartbeatReader.apply(item.value());
+            if (listed.isPresent() && !listed.get().isOfLaterStart(removal.lastHeartbeat())) {
+                removals.put(item.key(), new Removal(removal.atRevision(), listed));
+            }
+        }
+    }
+
     /** Returns whether a later heartbeat of the VM than that of an entry is known, or its removal after that entry. */
     private boolean isOutdated(VersionedValue item) {
         if (item.revision() > lastRevision(item.key())) {
