Back off when a lease ends before its first write

Found by the review, by reading: a store that names a lower incarnation than before would have been asked for leases without a pause, as each counted as ended before the registration was written. Only a lease that was in use is replaced at once.

--- a/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
@@ -54,7 +54,7 @@
     long runOnce() {
         Optional<StoreFault> failure = lease.isPresent() ? renew(lease.get()) : register();
         if (failure.isPresent()) {
-            if (failure.get() instanceof StoreFault.LeaseEnded) {
+            if (failure.get() instanceof StoreFault.LeaseEnded && lease.isPresent()) {
                 lease = Optional.empty();
                 return 0;
             }
