--- a/relay/src/main/java/org/apricotdeal/relay/node/EvacuationHolder.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/EvacuationHolder.java
@@ -74,7 +74,7 @@
     /** Puts in force what the store listed or a peer told, if it is of a later revision. */
     synchronized void offer(Evacuations offered, String source) {
         Evacuations latest = current.latest(offered);
-        if (!latest.equals(offered) && !offered.domains().equals(current.domains())) {
+        if (current.revision().isAfter(offered.revision()) && !offered.domains().equals(current.domains())) {
             metrics.counter("evacuations.outdated").inc();
             log.request("evacuations_outdated")
                     .with("offered", offered.revision())
