--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/EvacuationsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/EvacuationsTest.java
@@ -67,4 +67,16 @@
         Evacuations before = new Evacuations(at(5), Map.of(A, 4L));
         assertEquals(before.latest(new Evacuations(at(12), Map.of(B, 11L))).domains(), Set.of(B));
     }
+
+    /** Guards against a word that is ignored, or comes back from a peer, because a former incarnation counted further. */
+    @Test
+    public void laterIncarnationHoldsWhateverItsNumber() {
+        Evacuations before = new Evacuations(at(50), Map.of(A, 40L));
+        Evacuations restored = before.latest(new Evacuations(new StoreRevision(2, 7), Map.of()));
+        assertEquals(restored.domains(), Set.of());
+        assertEquals(restored.latest(before), restored);
+        assertEquals(restored.with(List.of(order(A, 51)), at(51)), restored);
+        assertEquals(
+                restored.with(List.of(order(B, 8)), new StoreRevision(2, 8)).domains(), Set.of(B));
+    }
 }
