--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SilentVmTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SilentVmTest.java
@@ -5,6 +5,7 @@
 import org.apricotdeal.proofs.http.ScriptedServer;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertTrue;
@@ -67,25 +68,17 @@
         }
     }
 
-    @Test
-    public void streamGoesOnAfterSilenceBesideFullVm() throws Exception {
-        try (ScriptedServer vm = new ScriptedServer(connection -> serveStream(connection, SHORT_SILENCE_MILLIS));
-                ScriptedServer other = new ScriptedServer(SilentVmTest::refuse)) {
-            fleet.replaceService("silent", vm, 4);
-            Thread.ofVirtual().start(() -> {
-                RelayFleet.pause(200);
-                fleet.registerService("other", other, 4);
-            });
-            RelayFleet.pause(100);
-            String answer = fleet.call("POST", "/watch/x", "silent", RelayFleet.KEY);
-            assertTrue(answer.endsWith(CHUNKED_END), answer);
-        }
+    @DataProvider
+    static Object[][] otherVms() {
+        ScriptedServer.Script refuses = SilentVmTest::refuse;
+        ScriptedServer.Script closes = ScriptedServer.Connection::read;
+        return new Object[][] {{refuses}, {closes}};
     }
 
-    @Test
-    public void streamGoesOnAfterSilenceBesideResettingVm() throws Exception {
+    @Test(dataProvider = "otherVms")
+    public void streamGoesOnAfterSilenceBesideVmThatCannotResumeIt(ScriptedServer.Script otherVm) throws Exception {
         try (ScriptedServer vm = new ScriptedServer(connection -> serveStream(connection, SHORT_SILENCE_MILLIS));
-                ScriptedServer other = new ScriptedServer(ScriptedServer.Connection::read)) {
+                ScriptedServer other = new ScriptedServer(otherVm)) {
             fleet.replaceService("silent", vm, 4);
             Thread.ofVirtual().start(() -> {
                 RelayFleet.pause(200);
