--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/PoisonNodesTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/PoisonNodesTest.java
@@ -49,10 +49,10 @@
             assertEquals(runs, 2);
             String second = fleet.callWithPrompt(fleet.callerAddress, "r2", DEADLY);
             assertTrue(second.startsWith("HTTP/1.1 503"), second);
-            assertTrue(second.contains("suspect_prompt"), second);
+            assertTrue(second.contains("suspect_request"), second);
             RelayFleet.pause(CONTACT_MILLIS);
             String third = fleet.callWithPrompt(other.callerAddress(), "r3", DEADLY);
-            assertTrue(third.contains("suspect_prompt"), third);
+            assertTrue(third.contains("suspect_request"), third);
             assertEquals(runsOfDeadlyPart(), runs);
             RelayFleet.await(5, () -> fleet.callWithPrompt(fleet.callerAddress, "r4", SOUND)
                     .startsWith("HTTP/1.1 200"));
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/PoisonRequestsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/PoisonRequestsTest.java
@@ -177,10 +177,10 @@
             fleet.run(1_000);
         }
         assertTrue(fleet.crashMillis().size() <= 2, fleet.crashMillis() + "");
-        assertEquals(fleet.node(1).blamedParts(), List.of());
+        assertEquals(fleet.node(1).blamedTraits(), List.of());
         fleet.setCutOff(2, false);
         fleet.run(1_000);
-        assertEquals(fleet.node(1).blamedParts().getFirst().parts(), Set.of(DEADLY));
+        assertEquals(fleet.node(1).blamedTraits().getFirst().traits(), Set.of(DEADLY));
     }
 
     @Test
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SuspectPromptTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SuspectPromptTest.java
@@ -65,7 +65,7 @@
     public void lostRequestIsFailedAndNotRefused() {
         RelayAction.Send deadly = send(arrival("dead"));
         List<RelayAction> actions = loseTwice(deadly);
-        assertEquals(failures(actions), List.of(new RelayAction.GiveUp(deadly.id(), RefusalReason.SUSPECT_PROMPT)));
+        assertEquals(failures(actions), List.of(new RelayAction.GiveUp(deadly.id(), RefusalReason.SUSPECT_REQUEST)));
         assertEquals(RelayFixture.actionsOfType(actions, RelayAction.Refuse.class), List.of());
     }
 
@@ -76,7 +76,7 @@
         List<RelayAction> actions = loseTwice(deadly);
         assertTrue(actions.contains(new RelayAction.CancelAttempt(unbegun.id())), actions.toString());
         assertTrue(
-                failures(actions).contains(new RelayAction.GiveUp(unbegun.id(), RefusalReason.SUSPECT_PROMPT)),
+                failures(actions).contains(new RelayAction.GiveUp(unbegun.id(), RefusalReason.SUSPECT_REQUEST)),
                 actions.toString());
     }
 
@@ -99,7 +99,7 @@
         RelayAction.Send trial = send(arrival("short"));
         relay.nowMillis += 100;
         relay.step(new RelayEvent.RequestFinished(trial.attempt()));
-        assertEquals(relay.dispatcher.blamedParts(), List.of());
+        assertEquals(relay.dispatcher.blamedTraits(), List.of());
         send(arrival("short"));
     }
 
@@ -128,7 +128,7 @@
         RelayAction.Refuse refusal =
                 RelayFixture.actionsOfType(actions, RelayAction.Refuse.class).getFirst();
         assertEquals(refusal.id(), waiting.id());
-        assertEquals(refusal.reason(), RefusalReason.SUSPECT_PROMPT);
+        assertEquals(refusal.reason(), RefusalReason.SUSPECT_REQUEST);
     }
 
     /** The caller is told when the part is tried again, and its request does not count as demand. */
@@ -138,7 +138,7 @@
         List<RelayAction> actions = relay.step(new RelayEvent.RequestArrived(arrival("dead", "more")));
         RelayAction.Refuse refusal =
                 RelayFixture.actionsOfType(actions, RelayAction.Refuse.class).getFirst();
-        assertEquals(refusal.reason(), RefusalReason.SUSPECT_PROMPT);
+        assertEquals(refusal.reason(), RefusalReason.SUSPECT_REQUEST);
         assertEquals(refusal.retryAfterMillis(), 20_000);
     }
 
--- a/proofs/src/test/java/org/apricotdeal/relay/node/CrashNewsCodecTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/CrashNewsCodecTest.java
@@ -1,6 +1,7 @@
 package org.apricotdeal.relay.node;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import org.apricotdeal.kernel.id.UpstreamId;
@@ -10,9 +11,9 @@
 import org.apricotdeal.relay.poison.CrashId;
 import org.apricotdeal.relay.poison.CrashNews;
 import org.apricotdeal.relay.poison.CrashReport;
-import org.apricotdeal.relay.poison.ModelRelease;
-import org.apricotdeal.relay.poison.PartTrial;
-import org.apricotdeal.relay.poison.ServedPart;
+import org.apricotdeal.relay.poison.ServedRelease;
+import org.apricotdeal.relay.poison.ServedTrait;
+import org.apricotdeal.relay.poison.TraitTrial;
 import org.apricotdeal.wire.gen.TRelayHeartbeat;
 import org.testng.annotations.Test;
 
@@ -22,7 +23,8 @@
 public final class CrashNewsCodecTest {
     private static final PromptPartId FIRST = new PromptPartId("a1");
     private static final PromptPartId DEADLY = new PromptPartId("b2");
-    private static final ModelRelease SERVED = new ModelRelease(new UpstreamId("chat"), new ModelId("m1"), "v1");
+    private static final ServedRelease SERVED =
+            new ServedRelease(new UpstreamId("chat"), Optional.of(new ModelId("m1")), "v1");
 
     private static CrashNews news(long offsetMillis) {
         CrashReport crash = new CrashReport(
@@ -33,7 +35,7 @@
                 Set.of(FIRST),
                 Set.of(FIRST),
                 true);
-        PartTrial trial = new PartTrial(new ServedPart(SERVED, DEADLY), 2_000 + offsetMillis, 3, true);
+        TraitTrial trial = new TraitTrial(new ServedTrait(SERVED, DEADLY), 2_000 + offsetMillis, 3, true);
         return new CrashNews(42, List.of(crash), List.of(trial));
     }
 
--- a/proofs/src/test/java/org/apricotdeal/relay/poison/PoisonDetectorTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/poison/PoisonDetectorTest.java
@@ -1,6 +1,7 @@
 package org.apricotdeal.relay.poison;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -8,6 +9,7 @@
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.ModelId;
 import org.apricotdeal.relay.model.PromptPartId;
+import org.apricotdeal.relay.model.RequestTrait;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -16,7 +18,7 @@
 
 /** Tests which parts are blamed for crashes, given who lost which requests when. */
 public final class PoisonDetectorTest {
-    private static final ModelRelease SERVED = served("chat", "m1");
+    private static final ServedRelease SERVED = served("chat", "m1");
     private static final long TRIAL_DUE_MILLIS = 30_000;
 
     private PoisonDetector detector;
@@ -26,12 +28,12 @@
         detector = new PoisonDetector("n1");
     }
 
-    private static ModelRelease served(String upstream, String model) {
-        return new ModelRelease(new UpstreamId(upstream), new ModelId(model), "v1");
+    private static ServedRelease served(String upstream, String model) {
+        return new ServedRelease(new UpstreamId(upstream), Optional.of(new ModelId(model)), "v1");
     }
 
-    private static List<PromptPartId> prompt(String... parts) {
-        return List.of(parts).stream().map(PromptPartId::new).toList();
+    private static List<RequestTrait> prompt(String... parts) {
+        return List.of(parts).stream().<RequestTrait>map(PromptPartId::new).toList();
     }
 
     private void crash(long atMillis, String vm, String... parts) {
@@ -40,8 +42,8 @@
 
     private Set<String> blamed() {
         return detector.blamed().stream()
-                .flatMap(blame -> blame.parts().stream())
-                .map(PromptPartId::value)
+                .flatMap(blame -> blame.traits().stream())
+                .map(RequestTrait::toString)
                 .collect(Collectors.toSet());
     }
 
@@ -57,9 +59,9 @@
         crash(1_000, "v1", "first", "dead");
         crash(1_400, "v2", "first", "dead");
         assertEquals(blamed(), Set.of("first", "dead"));
-        assertEquals(detector.verdict(SERVED, prompt("first", "doc"), 1_500), new PartVerdict.Free());
+        assertEquals(detector.verdict(SERVED, prompt("first", "doc"), 1_500), new PoisonVerdict.Free());
         assertTrue(
-                detector.verdict(SERVED, prompt("first", "dead", "doc"), 1_500) instanceof PartVerdict.Held,
+                detector.verdict(SERVED, prompt("first", "dead", "doc"), 1_500) instanceof PoisonVerdict.Held,
                 "a request with both parts");
         detector.recordAnswer(SERVED, prompt("first", "doc"), 1_600);
         assertEquals(blamed(), Set.of("dead"));
@@ -70,9 +72,9 @@
     public void partOfThreeDifferentPromptsIsBlamedAlone() {
         crash(1_000, "v1", "first1", "dead");
         crash(2_000, "v2", "first2", "dead");
-        assertEquals(detector.verdict(SERVED, prompt("first3", "dead"), 2_100), new PartVerdict.Free());
+        assertEquals(detector.verdict(SERVED, prompt("first3", "dead"), 2_100), new PoisonVerdict.Free());
         assertTrue(
-                detector.verdict(SERVED, prompt("first1", "dead"), 2_100) instanceof PartVerdict.Held, "seen before");
+                detector.verdict(SERVED, prompt("first1", "dead"), 2_100) instanceof PoisonVerdict.Held, "seen before");
         crash(3_000, "v3", "first3", "dead");
         assertEquals(blamed(), Set.of("dead"));
     }
@@ -83,8 +85,8 @@
         crash(1_000, "v1", "first", "dead1");
         crash(1_400, "v2", "first", "dead1");
         crash(2_000, "v3", "first", "dead2");
-        assertEquals(detector.verdict(SERVED, prompt("first", "doc"), 2_100), new PartVerdict.Free());
-        assertTrue(detector.verdict(SERVED, prompt("first", "dead2"), 2_100) instanceof PartVerdict.Held, "dead2");
+        assertEquals(detector.verdict(SERVED, prompt("first", "doc"), 2_100), new PoisonVerdict.Free());
+        assertTrue(detector.verdict(SERVED, prompt("first", "dead2"), 2_100) instanceof PoisonVerdict.Held, "dead2");
     }
 
     /** The bystander is lost with the first VM, and then with the second one, at which a deadly request was repeated too. */
@@ -105,8 +107,8 @@
         crash(1_000, "v1", "first", "dead");
         crash(1_000, "v1", "first");
         crash(1_400, "v2", "first", "dead");
-        assertEquals(detector.verdict(SERVED, prompt("first"), 1_500), new PartVerdict.Free());
-        assertTrue(detector.verdict(SERVED, prompt("first", "dead"), 1_500) instanceof PartVerdict.Held, "deadly");
+        assertEquals(detector.verdict(SERVED, prompt("first"), 1_500), new PoisonVerdict.Free());
+        assertTrue(detector.verdict(SERVED, prompt("first", "dead"), 1_500) instanceof PoisonVerdict.Held, "deadly");
     }
 
     /** A rack is lost, and what a node sees of it takes a moment. */
@@ -149,14 +151,14 @@
     public void otherModelIsTriedAndOtherUpstreamIsFree() {
         crash(1_000, "v1", "dead");
         crash(1_400, "v2", "dead");
-        assertEquals(detector.verdict(served("other", "m1"), prompt("dead"), 1_500), new PartVerdict.Free());
-        ModelRelease model = served("chat", "m2");
-        assertEquals(detector.verdict(model, prompt("dead"), 1_500), new PartVerdict.OnTrial());
+        assertEquals(detector.verdict(served("other", "m1"), prompt("dead"), 1_500), new PoisonVerdict.Free());
+        ServedRelease model = served("chat", "m2");
+        assertEquals(detector.verdict(model, prompt("dead"), 1_500), new PoisonVerdict.OnTrial());
         detector.startTrial(model, prompt("dead"), 1_500);
-        assertTrue(detector.verdict(model, prompt("dead"), 1_600) instanceof PartVerdict.Held, "one trial at a time");
+        assertTrue(detector.verdict(model, prompt("dead"), 1_600) instanceof PoisonVerdict.Held, "one trial at a time");
         detector.recordAnswer(model, prompt("dead"), 1_900);
-        assertEquals(detector.verdict(model, prompt("dead"), 2_000), new PartVerdict.Free());
-        assertTrue(detector.verdict(SERVED, prompt("dead"), 2_000) instanceof PartVerdict.Held, "still held for m1");
+        assertEquals(detector.verdict(model, prompt("dead"), 2_000), new PoisonVerdict.Free());
+        assertTrue(detector.verdict(SERVED, prompt("dead"), 2_000) instanceof PoisonVerdict.Held, "still held for m1");
     }
 
     /** Only one node may try at a time, and each failed trial doubles the hold. */
@@ -167,15 +169,15 @@
         other.setNodes(List.of("n1", "n2", "n3"));
         crash(1_000, "v1", "dead");
         crash(1_400, "v2", "dead");
-        assertEquals(detector.verdict(SERVED, prompt("dead"), TRIAL_DUE_MILLIS), new PartVerdict.OnTrial());
+        assertEquals(detector.verdict(SERVED, prompt("dead"), TRIAL_DUE_MILLIS), new PoisonVerdict.OnTrial());
         detector.startTrial(SERVED, prompt("dead"), TRIAL_DUE_MILLIS);
         other.merge(detector.news(), TRIAL_DUE_MILLIS + 400);
         assertTrue(
-                other.verdict(SERVED, prompt("dead"), TRIAL_DUE_MILLIS + 500) instanceof PartVerdict.Held,
+                other.verdict(SERVED, prompt("dead"), TRIAL_DUE_MILLIS + 500) instanceof PoisonVerdict.Held,
                 "the other node has heard of the trial");
         crash(TRIAL_DUE_MILLIS + 300, "v3", "dead");
         assertTrue(
-                detector.verdict(SERVED, prompt("dead"), TRIAL_DUE_MILLIS + 39_000) instanceof PartVerdict.Held,
+                detector.verdict(SERVED, prompt("dead"), TRIAL_DUE_MILLIS + 39_000) instanceof PoisonVerdict.Held,
                 "held for 40 s");
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/model/PromptPartId.java
+++ b/relay/src/main/java/org/apricotdeal/relay/model/PromptPartId.java
@@ -5,7 +5,7 @@
  *
  * @param value 1 to 128 characters
  */
-public record PromptPartId(String value) implements Comparable<PromptPartId> {
+public record PromptPartId(String value) implements RequestTrait, Comparable<PromptPartId> {
     private static final int MAX_LENGTH = 128;
 
     /** Checks the length. */
--- a/relay/src/main/java/org/apricotdeal/relay/node/ArrivalReader.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/ArrivalReader.java
@@ -90,7 +90,8 @@
                 priority,
                 arrivedMillis,
                 arrivedMillis + waitMillis,
-                model.isEmpty() ? Optional.empty() : statedSize(headers));
+                model.isEmpty() ? Optional.empty() : statedSize(headers),
+                Optional.empty());
     }
 
     private Optional<RequestSize> statedSize(UnaryOperator<String> headers) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/BlameLog.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/BlameLog.java
@@ -4,15 +4,15 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.apricotdeal.kernel.time.Clock;
-import org.apricotdeal.relay.poison.BlamedParts;
+import org.apricotdeal.relay.poison.BlamedTraits;
 import org.apricotdeal.relay.poison.CrashNews;
 
-/** Logs when parts of prompts are blamed for crashes, and when they are cleared. */
+/** Logs when requests or parts of prompts are blamed for crashes, and when they are cleared. */
 final class BlameLog {
     private final DecisionLog log;
     private final MetricRegistry metrics;
     private final Clock clock;
-    private List<BlamedParts> logged = List.of();
+    private List<BlamedTraits> logged = List.of();
 
     BlameLog(DecisionLog log, MetricRegistry metrics, Clock clock) {
         this.log = log;
@@ -20,26 +20,26 @@
         this.clock = clock;
     }
 
-    /** Logs what differs from the parts that were blamed at the last call. */
-    void update(List<BlamedParts> blamed, CrashNews crashNews) {
-        for (BlamedParts blame : blamed) {
-            if (logged.stream().noneMatch(blame::hasSameParts)) {
-                metrics.counter("parts.blamed").inc();
-                write("parts_blamed", blame, crashNews);
+    /** Logs what differs from the traits that were blamed at the last call. */
+    void update(List<BlamedTraits> blamed, CrashNews crashNews) {
+        for (BlamedTraits blame : blamed) {
+            if (logged.stream().noneMatch(blame::hasSameTraits)) {
+                metrics.counter("traits.blamed").inc();
+                write("traits_blamed", blame, crashNews);
             }
         }
-        for (BlamedParts blame : logged) {
-            if (blamed.stream().noneMatch(blame::hasSameParts)) {
-                write("parts_cleared", blame, crashNews);
+        for (BlamedTraits blame : logged) {
+            if (blamed.stream().noneMatch(blame::hasSameTraits)) {
+                write("traits_cleared", blame, crashNews);
             }
         }
         logged = blamed;
     }
 
-    private void write(String event, BlamedParts blame, CrashNews crashNews) {
+    private void write(String event, BlamedTraits blame, CrashNews crashNews) {
         log.state(event)
                 .with("served", blame.served())
-                .with("parts", blame.parts())
+                .with("traits", blame.traits())
                 .with("lastCrashAgeMillis", clock.monotonicMillis() - blame.lastCrashMillis())
                 .with("certain", blame.certain())
                 .with("crashesKnown", crashNews.crashes().size())
--- a/relay/src/main/java/org/apricotdeal/relay/node/CrashNewsCodec.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CrashNewsCodec.java
@@ -3,23 +3,29 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import org.apricotdeal.kernel.id.UpstreamId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.ModelId;
 import org.apricotdeal.relay.model.PromptPartId;
+import org.apricotdeal.relay.model.RequestDigest;
+import org.apricotdeal.relay.model.RequestTrait;
 import org.apricotdeal.relay.poison.CrashId;
 import org.apricotdeal.relay.poison.CrashNews;
 import org.apricotdeal.relay.poison.CrashReport;
-import org.apricotdeal.relay.poison.ModelRelease;
-import org.apricotdeal.relay.poison.PartTrial;
-import org.apricotdeal.relay.poison.ServedPart;
+import org.apricotdeal.relay.poison.ServedRelease;
+import org.apricotdeal.relay.poison.ServedTrait;
+import org.apricotdeal.relay.poison.TraitTrial;
 import org.apricotdeal.wire.gen.TRelayCrash;
 import org.apricotdeal.wire.gen.TRelayHeartbeat;
 import org.apricotdeal.wire.gen.TRelayTrial;
 
-/** Converts {@link CrashNews} to the fields of a heartbeat and back; times are sent as ages, since clocks differ. */
+/**
+ * Converts {@link CrashNews} to the fields of a heartbeat and back; times are sent as ages, since clocks differ. Nodes of
+ * earlier versions take a digest for a part that no prompt has.
+ */
 final class CrashNewsCodec {
     private CrashNewsCodec() {}
 
@@ -31,28 +37,32 @@
                 news.trials().stream().map(trial -> encode(trial, nowMillis)).toList());
     }
 
+    private static String modelName(ServedRelease served) {
+        return served.model().map(ModelId::value).orElse("");
+    }
+
     private static TRelayCrash encode(CrashReport crash, long nowMillis) {
         TRelayCrash encoded = new TRelayCrash(
                 crash.served().upstream().value(),
-                crash.served().model().value(),
+                modelName(crash.served()),
                 crash.served().release(),
                 crash.id().vm().value(),
                 crash.id().epoch(),
                 ageMillis(crash.atMillis(), nowMillis),
-                crash.prompts().stream().map(CrashNewsCodec::texts).toList(),
-                texts(crash.soundParts()),
-                texts(crash.clearedParts()));
+                crash.requests().stream().map(CrashNewsCodec::texts).toList(),
+                texts(crash.soundTraits()),
+                texts(crash.clearedTraits()));
         encoded.setSurvivals(crash.id().survivals());
         encoded.setSurvived(crash.survived());
         return encoded;
     }
 
-    private static TRelayTrial encode(PartTrial trial, long nowMillis) {
+    private static TRelayTrial encode(TraitTrial trial, long nowMillis) {
         return new TRelayTrial(
                 trial.tried().served().upstream().value(),
-                trial.tried().served().model().value(),
+                modelName(trial.tried().served()),
                 trial.tried().served().release(),
-                trial.tried().part().value(),
+                trial.tried().trait().toString(),
                 ageMillis(trial.startedMillis(), nowMillis),
                 trial.count(),
                 trial.passed());
@@ -62,9 +72,9 @@
         return (int) Math.min(Integer.MAX_VALUE, Math.max(0, nowMillis - atMillis));
     }
 
-    private static List<String> texts(Iterable<PromptPartId> parts) {
+    private static List<String> texts(Iterable<RequestTrait> traits) {
         List<String> texts = new ArrayList<>();
-        parts.forEach(part -> texts.add(part.value()));
+        traits.forEach(trait -> texts.add(trait.toString()));
         return texts;
     }
 
@@ -78,7 +88,7 @@
         if (heartbeat.isSetCrashes()) {
             heartbeat.getCrashes().forEach(crash -> crashes.add(decode(crash, nowMillis)));
         }
-        List<PartTrial> trials = new ArrayList<>();
+        List<TraitTrial> trials = new ArrayList<>();
         if (heartbeat.isSetTrials()) {
             heartbeat.getTrials().forEach(trial -> trials.add(decode(trial, nowMillis)));
         }
@@ -86,37 +96,41 @@
     }
 
     private static CrashReport decode(TRelayCrash crash, long nowMillis) {
-        Set<List<PromptPartId>> prompts = new HashSet<>();
+        Set<List<RequestTrait>> requests = new HashSet<>();
         crash.getPrompts()
-                .forEach(prompt ->
-                        prompts.add(prompt.stream().map(PromptPartId::new).toList()));
+                .forEach(request ->
+                        requests.add(request.stream().map(CrashNewsCodec::trait).toList()));
         return new CrashReport(
                 new CrashId(new VmId(crash.getVm()), crash.getNumber(), crash.getSurvivals()),
                 served(crash.getUpstream(), crash.getModel(), crash.getRelease()),
                 nowMillis - crash.getAgeMillis(),
-                prompts,
-                parts(crash.getSoundParts()),
-                parts(crash.getClearedParts()),
+                requests,
+                traits(crash.getSoundParts()),
+                traits(crash.getClearedParts()),
                 crash.isSurvived());
     }
 
-    private static PartTrial decode(TRelayTrial trial, long nowMillis) {
-        return new PartTrial(
-                new ServedPart(
-                        served(trial.getUpstream(), trial.getModel(), trial.getRelease()),
-                        new PromptPartId(trial.getPart())),
+    private static TraitTrial decode(TRelayTrial trial, long nowMillis) {
+        return new TraitTrial(
+                new ServedTrait(
+                        served(trial.getUpstream(), trial.getModel(), trial.getRelease()), trait(trial.getPart())),
                 nowMillis - trial.getAgeMillis(),
                 trial.getCount(),
                 trial.isPassed());
     }
 
-    private static ModelRelease served(String upstream, String model, String release) {
-        return new ModelRelease(new UpstreamId(upstream), new ModelId(model), release);
+    private static ServedRelease served(String upstream, String model, String release) {
+        Optional<ModelId> id = model.isEmpty() ? Optional.empty() : Optional.of(new ModelId(model));
+        return new ServedRelease(new UpstreamId(upstream), id, release);
+    }
+
+    private static RequestTrait trait(String text) {
+        return RequestDigest.isDigest(text) ? RequestDigest.parse(text) : new PromptPartId(text);
     }
 
-    private static Set<PromptPartId> parts(List<String> texts) {
-        Set<PromptPartId> parts = new HashSet<>();
-        texts.forEach(text -> parts.add(new PromptPartId(text)));
-        return parts;
+    private static Set<RequestTrait> traits(List<String> texts) {
+        Set<RequestTrait> traits = new HashSet<>();
+        texts.forEach(text -> traits.add(trait(text)));
+        return traits;
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -246,7 +246,7 @@
         heartbeat.setVmAgeMillis((int) Math.min(Integer.MAX_VALUE, vms.ageMillis()));
         heartbeat.setStoreAway(vms.isStoreFailing() || catalogueWatcher.isStoreFailing());
         heartbeat.setStopping(fleet.isStopping());
-        heartbeat.setCrashDigest(relay.crashNews().digest());
+        heartbeat.setCrashDigest(relay.crashNews().news().digest());
         EvacuationCodec.encode(evacuations.current(), heartbeat);
         long nowMillis = clock.monotonicMillis();
         DemandCodec.encode(demandByQueue, heartbeat, nowMillis);
@@ -280,7 +280,7 @@
      * Adds changes of VMs if the receiver does not watch them in the store, and crashes if it does not know the same ones.
      */
     private void addMissingUpdates(TRelayHeartbeat heartbeat, PeerState receiver, boolean needsVmUpdates) {
-        CrashNews crashNews = relay.crashNews();
+        CrashNews crashNews = relay.crashNews().news();
         if (receiver.crashDigest() != crashNews.digest()) {
             heartbeat.setCrashDigest(crashNews.digest());
             CrashNewsCodec.encode(crashNews, heartbeat, clock.monotonicMillis());
--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -157,6 +157,7 @@
         private final Arrival arrival;
         private final long maxBytes;
         private final RequestBody body;
+        private final RequestHasher hasher;
         private final AtomicBoolean reading = new AtomicBoolean(true);
         private final TransferProgress progress;
 
@@ -167,6 +168,11 @@
             this.arrival = arrival;
             this.maxBytes = maxBytes;
             this.body = new RequestBody(bodyLimit, maxBytes);
+            this.hasher = new RequestHasher(
+                    arrival.route().name(),
+                    request.getMethod(),
+                    request.getHttpURI().getPathQuery(),
+                    arrival.customer());
             this.progress = new TransferProgress(BODY_HOLD_MILLIS, arrival.arrivedMillis());
         }
 
@@ -222,6 +228,7 @@
         private boolean add(Content.Chunk chunk) {
             int sizeBytes = body.size() + chunk.remaining();
             progress.add(chunk.remaining(), body.reservedBytes(), clock.monotonicMillis());
+            hasher.add(chunk.getByteBuffer());
             while (!body.add(chunk.getByteBuffer())) {
                 if (!reading.get() || !bodyLimit.makeRoom(clock.monotonicMillis(), sizeBytes)) {
                     return false;
@@ -279,7 +286,8 @@
         private void submit() {
             duty.responseExpected();
             Callback written = Callback.from(callback, duty::responseWritten);
-            Exchange exchange = new Exchange(arrival, request, response, written, body, headerNames, draining);
+            Exchange exchange = new Exchange(
+                    arrival.withDigest(hasher.digest()), request, response, written, body, headerNames, draining);
             exchange.watchCaller(() -> duty.callerDisconnected(exchange));
             duty.submit(exchange);
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -24,7 +24,6 @@
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.model.RouteEntry;
 import org.apricotdeal.relay.model.WeightedUpstream;
-import org.apricotdeal.relay.poison.CrashNews;
 import org.apricotdeal.relay.policy.Arrival;
 import org.apricotdeal.relay.policy.AttemptId;
 import org.apricotdeal.relay.policy.AttemptOutcome;
@@ -81,8 +80,7 @@
     private volatile SuspicionListener suspicionListener = (vms, faultyAddress, reason) -> {};
     private volatile Function<String, OptionalInt> loadReader = header -> OptionalInt.empty();
     private volatile Consumer<TargetId> leavingListener = target -> {};
-    private volatile CrashNews crashNews = CrashNews.NONE;
-    private final BlameLog blameLog;
+    private final CrashNewsFeed crashNews;
     private long clockOffsetMillis = Long.MAX_VALUE / 2;
 
     /** Receives VMs that may have failed. */
@@ -128,7 +126,7 @@
         this.random = random;
         this.log = log;
         this.metrics = metrics;
-        this.blameLog = new BlameLog(log, metrics, clock);
+        this.crashNews = new CrashNewsFeed(new BlameLog(log, metrics, clock));
         metrics.register("requests.in.progress", (Gauge<Integer>) exchanges::size);
         metrics.register("requests.waiting", (Gauge<Integer>) () -> waiting);
         this.duty = new Duty<>("dispatch", RING_SLOTS, TICK_MILLIS, this::step, this::tick);
@@ -154,8 +152,8 @@
         loadReader = reader;
     }
 
-    /** Returns the crashes and trials that this node knows of. */
-    CrashNews crashNews() {
+    /** Returns the feed of crashes and trials that this node knows of. */
+    CrashNewsFeed crashNews() {
         return crashNews;
     }
 
@@ -290,7 +288,7 @@
                 .with("reason", reason)
                 .with("faultyVm", faultyAddress.orElse("-"))
                 .with("answeringMillis", attempt.answeringMillis())
-                .with("sharedParts", exchange.arrival().sharedParts())
+                .with("traits", exchange.arrival().traits())
                 .write();
         if (outcome == AttemptOutcome.NOT_RUN) {
             suspicionListener.suspect(attempt.target().members(), faultyAddress, "answered " + reason);
@@ -341,8 +339,7 @@
         running = dispatcher.runningRequests();
         waiting = dispatcher.waitingRequests();
         questions.answerAll(arrival -> dispatcher.explain(clock.monotonicMillis(), arrival));
-        crashNews = dispatcher.crashNews();
-        blameLog.update(dispatcher.blamedParts(), crashNews);
+        crashNews.update(dispatcher.crashNews(), dispatcher.blamedTraits());
         long nowMillis = clock.monotonicMillis();
         if (nowMillis - demandUpdatedMillis >= DEMAND_PERIOD_MILLIS) {
             demandUpdatedMillis = nowMillis;
--- a/relay/src/main/java/org/apricotdeal/relay/poison/BlameInference.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/BlameInference.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 
-import org.apricotdeal.relay.model.PromptPartId;
+import org.apricotdeal.relay.model.RequestTrait;
 
 /**
  * Infers which parts of prompts crash the VMs of one model release.
@@ -41,20 +41,20 @@
     private static final long CLEARING_MILLIS = 1_000;
 
     private final List<CrashReport> crashes;
-    private final Set<PromptPartId> blamedElsewhere;
+    private final Set<RequestTrait> blamedElsewhere;
     private final long nowMillis;
     private final Map<CrashId, Integer> causes = new HashMap<>();
 
     /** A lost request, as the evidence against one of its parts. */
-    private record Evidence(CrashReport crash, List<PromptPartId> prompt) {}
+    private record Evidence(CrashReport crash, List<RequestTrait> prompt) {}
 
     /** A part with the evidence against it; crashes with a common cause count as one in the number of causes. */
-    private record Suspect(PromptPartId part, Set<Evidence> evidence, boolean sound, int causeCount, int crashCount) {
+    private record Suspect(RequestTrait part, Set<Evidence> evidence, boolean sound, int causeCount, int crashCount) {
         private static final Comparator<Suspect> BY_STRENGTH =
                 Comparator.comparingInt(Suspect::causeCount).thenComparingInt(Suspect::crashCount);
     }
 
-    private BlameInference(Collection<CrashReport> crashes, Set<PromptPartId> blamedElsewhere, long nowMillis) {
+    private BlameInference(Collection<CrashReport> crashes, Set<RequestTrait> blamedElsewhere, long nowMillis) {
         this.crashes = new ArrayList<>(crashes);
         this.crashes.sort(Comparator.comparingLong(CrashReport::atMillis)
                 .thenComparing(crash -> crash.id().vm())
@@ -72,7 +72,8 @@
      * @param nowMillis monotonic time
      * @return the blamed parts, the best explanation first
      */
-    static List<BlamedParts> infer(Collection<CrashReport> crashes, Set<PromptPartId> blamedElsewhere, long nowMillis) {
+    static List<BlamedTraits> infer(
+            Collection<CrashReport> crashes, Set<RequestTrait> blamedElsewhere, long nowMillis) {
         return new BlameInference(crashes, blamedElsewhere, nowMillis).blame();
     }
 
@@ -88,17 +89,17 @@
         }
     }
 
-    private List<BlamedParts> blame() {
-        List<BlamedParts> blamed = new ArrayList<>();
+    private List<BlamedTraits> blame() {
+        List<BlamedTraits> blamed = new ArrayList<>();
         List<CrashReport> unexplained = new ArrayList<>(crashes);
         while (true) {
             List<Suspect> strongest = strongestSuspects(unexplained);
             if (strongest.isEmpty()) {
                 return blamed;
             }
-            List<BlamedParts> groups = blame(strongest, soundParts(unexplained));
+            List<BlamedTraits> groups = blame(strongest, soundTraits(unexplained));
             blamed.addAll(groups);
-            unexplained.removeIf(crash -> groups.stream().anyMatch(group -> crash.isExplainedBy(group.parts())));
+            unexplained.removeIf(crash -> groups.stream().anyMatch(group -> crash.isExplainedBy(group.traits())));
         }
     }
 
@@ -112,7 +113,7 @@
                 unknown.isEmpty() ? suspects.stream().filter(this::isRefuted).toList() : unknown);
     }
 
-    private int minCrashes(PromptPartId part) {
+    private int minCrashes(RequestTrait part) {
         return blamedElsewhere.contains(part) ? 1 : MIN_CRASHES;
     }
 
@@ -134,12 +135,12 @@
     }
 
     private List<Suspect> suspects(List<CrashReport> unexplained) {
-        Map<PromptPartId, Set<Evidence>> evidenceByPart = new HashMap<>();
-        Set<PromptPartId> sound = soundParts(unexplained);
+        Map<RequestTrait, Set<Evidence>> evidenceByPart = new HashMap<>();
+        Set<RequestTrait> sound = soundTraits(unexplained);
         for (CrashReport crash : unexplained) {
-            for (List<PromptPartId> prompt : crash.prompts()) {
-                for (PromptPartId part : prompt) {
-                    if (!crash.clearedParts().contains(part)) {
+            for (List<RequestTrait> prompt : crash.requests()) {
+                for (RequestTrait part : prompt) {
+                    if (!crash.clearedTraits().contains(part)) {
                         evidenceByPart
                                 .computeIfAbsent(part, id -> new HashSet<>())
                                 .add(new Evidence(crash, prompt));
@@ -150,13 +151,13 @@
         List<Suspect> suspects = new ArrayList<>();
         evidenceByPart.forEach((part, evidence) -> suspects.add(
                 new Suspect(part, evidence, sound.contains(part), countCauses(evidence), countCrashes(evidence))));
-        suspects.sort(Comparator.comparing(Suspect::part));
+        suspects.sort(Comparator.comparing(suspect -> suspect.part().toString()));
         return suspects;
     }
 
-    private static Set<PromptPartId> soundParts(List<CrashReport> crashes) {
-        Set<PromptPartId> sound = new HashSet<>();
-        crashes.forEach(crash -> sound.addAll(crash.soundParts()));
+    private static Set<RequestTrait> soundTraits(List<CrashReport> crashes) {
+        Set<RequestTrait> sound = new HashSet<>();
+        crashes.forEach(crash -> sound.addAll(crash.soundTraits()));
         return sound;
     }
 
@@ -179,27 +180,27 @@
     }
 
     /** Returns the blamed parts for suspects that explain the crashes equally well. */
-    private static List<BlamedParts> blame(List<Suspect> strongest, Set<PromptPartId> sound) {
-        Map<Set<PromptPartId>, Long> lastCrashByGroup = new LinkedHashMap<>();
-        Set<Set<Set<PromptPartId>>> explanations = new HashSet<>();
+    private static List<BlamedTraits> blame(List<Suspect> strongest, Set<RequestTrait> sound) {
+        Map<Set<RequestTrait>, Long> lastCrashByGroup = new LinkedHashMap<>();
+        Set<Set<Set<RequestTrait>>> explanations = new HashSet<>();
         for (Suspect suspect : strongest) {
-            Set<Set<PromptPartId>> groups = groups(suspect, sound);
+            Set<Set<RequestTrait>> groups = groups(suspect, sound);
             explanations.add(groups);
             groups.forEach(group -> lastCrashByGroup.merge(group, lastCrashMillis(suspect.evidence()), Math::max));
         }
-        ModelRelease served =
+        ServedRelease served =
                 strongest.getFirst().evidence().iterator().next().crash().served();
         dropGeneral(lastCrashByGroup.keySet());
         boolean certain = explanations.size() == 1 || lastCrashByGroup.size() == 1;
-        List<BlamedParts> blamed = new ArrayList<>();
+        List<BlamedTraits> blamed = new ArrayList<>();
         lastCrashByGroup.forEach(
-                (group, lastMillis) -> blamed.add(new BlamedParts(served, group, lastMillis, certain)));
+                (group, lastMillis) -> blamed.add(new BlamedTraits(served, group, lastMillis, certain)));
         return blamed;
     }
 
     /** Drops groups that hold back more requests than another group which explains the same. */
-    private static void dropGeneral(Set<Set<PromptPartId>> groups) {
-        List<Set<PromptPartId>> all = List.copyOf(groups);
+    private static void dropGeneral(Set<Set<RequestTrait>> groups) {
+        List<Set<RequestTrait>> all = List.copyOf(groups);
         groups.removeIf(
                 group -> all.stream().anyMatch(other -> other.size() > group.size() && other.containsAll(group)));
     }
@@ -208,17 +209,17 @@
      * Returns the sets of parts to blame for a suspect: the parts that all its prompts have in common. With two different
      * prompts, each of them may have a cause of its own that hides behind a shared part, so each is blamed as a whole.
      */
-    private static Set<Set<PromptPartId>> groups(Suspect suspect, Set<PromptPartId> sound) {
-        Set<Set<PromptPartId>> prompts = new HashSet<>();
+    private static Set<Set<RequestTrait>> groups(Suspect suspect, Set<RequestTrait> sound) {
+        Set<Set<RequestTrait>> prompts = new HashSet<>();
         for (Evidence item : suspect.evidence()) {
-            Set<PromptPartId> parts = new HashSet<>(item.prompt());
-            parts.removeAll(item.crash().clearedParts());
+            Set<RequestTrait> parts = new HashSet<>(item.prompt());
+            parts.removeAll(item.crash().clearedTraits());
             if (!suspect.sound()) {
                 parts.removeAll(sound);
             }
             prompts.add(Set.copyOf(parts));
         }
-        Set<PromptPartId> common = new HashSet<>(prompts.iterator().next());
+        Set<RequestTrait> common = new HashSet<>(prompts.iterator().next());
         prompts.forEach(common::retainAll);
         return prompts.size() == 2 && !prompts.contains(common) ? prompts : Set.of(Set.copyOf(common));
     }
--- a/relay/src/main/java/org/apricotdeal/relay/poison/CrashNews.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/CrashNews.java
@@ -9,7 +9,7 @@
  * @param crashes the crashes
  * @param trials the trials
  */
-public record CrashNews(long digest, List<CrashReport> crashes, List<PartTrial> trials) {
+public record CrashNews(long digest, List<CrashReport> crashes, List<TraitTrial> trials) {
     /** Nothing is known. */
     public static final CrashNews NONE = new CrashNews(0, List.of(), List.of());
 
--- a/relay/src/main/java/org/apricotdeal/relay/poison/CrashReport.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/CrashReport.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Set;
 
-import org.apricotdeal.relay.model.PromptPartId;
+import org.apricotdeal.relay.model.RequestTrait;
 
 /**
  * What the nodes know about a crash. Reports of the same crash are merged by union, in any order and any number of times.
@@ -12,27 +12,27 @@
  * @param id identifies the crash
  * @param served what the VM served
  * @param atMillis monotonic time of the crash
- * @param prompts shared parts of each lost request that was not being answered yet
- * @param soundParts parts that had been answered before the crash
- * @param clearedParts parts that have been answered since the crash
+ * @param requests traits of each lost request that was not being answered yet
+ * @param soundTraits traits that had been answered before the crash
+ * @param clearedTraits traits that have been answered since the crash
  * @param survived whether the VM has answered a later request in the same epoch, so that only connections were lost
  */
 public record CrashReport(
         CrashId id,
-        ModelRelease served,
+        ServedRelease served,
         long atMillis,
-        Set<List<PromptPartId>> prompts,
-        Set<PromptPartId> soundParts,
-        Set<PromptPartId> clearedParts,
+        Set<List<RequestTrait>> requests,
+        Set<RequestTrait> soundTraits,
+        Set<RequestTrait> clearedTraits,
         boolean survived) {
-    /** Maximum number of prompts of a report; a replica runs and queues fewer requests. */
-    private static final int MAX_PROMPTS = 64;
+    /** Maximum number of requests of a report; a replica runs and queues fewer requests. */
+    private static final int MAX_REQUESTS = 64;
 
     /** Copies the sets. */
     public CrashReport {
-        prompts = Set.copyOf(prompts);
-        soundParts = Set.copyOf(soundParts);
-        clearedParts = Set.copyOf(clearedParts);
+        requests = Set.copyOf(requests);
+        soundTraits = Set.copyOf(soundTraits);
+        clearedTraits = Set.copyOf(clearedTraits);
     }
 
     /**
@@ -41,11 +41,11 @@
      * @param id identifies the crash
      * @param served what the VM served
      * @param atMillis monotonic time of the crash
-     * @param prompt shared parts of the request
+     * @param request traits of the request
      * @return the report
      */
-    static CrashReport of(CrashId id, ModelRelease served, long atMillis, List<PromptPartId> prompt) {
-        return new CrashReport(id, served, atMillis, Set.of(List.copyOf(prompt)), Set.of(), Set.of(), false);
+    static CrashReport of(CrashId id, ServedRelease served, long atMillis, List<RequestTrait> request) {
+        return new CrashReport(id, served, atMillis, Set.of(List.copyOf(request)), Set.of(), Set.of(), false);
     }
 
     /**
@@ -53,59 +53,61 @@
      * the age of what it knows.
      */
     CrashReport merge(CrashReport other) {
-        Set<List<PromptPartId>> allPrompts = new HashSet<>(prompts);
-        for (List<PromptPartId> prompt : other.prompts) {
-            if (allPrompts.size() < MAX_PROMPTS) {
-                allPrompts.add(prompt);
+        Set<List<RequestTrait>> allRequests = new HashSet<>(requests);
+        for (List<RequestTrait> request : other.requests) {
+            if (allRequests.size() < MAX_REQUESTS) {
+                allRequests.add(request);
             }
         }
         return new CrashReport(
                 id,
                 served,
                 Math.min(atMillis, other.atMillis),
-                allPrompts,
-                union(soundParts, other.soundParts),
-                union(clearedParts, other.clearedParts),
+                allRequests,
+                union(soundTraits, other.soundTraits),
+                union(clearedTraits, other.clearedTraits),
                 survived || other.survived);
     }
 
-    CrashReport withSound(PromptPartId part) {
-        return new CrashReport(id, served, atMillis, prompts, union(soundParts, Set.of(part)), clearedParts, survived);
+    CrashReport withSound(RequestTrait trait) {
+        return new CrashReport(
+                id, served, atMillis, requests, union(soundTraits, Set.of(trait)), clearedTraits, survived);
     }
 
-    CrashReport withCleared(PromptPartId part) {
-        return new CrashReport(id, served, atMillis, prompts, soundParts, union(clearedParts, Set.of(part)), survived);
+    CrashReport withCleared(RequestTrait trait) {
+        return new CrashReport(
+                id, served, atMillis, requests, soundTraits, union(clearedTraits, Set.of(trait)), survived);
     }
 
     CrashReport withSurvival() {
-        return new CrashReport(id, served, atMillis, prompts, soundParts, clearedParts, true);
+        return new CrashReport(id, served, atMillis, requests, soundTraits, clearedTraits, true);
     }
 
-    /** Returns all parts of the lost requests. */
-    Set<PromptPartId> parts() {
-        Set<PromptPartId> parts = new HashSet<>();
-        prompts.forEach(parts::addAll);
-        return parts;
+    /** Returns all traits of the lost requests. */
+    Set<RequestTrait> traits() {
+        Set<RequestTrait> traits = new HashSet<>();
+        requests.forEach(traits::addAll);
+        return traits;
     }
 
-    /** Returns whether a lost request has a part that has not been cleared. */
-    boolean isSuspect(PromptPartId part) {
-        return !clearedParts.contains(part) && prompts.stream().anyMatch(prompt -> prompt.contains(part));
+    /** Returns whether a lost request has a trait that has not been cleared. */
+    boolean isSuspect(RequestTrait trait) {
+        return !clearedTraits.contains(trait) && requests.stream().anyMatch(request -> request.contains(trait));
     }
 
-    /** Returns whether a lost request has all the given parts and none of them has been cleared. */
-    boolean isExplainedBy(Set<PromptPartId> blamed) {
-        if (blamed.stream().anyMatch(clearedParts::contains)) {
+    /** Returns whether a lost request has all the given traits and none of them has been cleared. */
+    boolean isExplainedBy(Set<RequestTrait> blamed) {
+        if (blamed.stream().anyMatch(clearedTraits::contains)) {
             return false;
         }
-        return prompts.stream().anyMatch(prompt -> prompt.containsAll(blamed));
+        return requests.stream().anyMatch(request -> request.containsAll(blamed));
     }
 
-    private static Set<PromptPartId> union(Set<PromptPartId> left, Set<PromptPartId> right) {
+    private static Set<RequestTrait> union(Set<RequestTrait> left, Set<RequestTrait> right) {
         if (left.containsAll(right)) {
             return left;
         }
-        Set<PromptPartId> all = new HashSet<>(left);
+        Set<RequestTrait> all = new HashSet<>(left);
         all.addAll(right);
         return all;
     }
--- a/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
@@ -13,22 +13,22 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import org.apricotdeal.kernel.id.UpstreamId;
-import org.apricotdeal.relay.model.PromptPartId;
+import org.apricotdeal.relay.model.RequestTrait;
 
 /**
  * Decides whether a request may be sent, given the crashes that this node and the others have seen.
  *
- * <p>Load pattern: requests with a part that crashes VMs come at any node, each only at a few of them, and cost up to two
+ * <p>Load pattern: requests that crash VMs come at any node, each only at a few of them, and cost up to two
  * VMs each. The nodes therefore exchange their crash reports ({@link CrashNews}), and each draws the same conclusions from
  * them ({@link BlameInference}). Without contact to the others a node decides by what it has seen itself.
  *
- * <p>Requests with blamed parts are held for a time that doubles with each trial. Afterwards a single request is sent as a
- * trial: the nodes become entitled to it one after the other, in an order that differs between parts, and hear of each
- * other's trials. An answer clears the parts, so a part that is blamed wrongly or has been mended is served again, and one
+ * <p>Requests with blamed traits are held for a time that doubles with each trial. Afterwards a single request is sent as a
+ * trial: the nodes become entitled to it one after the other, in an order that differs between traits, and hear of each
+ * other's trials. An answer clears the traits, so one that is blamed wrongly or has been mended is served again, and one
  * that is still deadly costs one VM.
  */
 public final class PoisonDetector {
-    /** Time for which a newly blamed part is held; several times what learning about it takes. */
+    /** Time for which a newly blamed trait is held; several times what learning about it takes. */
     private static final long FIRST_HOLD_MILLIS = 20_000;
 
     /** Trials after which the hold no longer doubles. */
@@ -52,14 +52,14 @@
     /** Interval of conclusions that change with time only. */
     private static final long REVIEW_PERIOD_MILLIS = 250;
 
-    private static final PartVerdict FREE = new PartVerdict.Free();
+    private static final PoisonVerdict FREE = new PoisonVerdict.Free();
 
     private final String self;
-    private final SoundParts soundParts = new SoundParts();
+    private final SoundTraits soundTraits = new SoundTraits();
     private final Map<CrashId, CrashReport> crashes = new HashMap<>();
-    private final Map<ServedPart, PartTrial> trials = new HashMap<>();
+    private final Map<ServedTrait, TraitTrial> trials = new HashMap<>();
     private List<String> nodes;
-    private List<BlamedParts> blamed = List.of();
+    private List<BlamedTraits> blamed = List.of();
     private CrashNews news = CrashNews.NONE;
     private long reviewedMillis;
 
@@ -92,11 +92,11 @@
     }
 
     /**
-     * Returns the blamed parts.
+     * Returns the blamed traits.
      *
-     * @return blamed parts of all upstreams
+     * @return blamed traits of all upstreams
      */
-    public List<BlamedParts> blamed() {
+    public List<BlamedTraits> blamed() {
         return blamed;
     }
 
@@ -105,14 +105,14 @@
      *
      * @param first identifies the first loss in the epoch
      * @param served what the VM served
-     * @param prompt shared parts of the request
+     * @param request traits of the request
      * @param nowMillis monotonic time
      */
-    public void recordCrash(CrashId first, ModelRelease served, List<PromptPartId> prompt, long nowMillis) {
-        if (prompt.isEmpty()) {
+    public void recordCrash(CrashId first, ServedRelease served, List<RequestTrait> request, long nowMillis) {
+        if (request.isEmpty()) {
             return;
         }
-        addCrash(CrashReport.of(lastLoss(first), served, nowMillis, prompt));
+        addCrash(CrashReport.of(lastLoss(first), served, nowMillis, request));
         review(nowMillis);
     }
 
@@ -145,24 +145,24 @@
     }
 
     /**
-     * Records that a request is being answered, which clears its parts of the crashes so far.
+     * Records that a request is being answered, which clears its traits of the crashes so far.
      *
      * @param served what the VM serves
-     * @param prompt shared parts of the request
+     * @param request traits of the request
      * @param nowMillis monotonic time
      */
-    public void recordAnswer(ModelRelease served, List<PromptPartId> prompt, long nowMillis) {
+    public void recordAnswer(ServedRelease served, List<RequestTrait> request, long nowMillis) {
         boolean changed = false;
-        for (PromptPartId part : prompt) {
-            ServedPart answered = new ServedPart(served, part);
-            soundParts.record(answered, nowMillis);
+        for (RequestTrait trait : request) {
+            ServedTrait answered = new ServedTrait(served, trait);
+            soundTraits.record(answered, nowMillis);
             changed |= passTrial(answered);
         }
         for (Map.Entry<CrashId, CrashReport> entry : crashes.entrySet()) {
-            for (PromptPartId part : prompt) {
+            for (RequestTrait trait : request) {
                 CrashReport crash = entry.getValue();
-                if (crash.served().equals(served) && crash.isSuspect(part)) {
-                    entry.setValue(crash.withCleared(part));
+                if (crash.served().equals(served) && crash.isSuspect(trait)) {
+                    entry.setValue(crash.withCleared(trait));
                     changed = true;
                 }
             }
@@ -173,11 +173,11 @@
     }
 
     /**
-     * Forgets when parts were answered. After a suspension of the process, whose duration the monotonic clock does not
+     * Forgets when traits were answered. After a suspension of the process, whose duration the monotonic clock does not
      * count, these times cannot be compared with those of crashes that other nodes report.
      */
     public void forgetAnswers() {
-        soundParts.clear();
+        soundTraits.clear();
     }
 
     /**
@@ -188,9 +188,9 @@
      */
     public void merge(CrashNews received, long nowMillis) {
         received.crashes().forEach(this::addCrash);
-        for (PartTrial trial : received.trials()) {
+        for (TraitTrial trial : received.trials()) {
             if (trials.containsKey(trial.tried()) || trials.size() < MAX_TRIALS) {
-                trials.merge(trial.tried(), trial, PartTrial::merge);
+                trials.merge(trial.tried(), trial, TraitTrial::merge);
             }
         }
         review(nowMillis);
@@ -208,68 +208,68 @@
     }
 
     /**
-     * Returns whether a request has blamed parts, for any model or release.
+     * Returns whether a request has blamed traits, for any model or release.
      *
      * @param upstream upstream of the request
-     * @param prompt shared parts of the request
+     * @param request traits of the request
      * @return true if some VMs may have to be spared
      */
-    public boolean isSuspect(UpstreamId upstream, List<PromptPartId> prompt) {
-        return blamed.stream().anyMatch(blame -> blame.concerns(upstream, prompt));
+    public boolean isSuspect(UpstreamId upstream, List<RequestTrait> request) {
+        return blamed.stream().anyMatch(blame -> blame.concerns(upstream, request));
     }
 
     /**
      * Decides whether a request may be sent.
      *
      * @param served what the VM serves
-     * @param prompt shared parts of the request
+     * @param request traits of the request
      * @param nowMillis monotonic time
      * @return the decision
      */
-    public PartVerdict verdict(ModelRelease served, List<PromptPartId> prompt, long nowMillis) {
-        PartVerdict verdict = FREE;
-        for (BlamedParts blame : blamed) {
+    public PoisonVerdict verdict(ServedRelease served, List<RequestTrait> request, long nowMillis) {
+        PoisonVerdict verdict = FREE;
+        for (BlamedTraits blame : blamed) {
             boolean ownBlame = blame.served().equals(served);
-            if (!blame.concerns(served.upstream(), prompt) || (!ownBlame && isServed(served, blame.parts()))) {
+            if (!blame.concerns(served.upstream(), request) || (!ownBlame && isServed(served, blame.traits()))) {
                 continue;
             }
             long heldUntilMillis = heldUntilMillis(served, blame);
             if (nowMillis < heldUntilMillis) {
-                return new PartVerdict.Held(heldUntilMillis, blame.certain() && ownBlame);
+                return new PoisonVerdict.Held(heldUntilMillis, blame.certain() && ownBlame);
             }
-            verdict = new PartVerdict.OnTrial();
+            verdict = new PoisonVerdict.OnTrial();
         }
         return verdict;
     }
 
     /**
-     * Records that a request is sent as a trial of its blamed parts.
+     * Records that a request is sent as a trial of its blamed traits.
      *
      * @param served what the VM serves
-     * @param prompt shared parts of the request
+     * @param request traits of the request
      * @param nowMillis monotonic time
      */
-    public void startTrial(ModelRelease served, List<PromptPartId> prompt, long nowMillis) {
-        for (BlamedParts blame : blamed) {
-            if (!blame.concerns(served.upstream(), prompt)) {
+    public void startTrial(ServedRelease served, List<RequestTrait> request, long nowMillis) {
+        for (BlamedTraits blame : blamed) {
+            if (!blame.concerns(served.upstream(), request)) {
                 continue;
             }
-            for (PromptPartId part : blame.parts()) {
-                ServedPart tried = new ServedPart(served, part);
+            for (RequestTrait trait : blame.traits()) {
+                ServedTrait tried = new ServedTrait(served, trait);
                 int count = trials.containsKey(tried) ? trials.get(tried).count() + 1 : 1;
-                trials.put(tried, new PartTrial(tried, nowMillis, count, false));
+                trials.put(tried, new TraitTrial(tried, nowMillis, count, false));
             }
         }
         review(nowMillis);
     }
 
-    /** Returns whether parts that are blamed for another model or release have been answered by this one. */
-    private boolean isServed(ModelRelease served, Set<PromptPartId> parts) {
-        for (PromptPartId part : parts) {
-            ServedPart servedPart = new ServedPart(served, part);
-            PartTrial trial = trials.get(servedPart);
+    /** Returns whether traits that are blamed for another model or release have been answered by this one. */
+    private boolean isServed(ServedRelease served, Set<RequestTrait> traits) {
+        for (RequestTrait trait : traits) {
+            ServedTrait servedTrait = new ServedTrait(served, trait);
+            TraitTrial trial = trials.get(servedTrait);
             boolean passed = trial != null && trial.passed();
-            if (!passed && soundParts.lastAnsweredMillis(servedPart).isEmpty()) {
+            if (!passed && soundTraits.lastAnsweredMillis(servedTrait).isEmpty()) {
                 return false;
             }
         }
@@ -277,11 +277,11 @@
     }
 
     /** Returns the time from which this node may send a trial. */
-    private long heldUntilMillis(ModelRelease served, BlamedParts blame) {
+    private long heldUntilMillis(ServedRelease served, BlamedTraits blame) {
         int trialCount = 0;
         long trialEndMillis = Long.MIN_VALUE;
-        for (PromptPartId part : blame.parts()) {
-            PartTrial trial = trials.get(new ServedPart(served, part));
+        for (RequestTrait trait : blame.traits()) {
+            TraitTrial trial = trials.get(new ServedTrait(served, trait));
             if (trial != null) {
                 trialCount = Math.max(trialCount, trial.count());
                 trialEndMillis = Math.max(trialEndMillis, trial.startedMillis() + TRIAL_MILLIS);
@@ -289,12 +289,12 @@
         }
         long holdMillis = blame.served().equals(served) ? FIRST_HOLD_MILLIS << Math.min(trialCount, MAX_DOUBLINGS) : 0;
         long firstTurnMillis = Math.max(blame.lastCrashMillis() + holdMillis, trialEndMillis);
-        return firstTurnMillis + turn(blame.parts()) * TRIAL_TURN_MILLIS;
+        return firstTurnMillis + turn(blame.traits()) * TRIAL_TURN_MILLIS;
     }
 
-    /** Returns this node's position in the order of the nodes for trials of the given parts. */
-    private int turn(Set<PromptPartId> parts) {
-        String key = new TreeSet<>(parts).toString();
+    /** Returns this node's position in the order of the nodes for trials of the given traits. */
+    private int turn(Set<RequestTrait> traits) {
+        String key = text(traits);
         long own = rank(self, key);
         int preceding = 0;
         for (String node : nodes) {
@@ -315,18 +315,18 @@
     /** Returns a crash report with the answers that this node has seen. */
     private CrashReport withOwnAnswers(CrashReport report) {
         CrashReport result = report;
-        for (PromptPartId part : report.parts()) {
-            OptionalLong answeredMillis = soundParts.lastAnsweredMillis(new ServedPart(report.served(), part));
+        for (RequestTrait trait : report.traits()) {
+            OptionalLong answeredMillis = soundTraits.lastAnsweredMillis(new ServedTrait(report.served(), trait));
             if (answeredMillis.isPresent()) {
                 boolean answeredSince = answeredMillis.getAsLong() > report.atMillis();
-                result = answeredSince ? result.withCleared(part) : result.withSound(part);
+                result = answeredSince ? result.withCleared(trait) : result.withSound(trait);
             }
         }
         return result;
     }
 
-    private boolean passTrial(ServedPart answered) {
-        PartTrial trial = trials.get(answered);
+    private boolean passTrial(ServedTrait answered) {
+        TraitTrial trial = trials.get(answered);
         if (trial == null || trial.passed()) {
             return false;
         }
@@ -350,7 +350,8 @@
     private boolean supportsBlame(CrashReport crash) {
         return !crash.survived()
                 && blamed.stream()
-                        .anyMatch(blame -> blame.served().equals(crash.served()) && crash.isExplainedBy(blame.parts()));
+                        .anyMatch(
+                                blame -> blame.served().equals(crash.served()) && crash.isExplainedBy(blame.traits()));
     }
 
     private void dropExcessCrashes() {
@@ -365,8 +366,8 @@
         }
     }
 
-    private List<BlamedParts> inferBlame(long nowMillis) {
-        Map<ModelRelease, List<CrashReport>> crashesByServed = new HashMap<>();
+    private List<BlamedTraits> inferBlame(long nowMillis) {
+        Map<ServedRelease, List<CrashReport>> crashesByServed = new HashMap<>();
         for (CrashReport crash : crashes.values()) {
             if (!crash.survived()) {
                 crashesByServed
@@ -374,14 +375,14 @@
                         .add(crash);
             }
         }
-        Map<ModelRelease, List<BlamedParts>> blameByServed = new HashMap<>();
+        Map<ServedRelease, List<BlamedTraits>> blameByServed = new HashMap<>();
         crashesByServed.forEach(
                 (served, reports) -> blameByServed.put(served, BlameInference.infer(reports, Set.of(), nowMillis)));
-        List<BlamedParts> independent =
+        List<BlamedTraits> independent =
                 blameByServed.values().stream().flatMap(List::stream).toList();
-        List<BlamedParts> all = new ArrayList<>();
+        List<BlamedTraits> all = new ArrayList<>();
         blameByServed.forEach((served, blame) -> {
-            Set<PromptPartId> elsewhere = blamedElsewhere(served, independent);
+            Set<RequestTrait> elsewhere = blamedElsewhere(served, independent);
             all.addAll(
                     elsewhere.isEmpty()
                             ? blame
@@ -390,31 +391,41 @@
         return all;
     }
 
-    private static Set<PromptPartId> blamedElsewhere(ModelRelease served, List<BlamedParts> blamed) {
-        Set<PromptPartId> parts = new HashSet<>();
-        for (BlamedParts blame : blamed) {
+    private static Set<RequestTrait> blamedElsewhere(ServedRelease served, List<BlamedTraits> blamed) {
+        Set<RequestTrait> traits = new HashSet<>();
+        for (BlamedTraits blame : blamed) {
             if (blame.served().upstream().equals(served.upstream())
                     && !blame.served().equals(served)) {
-                parts.addAll(blame.parts());
+                traits.addAll(blame.traits());
             }
         }
-        return parts;
+        return traits;
+    }
+
+    /** Returns a text that does not depend on the order of a set. */
+    private static String text(Set<RequestTrait> traits) {
+        Set<String> texts = new TreeSet<>();
+        traits.forEach(trait -> texts.add(trait.toString()));
+        return texts.toString();
     }
 
     /** Returns a number that is equal for nodes with the same crashes and trials, whose times differ between clocks. */
     private long digest() {
         long sum = 0;
         for (CrashReport crash : crashes.values()) {
-            TreeSet<String> prompts = new TreeSet<>();
-            crash.prompts().forEach(prompt -> prompts.add(prompt.toString()));
-            sum += Hashing.komihash4_3()
-                    .hashCharsToLong(crash.id() + " " + crash.served() + " " + prompts + " "
-                            + new TreeSet<>(crash.soundParts()) + " " + new TreeSet<>(crash.clearedParts()) + " "
-                            + crash.survived());
+            sum += hash(crash);
         }
-        for (PartTrial trial : trials.values()) {
+        for (TraitTrial trial : trials.values()) {
             sum += Hashing.komihash4_3().hashCharsToLong(trial.tried() + " " + trial.count() + " " + trial.passed());
         }
         return sum;
     }
+
+    private static long hash(CrashReport crash) {
+        Set<String> requests = new TreeSet<>();
+        crash.requests().forEach(request -> requests.add(request.toString()));
+        return Hashing.komihash4_3()
+                .hashCharsToLong(crash.id() + " " + crash.served() + " " + requests + " " + text(crash.soundTraits())
+                        + " " + text(crash.clearedTraits()) + " " + crash.survived());
+    }
 }
--- /dev/null
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/PoisonVerdict.java
@@ -0,0 +1,18 @@
+package org.apricotdeal.relay.poison;
+
+/** Whether a request may be sent to VMs that serve a given model release. */
+public sealed interface PoisonVerdict {
+    /** The request has no blamed trait. */
+    record Free() implements PoisonVerdict {}
+
+    /** The request may be sent as the trial of its blamed traits. */
+    record OnTrial() implements PoisonVerdict {}
+
+    /**
+     * The request must not be sent.
+     *
+     * @param untilMillis monotonic time before which this does not change
+     * @param certain true if VMs that serve the same have crashed, and no other trait explains it equally well
+     */
+    record Held(long untilMillis, boolean certain) implements PoisonVerdict {}
+}
--- a/relay/src/main/java/org/apricotdeal/relay/policy/Arrival.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/Arrival.java
@@ -1,10 +1,13 @@
 package org.apricotdeal.relay.policy;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
 import org.apricotdeal.relay.model.PromptPartId;
+import org.apricotdeal.relay.model.RequestDigest;
 import org.apricotdeal.relay.model.RequestSize;
+import org.apricotdeal.relay.model.RequestTrait;
 import org.apricotdeal.relay.model.RouteEntry;
 
 /**
@@ -19,6 +22,7 @@
  * @param arrivedMillis monotonic time at which the headers had been read
  * @param deadlineMillis monotonic time by which the final answer is due
  * @param size size that the caller states; empty for plain services and if it is not stated
+ * @param digest digest of the whole request; empty if it is not known
  */
 public record Arrival(
         ExchangeId id,
@@ -29,7 +33,8 @@
         int priority,
         long arrivedMillis,
         long deadlineMillis,
-        Optional<RequestSize> size) {
+        Optional<RequestSize> size,
+        Optional<RequestDigest> digest) {
     /** Copies the list. */
     public Arrival {
         sharedParts = List.copyOf(sharedParts);
@@ -56,7 +61,17 @@
             int priority,
             long arrivedMillis,
             long deadlineMillis) {
-        this(id, queue, route, sharedParts, customer, priority, arrivedMillis, deadlineMillis, Optional.empty());
+        this(
+                id,
+                queue,
+                route,
+                sharedParts,
+                customer,
+                priority,
+                arrivedMillis,
+                deadlineMillis,
+                Optional.empty(),
+                Optional.empty());
     }
 
     /**
@@ -67,6 +82,46 @@
      */
     public Arrival withSize(RequestSize stated) {
         return new Arrival(
-                id, queue, route, sharedParts, customer, priority, arrivedMillis, deadlineMillis, Optional.of(stated));
+                id,
+                queue,
+                route,
+                sharedParts,
+                customer,
+                priority,
+                arrivedMillis,
+                deadlineMillis,
+                Optional.of(stated),
+                digest);
+    }
+
+    /**
+     * Returns the request with the digest of its content.
+     *
+     * @param content digest of the whole request
+     * @return request that differs in its digest only
+     */
+    public Arrival withDigest(RequestDigest content) {
+        return new Arrival(
+                id,
+                queue,
+                route,
+                sharedParts,
+                customer,
+                priority,
+                arrivedMillis,
+                deadlineMillis,
+                size,
+                Optional.of(content));
+    }
+
+    /**
+     * Returns what the request may have in common with others.
+     *
+     * @return shared parts of the prompt, and the digest if it is known
+     */
+    public List<RequestTrait> traits() {
+        List<RequestTrait> traits = new ArrayList<>(sharedParts);
+        digest.ifPresent(traits::add);
+        return traits;
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
@@ -1,20 +1,22 @@
 package org.apricotdeal.relay.policy;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
 
+import org.apricotdeal.relay.model.RequestTrait;
 import org.apricotdeal.relay.poison.CrashId;
-import org.apricotdeal.relay.poison.ModelRelease;
-import org.apricotdeal.relay.poison.PartVerdict;
 import org.apricotdeal.relay.poison.PoisonDetector;
+import org.apricotdeal.relay.poison.PoisonVerdict;
+import org.apricotdeal.relay.poison.ServedRelease;
 
 /** Applies the conclusions of the {@link PoisonDetector} to requests and targets, and feeds it with what became of them. */
 final class PoisonGuard {
     /** Duration of an answer that shows that the prompt does not crash the VM; several events. */
     private static final long PROOF_MILLIS = 250;
 
-    private static final PartVerdict FREE = new PartVerdict.Free();
+    private static final PoisonVerdict FREE = new PoisonVerdict.Free();
 
     private final PoisonDetector detector;
 
@@ -31,23 +33,25 @@
     }
 
     private boolean isSuspect(Arrival arrival) {
-        return detector.isSuspect(arrival.queue().upstream(), arrival.sharedParts());
+        return !isIdle()
+                && detector.isSuspect(arrival.queue().upstream(), List.<RequestTrait>copyOf(arrival.sharedParts()));
     }
 
-    PartVerdict verdict(TargetState state, Arrival arrival, long nowMillis) {
-        return state.served()
-                .map(served -> detector.verdict(served, arrival.sharedParts(), nowMillis))
-                .orElse(FREE);
+    PoisonVerdict verdict(TargetState state, Arrival arrival, long nowMillis) {
+        boolean free = isIdle() || state.served().model().isEmpty();
+        return free
+                ? FREE
+                : detector.verdict(state.served(), List.<RequestTrait>copyOf(arrival.sharedParts()), nowMillis);
     }
 
     /** Returns whether a target may receive a request; as a trial only if no other target can serve it without one. */
     boolean mayReceive(TargetState target, RequestState request, long nowMillis) {
         return switch (verdict(target, request.arrival, nowMillis)) {
-            case PartVerdict.Free free -> true;
-            case PartVerdict.Held held -> false;
-            case PartVerdict.OnTrial trial ->
+            case PoisonVerdict.Free free -> true;
+            case PoisonVerdict.Held held -> false;
+            case PoisonVerdict.OnTrial trial ->
                 request.queue.targets.stream()
-                        .noneMatch(state -> verdict(state, request.arrival, nowMillis) instanceof PartVerdict.Free);
+                        .noneMatch(state -> verdict(state, request.arrival, nowMillis) instanceof PoisonVerdict.Free);
         };
     }
 
@@ -55,7 +59,7 @@
     boolean isRestricted(RequestState request, long nowMillis) {
         return isSuspect(request.arrival)
                 && request.queue.targets.stream()
-                        .anyMatch(state -> !(verdict(state, request.arrival, nowMillis) instanceof PartVerdict.Free));
+                        .anyMatch(state -> !(verdict(state, request.arrival, nowMillis) instanceof PoisonVerdict.Free));
     }
 
     /**
@@ -67,12 +71,12 @@
             return OptionalLong.empty();
         }
         long earliestMillis = Long.MAX_VALUE;
-        Set<ModelRelease> checked = new HashSet<>();
+        Set<ServedRelease> checked = new HashSet<>();
         for (TargetState state : queue.targets) {
-            if (state.served().isPresent() && !checked.add(state.served().get())) {
+            if (!checked.add(state.served())) {
                 continue;
             }
-            if (!(verdict(state, arrival, nowMillis) instanceof PartVerdict.Held held)) {
+            if (!(verdict(state, arrival, nowMillis) instanceof PoisonVerdict.Held held)) {
                 return OptionalLong.empty();
             }
             earliestMillis = Math.min(earliestMillis, held.untilMillis());
@@ -84,16 +88,16 @@
     boolean isToBeWithdrawn(RequestState request, long nowMillis) {
         return !request.trial
                 && !request.answering
-                && verdict(request.target, request.arrival, nowMillis) instanceof PartVerdict.Held held
+                && verdict(request.target, request.arrival, nowMillis) instanceof PoisonVerdict.Held held
                 && held.certain();
     }
 
     void onSend(RequestState request, TargetState target, long nowMillis) {
         request.answering = false;
         request.answered = false;
-        request.trial = verdict(target, request.arrival, nowMillis) instanceof PartVerdict.OnTrial;
+        request.trial = verdict(target, request.arrival, nowMillis) instanceof PoisonVerdict.OnTrial;
         if (request.trial) {
-            detector.startTrial(target.served().orElseThrow(), request.arrival.sharedParts(), nowMillis);
+            detector.startTrial(target.served(), List.<RequestTrait>copyOf(request.arrival.sharedParts()), nowMillis);
         }
     }
 
@@ -116,15 +120,21 @@
         request.answered = true;
         TargetId id = request.target.target.id();
         detector.recordSurvival(new CrashId(id.vm(), id.epoch()), request.dispatchedMillis, nowMillis);
-        request.target
-                .served()
-                .ifPresent(served -> detector.recordAnswer(served, request.arrival.sharedParts(), nowMillis));
+        if (request.target.served().model().isPresent()) {
+            detector.recordAnswer(
+                    request.target.served(), List.<RequestTrait>copyOf(request.arrival.sharedParts()), nowMillis);
+        }
     }
 
     void onLostBeforeAnswer(RequestState request, TargetState target, long nowMillis) {
+        if (target.served().model().isEmpty()) {
+            return;
+        }
         TargetId id = target.target.id();
-        target.served()
-                .ifPresent(served -> detector.recordCrash(
-                        new CrashId(id.vm(), id.epoch()), served, request.arrival.sharedParts(), nowMillis));
+        detector.recordCrash(
+                new CrashId(id.vm(), id.epoch()),
+                target.served(),
+                List.<RequestTrait>copyOf(request.arrival.sharedParts()),
+                nowMillis);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RefusalReason.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RefusalReason.java
@@ -12,8 +12,8 @@
     OVERLOAD,
     /** The request has waited too long for a target. */
     WAITED_OUT,
-    /** The prompt has a part that is suspected of crashing VMs. */
-    SUSPECT_PROMPT,
+    /** The request, or a part of its prompt, is suspected of crashing VMs. */
+    SUSPECT_REQUEST,
     /** The VMs that received the request did not run it. */
     NOT_RUN,
     /** The attempt broke off and must not be repeated. */
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -15,7 +15,7 @@
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.MemoryUse;
 import org.apricotdeal.relay.model.RelayCatalogue;
-import org.apricotdeal.relay.poison.BlamedParts;
+import org.apricotdeal.relay.poison.BlamedTraits;
 import org.apricotdeal.relay.poison.CrashNews;
 import org.apricotdeal.relay.poison.PoisonDetector;
 
@@ -39,8 +39,8 @@
  * Time for which this node itself was
  * held up does not count, because progress made meanwhile has not been seen yet.
  *
- * <p><em>Suspect prompts:</em> a request whose prompt has parts that crash VMs is refused before it is sent, and ended
- * without a retry if it has been sent, see {@link PoisonGuard}.
+ * <p><em>Suspect requests:</em> a request that crashes VMs, or whose prompt has parts that do, is refused before it is
+ * sent, and ended without a retry if it has been sent, see {@link PoisonGuard}.
  *
  * <p><em>Retry:</em> a failed attempt is repeated at another target if the route allows it, within the maximum
  * attempts of the route and the shared {@link RetryBudget}. A request that may have run and must not run twice
@@ -137,11 +137,11 @@
     }
 
     /**
-     * Returns the parts of prompts that are suspected of crashing VMs.
+     * Returns the traits of requests that are suspected of crashing VMs.
      *
-     * @return blamed parts of all upstreams
+     * @return blamed traits of all upstreams
      */
-    public List<BlamedParts> blamedParts() {
+    public List<BlamedTraits> blamedTraits() {
         return poison.detector().blamed();
     }
 
@@ -219,7 +219,7 @@
         QueueState queue = registry.queue(arrival.queue());
         OptionalLong heldUntilMillis = poison.heldUntilMillis(queue, arrival, nowMillis);
         if (heldUntilMillis.isPresent()) {
-            refuseUnservable(arrival, queue, RefusalReason.SUSPECT_PROMPT, heldUntilMillis.getAsLong());
+            refuseUnservable(arrival, queue, RefusalReason.SUSPECT_REQUEST, heldUntilMillis.getAsLong());
             return;
         }
         RequestState request =
@@ -417,7 +417,7 @@
         actions.add(new RelayAction.Refuse(request.arrival.id(), reason, retryAfterMillis, details));
     }
 
-    // Suspect prompts.
+    // Suspect requests.
 
     /** Ends the requests that other requests have shown to crash VMs, whether they wait or have been sent. */
     private void holdBackSuspects() {
@@ -449,9 +449,9 @@
     private void failSuspect(RequestState request, long heldUntilMillis) {
         requests.remove(request.arrival.id());
         if (request.mayHaveRun) {
-            actions.add(new RelayAction.GiveUp(request.arrival.id(), RefusalReason.SUSPECT_PROMPT));
+            actions.add(new RelayAction.GiveUp(request.arrival.id(), RefusalReason.SUSPECT_REQUEST));
         } else {
-            refuseUnservable(request.arrival, request.queue, RefusalReason.SUSPECT_PROMPT, heldUntilMillis);
+            refuseUnservable(request.arrival, request.queue, RefusalReason.SUSPECT_REQUEST, heldUntilMillis);
         }
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RequestExplainer.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RequestExplainer.java
@@ -86,7 +86,7 @@
 
     private Optional<RefusalReason> refusal(RequestState request, QueueEstimate estimate, long nowMillis) {
         if (poison.heldUntilMillis(request.queue, request.arrival, nowMillis).isPresent()) {
-            return Optional.of(RefusalReason.SUSPECT_PROMPT);
+            return Optional.of(RefusalReason.SUSPECT_REQUEST);
         }
         return request.queue.isTooLarge(request)
                 ? Optional.of(RefusalReason.TOO_LARGE)
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.apricotdeal.relay.poison.ModelRelease;
+import org.apricotdeal.relay.poison.ServedRelease;
 
 /** A target with its load and health as known to the dispatcher. */
 final class TargetState {
@@ -41,7 +41,7 @@
 
     private long silentSinceMillis;
     private final QueueState queue;
-    private final Optional<ModelRelease> served;
+    private final ServedRelease served;
     private final TargetPace pace = new TargetPace();
     private final TargetMemory memory;
     private double readUntilMillis;
@@ -65,17 +65,16 @@
         this.target = target;
         this.queue = queue;
         this.memory = new TargetMemory(target.memoryTokens(), target.slots());
-        this.served = target.queue()
-                .model()
-                .map(model -> new ModelRelease(target.queue().upstream(), model, target.release()));
+        this.served =
+                new ServedRelease(target.queue().upstream(), target.queue().model(), target.release());
     }
 
     QueueState queue() {
         return queue;
     }
 
-    /** Returns what the VMs of the target serve; empty for a plain service. */
-    Optional<ModelRelease> served() {
+    /** Returns what the VMs of the target serve. */
+    ServedRelease served() {
         return served;
     }
 
