Bound what many lost requests cost the node that hears of them

A crash report may hold 64 requests of 64 parts each, and a node drew all conclusions again with each lost request.

Reports hold at most 2,048 traits together; beyond 256 the conclusions are drawn with the next tick instead of with each lost request, and the hash of an unchanged report is kept.

--- a/relay/src/main/java/org/apricotdeal/relay/poison/CrashReport.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/CrashReport.java
@@ -83,6 +83,11 @@
         return new CrashReport(id, served, atMillis, requests, soundTraits, clearedTraits, true);
     }
 
+    /** Returns the number of traits of all lost requests, each as often as it occurs. */
+    int traitCount() {
+        return requests.stream().mapToInt(List::size).sum();
+    }
+
     /** Returns all traits of the lost requests. */
     Set<RequestTrait> traits() {
         Set<RequestTrait> traits = new HashSet<>();
--- a/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -49,6 +50,11 @@
     private static final int MAX_CRASHES = 128;
     private static final int MAX_TRIALS = 256;
 
+    /** Maximum number of traits of the lost requests of all crashes, which bounds the size of a heartbeat. */
+    private static final int MAX_LOST_TRAITS = 2_048;
+
+    private static final int MAX_TRAITS_TO_REVIEW_AT_ONCE = 256;
+
     /** Interval of conclusions that change with time only. */
     private static final long REVIEW_PERIOD_MILLIS = 250;
 
@@ -60,8 +66,11 @@
     private final Map<ServedTrait, TraitTrial> trials = new HashMap<>();
     private List<String> nodes;
     private List<BlamedTraits> blamed = List.of();
+    private IdentityHashMap<CrashReport, Long> reportHashes = new IdentityHashMap<>();
     private CrashNews news = CrashNews.NONE;
     private long reviewedMillis;
+    private boolean reviewDue;
+    private int lostTraitCount;
 
     /**
      * Creates a detector that knows of no crash.
@@ -113,7 +122,7 @@
             return;
         }
         addCrash(CrashReport.of(lastLoss(first), served, nowMillis, request));
-        review(nowMillis);
+        reviewSoon(nowMillis);
     }
 
     /** Returns the id of the last loss in an epoch, which the VM is not known to have survived. */
@@ -168,7 +177,7 @@
             }
         }
         if (changed) {
-            review(nowMillis);
+            reviewSoon(nowMillis);
         }
     }
 
@@ -202,7 +211,16 @@
      * @param nowMillis monotonic time
      */
     public void tick(long nowMillis) {
-        if (!crashes.isEmpty() && nowMillis - reviewedMillis >= REVIEW_PERIOD_MILLIS) {
+        if (!crashes.isEmpty() && (reviewDue || nowMillis - reviewedMillis >= REVIEW_PERIOD_MILLIS)) {
+            review(nowMillis);
+        }
+    }
+
+    /** Draws conclusions at once, or with the next tick where that takes long and more may follow. */
+    private void reviewSoon(long nowMillis) {
+        if (lostTraitCount > MAX_TRAITS_TO_REVIEW_AT_ONCE) {
+            reviewDue = true;
+        } else {
             review(nowMillis);
         }
     }
@@ -336,6 +354,7 @@
 
     private void review(long nowMillis) {
         reviewedMillis = nowMillis;
+        reviewDue = false;
         crashes.values().removeIf(crash -> nowMillis - crash.atMillis() >= maxAgeMillis(crash));
         trials.values().removeIf(trial -> nowMillis - trial.startedMillis() >= MAX_BLAME_AGE_MILLIS);
         dropExcessCrashes();
@@ -355,14 +374,20 @@
     }
 
     private void dropExcessCrashes() {
-        if (crashes.size() <= MAX_CRASHES) {
+        lostTraitCount =
+                crashes.values().stream().mapToInt(CrashReport::traitCount).sum();
+        if (crashes.size() <= MAX_CRASHES && lostTraitCount <= MAX_LOST_TRAITS) {
             return;
         }
         List<CrashReport> ordered = new ArrayList<>(crashes.values());
         ordered.sort(Comparator.comparing((CrashReport crash) -> supportsBlame(crash))
                 .thenComparing(CrashReport::atMillis));
-        for (CrashReport crash : ordered.subList(0, ordered.size() - MAX_CRASHES)) {
+        for (CrashReport crash : ordered) {
+            if (crashes.size() <= MAX_CRASHES && lostTraitCount <= MAX_LOST_TRAITS) {
+                return;
+            }
             crashes.remove(crash.id());
+            lostTraitCount -= crash.traitCount();
         }
     }
 
@@ -411,10 +436,15 @@
 
     /** Returns a number that is equal for nodes with the same crashes and trials, whose times differ between clocks. */
     private long digest() {
+        IdentityHashMap<CrashReport, Long> hashes = new IdentityHashMap<>();
         long sum = 0;
         for (CrashReport crash : crashes.values()) {
-            sum += hash(crash);
+            Long known = reportHashes.get(crash);
+            long hash = known == null ? hash(crash) : known;
+            hashes.put(crash, hash);
+            sum += hash;
         }
+        reportHashes = hashes;
         for (TraitTrial trial : trials.values()) {
             sum += Hashing.komihash4_3().hashCharsToLong(trial.tried() + " " + trial.count() + " " + trial.passed());
         }
