Blame a request that crashes VMs as a whole, not a part that it shares

Cause: the inference knew parts of prompts only, so it charged the widest thing that the crashes had in common.

Change: the digest of the request is a suspect beside its parts, under one inference. Of suspects with equally many crashes the narrowest is blamed; crashes of different requests have a part in common at most and blame that. An answer clears the parts and the digest of its own request, no other one. The repeat of a lost request is a crash of its own if it is lost more than 25 ms later; only VMs that are lost together take less.

--- a/proofs/src/test/java/org/apricotdeal/relay/poison/PoisonDetectorTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/poison/PoisonDetectorTest.java
@@ -1,5 +1,6 @@
 package org.apricotdeal.relay.poison;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -9,6 +10,7 @@
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.ModelId;
 import org.apricotdeal.relay.model.PromptPartId;
+import org.apricotdeal.relay.model.RequestDigest;
 import org.apricotdeal.relay.model.RequestTrait;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -241,4 +243,69 @@
         other.recordCrash(new CrashId(new VmId("v2"), 1), SERVED, prompt("doc"), 9_000);
         assertEquals(other.blamed(), List.of());
     }
+
+    private static RequestDigest digest(int number) {
+        return new RequestDigest("ask", 0, number);
+    }
+
+    /** A request with a digest, given by its number, and parts. */
+    private static List<RequestTrait> copyOf(int number, String... parts) {
+        List<RequestTrait> request = new ArrayList<>(prompt(parts));
+        request.add(digest(number));
+        return request;
+    }
+
+    private void crashBy(long atMillis, String vm, int number, String... parts) {
+        detector.recordCrash(new CrashId(new VmId(vm), 1), SERVED, copyOf(number, parts), atMillis);
+    }
+
+    /** 98103 of issue 45: the part was blamed, and a sound request with it cleared the deadly one. */
+    @Test
+    public void copiesOfOneRequestBlameNeitherItsPartNorWhoeverSharesIt() {
+        detector.recordAnswer(SERVED, copyOf(2, "shared"), 500);
+        crashBy(1_000, "v1", 1, "shared");
+        crashBy(1_200, "v2", 1, "shared");
+        crashBy(1_400, "v3", 1, "shared");
+        detector.tick(9_000);
+        assertEquals(blamed(), Set.of(digest(1).toString()));
+        detector.recordAnswer(SERVED, copyOf(3, "shared"), 9_100);
+        assertEquals(blamed(), Set.of(digest(1).toString()));
+        assertEquals(detector.verdict(SERVED, copyOf(4, "shared"), 9_200), new PoisonVerdict.Free());
+    }
+
+    @Test
+    public void differentRequestsBlameThePartThatTheyShare() {
+        crashBy(1_000, "v1", 1, "dead");
+        crashBy(1_200, "v2", 1, "dead");
+        assertEquals(blamed(), Set.of(digest(1).toString()));
+        crashBy(2_000, "v3", 2, "dead");
+        assertEquals(blamed(), Set.of("dead"));
+    }
+
+    /** 98104 of issue 45: the repeat was lost 49 ms after the first copy. */
+    @Test
+    public void repeatThatIsLostSoonIsCrashOfItsOwn() {
+        crashBy(1_000, "v1", 1);
+        crashBy(1_049, "v2", 1);
+        assertEquals(blamed(), Set.of(digest(1).toString()));
+    }
+
+    @Test
+    public void requestLostTwiceWithItsRackIsNotBlamed() {
+        crashBy(1_000, "v1", 1);
+        crashBy(1_012, "v2", 1);
+        assertEquals(blamed(), Set.of());
+    }
+
+    @Test
+    public void tenThousandLostRequestsAreBounded() {
+        for (int i = 0; i < 10_000; i++) {
+            crashBy(1_000 + i, "v" + i / 64, i, "p" + i, "q" + i);
+        }
+        int traits = detector.news().crashes().stream()
+                .flatMap(crash -> crash.requests().stream())
+                .mapToInt(List::size)
+                .sum();
+        assertTrue(traits <= 2_048, traits + " traits");
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/poison/BlameInference.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/BlameInference.java
@@ -13,43 +13,54 @@
 import org.apricotdeal.relay.model.RequestTrait;
 
 /**
- * Infers which parts of prompts crash the VMs of one model release.
+ * Infers which traits of requests crash the VMs of one release: parts of prompts, or the whole content of a request.
  *
- * <p>A VM that crashes loses all its requests, each with several parts; a deadly part is among those of the requests that
- * were not being answered yet. Any answer to a prompt with a part clears the part of the crashes before it. What remains is
- * explained by as few parts as possible: the part with the most uncleared crashes (by cause, then by VM) is blamed, the
- * crashes that it explains are set aside, and the rest is considered again. So the parts of requests that were lost beside
+ * <p>A VM that crashes loses all its requests, each with several traits; a deadly trait is among those of the requests that
+ * were not being answered yet. Any answer to a request with a trait clears the trait of the crashes before it. What remains
+ * is explained by as few traits as possible: the trait with the most uncleared crashes (by cause, then by VM) is blamed, the
+ * crashes that it explains are set aside, and the rest is considered again. So the traits of requests that were lost beside
  * a deadly one stay free.
  *
- * <p>Parts that were answered before the crashes need more crashes than unknown ones, and time for other nodes to clear
+ * <p>Of traits with equally many crashes the narrowest is blamed. The copies of one request share its digest and all its
+ * parts, so their crashes blame the digest. Crashes of different requests have a part in common at most, so together they
+ * blame that.
+ *
+ * <p>Traits that were answered before the crashes need more crashes than unknown ones, and time for other nodes to clear
  * them. Crashes at nearly the same time count once, since the loss of a rack or of a node's connections has another cause.
  *
- * <p>Parts that occur in the same lost prompts only are blamed together: a request is held back if it has all of them. Of
+ * <p>Parts that occur in the same lost requests only are blamed together: a request is held back if it has all of them. Of
  * several explanations of the same crashes the one that holds back the fewest requests is used.
  */
 final class BlameInference {
     /** A request that crashed a VM is repeated once, so one request can crash two. */
     private static final int MIN_CRASHES = 2;
 
-    /** The same for a part that has been answered before, which a chance loss of two VMs must not exclude. */
-    private static final int MIN_CRASHES_OF_SOUND_PART = 3;
+    /** The same for a trait that has been answered before, which a chance loss of two VMs must not exclude. */
+    private static final int MIN_CRASHES_OF_SOUND_TRAIT = 3;
 
     /** Crashes within this time of each other have a common cause. */
     private static final long COMMON_CAUSE_MILLIS = 100;
 
+    /**
+     * The same for the copies of one request, of which the next is sent after the loss of the last one: only VMs that are
+     * lost together crash again so soon.
+     */
+    private static final long COMMON_CAUSE_OF_COPIES_MILLIS = 25;
+
     /** Time in which an answer at any node becomes known to all; several heartbeat periods. */
     private static final long CLEARING_MILLIS = 1_000;
 
     private final List<CrashReport> crashes;
     private final Set<RequestTrait> blamedElsewhere;
     private final long nowMillis;
-    private final Map<CrashId, Integer> causes = new HashMap<>();
+    private final Map<CrashId, Integer> causes;
+    private final Map<CrashId, Integer> causesOfCopies;
 
-    /** A lost request, as the evidence against one of its parts. */
-    private record Evidence(CrashReport crash, List<RequestTrait> prompt) {}
+    /** A lost request, as the evidence against one of its traits. */
+    private record Evidence(CrashReport crash, List<RequestTrait> request) {}
 
-    /** A part with the evidence against it; crashes with a common cause count as one in the number of causes. */
-    private record Suspect(RequestTrait part, Set<Evidence> evidence, boolean sound, int causeCount, int crashCount) {
+    /** A trait with the evidence against it; crashes with a common cause count as one in the number of causes. */
+    private record Suspect(RequestTrait trait, Set<Evidence> evidence, boolean sound, int causeCount, int crashCount) {
         private static final Comparator<Suspect> BY_STRENGTH =
                 Comparator.comparingInt(Suspect::causeCount).thenComparingInt(Suspect::crashCount);
     }
@@ -61,32 +72,35 @@
                 .thenComparingLong(crash -> crash.id().epoch()));
         this.blamedElsewhere = blamedElsewhere;
         this.nowMillis = nowMillis;
-        numberCauses();
+        this.causes = numberCauses(COMMON_CAUSE_MILLIS);
+        this.causesOfCopies = numberCauses(COMMON_CAUSE_OF_COPIES_MILLIS);
     }
 
     /**
-     * Infers the blamed parts.
+     * Infers the blamed traits.
      *
-     * @param crashes crashes of VMs that serve the same model release
-     * @param blamedElsewhere parts that crash other models or releases of the upstream; a single crash confirms them
+     * @param crashes crashes of VMs that serve the same release
+     * @param blamedElsewhere traits that crash other models or releases of the upstream; a single crash confirms them
      * @param nowMillis monotonic time
-     * @return the blamed parts, the best explanation first
+     * @return the blamed traits, the best explanation first
      */
     static List<BlamedTraits> infer(
             Collection<CrashReport> crashes, Set<RequestTrait> blamedElsewhere, long nowMillis) {
         return new BlameInference(crashes, blamedElsewhere, nowMillis).blame();
     }
 
-    private void numberCauses() {
+    private Map<CrashId, Integer> numberCauses(long commonCauseMillis) {
+        Map<CrashId, Integer> numbers = new HashMap<>();
         long firstMillis = 0;
         int cause = 0;
         for (CrashReport crash : crashes) {
-            if (cause == 0 || crash.atMillis() - firstMillis > COMMON_CAUSE_MILLIS) {
+            if (cause == 0 || crash.atMillis() - firstMillis > commonCauseMillis) {
                 cause++;
                 firstMillis = crash.atMillis();
             }
-            causes.put(crash.id(), cause);
+            numbers.put(crash.id(), cause);
         }
+        return numbers;
     }
 
     private List<BlamedTraits> blame() {
@@ -103,24 +117,24 @@
         }
     }
 
-    /** Returns the unknown parts with the most crashes, or else the sound ones, if there are enough crashes. */
+    /** Returns the unknown traits with the most crashes, or else the sound ones, if there are enough crashes. */
     private List<Suspect> strongestSuspects(List<CrashReport> unexplained) {
         List<Suspect> suspects = suspects(unexplained);
         List<Suspect> unknown = suspects.stream()
-                .filter(suspect -> !suspect.sound() && suspect.causeCount() >= minCrashes(suspect.part()))
+                .filter(suspect -> !suspect.sound() && suspect.causeCount() >= minCrashes(suspect.trait()))
                 .toList();
-        return mostCrashes(
-                unknown.isEmpty() ? suspects.stream().filter(this::isRefuted).toList() : unknown);
+        return narrowest(mostCrashes(
+                unknown.isEmpty() ? suspects.stream().filter(this::isRefuted).toList() : unknown));
     }
 
-    private int minCrashes(RequestTrait part) {
-        return blamedElsewhere.contains(part) ? 1 : MIN_CRASHES;
+    private int minCrashes(RequestTrait trait) {
+        return blamedElsewhere.contains(trait) ? 1 : MIN_CRASHES;
     }
 
-    /** Returns whether a part that used to be sound has crashed several VMs since, with time to be answered again. */
+    /** Returns whether a trait that used to be sound has crashed several VMs since, with time to be answered again. */
     private boolean isRefuted(Suspect suspect) {
         return suspect.sound()
-                && suspect.causeCount() >= MIN_CRASHES_OF_SOUND_PART
+                && suspect.causeCount() >= MIN_CRASHES_OF_SOUND_TRAIT
                 && nowMillis - lastCrashMillis(suspect.evidence()) >= CLEARING_MILLIS;
     }
 
@@ -134,24 +148,32 @@
                 .toList();
     }
 
+    /** Returns the digests of whole requests if there are any, else all. */
+    private static List<Suspect> narrowest(List<Suspect> suspects) {
+        List<Suspect> digests = suspects.stream()
+                .filter(suspect -> suspect.trait().isWholeRequest())
+                .toList();
+        return digests.isEmpty() ? suspects : digests;
+    }
+
     private List<Suspect> suspects(List<CrashReport> unexplained) {
-        Map<RequestTrait, Set<Evidence>> evidenceByPart = new HashMap<>();
+        Map<RequestTrait, Set<Evidence>> evidenceByTrait = new HashMap<>();
         Set<RequestTrait> sound = soundTraits(unexplained);
         for (CrashReport crash : unexplained) {
-            for (List<RequestTrait> prompt : crash.requests()) {
-                for (RequestTrait part : prompt) {
-                    if (!crash.clearedTraits().contains(part)) {
-                        evidenceByPart
-                                .computeIfAbsent(part, id -> new HashSet<>())
-                                .add(new Evidence(crash, prompt));
+            for (List<RequestTrait> request : crash.requests()) {
+                for (RequestTrait trait : request) {
+                    if (!crash.clearedTraits().contains(trait)) {
+                        evidenceByTrait
+                                .computeIfAbsent(trait, id -> new HashSet<>())
+                                .add(new Evidence(crash, request));
                     }
                 }
             }
         }
         List<Suspect> suspects = new ArrayList<>();
-        evidenceByPart.forEach((part, evidence) -> suspects.add(
-                new Suspect(part, evidence, sound.contains(part), countCauses(evidence), countCrashes(evidence))));
-        suspects.sort(Comparator.comparing(suspect -> suspect.part().toString()));
+        evidenceByTrait.forEach((trait, evidence) -> suspects.add(new Suspect(
+                trait, evidence, sound.contains(trait), countCauses(trait, evidence), countCrashes(evidence))));
+        suspects.sort(Comparator.comparing(suspect -> suspect.trait().toString()));
         return suspects;
     }
 
@@ -161,9 +183,10 @@
         return sound;
     }
 
-    private int countCauses(Set<Evidence> evidence) {
+    private int countCauses(RequestTrait trait, Set<Evidence> evidence) {
+        Map<CrashId, Integer> numbers = trait.isWholeRequest() ? causesOfCopies : causes;
         Set<Integer> distinct = new HashSet<>();
-        evidence.forEach(item -> distinct.add(causes.get(item.crash().id())));
+        evidence.forEach(item -> distinct.add(numbers.get(item.crash().id())));
         return distinct.size();
     }
 
@@ -179,7 +202,7 @@
         return lastMillis;
     }
 
-    /** Returns the blamed parts for suspects that explain the crashes equally well. */
+    /** Returns the blamed traits for suspects that explain the crashes equally well. */
     private static List<BlamedTraits> blame(List<Suspect> strongest, Set<RequestTrait> sound) {
         Map<Set<RequestTrait>, Long> lastCrashByGroup = new LinkedHashMap<>();
         Set<Set<Set<RequestTrait>>> explanations = new HashSet<>();
@@ -206,13 +229,18 @@
     }
 
     /**
-     * Returns the sets of parts to blame for a suspect: the parts that all its prompts have in common. With two different
-     * prompts, each of them may have a cause of its own that hides behind a shared part, so each is blamed as a whole.
+     * Returns the sets of traits to blame for a suspect: a digest alone, or the parts that all its prompts have in common.
+     * With two different prompts, each of them may have a cause of its own that hides behind a shared part, so each is
+     * blamed as a whole.
      */
     private static Set<Set<RequestTrait>> groups(Suspect suspect, Set<RequestTrait> sound) {
+        if (suspect.trait().isWholeRequest()) {
+            return Set.of(Set.of(suspect.trait()));
+        }
         Set<Set<RequestTrait>> prompts = new HashSet<>();
         for (Evidence item : suspect.evidence()) {
-            Set<RequestTrait> parts = new HashSet<>(item.prompt());
+            Set<RequestTrait> parts = new HashSet<>(item.request());
+            parts.removeIf(RequestTrait::isWholeRequest);
             parts.removeAll(item.crash().clearedTraits());
             if (!suspect.sound()) {
                 parts.removeAll(sound);
--- a/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
@@ -1,11 +1,9 @@
 package org.apricotdeal.relay.policy;
 
 import java.util.HashSet;
-import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
 
-import org.apricotdeal.relay.model.RequestTrait;
 import org.apricotdeal.relay.poison.CrashId;
 import org.apricotdeal.relay.poison.PoisonDetector;
 import org.apricotdeal.relay.poison.PoisonVerdict;
@@ -33,15 +31,12 @@
     }
 
     private boolean isSuspect(Arrival arrival) {
-        return !isIdle()
-                && detector.isSuspect(arrival.queue().upstream(), List.<RequestTrait>copyOf(arrival.sharedParts()));
+        return !isIdle() && detector.isSuspect(arrival.queue().upstream(), arrival.traits());
     }
 
     PoisonVerdict verdict(TargetState state, Arrival arrival, long nowMillis) {
         boolean free = isIdle() || state.served().model().isEmpty();
-        return free
-                ? FREE
-                : detector.verdict(state.served(), List.<RequestTrait>copyOf(arrival.sharedParts()), nowMillis);
+        return free ? FREE : detector.verdict(state.served(), arrival.traits(), nowMillis);
     }
 
     /** Returns whether a target may receive a request; as a trial only if no other target can serve it without one. */
@@ -97,7 +92,7 @@
         request.answered = false;
         request.trial = verdict(target, request.arrival, nowMillis) instanceof PoisonVerdict.OnTrial;
         if (request.trial) {
-            detector.startTrial(target.served(), List.<RequestTrait>copyOf(request.arrival.sharedParts()), nowMillis);
+            detector.startTrial(target.served(), request.arrival.traits(), nowMillis);
         }
     }
 
@@ -121,8 +116,7 @@
         TargetId id = request.target.target.id();
         detector.recordSurvival(new CrashId(id.vm(), id.epoch()), request.dispatchedMillis, nowMillis);
         if (request.target.served().model().isPresent()) {
-            detector.recordAnswer(
-                    request.target.served(), List.<RequestTrait>copyOf(request.arrival.sharedParts()), nowMillis);
+            detector.recordAnswer(request.target.served(), request.arrival.traits(), nowMillis);
         }
     }
 
@@ -131,10 +125,6 @@
             return;
         }
         TargetId id = target.target.id();
-        detector.recordCrash(
-                new CrashId(id.vm(), id.epoch()),
-                target.served(),
-                List.<RequestTrait>copyOf(request.arrival.sharedParts()),
-                nowMillis);
+        detector.recordCrash(new CrashId(id.vm(), id.epoch()), target.served(), request.arrival.traits(), nowMillis);
     }
 }
