Count crashes of plain services by the requests that they lost

Cause: crashes counted for a model and release only; a plain service has no model, so its crashes were no evidence.

An answer whose head has arrived has begun, so a truncated one is no longer taken for a crash before the answer. Crashes of plain services have heartbeat fields of their own, because nodes of earlier versions reject a crash without a model and would drop the whole heartbeat.

--- a/relay/src/main/java/org/apricotdeal/relay/node/CrashNewsCodec.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CrashNewsCodec.java
@@ -23,18 +23,31 @@
 import org.apricotdeal.wire.gen.TRelayTrial;
 
 /**
- * Converts {@link CrashNews} to the fields of a heartbeat and back; times are sent as ages, since clocks differ. Nodes of
- * earlier versions take a digest for a part that no prompt has.
+ * Converts {@link CrashNews} to the fields of a heartbeat and back; times are sent as ages, since clocks differ. What concerns
+ * plain services has fields of its own, because nodes of earlier versions reject crashes without a model. They take a digest
+ * for a part that no prompt has.
  */
 final class CrashNewsCodec {
     private CrashNewsCodec() {}
 
     /** Adds crashes and trials to a heartbeat. */
     static void encode(CrashNews news, TRelayHeartbeat heartbeat, long nowMillis) {
-        heartbeat.setCrashes(
-                news.crashes().stream().map(crash -> encode(crash, nowMillis)).toList());
-        heartbeat.setTrials(
-                news.trials().stream().map(trial -> encode(trial, nowMillis)).toList());
+        heartbeat.setCrashes(new ArrayList<>());
+        heartbeat.setTrials(new ArrayList<>());
+        for (CrashReport crash : news.crashes()) {
+            if (crash.served().model().isPresent()) {
+                heartbeat.addToCrashes(encode(crash, nowMillis));
+            } else {
+                heartbeat.addToServiceCrashes(encode(crash, nowMillis));
+            }
+        }
+        for (TraitTrial trial : news.trials()) {
+            if (trial.tried().served().model().isPresent()) {
+                heartbeat.addToTrials(encode(trial, nowMillis));
+            } else {
+                heartbeat.addToServiceTrials(encode(trial, nowMillis));
+            }
+        }
     }
 
     private static String modelName(ServedRelease served) {
@@ -88,10 +101,16 @@
         if (heartbeat.isSetCrashes()) {
             heartbeat.getCrashes().forEach(crash -> crashes.add(decode(crash, nowMillis)));
         }
+        if (heartbeat.isSetServiceCrashes()) {
+            heartbeat.getServiceCrashes().forEach(crash -> crashes.add(decode(crash, nowMillis)));
+        }
         List<TraitTrial> trials = new ArrayList<>();
         if (heartbeat.isSetTrials()) {
             heartbeat.getTrials().forEach(trial -> trials.add(decode(trial, nowMillis)));
         }
+        if (heartbeat.isSetServiceTrials()) {
+            heartbeat.getServiceTrials().forEach(trial -> trials.add(decode(trial, nowMillis)));
+        }
         return new CrashNews(heartbeat.getCrashDigest(), crashes, trials);
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -66,6 +66,7 @@
     private boolean ended;
     private boolean streaming;
     private boolean foreignResponse;
+    private boolean answerBegun;
     private int reservedBytes;
     private volatile long firstEventMillis = -1;
     private volatile String loadHeader = "";
@@ -278,6 +279,7 @@
         loadHeader = Objects.requireNonNullElse(response.getHeaders().get(headerNames.load()), "");
         RouteEntry route = exchange.arrival().route();
         streaming = route.retrySafety() == RetrySafety.STREAM && response.getStatus() == HttpStatus.OK_200;
+        answerBegun = !streaming;
         if (streaming) {
             exchange.startStream(response.getStatus(), response.getHeaders(), clock.monotonicMillis());
             listener.started(this);
@@ -387,7 +389,8 @@
     }
 
     private AttemptOutcome outcomeOfLostConnection() {
-        return answeringMillis() < MAX_BEGINNING_MILLIS ? AttemptOutcome.LOST_BEFORE_ANSWER : AttemptOutcome.BROKEN;
+        boolean beginning = !answerBegun && answeringMillis() < MAX_BEGINNING_MILLIS;
+        return beginning ? AttemptOutcome.LOST_BEFORE_ANSWER : AttemptOutcome.BROKEN;
     }
 
     private void completeStream(Response response) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
@@ -35,8 +35,7 @@
     }
 
     PoisonVerdict verdict(TargetState state, Arrival arrival, long nowMillis) {
-        boolean free = isIdle() || state.served().model().isEmpty();
-        return free ? FREE : detector.verdict(state.served(), arrival.traits(), nowMillis);
+        return isIdle() ? FREE : detector.verdict(state.served(), arrival.traits(), nowMillis);
     }
 
     /** Returns whether a target may receive a request; as a trial only if no other target can serve it without one. */
@@ -115,15 +114,10 @@
         request.answered = true;
         TargetId id = request.target.target.id();
         detector.recordSurvival(new CrashId(id.vm(), id.epoch()), request.dispatchedMillis, nowMillis);
-        if (request.target.served().model().isPresent()) {
-            detector.recordAnswer(request.target.served(), request.arrival.traits(), nowMillis);
-        }
+        detector.recordAnswer(request.target.served(), request.arrival.traits(), nowMillis);
     }
 
     void onLostBeforeAnswer(RequestState request, TargetState target, long nowMillis) {
-        if (target.served().model().isEmpty()) {
-            return;
-        }
         TargetId id = target.target.id();
         detector.recordCrash(new CrashId(id.vm(), id.epoch()), target.served(), request.arrival.traits(), nowMillis);
     }
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayHeartbeat.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayHeartbeat.java
@@ -27,6 +27,8 @@
   private static final org.apache.thrift.protocol.TField EVACUATIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("evacuations", org.apache.thrift.protocol.TType.STRUCT, (short)16);
   private static final org.apache.thrift.protocol.TField DEMAND_FIELD_DESC = new org.apache.thrift.protocol.TField("demand", org.apache.thrift.protocol.TType.LIST, (short)17);
   private static final org.apache.thrift.protocol.TField VM_INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("vmIncarnation", org.apache.thrift.protocol.TType.I64, (short)18);
+  private static final org.apache.thrift.protocol.TField SERVICE_CRASHES_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceCrashes", org.apache.thrift.protocol.TType.LIST, (short)19);
+  private static final org.apache.thrift.protocol.TField SERVICE_TRIALS_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceTrials", org.apache.thrift.protocol.TType.LIST, (short)20);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TRelayHeartbeatStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TRelayHeartbeatTupleSchemeFactory();
@@ -52,6 +54,8 @@
   public @org.apache.thrift.annotation.Nullable TRelayEvacuations evacuations; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<TRelayDemand> demand; // optional
   public long vmIncarnation; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<TRelayCrash> serviceCrashes; // optional
+  public @org.apache.thrift.annotation.Nullable java.util.List<TRelayTrial> serviceTrials; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -75,7 +79,9 @@
     TRIALS((short)15, "trials"),
     EVACUATIONS((short)16, "evacuations"),
     DEMAND((short)17, "demand"),
-    VM_INCARNATION((short)18, "vmIncarnation");
+    VM_INCARNATION((short)18, "vmIncarnation"),
+    SERVICE_CRASHES((short)19, "serviceCrashes"),
+    SERVICE_TRIALS((short)20, "serviceTrials");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -125,6 +131,10 @@
           return DEMAND;
         case 18: // VM_INCARNATION
           return VM_INCARNATION;
+        case 19: // SERVICE_CRASHES
+          return SERVICE_CRASHES;
+        case 20: // SERVICE_TRIALS
+          return SERVICE_TRIALS;
         default:
           return null;
       }
@@ -176,7 +186,7 @@
   private static final int __CRASHDIGEST_ISSET_ID = 5;
   private static final int __VMINCARNATION_ISSET_ID = 6;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.VM_REVISION,_Fields.STORE_AWAY,_Fields.VM_NEWS,_Fields.STOPPING,_Fields.SCOPE,_Fields.SEEN,_Fields.VM_AGE_MILLIS,_Fields.SILENT_VMS,_Fields.CRASH_DIGEST,_Fields.CRASHES,_Fields.TRIALS,_Fields.EVACUATIONS,_Fields.DEMAND,_Fields.VM_INCARNATION};
+  private static final _Fields optionals[] = {_Fields.VM_REVISION,_Fields.STORE_AWAY,_Fields.VM_NEWS,_Fields.STOPPING,_Fields.SCOPE,_Fields.SEEN,_Fields.VM_AGE_MILLIS,_Fields.SILENT_VMS,_Fields.CRASH_DIGEST,_Fields.CRASHES,_Fields.TRIALS,_Fields.EVACUATIONS,_Fields.DEMAND,_Fields.VM_INCARNATION,_Fields.SERVICE_CRASHES,_Fields.SERVICE_TRIALS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -220,6 +230,12 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayDemand.class))));
     tmpMap.put(_Fields.VM_INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("vmIncarnation", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SERVICE_CRASHES, new org.apache.thrift.meta_data.FieldMetaData("serviceCrashes", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayCrash.class))));
+    tmpMap.put(_Fields.SERVICE_TRIALS, new org.apache.thrift.meta_data.FieldMetaData("serviceTrials", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayTrial.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TRelayHeartbeat.class, metaDataMap);
   }
@@ -305,6 +321,20 @@
       this.demand = __this__demand;
     }
     this.vmIncarnation = other.vmIncarnation;
+    if (other.isSetServiceCrashes()) {
+      java.util.List<TRelayCrash> __this__serviceCrashes = new java.util.ArrayList<TRelayCrash>(other.serviceCrashes.size());
+      for (TRelayCrash other_element : other.serviceCrashes) {
+        __this__serviceCrashes.add(new TRelayCrash(other_element));
+      }
+      this.serviceCrashes = __this__serviceCrashes;
+    }
+    if (other.isSetServiceTrials()) {
+      java.util.List<TRelayTrial> __this__serviceTrials = new java.util.ArrayList<TRelayTrial>(other.serviceTrials.size());
+      for (TRelayTrial other_element : other.serviceTrials) {
+        __this__serviceTrials.add(new TRelayTrial(other_element));
+      }
+      this.serviceTrials = __this__serviceTrials;
+    }
   }
 
   @Override
@@ -338,6 +368,8 @@
     this.demand = null;
     setVmIncarnationIsSet(false);
     this.vmIncarnation = 0;
+    this.serviceCrashes = null;
+    this.serviceTrials = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -855,6 +887,88 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VMINCARNATION_ISSET_ID, value);
   }
 
+  public int getServiceCrashesSize() {
+    return (this.serviceCrashes == null) ? 0 : this.serviceCrashes.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<TRelayCrash> getServiceCrashesIterator() {
+    return (this.serviceCrashes == null) ? null : this.serviceCrashes.iterator();
+  }
+
+  public void addToServiceCrashes(TRelayCrash elem) {
+    if (this.serviceCrashes == null) {
+      this.serviceCrashes = new java.util.ArrayList<TRelayCrash>();
+    }
+    this.serviceCrashes.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<TRelayCrash> getServiceCrashes() {
+    return this.serviceCrashes;
+  }
+
+  public TRelayHeartbeat setServiceCrashes(@org.apache.thrift.annotation.Nullable java.util.List<TRelayCrash> serviceCrashes) {
+    this.serviceCrashes = serviceCrashes;
+    return this;
+  }
+
+  public void unsetServiceCrashes() {
+    this.serviceCrashes = null;
+  }
+
+  /** Returns true if field serviceCrashes is set (has been assigned a value) and false otherwise */
+  public boolean isSetServiceCrashes() {
+    return this.serviceCrashes != null;
+  }
+
+  public void setServiceCrashesIsSet(boolean value) {
+    if (!value) {
+      this.serviceCrashes = null;
+    }
+  }
+
+  public int getServiceTrialsSize() {
+    return (this.serviceTrials == null) ? 0 : this.serviceTrials.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<TRelayTrial> getServiceTrialsIterator() {
+    return (this.serviceTrials == null) ? null : this.serviceTrials.iterator();
+  }
+
+  public void addToServiceTrials(TRelayTrial elem) {
+    if (this.serviceTrials == null) {
+      this.serviceTrials = new java.util.ArrayList<TRelayTrial>();
+    }
+    this.serviceTrials.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<TRelayTrial> getServiceTrials() {
+    return this.serviceTrials;
+  }
+
+  public TRelayHeartbeat setServiceTrials(@org.apache.thrift.annotation.Nullable java.util.List<TRelayTrial> serviceTrials) {
+    this.serviceTrials = serviceTrials;
+    return this;
+  }
+
+  public void unsetServiceTrials() {
+    this.serviceTrials = null;
+  }
+
+  /** Returns true if field serviceTrials is set (has been assigned a value) and false otherwise */
+  public boolean isSetServiceTrials() {
+    return this.serviceTrials != null;
+  }
+
+  public void setServiceTrialsIsSet(boolean value) {
+    if (!value) {
+      this.serviceTrials = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -994,6 +1108,22 @@
       }
       break;
 
+    case SERVICE_CRASHES:
+      if (value == null) {
+        unsetServiceCrashes();
+      } else {
+        setServiceCrashes((java.util.List<TRelayCrash>)value);
+      }
+      break;
+
+    case SERVICE_TRIALS:
+      if (value == null) {
+        unsetServiceTrials();
+      } else {
+        setServiceTrials((java.util.List<TRelayTrial>)value);
+      }
+      break;
+
     }
   }
 
@@ -1052,6 +1182,12 @@
     case VM_INCARNATION:
       return getVmIncarnation();
 
+    case SERVICE_CRASHES:
+      return getServiceCrashes();
+
+    case SERVICE_TRIALS:
+      return getServiceTrials();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1098,6 +1234,10 @@
       return isSetDemand();
     case VM_INCARNATION:
       return isSetVmIncarnation();
+    case SERVICE_CRASHES:
+      return isSetServiceCrashes();
+    case SERVICE_TRIALS:
+      return isSetServiceTrials();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1268,6 +1408,24 @@
         return false;
     }
 
+    boolean this_present_serviceCrashes = true && this.isSetServiceCrashes();
+    boolean that_present_serviceCrashes = true && that.isSetServiceCrashes();
+    if (this_present_serviceCrashes || that_present_serviceCrashes) {
+      if (!(this_present_serviceCrashes && that_present_serviceCrashes))
+        return false;
+      if (!this.serviceCrashes.equals(that.serviceCrashes))
+        return false;
+    }
+
+    boolean this_present_serviceTrials = true && this.isSetServiceTrials();
+    boolean that_present_serviceTrials = true && that.isSetServiceTrials();
+    if (this_present_serviceTrials || that_present_serviceTrials) {
+      if (!(this_present_serviceTrials && that_present_serviceTrials))
+        return false;
+      if (!this.serviceTrials.equals(that.serviceTrials))
+        return false;
+    }
+
     return true;
   }
 
@@ -1341,6 +1499,14 @@
     if (isSetVmIncarnation())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(vmIncarnation);
 
+    hashCode = hashCode * 8191 + ((isSetServiceCrashes()) ? 131071 : 524287);
+    if (isSetServiceCrashes())
+      hashCode = hashCode * 8191 + serviceCrashes.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetServiceTrials()) ? 131071 : 524287);
+    if (isSetServiceTrials())
+      hashCode = hashCode * 8191 + serviceTrials.hashCode();
+
     return hashCode;
   }
 
@@ -1522,6 +1688,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetServiceCrashes(), other.isSetServiceCrashes());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetServiceCrashes()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.serviceCrashes, other.serviceCrashes);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetServiceTrials(), other.isSetServiceTrials());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetServiceTrials()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.serviceTrials, other.serviceTrials);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1681,6 +1867,26 @@
       sb.append(this.vmIncarnation);
       first = false;
     }
+    if (isSetServiceCrashes()) {
+      if (!first) sb.append(", ");
+      sb.append("serviceCrashes:");
+      if (this.serviceCrashes == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.serviceCrashes);
+      }
+      first = false;
+    }
+    if (isSetServiceTrials()) {
+      if (!first) sb.append(", ");
+      sb.append("serviceTrials:");
+      if (this.serviceTrials == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.serviceTrials);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1949,6 +2155,44 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 19: // SERVICE_CRASHES
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list78 = iprot.readListBegin();
+                struct.serviceCrashes = new java.util.ArrayList<TRelayCrash>(_list78.size);
+                @org.apache.thrift.annotation.Nullable TRelayCrash _elem79;
+                for (int _i80 = 0; _i80 < _list78.size; ++_i80)
+                {
+                  _elem79 = new TRelayCrash();
+                  _elem79.read(iprot);
+                  struct.serviceCrashes.add(_elem79);
+                }
+                iprot.readListEnd();
+              }
+              struct.setServiceCrashesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 20: // SERVICE_TRIALS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list81 = iprot.readListBegin();
+                struct.serviceTrials = new java.util.ArrayList<TRelayTrial>(_list81.size);
+                @org.apache.thrift.annotation.Nullable TRelayTrial _elem82;
+                for (int _i83 = 0; _i83 < _list81.size; ++_i83)
+                {
+                  _elem82 = new TRelayTrial();
+                  _elem82.read(iprot);
+                  struct.serviceTrials.add(_elem82);
+                }
+                iprot.readListEnd();
+              }
+              struct.setServiceTrialsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1980,9 +2224,9 @@
         oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-          for (TRelayLoad _iter78 : struct.loads)
+          for (TRelayLoad _iter84 : struct.loads)
           {
-            _iter78.write(oprot);
+            _iter84.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -2022,9 +2266,9 @@
           oprot.writeFieldBegin(SEEN_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.seen.size()));
-            for (TRelayNodeSeen _iter79 : struct.seen)
+            for (TRelayNodeSeen _iter85 : struct.seen)
             {
-              _iter79.write(oprot);
+              _iter85.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2041,9 +2285,9 @@
           oprot.writeFieldBegin(SILENT_VMS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.silentVms.size()));
-            for (TRelaySilentVm _iter80 : struct.silentVms)
+            for (TRelaySilentVm _iter86 : struct.silentVms)
             {
-              _iter80.write(oprot);
+              _iter86.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2060,9 +2304,9 @@
           oprot.writeFieldBegin(CRASHES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.crashes.size()));
-            for (TRelayCrash _iter81 : struct.crashes)
+            for (TRelayCrash _iter87 : struct.crashes)
             {
-              _iter81.write(oprot);
+              _iter87.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2074,9 +2318,9 @@
           oprot.writeFieldBegin(TRIALS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.trials.size()));
-            for (TRelayTrial _iter82 : struct.trials)
+            for (TRelayTrial _iter88 : struct.trials)
             {
-              _iter82.write(oprot);
+              _iter88.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2095,9 +2339,9 @@
           oprot.writeFieldBegin(DEMAND_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.demand.size()));
-            for (TRelayDemand _iter83 : struct.demand)
+            for (TRelayDemand _iter89 : struct.demand)
             {
-              _iter83.write(oprot);
+              _iter89.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -2109,6 +2353,34 @@
         oprot.writeI64(struct.vmIncarnation);
         oprot.writeFieldEnd();
       }
+      if (struct.serviceCrashes != null) {
+        if (struct.isSetServiceCrashes()) {
+          oprot.writeFieldBegin(SERVICE_CRASHES_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.serviceCrashes.size()));
+            for (TRelayCrash _iter90 : struct.serviceCrashes)
+            {
+              _iter90.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.serviceTrials != null) {
+        if (struct.isSetServiceTrials()) {
+          oprot.writeFieldBegin(SERVICE_TRIALS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.serviceTrials.size()));
+            for (TRelayTrial _iter91 : struct.serviceTrials)
+            {
+              _iter91.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -2131,9 +2403,9 @@
       oprot.writeI64(struct.catalogueVersion);
       {
         oprot.writeI32(struct.loads.size());
-        for (TRelayLoad _iter84 : struct.loads)
+        for (TRelayLoad _iter92 : struct.loads)
         {
-          _iter84.write(oprot);
+          _iter92.write(oprot);
         }
       }
       java.util.BitSet optionals = new java.util.BitSet();
@@ -2179,7 +2451,13 @@
       if (struct.isSetVmIncarnation()) {
         optionals.set(13);
       }
-      oprot.writeBitSet(optionals, 14);
+      if (struct.isSetServiceCrashes()) {
+        optionals.set(14);
+      }
+      if (struct.isSetServiceTrials()) {
+        optionals.set(15);
+      }
+      oprot.writeBitSet(optionals, 16);
       if (struct.isSetVmRevision()) {
         oprot.writeI64(struct.vmRevision);
       }
@@ -2198,9 +2476,9 @@
       if (struct.isSetSeen()) {
         {
           oprot.writeI32(struct.seen.size());
-          for (TRelayNodeSeen _iter85 : struct.seen)
+          for (TRelayNodeSeen _iter93 : struct.seen)
           {
-            _iter85.write(oprot);
+            _iter93.write(oprot);
           }
         }
       }
@@ -2210,9 +2488,9 @@
       if (struct.isSetSilentVms()) {
         {
           oprot.writeI32(struct.silentVms.size());
-          for (TRelaySilentVm _iter86 : struct.silentVms)
+          for (TRelaySilentVm _iter94 : struct.silentVms)
           {
-            _iter86.write(oprot);
+            _iter94.write(oprot);
           }
         }
       }
@@ -2222,18 +2500,18 @@
       if (struct.isSetCrashes()) {
         {
           oprot.writeI32(struct.crashes.size());
-          for (TRelayCrash _iter87 : struct.crashes)
+          for (TRelayCrash _iter95 : struct.crashes)
           {
-            _iter87.write(oprot);
+            _iter95.write(oprot);
           }
         }
       }
       if (struct.isSetTrials()) {
         {
           oprot.writeI32(struct.trials.size());
-          for (TRelayTrial _iter88 : struct.trials)
+          for (TRelayTrial _iter96 : struct.trials)
           {
-            _iter88.write(oprot);
+            _iter96.write(oprot);
           }
         }
       }
@@ -2243,15 +2521,33 @@
       if (struct.isSetDemand()) {
         {
           oprot.writeI32(struct.demand.size());
-          for (TRelayDemand _iter89 : struct.demand)
+          for (TRelayDemand _iter97 : struct.demand)
           {
-            _iter89.write(oprot);
+            _iter97.write(oprot);
           }
         }
       }
       if (struct.isSetVmIncarnation()) {
         oprot.writeI64(struct.vmIncarnation);
       }
+      if (struct.isSetServiceCrashes()) {
+        {
+          oprot.writeI32(struct.serviceCrashes.size());
+          for (TRelayCrash _iter98 : struct.serviceCrashes)
+          {
+            _iter98.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetServiceTrials()) {
+        {
+          oprot.writeI32(struct.serviceTrials.size());
+          for (TRelayTrial _iter99 : struct.serviceTrials)
+          {
+            _iter99.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
@@ -2263,18 +2559,18 @@
       struct.catalogueVersion = iprot.readI64();
       struct.setCatalogueVersionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list90 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.loads = new java.util.ArrayList<TRelayLoad>(_list90.size);
-        @org.apache.thrift.annotation.Nullable TRelayLoad _elem91;
-        for (int _i92 = 0; _i92 < _list90.size; ++_i92)
+        org.apache.thrift.protocol.TList _list100 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.loads = new java.util.ArrayList<TRelayLoad>(_list100.size);
+        @org.apache.thrift.annotation.Nullable TRelayLoad _elem101;
+        for (int _i102 = 0; _i102 < _list100.size; ++_i102)
         {
-          _elem91 = new TRelayLoad();
-          _elem91.read(iprot);
-          struct.loads.add(_elem91);
+          _elem101 = new TRelayLoad();
+          _elem101.read(iprot);
+          struct.loads.add(_elem101);
         }
       }
       struct.setLoadsIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(14);
+      java.util.BitSet incoming = iprot.readBitSet(16);
       if (incoming.get(0)) {
         struct.vmRevision = iprot.readI64();
         struct.setVmRevisionIsSet(true);
@@ -2298,14 +2594,14 @@
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list93 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list93.size);
-          @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem94;
-          for (int _i95 = 0; _i95 < _list93.size; ++_i95)
+          org.apache.thrift.protocol.TList _list103 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.seen = new java.util.ArrayList<TRelayNodeSeen>(_list103.size);
+          @org.apache.thrift.annotation.Nullable TRelayNodeSeen _elem104;
+          for (int _i105 = 0; _i105 < _list103.size; ++_i105)
           {
-            _elem94 = new TRelayNodeSeen();
-            _elem94.read(iprot);
-            struct.seen.add(_elem94);
+            _elem104 = new TRelayNodeSeen();
+            _elem104.read(iprot);
+            struct.seen.add(_elem104);
           }
         }
         struct.setSeenIsSet(true);
@@ -2316,14 +2612,14 @@
       }
       if (incoming.get(7)) {
         {
-          org.apache.thrift.protocol.TList _list96 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.silentVms = new java.util.ArrayList<TRelaySilentVm>(_list96.size);
-          @org.apache.thrift.annotation.Nullable TRelaySilentVm _elem97;
-          for (int _i98 = 0; _i98 < _list96.size; ++_i98)
+          org.apache.thrift.protocol.TList _list106 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.silentVms = new java.util.ArrayList<TRelaySilentVm>(_list106.size);
+          @org.apache.thrift.annotation.Nullable TRelaySilentVm _elem107;
+          for (int _i108 = 0; _i108 < _list106.size; ++_i108)
           {
-            _elem97 = new TRelaySilentVm();
-            _elem97.read(iprot);
-            struct.silentVms.add(_elem97);
+            _elem107 = new TRelaySilentVm();
+            _elem107.read(iprot);
+            struct.silentVms.add(_elem107);
           }
         }
         struct.setSilentVmsIsSet(true);
@@ -2334,28 +2630,28 @@
       }
       if (incoming.get(9)) {
         {
-          org.apache.thrift.protocol.TList _list99 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.crashes = new java.util.ArrayList<TRelayCrash>(_list99.size);
-          @org.apache.thrift.annotation.Nullable TRelayCrash _elem100;
-          for (int _i101 = 0; _i101 < _list99.size; ++_i101)
+          org.apache.thrift.protocol.TList _list109 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.crashes = new java.util.ArrayList<TRelayCrash>(_list109.size);
+          @org.apache.thrift.annotation.Nullable TRelayCrash _elem110;
+          for (int _i111 = 0; _i111 < _list109.size; ++_i111)
           {
-            _elem100 = new TRelayCrash();
-            _elem100.read(iprot);
-            struct.crashes.add(_elem100);
+            _elem110 = new TRelayCrash();
+            _elem110.read(iprot);
+            struct.crashes.add(_elem110);
           }
         }
         struct.setCrashesIsSet(true);
       }
       if (incoming.get(10)) {
         {
-          org.apache.thrift.protocol.TList _list102 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.trials = new java.util.ArrayList<TRelayTrial>(_list102.size);
-          @org.apache.thrift.annotation.Nullable TRelayTrial _elem103;
-          for (int _i104 = 0; _i104 < _list102.size; ++_i104)
+          org.apache.thrift.protocol.TList _list112 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.trials = new java.util.ArrayList<TRelayTrial>(_list112.size);
+          @org.apache.thrift.annotation.Nullable TRelayTrial _elem113;
+          for (int _i114 = 0; _i114 < _list112.size; ++_i114)
           {
-            _elem103 = new TRelayTrial();
-            _elem103.read(iprot);
-            struct.trials.add(_elem103);
+            _elem113 = new TRelayTrial();
+            _elem113.read(iprot);
+            struct.trials.add(_elem113);
           }
         }
         struct.setTrialsIsSet(true);
@@ -2367,14 +2663,14 @@
       }
       if (incoming.get(12)) {
         {
-          org.apache.thrift.protocol.TList _list105 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.demand = new java.util.ArrayList<TRelayDemand>(_list105.size);
-          @org.apache.thrift.annotation.Nullable TRelayDemand _elem106;
-          for (int _i107 = 0; _i107 < _list105.size; ++_i107)
+          org.apache.thrift.protocol.TList _list115 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.demand = new java.util.ArrayList<TRelayDemand>(_list115.size);
+          @org.apache.thrift.annotation.Nullable TRelayDemand _elem116;
+          for (int _i117 = 0; _i117 < _list115.size; ++_i117)
           {
-            _elem106 = new TRelayDemand();
-            _elem106.read(iprot);
-            struct.demand.add(_elem106);
+            _elem116 = new TRelayDemand();
+            _elem116.read(iprot);
+            struct.demand.add(_elem116);
           }
         }
         struct.setDemandIsSet(true);
@@ -2383,6 +2679,34 @@
         struct.vmIncarnation = iprot.readI64();
         struct.setVmIncarnationIsSet(true);
       }
+      if (incoming.get(14)) {
+        {
+          org.apache.thrift.protocol.TList _list118 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.serviceCrashes = new java.util.ArrayList<TRelayCrash>(_list118.size);
+          @org.apache.thrift.annotation.Nullable TRelayCrash _elem119;
+          for (int _i120 = 0; _i120 < _list118.size; ++_i120)
+          {
+            _elem119 = new TRelayCrash();
+            _elem119.read(iprot);
+            struct.serviceCrashes.add(_elem119);
+          }
+        }
+        struct.setServiceCrashesIsSet(true);
+      }
+      if (incoming.get(15)) {
+        {
+          org.apache.thrift.protocol.TList _list121 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.serviceTrials = new java.util.ArrayList<TRelayTrial>(_list121.size);
+          @org.apache.thrift.annotation.Nullable TRelayTrial _elem122;
+          for (int _i123 = 0; _i123 < _list121.size; ++_i123)
+          {
+            _elem122 = new TRelayTrial();
+            _elem122.read(iprot);
+            struct.serviceTrials.add(_elem122);
+          }
+        }
+        struct.setServiceTrialsIsSet(true);
+      }
     }
   }
 
--- a/wire-gen/src/main/thrift/relay.thrift
+++ b/wire-gen/src/main/thrift/relay.thrift
@@ -59,7 +59,7 @@
   4: required string vm;
   5: required i64 number;
   6: required i32 ageMillis;
-  7: required list<list<string>> prompts;      // shared parts of each lost request
+  7: required list<list<string>> prompts;      // traits of each lost request: shared parts, ROUTE#HASH
   8: required list<string> soundParts;         // answered before the crash
   9: required list<string> clearedParts;       // answered since the crash
   10: optional i32 survivals;                  // earlier losses under this number that the VM survived
@@ -115,4 +115,6 @@
   16: optional TRelayEvacuations evacuations;  // absent: the sender does not know them yet
   17: optional list<TRelayDemand> demand;      // by queue; absent: the sender does not measure it
   18: optional i64 vmIncarnation;              // incarnation of the store for vmRevision
+  19: optional list<TRelayCrash> serviceCrashes;   // as crashes, of plain services; their model is empty
+  20: optional list<TRelayTrial> serviceTrials;
 }
