Tell other nodes of a crash at once

Change: a node that learns of a crash sends a heartbeat to its partners at once, at most every 50 ms, and they do the same.

--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -71,6 +72,9 @@
      */
     private static final long MAX_RESPONSE_MILLIS = 2_000;
 
+    /** Minimum time between heartbeats that are sent early. */
+    private static final long MIN_EARLY_PERIOD_MILLIS = 50;
+
     private static final int RING_SLOTS = 16;
 
     /** Large enough for the entries of thousands of VMs. */
@@ -98,6 +102,9 @@
     /** Time at which the last heartbeat was sent to each peer that has not responded to it. */
     private final Map<String, Long> pendingSinceMillis = new ConcurrentHashMap<>();
 
+    private final AtomicBoolean soon = new AtomicBoolean();
+    private Set<String> lastRecipients = Set.of();
+    private long sentEarlyMillis;
     private Duty<Runnable> duty;
     private volatile boolean delegate = true;
     private volatile boolean storeFollower = true;
@@ -163,6 +170,8 @@
         if (delegate) {
             relay.put(new RelayEvent.PeerLoadsChanged(loads.sumOfOthers(clock.monotonicMillis())));
         }
+        lastRecipients = recipients;
+        soon.set(false);
         for (Peer peer : snapshot.peers()) {
             if (recipients.contains(peer.name()) && !isPending(peer)) {
                 send(peer);
@@ -170,6 +179,27 @@
         }
     }
 
+    /** Sends a heartbeat to the last recipients at once, so that they know of a crash before the next copy of its cause. */
+    void sendSoon() {
+        if (duty != null && !soon.getAndSet(true)) {
+            duty.offer(this::sendEarly);
+        }
+    }
+
+    private void sendEarly() {
+        long nowMillis = clock.monotonicMillis();
+        if (nowMillis - sentEarlyMillis < MIN_EARLY_PERIOD_MILLIS) {
+            return;
+        }
+        soon.set(false);
+        sentEarlyMillis = nowMillis;
+        for (Peer peer : fleet.peerSnapshot().peers()) {
+            if (lastRecipients.contains(peer.name())) {
+                send(peer);
+            }
+        }
+    }
+
     /** Returns whether a heartbeat is under way, so that they do not accumulate for an unresponsive peer. */
     private boolean isPending(Peer peer) {
         Long sinceMillis = pendingSinceMillis.get(peer.name());
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -309,6 +309,7 @@
     private void step(RelayEvent event) {
         Exchange exchange = event instanceof RelayEvent.CallerDisconnected(ExchangeId id) ? exchanges.get(id) : null;
         execute(dispatcher.step(clock.monotonicMillis(), event));
+        crashNews.update(dispatcher.crashNews(), dispatcher.blamedTraits());
         if (exchange != null) {
             metrics.counter("callers.left").inc();
             log.request("caller_left").with("request", exchange.requestId()).write();
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -109,6 +109,7 @@
         CataloguePull cataloguePull = new CataloguePull(client, catalogues, watcher::isStoreFailing, clock, metrics);
         heartbeats = new Heartbeats(
                 self, client, relay, fleet, catalogues, cataloguePull, evacuations, watcher, vms, clock, log, metrics);
+        relay.crashNews().onNewCrash(heartbeats::sendSoon);
         ingress = new IngressHandler(catalogues, adapter, relay, clock);
         SelectorProbe selectorProbe = new SelectorProbe(connector::runOnSelector, clock);
         status = new NodeStatus(settings, catalogues, evacuations, fleet, relay, selectorProbe, clock);
