Spend no VM to learn what the repeat of a lost request is about to show

Cause: the repeat of a lost request is an experiment that costs a VM if the request is to blame. Copies of it that arrived meanwhile were sent as well, and with few VMs the experiment took the last one, with which sound callers were refused.

Change: once a request that was never answered has been lost, its repeat goes ahead and other copies wait, one node after the other, until it is answered or lost. A request that alone was lost with its VM is not repeated where one VM is left, and a trial needs a second VM too. Where several were lost, each of them is most likely sound and is repeated as before.

Result: PoisonDetectorTest.otherCopiesWaitUntilLostOneIsAnswered, copiesOfAnsweredRequestDoNotWait.

--- a/proofs/src/test/java/org/apricotdeal/relay/poison/PoisonDetectorTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/poison/PoisonDetectorTest.java
@@ -297,6 +297,22 @@
         assertEquals(blamed(), Set.of());
     }
 
+    @Test
+    public void otherCopiesWaitUntilLostOneIsAnswered() {
+        crashBy(1_000, "v1", 1);
+        assertTrue(detector.verdict(SERVED, copyOf(1), 1_010) instanceof PoisonVerdict.Unproven);
+        assertEquals(detector.verdict(SERVED, copyOf(2), 1_010), new PoisonVerdict.Free());
+        detector.recordAnswer(SERVED, copyOf(1), 1_300);
+        assertEquals(detector.verdict(SERVED, copyOf(1), 1_310), new PoisonVerdict.Free());
+    }
+
+    @Test
+    public void copiesOfAnsweredRequestDoNotWait() {
+        detector.recordAnswer(SERVED, copyOf(1), 500);
+        crashBy(1_000, "v1", 1);
+        assertEquals(detector.verdict(SERVED, copyOf(1), 1_010), new PoisonVerdict.Free());
+    }
+
     @Test
     public void tenThousandLostRequestsAreBounded() {
         for (int i = 0; i < 10_000; i++) {
--- a/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
@@ -14,6 +14,8 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import org.apricotdeal.kernel.id.UpstreamId;
+import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.relay.model.RequestDigest;
 import org.apricotdeal.relay.model.RequestTrait;
 
 /**
@@ -23,6 +25,9 @@
  * VMs each. The nodes therefore exchange their crash reports ({@link CrashNews}), and each draws the same conclusions from
  * them ({@link BlameInference}). Without contact to the others a node decides by what it has seen itself.
  *
+ * <p>Once a request has been lost, the copy that its node sends again shows whether it is to blame. Until that is known
+ * other copies of it wait, so that each node does not lose a VM to learn the same.
+ *
  * <p>Requests with blamed traits are held for a time that doubles with each trial. Afterwards a single request is sent as a
  * trial: the nodes become entitled to it one after the other, in an order that differs between traits, and hear of each
  * other's trials. An answer clears the traits, so one that is blamed wrongly or has been mended is served again, and one
@@ -41,6 +46,9 @@
     /** Time in which a trial is answered or crashes its VM, unless its caller leaves. */
     private static final long TRIAL_MILLIS = 5_000;
 
+    /** Time in which the copy of a lost request that is sent again is answered or lost. */
+    private static final long PROOF_MILLIS = 1_000;
+
     /** Age from which a crash that supports no blame is forgotten. */
     private static final long MAX_CRASH_AGE_MILLIS = 120_000;
 
@@ -66,6 +74,11 @@
     private final Map<ServedTrait, TraitTrial> trials = new HashMap<>();
     private List<String> nodes;
     private List<BlamedTraits> blamed = List.of();
+
+    /** Times of the last losses of requests that have not been answered. */
+    private final Map<ServedTrait, Long> unproven = new HashMap<>();
+
+    private final Set<RequestTrait> unprovenDigests = new HashSet<>();
     private IdentityHashMap<CrashReport, Long> reportHashes = new IdentityHashMap<>();
     private CrashNews news = CrashNews.NONE;
     private long reviewedMillis;
@@ -109,6 +122,15 @@
         return blamed;
     }
 
+    /**
+     * Returns whether every request is free.
+     *
+     * @return true if nothing is blamed and no lost request is unproven
+     */
+    public boolean isIdle() {
+        return blamed.isEmpty() && unproven.isEmpty();
+    }
+
     /**
      * Records that a request was lost by a crash before it was answered.
      *
@@ -121,7 +143,13 @@
         if (request.isEmpty()) {
             return;
         }
-        addCrash(CrashReport.of(lastLoss(first), served, nowMillis, request));
+        boolean lostAgain = request.stream().anyMatch(unprovenDigests::contains);
+        CrashReport report = addCrash(CrashReport.of(lastLoss(first), served, nowMillis, request));
+        if (lostAgain) {
+            review(nowMillis);
+            return;
+        }
+        addUnproven(report);
         reviewSoon(nowMillis);
     }
 
@@ -226,14 +254,15 @@
     }
 
     /**
-     * Returns whether a request has blamed traits, for any model or release.
+     * Returns whether a request has blamed traits, for any model or release, or is a copy of a lost one.
      *
      * @param upstream upstream of the request
      * @param request traits of the request
      * @return true if some VMs may have to be spared
      */
     public boolean isSuspect(UpstreamId upstream, List<RequestTrait> request) {
-        return blamed.stream().anyMatch(blame -> blame.concerns(upstream, request));
+        return blamed.stream().anyMatch(blame -> blame.concerns(upstream, request))
+                || request.stream().anyMatch(unprovenDigests::contains);
     }
 
     /**
@@ -245,7 +274,7 @@
      * @return the decision
      */
     public PoisonVerdict verdict(ServedRelease served, List<RequestTrait> request, long nowMillis) {
-        PoisonVerdict verdict = FREE;
+        PoisonVerdict verdict = unprovenVerdict(served, request);
         for (BlamedTraits blame : blamed) {
             boolean ownBlame = blame.served().equals(served);
             if (!blame.concerns(served.upstream(), request) || (!ownBlame && isServed(served, blame.traits()))) {
@@ -260,6 +289,47 @@
         return verdict;
     }
 
+    private PoisonVerdict unprovenVerdict(ServedRelease served, List<RequestTrait> request) {
+        if (unproven.isEmpty()) {
+            return FREE;
+        }
+        for (RequestTrait trait : request) {
+            Long lostMillis = trait.isWholeRequest() ? unproven.get(new ServedTrait(served, trait)) : null;
+            if (lostMillis != null) {
+                return new PoisonVerdict.Unproven(lostMillis + PROOF_MILLIS + turn(Set.of(trait)) * TRIAL_TURN_MILLIS);
+            }
+        }
+        return FREE;
+    }
+
+    /**
+     * Returns whether a request was the only one that a crash is known to have lost, and has not been answered.
+     *
+     * @param digest digest of the request
+     * @return true if no other request is as likely to have caused some crash
+     */
+    public boolean isSoleSuspect(RequestDigest digest) {
+        return unprovenDigests.contains(digest)
+                && crashes.values().stream()
+                        .anyMatch(crash -> crash.isSuspect(digest)
+                                && !crash.survived()
+                                && crash.requests().size() == 1);
+    }
+
+    /**
+     * Returns whether a VM has crashed in an epoch, as far as is known.
+     *
+     * @param vm the VM
+     * @param epoch epoch of its replica
+     * @return true if it has lost requests and not answered since
+     */
+    public boolean isLost(VmId vm, long epoch) {
+        return crashes.values().stream()
+                .anyMatch(crash -> !crash.survived()
+                        && crash.id().epoch() == epoch
+                        && crash.id().vm().equals(vm));
+    }
+
     /**
      * Records that a request is sent as a trial of its blamed traits.
      *
@@ -325,9 +395,11 @@
         return Hashing.komihash4_3().hashCharsToLong(node + "/" + key);
     }
 
-    private void addCrash(CrashReport report) {
+    private CrashReport addCrash(CrashReport report) {
         CrashReport known = crashes.get(report.id());
-        crashes.put(report.id(), withOwnAnswers(known == null ? report : known.merge(report)));
+        CrashReport merged = withOwnAnswers(known == null ? report : known.merge(report));
+        crashes.put(report.id(), merged);
+        return merged;
     }
 
     /** Returns a crash report with the answers that this node has seen. */
@@ -359,6 +431,9 @@
         trials.values().removeIf(trial -> nowMillis - trial.startedMillis() >= MAX_BLAME_AGE_MILLIS);
         dropExcessCrashes();
         blamed = inferBlame(nowMillis);
+        unproven.clear();
+        unprovenDigests.clear();
+        crashes.values().forEach(this::addUnproven);
         news = new CrashNews(digest(), List.copyOf(crashes.values()), List.copyOf(trials.values()));
     }
 
@@ -416,6 +491,23 @@
         return all;
     }
 
+    /** Notes the digests of lost requests that have not been answered before or since. */
+    private void addUnproven(CrashReport crash) {
+        if (crash.survived()) {
+            return;
+        }
+        for (List<RequestTrait> request : crash.requests()) {
+            for (RequestTrait trait : request) {
+                if (trait.isWholeRequest()
+                        && !crash.soundTraits().contains(trait)
+                        && !crash.clearedTraits().contains(trait)) {
+                    unproven.merge(new ServedTrait(crash.served(), trait), crash.atMillis(), Math::max);
+                    unprovenDigests.add(trait);
+                }
+            }
+        }
+    }
+
     private static Set<RequestTrait> blamedElsewhere(ServedRelease served, List<BlamedTraits> blamed) {
         Set<RequestTrait> traits = new HashSet<>();
         for (BlamedTraits blame : blamed) {
--- a/relay/src/main/java/org/apricotdeal/relay/poison/PoisonVerdict.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/PoisonVerdict.java
@@ -8,6 +8,13 @@
     /** The request may be sent as the trial of its blamed traits. */
     record OnTrial() implements PoisonVerdict {}
 
+    /**
+     * A copy of the request was lost with its VM, and what becomes of the copy that is sent again is not known yet.
+     *
+     * @param untilMillis monotonic time until which this node leaves it to the others to find out
+     */
+    record Unproven(long untilMillis) implements PoisonVerdict {}
+
     /**
      * The request must not be sent.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
@@ -31,11 +31,11 @@
     }
 
     private boolean isSuspect(Arrival arrival) {
-        return !isIdle() && detector.isSuspect(arrival.queue().upstream(), arrival.traits());
+        return !detector.isIdle() && detector.isSuspect(arrival.queue().upstream(), arrival.traits());
     }
 
     PoisonVerdict verdict(TargetState state, Arrival arrival, long nowMillis) {
-        return isIdle() ? FREE : detector.verdict(state.served(), arrival.traits(), nowMillis);
+        return detector.isIdle() ? FREE : detector.verdict(state.served(), arrival.traits(), nowMillis);
     }
 
     /** Returns whether a target may receive a request; as a trial only if no other target can serve it without one. */
@@ -43,12 +43,52 @@
         return switch (verdict(target, request.arrival, nowMillis)) {
             case PoisonVerdict.Free free -> true;
             case PoisonVerdict.Held held -> false;
+            case PoisonVerdict.Unproven unproven -> mayProve(request, unproven, nowMillis);
             case PoisonVerdict.OnTrial trial ->
-                request.queue.targets.stream()
-                        .noneMatch(state -> verdict(state, request.arrival, nowMillis) instanceof PoisonVerdict.Free);
+                hasSpareTarget(request.queue, nowMillis)
+                        && request.queue.targets.stream()
+                                .noneMatch(state ->
+                                        verdict(state, request.arrival, nowMillis) instanceof PoisonVerdict.Free);
         };
     }
 
+    /** Returns whether a copy of a lost request may be sent to find out whether it is to blame. */
+    private boolean mayProve(RequestState request, PoisonVerdict.Unproven verdict, long nowMillis) {
+        boolean affordable = request.mayHaveRun
+                ? !isRetryTooCostly(request, nowMillis)
+                : nowMillis >= verdict.untilMillis() && hasSpareTarget(request.queue, nowMillis);
+        return affordable && !isCopyRunning(request);
+    }
+
+    private static boolean isCopyRunning(RequestState request) {
+        return request.queue.targets.stream()
+                .flatMap(state -> state.running.stream())
+                .filter(other -> other != request && !other.answering)
+                .anyMatch(other -> other.arrival.digest().equals(request.arrival.digest()));
+    }
+
+    /**
+     * Returns whether another target remains if a request crashes one. An upstream that never had another is left out, since
+     * it could not be tried again at all.
+     */
+    private boolean hasSpareTarget(QueueState queue, long nowMillis) {
+        long availableCount = queue.targets.stream()
+                .filter(state -> state.isAvailable(nowMillis))
+                .filter(state -> !detector.isLost(
+                        state.target.id().vm(), state.target.id().epoch()))
+                .count();
+        return availableCount > 1 || queue.targets.size() == 1;
+    }
+
+    /**
+     * Returns whether a lost request must not be sent again, because it alone was lost with its VM and may end the last one.
+     * Where several were lost, each of them is most likely sound.
+     */
+    boolean isRetryTooCostly(RequestState request, long nowMillis) {
+        return request.arrival.digest().filter(detector::isSoleSuspect).isPresent()
+                && !hasSpareTarget(request.queue, nowMillis);
+    }
+
     /** Returns whether some targets of a queue must not receive a request. */
     boolean isRestricted(RequestState request, long nowMillis) {
         return isSuspect(request.arrival)
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -388,7 +388,8 @@
         }
         boolean allowed = !request.mayHaveRun || request.arrival.route().retryable();
         boolean inTime = nowMillis < request.arrival.deadlineMillis();
-        boolean attemptsLeft = request.attempts < request.arrival.route().maxAttempts();
+        boolean attemptsLeft = request.attempts < request.arrival.route().maxAttempts()
+                && !poison.isRetryTooCostly(request, nowMillis);
         if (allowed && inTime && attemptsLeft && budget.tryRetry(request.queue.id.upstream(), nowMillis)) {
             request.queue.waiting.add(request);
             return;
