Keep the attempt at a silent VM until another one answers

Callers saw 502, 504 or a stream that was cut after its first event, although the VM that had their request went on after one or two seconds of silence. A request was moved by cancelling its first attempt before the second one had a byte. If the second VM closed, refused with X-Not-Executed or was silent too, the route's last attempt was gone, and the answer of the first VM had nobody to go to.

The earlier attempts now stay (EarlierAttempts), each with a state of its own at its target, so that slots, heartbeats, stalls and memory count all of them. The exchange lets one of them answer (AttemptRace): the first event of a stream or the first whole response takes the answer, in the same step in which the event is noted after which a later attempt resumes, so no event is missing or doubled. Nothing of a beaten attempt is written. The dispatcher cancels it (DropAttempt); if the replacement fails, the earlier attempt goes on in its place. Attempts and retries stay within the route's limit and the budget as before. A disconnect, the deadline, a stop and a withdrawal cancel all attempts. A response of 5xx does not end a request that another attempt still runs for.

Progress is recorded by attempt, since bytes of one VM say nothing of another. SuspensionDetector is RelayDuty's check of the clocks, moved without a change.

Tests: RelayDispatcherTest.assertMoved demanded the cancellation at the move, which was the fault. It now demands that both attempts are counted, and that exactly the first one is dropped once the second one has an answer.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/NodesShareTargetsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/NodesShareTargetsTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 
 import org.apricotdeal.relay.model.RetrySafety;
+import org.apricotdeal.relay.policy.AttemptId;
 import org.apricotdeal.relay.policy.ExchangeId;
 import org.apricotdeal.relay.policy.RelayAction;
 import org.apricotdeal.relay.policy.RelayEvent;
@@ -127,7 +128,7 @@
         for (RelayFixture node : fleet) {
             node.nowMillis += HEARTBEAT_MILLIS;
             for (ExchangeId id : sent.get(node)) {
-                node.dispatcher.recordProgress(node.nowMillis, id);
+                node.dispatcher.recordProgress(node.nowMillis, new AttemptId(id, 1));
             }
             int others = 0;
             for (RelayFixture peer : fleet) {
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/PoisonedFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/PoisonedFleet.java
@@ -267,7 +267,7 @@
         for (Replica replica : replicas) {
             for (Call call : replica.running.values()) {
                 if (call.node == node && call.begunMillis >= 0) {
-                    nodes.get(node).recordProgress(nowMillis, call.arrival.id());
+                    nodes.get(node).recordProgress(nowMillis, call.current);
                     nodes.get(node).recordAnswering(nowMillis, call.current, nowMillis - call.begunMillis);
                 }
             }
@@ -281,6 +281,8 @@
                 case RelayAction.Refuse refusal -> calls.get(refusal.id()).refused = true;
                 case RelayAction.GiveUp failure -> calls.get(failure.id()).failed = true;
                 case RelayAction.CancelAttempt(ExchangeId id) -> cancel(calls.get(id));
+                case RelayAction.DropAttempt(AttemptId attempt) ->
+                    replicas.forEach(replica -> replica.running.remove(attempt));
                 case RelayAction.DropExchange dropped -> {}
                 case RelayAction.SuspectTarget suspected -> {}
             }
@@ -325,6 +327,7 @@
         }
         call.begunMillis = nowMillis;
         step(call.node, new RelayEvent.AnswerStarted(attempt));
+        step(call.node, new RelayEvent.AnswerUsed(attempt));
         schedule(ANSWER_MILLIS, () -> {
             if (replica.running.remove(attempt) != null) {
                 step(call.node, new RelayEvent.RequestFinished(attempt));
@@ -352,6 +355,6 @@
     }
 
     private void cancel(Call call) {
-        replicas.forEach(replica -> replica.running.remove(call.current));
+        replicas.forEach(replica -> replica.running.values().remove(call));
     }
 }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayDispatcherTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayDispatcherTest.java
@@ -153,7 +153,7 @@
         relay.setTargets(RelayFixture.target("v1", 2), RelayFixture.target("v2", 2));
         RelayAction.Send sent = RelayFixture.onlySend(relay.arrive(RetrySafety.STREAM));
         List<RelayAction> actions = relay.advance(1_000);
-        assertMoved(actions, sent);
+        assertMoved(relay, actions, sent);
         assertSuspected(actions, sent);
     }
 
@@ -166,18 +166,49 @@
         relay.step(new RelayEvent.AnswerStarted(sent.attempt()));
         List<RelayAction> actions = relay.advance(1_000);
         assertSuspected(actions, sent);
+        assertEquals(RelayFixture.actionsOfType(actions, RelayAction.Send.class), List.of());
+        assertEquals(RelayFixture.actionsOfType(relay.advance(900), RelayAction.Send.class), List.of());
+        assertMoved(relay, relay.advance(600), sent);
+    }
+
+    /** The first attempt is kept until the second one has an answer, and then it is cancelled. */
+    private static void assertMoved(RelayFixture relay, List<RelayAction> actions, RelayAction.Send sent) {
+        RelayAction.Send second = RelayFixture.onlySend(actions);
+        assertNotEquals(second.target(), sent.target());
         assertEquals(RelayFixture.actionsOfType(actions, RelayAction.CancelAttempt.class), List.of());
-        assertEquals(RelayFixture.actionsOfType(relay.advance(900), RelayAction.CancelAttempt.class), List.of());
-        assertMoved(relay.advance(600), sent);
+        assertEquals(relay.dispatcher.runningRequests().size(), 2);
+        List<RelayAction> onAnswer = relay.step(new RelayEvent.AnswerUsed(second.attempt()));
+        assertEquals(onAnswer, List.of(new RelayAction.DropAttempt(sent.attempt())));
+        assertEquals(relay.dispatcher.runningRequests(), Map.of(second.target().id(), 1));
     }
 
-    private static void assertMoved(List<RelayAction> actions, RelayAction.Send sent) {
-        assertEquals(
-                RelayFixture.actionsOfType(actions, RelayAction.CancelAttempt.class)
-                        .size(),
-                1,
-                actions.toString());
-        assertNotEquals(RelayFixture.onlySend(actions).target(), sent.target());
+    @Test(dataProvider = "failures")
+    public void firstAttemptGoesOnAfterFailureOfItsReplacement(AttemptOutcome outcome) {
+        RelayFixture relay = new RelayFixture();
+        relay.setTargets(RelayFixture.target("v1", 2), RelayFixture.target("v2", 2));
+        RelayAction.Send first = RelayFixture.onlySend(relay.arrive(RetrySafety.IDEMPOTENT));
+        RelayAction.Send second = RelayFixture.onlySend(relay.advance(600));
+        List<RelayAction> actions = relay.fail(second, outcome);
+        assertEquals(RelayFixture.actionsOfType(actions, RelayAction.GiveUp.class), List.of());
+        assertEquals(RelayFixture.actionsOfType(actions, RelayAction.Send.class), List.of());
+        assertEquals(relay.dispatcher.runningRequests(), Map.of(first.target().id(), 1));
+        assertEquals(relay.step(new RelayEvent.RequestFinished(first.attempt())), List.of());
+        assertEquals(relay.dispatcher.runningRequests(), Map.of());
+    }
+
+    @Test
+    public void bothAttemptsEndWithTheirCallerAndAtTheDeadline() {
+        for (boolean callerLeaves : List.of(true, false)) {
+            RelayFixture relay = new RelayFixture();
+            relay.setTargets(RelayFixture.target("v1", 2), RelayFixture.target("v2", 2));
+            RelayAction.Send first = RelayFixture.onlySend(relay.arrive(RetrySafety.STREAM));
+            RelayFixture.onlySend(relay.advance(600));
+            List<RelayAction> actions = callerLeaves
+                    ? relay.step(new RelayEvent.CallerDisconnected(first.id()))
+                    : relay.advance(RelayFixture.TIMEOUT_MILLIS);
+            assertTrue(actions.contains(new RelayAction.CancelAttempt(first.id())), actions.toString());
+            assertEquals(relay.dispatcher.runningRequests(), Map.of());
+        }
     }
 
     private static void assertSuspected(List<RelayAction> actions, RelayAction.Send sent) {
@@ -296,8 +327,8 @@
         RelayAction.Send waiting = RelayFixture.onlySend(relay.arrive(RetrySafety.STREAM));
         long sentMillis = relay.nowMillis;
         for (int i = 0; i < 40; i++) {
-            relay.dispatcher.recordProgress(relay.nowMillis, flowing.id());
-            relay.dispatcher.recordProgress(sentMillis, waiting.id());
+            relay.dispatcher.recordProgress(relay.nowMillis, flowing.attempt());
+            relay.dispatcher.recordProgress(sentMillis, waiting.attempt());
             List<RelayAction> actions = relay.advance(50);
             assertEquals(RelayFixture.actionsOfType(actions, RelayAction.SuspectTarget.class), List.of());
         }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RequestCostTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RequestCostTest.java
@@ -189,7 +189,7 @@
             schedule(beginMillis, () -> step(new RelayEvent.AnswerStarted(sent.attempt())));
             for (long at = relay.nowMillis; at < endMillis; at += 100) {
                 long progressMillis = at;
-                schedule(at, () -> relay.dispatcher.recordProgress(progressMillis, sent.id()));
+                schedule(at, () -> relay.dispatcher.recordProgress(progressMillis, sent.attempt()));
             }
             schedule(endMillis, () -> step(new RelayEvent.RequestFinished(sent.attempt())));
         }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ReturningCallersTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ReturningCallersTest.java
@@ -150,7 +150,8 @@
             long endMillis = nowMillis + Math.round(SERVICE_MILLIS * (0.5 + random.nextDouble()));
             replay.schedule(beginMillis, () -> replay.step(new RelayEvent.AnswerStarted(sent.attempt())));
             for (long at = beginMillis + EVENT_MILLIS; at < endMillis; at += EVENT_MILLIS) {
-                replay.schedule(at, () -> replay.relay.dispatcher.recordProgress(replay.relay.nowMillis, sent.id()));
+                replay.schedule(
+                        at, () -> replay.relay.dispatcher.recordProgress(replay.relay.nowMillis, sent.attempt()));
             }
             replay.schedule(endMillis, () -> replay.step(new RelayEvent.RequestFinished(sent.attempt())));
         }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SilentVmTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SilentVmTest.java
@@ -105,7 +105,7 @@
         }
     }
 
-    private static void serveBooking(ScriptedServer.Connection connection, long silentMillis) throws IOException {
+    static void serveBooking(ScriptedServer.Connection connection, long silentMillis) throws IOException {
         String id = connection.read().header("x-attempt-id");
         RelayFleet.pause(silentMillis);
         connection.write(head(id) + "Connection: close\r\nContent-Length: 2\r\n\r\nok");
@@ -113,23 +113,26 @@
 
     private static void serveStream(ScriptedServer.Connection connection, long silentMillis) throws IOException {
         ScriptedServer.Received received = connection.read();
-        connection.write(head(received.header("x-attempt-id")) + "Content-Type: text/event-stream\r\n"
-                + "Transfer-Encoding: chunked\r\n\r\n" + chunk(1));
+        connection.write(streamHead(received.header("x-attempt-id")) + chunk(1));
         RelayFleet.pause(silentMillis);
         connection.write(chunk(2) + CHUNKED_END);
     }
 
-    private static void refuse(ScriptedServer.Connection connection) throws IOException {
+    static void refuse(ScriptedServer.Connection connection) throws IOException {
         String id = connection.read().header("x-attempt-id");
         connection.write("HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: " + id
                 + "\r\nX-Not-Executed: 1\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
     }
 
+    static String streamHead(String id) {
+        return head(id) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    }
+
     private static String head(String id) {
         return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: s\r\n";
     }
 
-    private static String chunk(int number) {
+    static String chunk(int number) {
         String event = "id: " + number + "\ndata: token " + number + "\n\n";
         return Integer.toHexString(event.length()) + "\r\n" + event + "\r\n";
     }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimPlacement.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimPlacement.java
@@ -258,7 +258,7 @@
                 () -> step(node, new RelayEvent.AnswerStarted(send.attempt(), OptionalInt.of(running.get(target))))));
         for (long at = nowMillis + START_OF_ANSWER_MILLIS; at < nowMillis + serviceMillis; at += TICK_MILLIS) {
             long progressMillis = at;
-            steps.add(new Step(at, () -> node.dispatcher().recordProgress(progressMillis, send.id())));
+            steps.add(new Step(at, () -> node.dispatcher().recordProgress(progressMillis, send.attempt())));
         }
         steps.add(new Step(nowMillis + serviceMillis, () -> finish(node, send, idle)));
     }
--- a/relay/src/main/java/org/apricotdeal/relay/node/CallerWriter.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CallerWriter.java
@@ -32,15 +32,26 @@
     }
 
     /**
-     * Writes a chunk of the response.
+     * Queues a chunk of the response, without writing it.
      *
      * @param bytes content of the chunk
      * @param onWritten action to run when the chunk has been written to the caller's connection
      */
-    void write(ByteBuffer bytes, Runnable onWritten) {
+    void queue(ByteBuffer bytes, Runnable onWritten) {
         add(new Chunk(bytes, false, onWritten));
     }
 
+    /** Writes what is queued, unless a write is under way, after which it is written. */
+    void flush() {
+        synchronized (this) {
+            if (writing) {
+                return;
+            }
+            writing = true;
+        }
+        writeNext();
+    }
+
     /**
      * Writes the last chunk and completes the response.
      *
@@ -48,6 +59,7 @@
      */
     void end(ByteBuffer bytes) {
         add(new Chunk(bytes, true, () -> {}));
+        flush();
     }
 
     /**
@@ -67,19 +79,11 @@
         completion.failed(cause);
     }
 
-    private void add(Chunk chunk) {
-        synchronized (this) {
-            if (ended) {
-                return;
-            }
+    private synchronized void add(Chunk chunk) {
+        if (!ended) {
             ended = chunk.last();
             chunks.addLast(chunk);
-            if (writing) {
-                return;
-            }
-            writing = true;
         }
-        writeNext();
     }
 
     private void writeNext() {
--- a/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
@@ -53,9 +53,9 @@
     private final AtomicBoolean completed = new AtomicBoolean();
     private final AtomicBoolean started = new AtomicBoolean();
     private final AtomicBoolean written = new AtomicBoolean();
+    private final AttemptRace race = new AttemptRace();
     private UpstreamAttempt attempt;
     private volatile UnreadAnswer answer;
-    private volatile long progressMillis;
     private volatile long streamStartMillis = -1;
     private volatile String lastEventId;
 
@@ -97,19 +97,11 @@
         return body;
     }
 
-    long progressMillis() {
-        return progressMillis;
-    }
-
     /** Returns the time at which the response stream was started; -1 if there is no stream or it has not been started. */
     long streamStartMillis() {
         return streamStartMillis;
     }
 
-    void recordProgress(long nowMillis) {
-        progressMillis = nowMillis;
-    }
-
     String lastEventId() {
         return lastEventId;
     }
@@ -122,21 +114,63 @@
         return started.get();
     }
 
+    /** Returns the latest attempt, whether or not it still runs; null if there was none. */
     UpstreamAttempt attempt() {
         return attempt;
     }
 
-    void setAttempt(UpstreamAttempt newAttempt) {
+    /** Returns the attempts that have not ended. */
+    List<UpstreamAttempt> runningAttempts() {
+        synchronized (race) {
+            return race.all();
+        }
+    }
+
+    /** Adds an attempt, beside those that still run. It resumes after the events that have been relayed so far. */
+    void addAttempt(UpstreamAttempt newAttempt) {
         attempt = newAttempt;
+        synchronized (race) {
+            race.add(newAttempt);
+        }
+    }
+
+    void removeAttempt(UpstreamAttempt ended) {
+        synchronized (race) {
+            race.remove(ended);
+        }
+    }
+
+    /** Returns whether at most one attempt can still answer. */
+    boolean runsAlone() {
+        synchronized (race) {
+            return race.runsAlone();
+        }
+    }
+
+    /** Claims the answer for an attempt, before it ends the response. */
+    AttemptRace.Claim claim(UpstreamAttempt claimant) {
+        synchronized (race) {
+            return race.claim(claimant);
+        }
+    }
+
+    /** Claims the answer for an attempt that has a whole response, which cannot go on from a stream of another one. */
+    AttemptRace.Claim claimUnstarted(UpstreamAttempt claimant) {
+        synchronized (race) {
+            return started.get() ? AttemptRace.Claim.LOST : race.claim(claimant);
+        }
     }
 
     void watchCaller(Runnable onDisconnect) {
         endPoint.watchForDisconnect(onDisconnect);
     }
 
-    /** Starts an event stream with status and headers of the first VM; those of later attempts are ignored. */
-    void startStream(int status, HttpFields upstreamHeaders, long nowMillis) {
-        if (started.compareAndSet(false, true)) {
+    /** Starts an event stream with status and headers of the first VM; those of other attempts are ignored. */
+    void startStream(UpstreamAttempt starting, int status, HttpFields upstreamHeaders, long nowMillis) {
+        synchronized (race) {
+            if (race.isBeaten(starting) || !started.compareAndSet(false, true)) {
+                return;
+            }
             streamStartMillis = nowMillis;
             setHead(status, upstreamHeaders);
             // Without chunked encoding the end of the connection would end the response, so an abort would look
@@ -145,10 +179,22 @@
         }
     }
 
-    void writeEvents(ByteBuffer events, Optional<String> lastId, Runnable onWritten) {
-        lastId.ifPresent(id -> lastEventId = id);
-        written.set(true);
-        writer.write(events, onWritten);
+    /** Claims the answer for an attempt and, unless another one has it, queues events for the caller. */
+    AttemptRace.Claim queueEvents(
+            UpstreamAttempt writing, ByteBuffer events, Optional<String> lastId, Runnable onWritten) {
+        synchronized (race) {
+            AttemptRace.Claim claim = race.claim(writing);
+            if (claim != AttemptRace.Claim.LOST) {
+                lastId.ifPresent(id -> lastEventId = id);
+                written.set(true);
+                writer.queue(events, onWritten);
+            }
+            return claim;
+        }
+    }
+
+    void flushEvents() {
+        writer.flush();
     }
 
     void endStream() {
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -56,9 +56,6 @@
 
     private static final ExchangeId NO_EXCHANGE = new ExchangeId(-1);
 
-    /** Difference by which the clocks may drift apart between two ticks. */
-    private static final long MAX_CLOCK_DRIFT_MILLIS = 500;
-
     private final Duty<RelayEvent> duty;
     private final RelayDispatcher dispatcher;
     private final UpstreamRequest.Factory requests;
@@ -81,7 +78,7 @@
     private volatile Function<String, OptionalInt> loadReader = header -> OptionalInt.empty();
     private volatile Consumer<TargetId> leavingListener = target -> {};
     private final CrashNewsFeed crashNews;
-    private long clockOffsetMillis = Long.MAX_VALUE / 2;
+    private final SuspensionDetector suspensions;
 
     /** Receives VMs that may have failed. */
     interface SuspicionListener {
@@ -127,6 +124,7 @@
         this.log = log;
         this.metrics = metrics;
         this.crashNews = new CrashNewsFeed(new BlameLog(log, metrics, clock));
+        this.suspensions = new SuspensionDetector(clock);
         metrics.register("requests.in.progress", (Gauge<Integer>) exchanges::size);
         metrics.register("requests.waiting", (Gauge<Integer>) () -> waiting);
         this.duty = new Duty<>("dispatch", RING_SLOTS, TICK_MILLIS, this::step, this::tick);
@@ -243,6 +241,12 @@
         duty.put(new RelayEvent.AnswerStarted(attempt.id(), loadReader.apply(attempt.loadHeader())));
     }
 
+    @Override
+    public void used(UpstreamAttempt attempt) {
+        metrics.counter("attempts.used.of.several").inc();
+        duty.put(new RelayEvent.AnswerUsed(attempt.id()));
+    }
+
     @Override
     public void paused(UpstreamAttempt attempt, long pauseMillis) {
         VmId vm = attempt.target().id().vm();
@@ -321,14 +325,14 @@
 
     private void tick() {
         for (Exchange exchange : exchanges.values()) {
-            dispatcher.recordProgress(
-                    exchange.progressMillis(), exchange.arrival().id());
-            UpstreamAttempt attempt = exchange.attempt();
-            if (attempt != null) {
+            for (UpstreamAttempt attempt : exchange.runningAttempts()) {
+                dispatcher.recordProgress(attempt.progressMillis(), attempt.id());
                 dispatcher.recordAnswering(clock.monotonicMillis(), attempt.id(), attempt.answeringMillis());
             }
         }
-        detectSuspension();
+        if (suspensions.wasSuspended()) {
+            execute(dispatcher.step(clock.monotonicMillis(), new RelayEvent.ProcessSuspended()));
+        }
         try {
             execute(dispatcher.step(clock.monotonicMillis(), new RelayEvent.Tick()));
         } finally {
@@ -348,15 +352,6 @@
         }
     }
 
-    /** Compares the clocks: the wall clock goes on while the process is suspended, the monotonic clock does not. */
-    private void detectSuspension() {
-        long offsetMillis = clock.wallMillis() - clock.monotonicMillis();
-        if (offsetMillis - clockOffsetMillis > MAX_CLOCK_DRIFT_MILLIS) {
-            execute(dispatcher.step(clock.monotonicMillis(), new RelayEvent.ProcessSuspended()));
-        }
-        clockOffsetMillis = offsetMillis;
-    }
-
     /** Executes actions one by one: what one of them throws must not cost the later ones, which answer other callers. */
     private void execute(List<RelayAction> actions) {
         Deque<RelayAction> pending = new ArrayDeque<>(actions);
@@ -378,6 +373,7 @@
             case RelayAction.Refuse refusal -> refusal.id();
             case RelayAction.GiveUp(ExchangeId id, RefusalReason reason) -> id;
             case RelayAction.CancelAttempt(ExchangeId id) -> id;
+            case RelayAction.DropAttempt(AttemptId attempt) -> attempt.exchange();
             case RelayAction.DropExchange(ExchangeId id) -> id;
             case RelayAction.SuspectTarget suspicion -> NO_EXCHANGE;
         };
@@ -388,7 +384,9 @@
             case RelayAction.Send send -> send(send);
             case RelayAction.Refuse refusal -> refuse(refusal);
             case RelayAction.GiveUp(ExchangeId id, RefusalReason reason) -> giveUp(id, reason);
-            case RelayAction.CancelAttempt(ExchangeId id) -> cancelAttempt(id);
+            case RelayAction.CancelAttempt(ExchangeId id) -> cancelAttempts(id, attempt -> true);
+            case RelayAction.DropAttempt(AttemptId dropped) ->
+                cancelAttempts(dropped.exchange(), attempt -> attempt.id().equals(dropped));
             case RelayAction.DropExchange(ExchangeId id) -> dropExchange(id);
             case RelayAction.SuspectTarget(Target target, String reason) -> suspectTarget(target, reason);
         }
@@ -402,7 +400,7 @@
                 closeUnanswered(exchange);
                 yield List.of();
             }
-            case RelayAction.CancelAttempt _, RelayAction.SuspectTarget _ -> List.of();
+            case RelayAction.CancelAttempt _, RelayAction.DropAttempt _, RelayAction.SuspectTarget _ -> List.of();
         };
     }
 
@@ -489,7 +487,7 @@
         }
         UpstreamAttempt attempt =
                 new UpstreamAttempt(exchange, send, headerNames, evacuated, clock, this, callerResources);
-        exchange.setAttempt(attempt);
+        exchange.addAttempt(attempt);
         long nowMillis = clock.monotonicMillis();
         log.request("sent")
                 .with("request", exchange.requestId())
@@ -540,10 +538,10 @@
         exchange.fail(reason);
     }
 
-    private void cancelAttempt(ExchangeId id) {
+    private void cancelAttempts(ExchangeId id, Predicate<UpstreamAttempt> choice) {
         Exchange exchange = exchanges.get(id);
-        if (exchange != null && exchange.attempt() != null) {
-            exchange.attempt().cancel();
+        if (exchange != null) {
+            exchange.runningAttempts().stream().filter(choice).forEach(UpstreamAttempt::cancel);
         }
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -68,6 +68,7 @@
     private boolean foreignResponse;
     private boolean answerBegun;
     private int reservedBytes;
+    private volatile long progressMillis;
     private volatile long firstEventMillis = -1;
     private volatile String loadHeader = "";
 
@@ -80,6 +81,13 @@
          */
         void started(UpstreamAttempt attempt);
 
+        /**
+         * Called when the answer of an attempt is used and not that of others that run as well.
+         *
+         * @param attempt the attempt
+         */
+        void used(UpstreamAttempt attempt);
+
         /**
          * Called when the VM wants no requests for a while.
          *
@@ -151,6 +159,11 @@
         return loadHeader;
     }
 
+    /** Returns the time of the last progress; at first that of sending. */
+    long progressMillis() {
+        return progressMillis;
+    }
+
     /** Returns the time since the first complete event of the answer; -1 if there was none. */
     long answeringMillis() {
         long firstMillis = firstEventMillis;
@@ -171,7 +184,7 @@
         request.onRequestBegin(this::begin);
         request.onResponseHeaders(this::onHeaders);
         request.onResponseContentAsync(this::onContent);
-        exchange.recordProgress(clock.monotonicMillis());
+        progressMillis = clock.monotonicMillis();
         request.send(this::complete);
     }
 
@@ -235,6 +248,7 @@
             ended = true;
             endResponse();
         }
+        exchange.removeAttempt(this);
         // Not created if the attempt could not be sent.
         if (request != null) {
             abort(request, "cancelled");
@@ -269,7 +283,7 @@
         if (ended) {
             return;
         }
-        exchange.recordProgress(clock.monotonicMillis());
+        progressMillis = clock.monotonicMillis();
         if (!isOwnResponse(response)) {
             foreignResponse = true;
             abort(response.getRequest(), "not a response to this request");
@@ -281,7 +295,7 @@
         streaming = route.retrySafety() == RetrySafety.STREAM && response.getStatus() == HttpStatus.OK_200;
         answerBegun = !streaming;
         if (streaming) {
-            exchange.startStream(response.getStatus(), response.getHeaders(), clock.monotonicMillis());
+            exchange.startStream(this, response.getStatus(), response.getHeaders(), clock.monotonicMillis());
             listener.started(this);
         }
     }
@@ -314,19 +328,35 @@
             }
             // Bytes that complete no event are no progress: a stalled VM may send one now and then.
             if (!streaming || events.hasRemaining()) {
-                exchange.recordProgress(clock.monotonicMillis());
+                progressMillis = clock.monotonicMillis();
             }
             if (events != null && events.hasRemaining()) {
                 if (firstEventMillis < 0) {
                     firstEventMillis = clock.monotonicMillis();
                 }
-                exchange.writeEvents(events, framer.lastId(), demandNext);
-                return;
+                AttemptRace.Claim claim = exchange.queueEvents(this, events, framer.lastId(), demandNext);
+                // Reported before the write, which may ask for the next bytes at once and find the end of the answer.
+                if (mayAnswer(claim)) {
+                    exchange.flushEvents();
+                    return;
+                }
             }
         }
         demandNext.run();
     }
 
+    /** Returns whether the caller gets the answer of this attempt; reports it if others run as well. */
+    private boolean mayAnswer(AttemptRace.Claim claim) {
+        return switch (claim) {
+            case UNCONTESTED -> true;
+            case WON -> {
+                listener.used(this);
+                yield true;
+            }
+            case LOST -> false;
+        };
+    }
+
     private void appendToBody(ByteBuffer bytes) {
         byte[] copy = new byte[bytes.remaining()];
         bytes.get(copy);
@@ -402,8 +432,10 @@
             fail(outcomeOfLostConnection(), "the stream ended before its first event", response);
             return;
         }
-        exchange.endStream();
-        listener.completed(this, response.getStatus());
+        if (mayAnswer(exchange.claim(this))) {
+            exchange.endStream();
+            listener.completed(this, response.getStatus());
+        }
     }
 
     /** Returns whether a stream without events ended with its connection; only a resumed one may have none left. */
@@ -422,7 +454,8 @@
             return;
         }
         boolean serverError = status >= HttpStatus.INTERNAL_SERVER_ERROR_500;
-        if (exchange.hasStarted() || (serverError && exchange.arrival().route().retryable() && hasAttemptsLeft())) {
+        boolean retry = serverError && exchange.arrival().route().retryable() && mayBeAnsweredOtherwise();
+        if (retry || !mayAnswer(exchange.claimUnstarted(this))) {
             fail(AttemptOutcome.BROKEN, "status " + status, response);
             return;
         }
@@ -434,13 +467,14 @@
         listener.completed(this, status);
     }
 
-    private boolean hasAttemptsLeft() {
-        return countedAttempts < exchange.arrival().route().maxAttempts();
+    private boolean mayBeAnsweredOtherwise() {
+        return countedAttempts < exchange.arrival().route().maxAttempts() || !exchange.runsAlone();
     }
 
     private void fail(AttemptOutcome outcome, String reason, Response response) {
         Optional<String> faultyAddress = Optional.ofNullable(response)
                 .map(received -> received.getHeaders().get(headerNames.faultyAddress()));
+        exchange.removeAttempt(this);
         listener.failed(this, outcome, reason, faultyAddress);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
@@ -63,7 +63,7 @@
     private static boolean isCopyRunning(RequestState request) {
         return request.queue.targets.stream()
                 .flatMap(state -> state.running.stream())
-                .filter(other -> other != request && !other.answering)
+                .filter(other -> !other.answering && !other.arrival.id().equals(request.arrival.id()))
                 .anyMatch(other -> other.arrival.digest().equals(request.arrival.digest()));
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
@@ -71,6 +71,11 @@
         return List.copyOf(targets.values());
     }
 
+    /** Returns the number of waiting requests in all queues. */
+    int waitingRequests() {
+        return queues().stream().mapToInt(queue -> queue.waiting.size()).sum();
+    }
+
     /** Returns the number of requests that this node runs at each target; targets without requests are omitted. */
     Map<TargetId, Integer> runningRequests() {
         Map<TargetId, Integer> running = new HashMap<>();
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueState.java
@@ -177,6 +177,23 @@
         return removed;
     }
 
+    /**
+     * Removes the waiting requests that have not been sent in time for their objective.
+     *
+     * @return the removed requests
+     */
+    List<RequestState> removeOverdue(long nowMillis) {
+        List<RequestState> overdue = new ArrayList<>();
+        for (RequestState request : waiting) {
+            long waitedMillis = nowMillis - request.arrival.arrivedMillis();
+            if (request.attempts == 0 && waitedMillis > AdmissionRule.maxWaitMillis(request)) {
+                overdue.add(request);
+            }
+        }
+        overdue.forEach(waiting::remove);
+        return overdue;
+    }
+
     private boolean waitsForEvacuated(RequestState request) {
         boolean evacuatedLeft = false;
         for (TargetState target : targets) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayAction.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayAction.java
@@ -43,12 +43,19 @@
     record GiveUp(ExchangeId id, RefusalReason reason) implements RelayAction {}
 
     /**
-     * Cancels the running attempt; its outcome is ignored.
+     * Cancels all running attempts of an exchange; their outcome is ignored.
      *
-     * @param id exchange of the attempt
+     * @param id exchange of the attempts
      */
     record CancelAttempt(ExchangeId id) implements RelayAction {}
 
+    /**
+     * Cancels one of several running attempts, because the answer of another one is used; its outcome is ignored.
+     *
+     * @param attempt attempt to cancel
+     */
+    record DropAttempt(AttemptId attempt) implements RelayAction {}
+
     /**
      * Discards an exchange whose caller has disconnected.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -35,9 +35,9 @@
  * two heartbeats of the other nodes, this node uses an equal share of the free slots.
  *
  * <p><em>Stall detection:</em> a target is suspected if none of its requests makes progress. It receives no new
- * requests, and its running requests that may be retried move to other targets, later those whose answer has begun.
- * Time for which this node itself was
- * held up does not count, because progress made meanwhile has not been seen yet.
+ * requests, and its running requests that may be retried are sent to other targets as well, later those whose answer has
+ * begun. The answer that comes first is used ({@link EarlierAttempts}). Time for which this node itself was held up does
+ * not count, because progress made meanwhile has not been seen yet.
  *
  * <p><em>Suspect requests:</em> a request that crashes VMs, or whose prompt has parts that do, is refused before it is
  * sent, and ended without a retry if it has been sent, see {@link PoisonGuard}.
@@ -51,8 +51,8 @@
     private static final long STALL_MILLIS = 550;
 
     /**
-     * Time without progress after which a request whose answer has begun moves too. A sound target may be silent for a
-     * second and go on, whereas an answer that has begun ends with its connection if no other target can resume it.
+     * Time without progress after which a request whose answer has begun is sent to another target too. A sound target
+     * may be silent for a second and go on.
      */
     private static final long BEGUN_STALL_MILLIS = 2_000;
 
@@ -112,9 +112,7 @@
      * @return number of requests in all queues
      */
     public int waitingRequests() {
-        return registry.queues().stream()
-                .mapToInt(queue -> queue.waiting.size())
-                .sum();
+        return registry.waitingRequests();
     }
 
     /**
@@ -149,13 +147,14 @@
      * Records that bytes of an answer arrived from a target. Called for each chunk, so it makes no decisions.
      *
      * @param atMillis monotonic time at which the bytes arrived
-     * @param id exchange that the bytes belong to
+     * @param attempt attempt that the bytes belong to
      */
-    public void recordProgress(long atMillis, ExchangeId id) {
-        RequestState request = requests.get(id);
-        if (request != null && request.running()) {
-            request.target.recordProgress(atMillis);
-        }
+    public void recordProgress(long atMillis, AttemptId attempt) {
+        running(attempt).ifPresent(request -> request.target.recordProgress(atMillis));
+    }
+
+    private Optional<RequestState> running(AttemptId attempt) {
+        return Optional.ofNullable(requests.get(attempt.exchange())).flatMap(it -> it.runningAttempt(attempt));
     }
 
     /**
@@ -166,10 +165,7 @@
      * @param answeringMillis time since the first event of the answer; -1 if there was none
      */
     public void recordAnswering(long atMillis, AttemptId attempt, long answeringMillis) {
-        RequestState request = requests.get(attempt.exchange());
-        if (request != null && request.isRunning(attempt)) {
-            poison.onAnswering(request, answeringMillis, atMillis);
-        }
+        running(attempt).ifPresent(request -> poison.onAnswering(request, answeringMillis, atMillis));
     }
 
     /**
@@ -191,6 +187,7 @@
             case RelayEvent.RequestArrived(Arrival arrival) -> admit(arrival);
             case RelayEvent.AnswerStarted(AttemptId attempt, OptionalInt targetRequests) ->
                 onStarted(attempt, targetRequests);
+            case RelayEvent.AnswerUsed(AttemptId attempt) -> onAnswerUsed(attempt);
             case RelayEvent.RequestFinished(AttemptId attempt) -> onFinished(attempt);
             case RelayEvent.AttemptFailed(AttemptId attempt, AttemptOutcome outcome) ->
                 onAttemptFailed(attempt, outcome);
@@ -269,7 +266,7 @@
         int load = target.load(nowMillis);
         request.target = target;
         request.attempts++;
-        request.lastAttemptNumber++;
+        request.attemptNumber = ++request.lastAttemptNumber;
         request.started = false;
         request.dispatchedMillis = nowMillis;
         request.triedTargets.add(target.target.id());
@@ -289,8 +286,8 @@
     // Progress and end of requests.
 
     private void onStarted(AttemptId attempt, OptionalInt targetRequests) {
-        RequestState request = requests.get(attempt.exchange());
-        if (request == null || !request.isRunning(attempt)) {
+        RequestState request = running(attempt).orElse(null);
+        if (request == null) {
             return;
         }
         request.target.recordProgress(nowMillis);
@@ -301,22 +298,30 @@
         }
     }
 
-    /** An answer that ended before its attempt was replaced is complete, so the replacement is cancelled. */
+    private void onAnswerUsed(AttemptId attempt) {
+        if (running(attempt).isPresent()) {
+            RequestState request = requests.get(attempt.exchange());
+            request.endBeside(attempt).forEach(other -> actions.add(new RelayAction.DropAttempt(other)));
+            dispatchWaiting(request.queue);
+        }
+    }
+
+    /** A complete answer ends the attempts that run beside its own. */
     private void onFinished(AttemptId attempt) {
         RequestState request = requests.remove(attempt.exchange());
         if (request == null) {
             return;
         }
         registry.queue(request.arrival.queue()).waiting.remove(request);
-        if (request.running() && !request.isRunning(attempt)) {
-            request.release();
+        if (!request.runningBeside(attempt).isEmpty()) {
             actions.add(new RelayAction.CancelAttempt(attempt.exchange()));
-        } else if (request.running()) {
-            request.target.recordProgress(nowMillis);
-            request.queue.recordEnd(request, nowMillis);
-            poison.onFinished(request, nowMillis);
-            request.release();
         }
+        request.runningAttempt(attempt).ifPresent(finished -> {
+            finished.target.recordProgress(nowMillis);
+            finished.queue.recordEnd(finished, nowMillis);
+            poison.onFinished(finished, nowMillis);
+        });
+        request.release();
         dispatchWaiting(request.queue);
     }
 
@@ -337,15 +342,19 @@
     // Retries.
 
     private void onAttemptFailed(AttemptId attempt, AttemptOutcome outcome) {
-        RequestState request = requests.get(attempt.exchange());
-        if (request == null || !request.isRunning(attempt)) {
+        RequestState failed = running(attempt).orElse(null);
+        if (failed == null) {
             return;
         }
-        TargetState target = request.target;
-        request.release();
+        RequestState request = requests.get(attempt.exchange());
+        TargetState target = failed.target;
+        request.end(failed);
         switch (outcome) {
             case NOT_SENT -> {
-                suspect(target, "no connection");
+                // The target of an earlier attempt is suspected already, for its silence.
+                if (failed == request) {
+                    suspect(target, "no connection");
+                }
                 request.attempts--;
                 retryUnsent(request);
             }
@@ -371,6 +380,10 @@
 
     /** Retries a request that no VM has received; each target is tried once. */
     private void retryUnsent(RequestState request) {
+        if (request.running()) {
+            moveIfPossible(request);
+            return;
+        }
         boolean untried =
                 request.queue.targets.stream().anyMatch(state -> !request.triedTargets.contains(state.target.id()));
         if (untried && nowMillis < request.arrival.deadlineMillis()) {
@@ -380,7 +393,15 @@
         }
     }
 
+    /** Retries a request; where an attempt of it goes on, only if that one is silent. */
     private void retry(RequestState request) {
+        if (request.running()) {
+            moveIfPossible(request);
+            return;
+        }
+        if (!requests.containsKey(request.arrival.id())) {
+            return;
+        }
         OptionalLong heldUntilMillis = poison.heldUntilMillis(request.queue, request.arrival, nowMillis);
         if (request.trial || heldUntilMillis.isPresent()) {
             failSuspect(request, heldUntilMillis.orElse(nowMillis));
@@ -400,11 +421,8 @@
     private void fail(RequestState request, RefusalReason reason) {
         if (!request.mayHaveRun) {
             RefusalReason notRun = reason == RefusalReason.BROKEN ? RefusalReason.NOT_RUN : reason;
-            refuse(
-                    request,
-                    notRun,
-                    returnTimes.withoutTargetMillis(request.queue, nowMillis),
-                    request.queue.estimate(request, nowMillis));
+            long retryAfterMillis = returnTimes.withoutTargetMillis(request.queue, nowMillis);
+            refuse(request, notRun, retryAfterMillis, request.queue.estimate(request, nowMillis));
             return;
         }
         requests.remove(request.arrival.id());
@@ -497,8 +515,7 @@
     }
 
     private void handleStall(TargetState state) {
-        boolean newEvidence = !state.isSuspected(nowMillis) || state.triedSinceSuspected();
-        if (newEvidence && state.recordStall()) {
+        if (state.recordStall(nowMillis)) {
             suspect(state, "no progress for " + (nowMillis - state.lastProgressMillis) + " ms");
         }
         state.lastProgressMillis = nowMillis;
@@ -507,10 +524,12 @@
         }
     }
 
-    /** Sends a request to another target, unless none can receive it now: its own may still go on. */
+    /** Sends a request to another target as well; its own may still go on, so that attempt is kept. */
     private void moveIfPossible(RequestState request) {
-        boolean mayGoOn = request.started && request.target.silentMillis(nowMillis) < BEGUN_STALL_MILLIS;
-        if (mayGoOn
+        boolean replaced = requests.get(request.arrival.id()) != request;
+        long patienceMillis = request.started ? BEGUN_STALL_MILLIS : STALL_MILLIS;
+        if (replaced
+                || request.target.silentMillis(nowMillis) < patienceMillis
                 || !request.arrival.route().retryable()
                 || request.attempts >= request.arrival.route().maxAttempts()) {
             return;
@@ -519,8 +538,7 @@
         if (other == null || !budget.tryRetry(request.queue.id.upstream(), nowMillis)) {
             return;
         }
-        actions.add(new RelayAction.CancelAttempt(request.arrival.id()));
-        request.release();
+        request.earlier.keep(request);
         request.mayHaveRun = true;
         send(request, other);
     }
@@ -531,24 +549,10 @@
     }
 
     private void expireWaiting(QueueState queue) {
-        if (queue.waiting.isEmpty()) {
-            return;
-        }
-        List<RequestState> overdue = new ArrayList<>();
-        for (RequestState request : queue.waiting) {
-            long waitedMillis = nowMillis - request.arrival.arrivedMillis();
-            if (request.attempts == 0 && waitedMillis > AdmissionRule.maxWaitMillis(request)) {
-                overdue.add(request);
-            }
-        }
-        for (RequestState request : overdue) {
-            queue.waiting.remove(request);
+        for (RequestState request : queue.removeOverdue(nowMillis)) {
             QueueEstimate estimate = queue.estimate(request, nowMillis);
-            refuse(
-                    request,
-                    RefusalReason.WAITED_OUT,
-                    returnTimes.afterOverloadMillis(request, estimate, 0, nowMillis),
-                    estimate);
+            long retryAfterMillis = returnTimes.afterOverloadMillis(request, estimate, 0, nowMillis);
+            refuse(request, RefusalReason.WAITED_OUT, retryAfterMillis, estimate);
         }
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
@@ -37,6 +37,13 @@
         }
     }
 
+    /**
+     * Of several running attempts of a request, one has had an answer first, which is passed to the caller.
+     *
+     * @param attempt attempt whose answer is used
+     */
+    record AnswerUsed(AttemptId attempt) implements RelayEvent {}
+
     /**
      * The caller has received its final answer, or the exchange has ended otherwise.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RequestState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RequestState.java
@@ -1,8 +1,10 @@
 package org.apricotdeal.relay.policy;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 /** State of a request from its arrival to its end. */
 final class RequestState {
@@ -17,9 +19,14 @@
     final Optional<RequestCost> cost;
 
     final Set<TargetId> triedTargets = new HashSet<>();
+    final EarlierAttempts earlier = new EarlierAttempts();
     TargetState target;
     int attempts;
     int lastAttemptNumber;
+
+    /** Number of the current attempt; below that of the last one if this has failed and an earlier one goes on. */
+    int attemptNumber;
+
     boolean mayHaveRun;
     boolean started;
 
@@ -55,9 +62,39 @@
         return new RequestState(arrival, queue, Long.MAX_VALUE, returningCaller, queue.previewCost(arrival));
     }
 
-    /** Returns whether an attempt is the one that runs now, and not one that has been replaced. */
-    boolean isRunning(AttemptId attempt) {
-        return running() && attempt.number() == lastAttemptNumber;
+    /** Copies a request with its current attempt and without the others. */
+    static RequestState copyOf(RequestState request) {
+        RequestState copy = new RequestState(
+                request.arrival, request.queue, request.sequence, request.returningCaller, request.cost);
+        copy.attempts = request.attempts;
+        copy.copyAttempt(request);
+        return copy;
+    }
+
+    /** Takes over the current attempt of another state of the same request. */
+    void copyAttempt(RequestState other) {
+        target = other.target;
+        attemptNumber = other.attemptNumber;
+        started = other.started;
+        trial = other.trial;
+        answering = other.answering;
+        answered = other.answered;
+        dispatchedMillis = other.dispatchedMillis;
+        startedMillis = other.startedMillis;
+    }
+
+    /** Returns the state of one of the running attempts: of the current one, this state; empty if the attempt has ended. */
+    Optional<RequestState> runningAttempt(AttemptId attempt) {
+        return running() && attempt.number() == attemptNumber ? Optional.of(this) : earlier.find(attempt);
+    }
+
+    /** Returns the running attempts other than the given one, which runs as well. */
+    List<AttemptId> runningBeside(AttemptId attempt) {
+        return IntStream.rangeClosed(1, lastAttemptNumber)
+                .filter(number -> number != attempt.number())
+                .mapToObj(number -> new AttemptId(arrival.id(), number))
+                .filter(other -> runningAttempt(other).isPresent())
+                .toList();
     }
 
     /**
@@ -77,8 +114,36 @@
         return target != null;
     }
 
-    /** Ends the current attempt. */
+    /** Ends all running attempts. */
     void release() {
+        while (running()) {
+            end(this);
+        }
+    }
+
+    /** Ends one of the running attempts; after the end of the current one, the latest of the others is the current one. */
+    void end(RequestState attempt) {
+        if (attempt == this) {
+            endCurrent();
+            earlier.restoreLatest(this);
+        } else {
+            earlier.end(attempt);
+        }
+    }
+
+    /**
+     * Ends the running attempts other than the given one, which goes on.
+     *
+     * @return the ended attempts
+     */
+    List<AttemptId> endBeside(AttemptId attempt) {
+        List<AttemptId> others = runningBeside(attempt);
+        others.forEach(other -> runningAttempt(other).ifPresent(this::end));
+        return others;
+    }
+
+    /** Ends the current attempt only. */
+    void endCurrent() {
         target.running.remove(this);
         target = null;
     }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -369,10 +369,14 @@
     }
 
     /**
-     * Counts a stall and returns whether the target is suspected. A plain service runs few requests at once, so a
-     * single lost answer stalls it; it is suspected after two consecutive stalls.
+     * Counts a stall, unless it says nothing new of a suspected target, and returns whether the target is suspected for
+     * it. A plain service runs few requests at once, so a single lost answer stalls it; it is suspected after two
+     * consecutive stalls.
      */
-    boolean recordStall() {
+    boolean recordStall(long nowMillis) {
+        if (isSuspected(nowMillis) && !triedSinceSuspected()) {
+            return false;
+        }
         consecutiveStalls++;
         return target.queue().model().isPresent() || consecutiveStalls >= STALLS_TO_SUSPECT_SERVICE;
     }
