--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/PoisonRequestsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/PoisonRequestsTest.java
@@ -32,7 +32,7 @@
     }
 
     /** Sends sound requests with 20 first parts, and one with the deadly part and a shared first part now and then. */
-    private static List<PoisonedFleet.Call> sendMixed(PoisonedFleet fleet, int requests, String... deadlyParts) {
+    static List<PoisonedFleet.Call> sendMixed(PoisonedFleet fleet, int requests, String... deadlyParts) {
         List<PoisonedFleet.Call> sound = new ArrayList<>();
         for (int i = 0; i < requests; i++) {
             sound.add(fleet.send("first" + i % 20));
