--- a/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
@@ -330,6 +330,22 @@
                         && crash.id().vm().equals(vm));
     }
 
+    /**
+     * Returns whether another VM that served the same has crashed, as far as is known.
+     *
+     * @param vm the VM
+     * @param served what the VM serves
+     * @param sinceMillis monotonic time from which crashes count
+     * @return true if another VM has lost requests and not answered since
+     */
+    public boolean hasLostOther(VmId vm, ServedRelease served, long sinceMillis) {
+        return crashes.values().stream()
+                .anyMatch(crash -> !crash.survived()
+                        && crash.atMillis() >= sinceMillis
+                        && crash.served().equals(served)
+                        && !crash.id().vm().equals(vm));
+    }
+
     /**
      * Records that a request is sent as a trial of its blamed traits.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
@@ -14,6 +14,9 @@
     /** Duration of an answer that shows that the prompt does not crash the VM; several events. */
     private static final long PROOF_MILLIS = 250;
 
+    /** Time in which a lost VM is back or replaced; the only target left after it is the only one there is. */
+    private static final long REPLACEMENT_MILLIS = 60_000;
+
     private static final PoisonVerdict FREE = new PoisonVerdict.Free();
 
     private final PoisonDetector detector;
@@ -69,7 +72,7 @@
 
     /**
      * Returns whether another target remains if a request crashes one. An upstream that never had another is left out, since
-     * it could not be tried again at all.
+     * it could not be tried again at all. One whose other targets were lost a short while ago gets them back.
      */
     private boolean hasSpareTarget(QueueState queue, long nowMillis) {
         long availableCount = queue.targets.stream()
@@ -77,7 +80,12 @@
                 .filter(state -> !detector.isLost(
                         state.target.id().vm(), state.target.id().epoch()))
                 .count();
-        return availableCount > 1 || queue.targets.size() == 1;
+        return availableCount > 1
+                || (queue.targets.size() == 1 && !isLastOfSeveral(queue.targets.getFirst(), nowMillis));
+    }
+
+    private boolean isLastOfSeveral(TargetState only, long nowMillis) {
+        return detector.hasLostOther(only.target.id().vm(), only.served(), nowMillis - REPLACEMENT_MILLIS);
     }
 
     /**
