--- a/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
@@ -49,6 +49,9 @@
     /** Time in which the copy of a lost request that is sent again is answered or lost. */
     private static final long PROOF_MILLIS = 1_000;
 
+    /** Time over which the nodes' entitlements to send a copy of a lost request are spread at most, in large fleets. */
+    private static final long MAX_PROOF_TURNS_MILLIS = 4_000;
+
     /** Age from which a crash that supports no blame is forgotten. */
     private static final long MAX_CRASH_AGE_MILLIS = 120_000;
 
@@ -296,7 +299,7 @@
         for (RequestTrait trait : request) {
             Long lostMillis = trait.isWholeRequest() ? unproven.get(new ServedTrait(served, trait)) : null;
             if (lostMillis != null) {
-                return new PoisonVerdict.Unproven(lostMillis + PROOF_MILLIS + turn(Set.of(trait)) * TRIAL_TURN_MILLIS);
+                return new PoisonVerdict.Unproven(lostMillis + PROOF_MILLIS + turn(Set.of(trait)) * proofTurnMillis());
             }
         }
         return FREE;
@@ -380,6 +383,10 @@
         return true;
     }
 
+    private long proofTurnMillis() {
+        return Math.min(TRIAL_TURN_MILLIS, MAX_PROOF_TURNS_MILLIS / Math.max(1, nodes.size()));
+    }
+
     /** Returns the time from which this node may send a trial. */
     private long heldUntilMillis(ServedRelease served, BlamedTraits blame) {
         int trialCount = 0;
