--- a/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
@@ -299,7 +299,8 @@
         for (RequestTrait trait : request) {
             Long lostMillis = trait.isWholeRequest() ? unproven.get(new ServedTrait(served, trait)) : null;
             if (lostMillis != null) {
-                return new PoisonVerdict.Unproven(lostMillis + PROOF_MILLIS + turn(Set.of(trait)) * proofTurnMillis());
+                long turnMillis = turn(Set.of(trait)) * proofTurnMillis();
+                return new PoisonVerdict.Unproven(lostMillis + PROOF_MILLIS + turnMillis, turnMillis);
             }
         }
         return FREE;
--- a/relay/src/main/java/org/apricotdeal/relay/poison/PoisonVerdict.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/PoisonVerdict.java
@@ -12,8 +12,9 @@
      * A copy of the request was lost with its VM, and what becomes of the copy that is sent again is not known yet.
      *
      * @param untilMillis monotonic time until which this node leaves it to the others to find out
+     * @param turnMillis time for which this node lets others go first that are in the same position
      */
-    record Unproven(long untilMillis) implements PoisonVerdict {}
+    record Unproven(long untilMillis, long turnMillis) implements PoisonVerdict {}
 
     /**
      * The request must not be sent.
--- a/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
@@ -14,6 +14,9 @@
     /** Duration of an answer that shows that the prompt does not crash the VM; several events. */
     private static final long PROOF_MILLIS = 250;
 
+    /** Number of targets that copies which wait at several nodes may all end at once. */
+    private static final int FEW_TARGETS = 4;
+
     /** Time in which a lost VM is back or replaced; the only target left after it is the only one there is. */
     private static final long REPLACEMENT_MILLIS = 60_000;
 
@@ -59,10 +62,21 @@
     private boolean mayProve(RequestState request, PoisonVerdict.Unproven verdict, long nowMillis) {
         boolean affordable = request.mayHaveRun
                 ? !isRetryTooCostly(request, nowMillis)
-                : nowMillis >= verdict.untilMillis() && hasSpareTarget(request.queue, nowMillis);
+                : nowMillis >= verdict.untilMillis()
+                        && hasSpareTarget(request.queue, nowMillis)
+                        && !isOthersTurn(request.queue, verdict.turnMillis(), nowMillis);
         return affordable && !isCopyRunning(request);
     }
 
+    /**
+     * Returns whether other nodes go first because a target is new. Copies that waited for it at several nodes would
+     * otherwise be sent at once, which may cost all of a few targets.
+     */
+    private static boolean isOthersTurn(QueueState queue, long turnMillis, long nowMillis) {
+        return queue.targets.size() <= FEW_TARGETS
+                && queue.targets.stream().anyMatch(state -> nowMillis < state.listedMillis + turnMillis);
+    }
+
     private static boolean isCopyRunning(RequestState request) {
         return request.queue.targets.stream()
                 .flatMap(state -> state.running.stream())
--- a/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/QueueRegistry.java
@@ -153,7 +153,7 @@
     }
 
     private TargetState newTarget(Target target, QueueState queue, long nowMillis) {
-        TargetState state = new TargetState(target, queue);
+        TargetState state = new TargetState(target, queue, nowMillis);
         state.pauseUntil(pausedUntilMillis.getOrDefault(target.id().vm(), NEVER_MILLIS));
         setHome(state);
         state.setEvacuated(evacuated.contains(target.failureDomain()));
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetState.java
@@ -41,6 +41,10 @@
 
     private long silentSinceMillis;
     private final QueueState queue;
+
+    /** Monotonic time at which this node learned of the target. */
+    final long listedMillis;
+
     private final ServedRelease served;
     private final TargetPace pace = new TargetPace();
     private final TargetMemory memory;
@@ -61,8 +65,9 @@
     private long coldShareFromMillis = Long.MAX_VALUE;
     private long pausedUntilMillis = NEVER_MILLIS;
 
-    TargetState(Target target, QueueState queue) {
+    TargetState(Target target, QueueState queue, long listedMillis) {
         this.target = target;
+        this.listedMillis = listedMillis;
         this.queue = queue;
         this.memory = new TargetMemory(target.memoryTokens(), target.slots());
         this.served =
