Show operators which requests are held back for crashes

Cause: the detector now blames whole requests by their digest, but the lines on refused requests named only an id, the status did not list what is blamed, and explain could be asked for parts of prompts only.

The whole suite was not run.

--- a/proofs/src/test/java/org/apricotdeal/relay/poison/PoisonDetectorTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/poison/PoisonDetectorTest.java
@@ -183,6 +183,17 @@
                 "held for 40 s");
     }
 
+    @Test
+    public void holdIsShownWithItsTrialsAndEnd() {
+        crash(1_000, "v1", "dead");
+        crash(1_400, "v2", "dead");
+        assertEquals(detector.held(), List.of(new HeldTraits(detector.blamed().getFirst(), 0, 21_400)));
+        detector.startTrial(SERVED, prompt("dead"), TRIAL_DUE_MILLIS);
+        crash(TRIAL_DUE_MILLIS + 300, "v3", "dead");
+        assertEquals(
+                detector.held(), List.of(new HeldTraits(detector.blamed().getFirst(), 1, TRIAL_DUE_MILLIS + 40_300)));
+    }
+
     /** After a suspension this node cannot tell whether an answer came before the crashes that it hears of. */
     @Test
     public void answersBeforeSuspensionClearNothing() {
--- a/relay/src/main/java/org/apricotdeal/relay/model/RequestDigest.java
+++ b/relay/src/main/java/org/apricotdeal/relay/model/RequestDigest.java
@@ -18,7 +18,7 @@
 
     /** Cuts a long name. */
     public RequestDigest {
-        route = route.length() > MAX_ROUTE_LENGTH ? route.substring(0, MAX_ROUTE_LENGTH) : route;
+        route = cut(route);
     }
 
     /**
@@ -50,6 +50,20 @@
                 HexFormat.fromHexDigitsToLong(text, middle, text.length()));
     }
 
+    /**
+     * Returns whether the digest may be that of a request of a route.
+     *
+     * @param name name of the route
+     * @return true if the name is that of the digest, but for what is cut off
+     */
+    public boolean isOfRoute(String name) {
+        return route.equals(cut(name));
+    }
+
+    private static String cut(String name) {
+        return name.length() > MAX_ROUTE_LENGTH ? name.substring(0, MAX_ROUTE_LENGTH) : name;
+    }
+
     @Override
     public String toString() {
         HexFormat hex = HexFormat.of();
--- a/relay/src/main/java/org/apricotdeal/relay/node/BlameLog.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/BlameLog.java
@@ -4,8 +4,11 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.relay.model.RequestDigest;
 import org.apricotdeal.relay.poison.BlamedTraits;
 import org.apricotdeal.relay.poison.CrashNews;
+import org.apricotdeal.relay.policy.Arrival;
+import org.apricotdeal.relay.policy.RefusalReason;
 
 /** Logs when requests or parts of prompts are blamed for crashes, and when they are cleared. */
 final class BlameLog {
@@ -36,6 +39,14 @@
         logged = blamed;
     }
 
+    /** Returns the digest of a request that is held back, for the line on its end; a hyphen for other requests. */
+    static String digest(Arrival arrival, RefusalReason reason) {
+        return arrival.digest()
+                .filter(digest -> reason == RefusalReason.SUSPECT_REQUEST)
+                .map(RequestDigest::toString)
+                .orElse("-");
+    }
+
     private void write(String event, BlamedTraits blame, CrashNews crashNews) {
         log.state(event)
                 .with("served", blame.served())
--- a/relay/src/main/java/org/apricotdeal/relay/node/ExplainHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/ExplainHandler.java
@@ -14,6 +14,7 @@
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.model.Customer;
 import org.apricotdeal.relay.model.RelayCatalogue;
+import org.apricotdeal.relay.model.RequestDigest;
 import org.apricotdeal.relay.model.RouteEntry;
 import org.apricotdeal.relay.model.WeightedUpstream;
 import org.apricotdeal.relay.policy.Arrival;
@@ -34,7 +35,7 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final ExchangeId NOT_SENT = new ExchangeId(-1);
-    private static final Set<String> FIELDS = Set.of("host", "path", "key", "header");
+    private static final Set<String> FIELDS = Set.of("host", "path", "key", "header", "digest");
 
     private final RelaySettings settings;
     private final CatalogueHolder catalogues;
@@ -66,7 +67,17 @@
             answer(response, callback, HttpStatus.OK_200, root);
             return true;
         }
-        var unused = relay.explain(arrival.get()).whenComplete((explanation, failure) -> {
+        Optional<RequestDigest> digest =
+                Optional.ofNullable(query.getValue("digest")).flatMap(ExplainHandler::parseDigest);
+        String route = arrival.get().route().name();
+        if (digest.isPresent() && !digest.get().isOfRoute(route)) {
+            String text = "digest: found one of route \"" + digest.get().route() + "\", but the request is of route \""
+                    + route + "\"";
+            answer(response, callback, HttpStatus.BAD_REQUEST_400, error(text));
+            return true;
+        }
+        Arrival asked = digest.map(arrival.get()::withDigest).orElse(arrival.get());
+        var unused = relay.explain(asked).whenComplete((explanation, failure) -> {
             if (failure == null) {
                 add(root, explanation);
                 answer(response, callback, HttpStatus.OK_200, root);
@@ -81,7 +92,7 @@
     private static Optional<String> finding(Fields query) {
         for (Fields.Field field : query) {
             if (!FIELDS.contains(field.getName())) {
-                return Optional.of(field.getName() + ": unknown, expected one of host, path, key and header");
+                return Optional.of(field.getName() + ": unknown, expected one of host, path, key, header and digest");
             }
         }
         String path = query.getValue("path");
@@ -97,9 +108,22 @@
                 return Optional.of("header: found \"" + header + "\", expected NAME: VALUE");
             }
         }
+        String digest = query.getValue("digest");
+        if (digest != null && parseDigest(digest).isEmpty()) {
+            return Optional.of(
+                    "digest: found \"" + digest + "\", expected ROUTE#HASH with a hash of 32 hexadecimal digits");
+        }
         return Optional.empty();
     }
 
+    private static Optional<RequestDigest> parseDigest(String text) {
+        try {
+            return Optional.of(RequestDigest.parse(text));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
     private Map<String, String> headers(Fields query) {
         Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
         for (String header : query.getValuesOrEmpty("header")) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/NodeStatus.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/NodeStatus.java
@@ -1,6 +1,7 @@
 package org.apricotdeal.relay.node;
 
 import java.time.Instant;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,6 +13,7 @@
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.relay.poison.HeldTraits;
 import org.apricotdeal.relay.policy.ColdVm;
 import org.apricotdeal.relay.policy.Evacuations;
 
@@ -102,6 +104,7 @@
         root.put("evacuationsRevision", words.revision().number());
         addEvacuations(root.putArray("evacuations"), words);
         addColdVms(root.putArray("coldVms"));
+        addBlamedTraits(root.putArray("blamedTraits"));
         return root.toString();
     }
 
@@ -136,4 +139,23 @@
             entry.put("maxPerSecond", vm.getValue().maxPerSecond());
         }
     }
+
+    private void addBlamedTraits(ArrayNode array) {
+        long nowMillis = clock.monotonicMillis();
+        List<HeldTraits> blamed = relay.crashNews().blamed().stream()
+                .sorted(Comparator.comparing(
+                                (HeldTraits held) -> held.blame().served().toString())
+                        .thenComparingLong(held -> held.blame().lastCrashMillis()))
+                .toList();
+        for (HeldTraits held : blamed) {
+            ObjectNode entry = array.addObject();
+            entry.put("served", held.blame().served().toString());
+            ArrayNode traits = entry.putArray("traits");
+            held.traits().stream().map(Object::toString).sorted().forEach(traits::add);
+            entry.put("lastCrashAgeMillis", nowMillis - held.blame().lastCrashMillis());
+            entry.put("certain", held.blame().certain());
+            entry.put("trials", held.trialCount());
+            entry.put("heldForMillis", Math.max(0, held.heldUntilMillis() - nowMillis));
+        }
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -123,7 +123,7 @@
         this.random = random;
         this.log = log;
         this.metrics = metrics;
-        this.crashNews = new CrashNewsFeed(new BlameLog(log, metrics, clock));
+        this.crashNews = new CrashNewsFeed(log, metrics, clock);
         this.suspensions = new SuspensionDetector(clock);
         metrics.register("requests.in.progress", (Gauge<Integer>) exchanges::size);
         metrics.register("requests.waiting", (Gauge<Integer>) () -> waiting);
@@ -313,7 +313,7 @@
     private void step(RelayEvent event) {
         Exchange exchange = event instanceof RelayEvent.CallerDisconnected(ExchangeId id) ? exchanges.get(id) : null;
         execute(dispatcher.step(clock.monotonicMillis(), event));
-        crashNews.update(dispatcher.crashNews(), dispatcher.blamedTraits());
+        crashNews.update(dispatcher.crashNews(), dispatcher::blamedTraits);
         if (exchange != null) {
             metrics.counter("callers.left").inc();
             log.request("caller_left").with("request", exchange.requestId()).write();
@@ -344,7 +344,7 @@
         running = dispatcher.runningRequests();
         waiting = dispatcher.waitingRequests();
         questions.answerAll(arrival -> dispatcher.explain(clock.monotonicMillis(), arrival));
-        crashNews.update(dispatcher.crashNews(), dispatcher.blamedTraits());
+        crashNews.update(dispatcher.crashNews(), dispatcher::blamedTraits);
         long nowMillis = clock.monotonicMillis();
         if (nowMillis - demandUpdatedMillis >= DEMAND_PERIOD_MILLIS) {
             demandUpdatedMillis = nowMillis;
@@ -513,6 +513,7 @@
                 .with("route", exchange.arrival().route().name())
                 .with("line", exchange.arrival().queue())
                 .with("reason", refusal.reason())
+                .with("digest", BlameLog.digest(exchange.arrival(), refusal.reason()))
                 .with("waiting", details.waiting())
                 .with("predictedWaitMillis", details.predictedWaitMillis())
                 .with("freeSlots", details.freeSlots())
@@ -533,6 +534,7 @@
         log.request("given_up")
                 .with("request", exchange.requestId())
                 .with("reason", reason)
+                .with("digest", BlameLog.digest(exchange.arrival(), reason))
                 .with("begun", exchange.hasStarted())
                 .write();
         exchange.fail(reason);
--- a/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
@@ -8,6 +8,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
@@ -125,6 +126,26 @@
         return blamed;
     }
 
+    /**
+     * Returns the blamed traits with their holds.
+     *
+     * @return blamed traits of all upstreams, as this node holds them
+     */
+    public List<HeldTraits> held() {
+        return blamed.stream()
+                .map(blame -> new HeldTraits(blame, trialCount(blame), heldUntilMillis(blame.served(), blame)))
+                .toList();
+    }
+
+    private int trialCount(BlamedTraits blame) {
+        return blame.traits().stream()
+                .map(trait -> trials.get(new ServedTrait(blame.served(), trait)))
+                .filter(Objects::nonNull)
+                .mapToInt(TraitTrial::count)
+                .max()
+                .orElse(0);
+    }
+
     /**
      * Returns whether every request is free.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -15,8 +15,8 @@
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.MemoryUse;
 import org.apricotdeal.relay.model.RelayCatalogue;
-import org.apricotdeal.relay.poison.BlamedTraits;
 import org.apricotdeal.relay.poison.CrashNews;
+import org.apricotdeal.relay.poison.HeldTraits;
 import org.apricotdeal.relay.poison.PoisonDetector;
 
 /**
@@ -137,10 +137,10 @@
     /**
      * Returns the traits of requests that are suspected of crashing VMs.
      *
-     * @return blamed traits of all upstreams
+     * @return blamed traits of all upstreams, as this node holds them
      */
-    public List<BlamedTraits> blamedTraits() {
-        return poison.detector().blamed();
+    public List<HeldTraits> blamedTraits() {
+        return poison.detector().held();
     }
 
     /**
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RequestExplanation.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RequestExplanation.java
@@ -51,8 +51,8 @@
      * A target of the queue.
      *
      * @param target the target
-     * @param bar what keeps it from receiving a request now: evacuated, suspected, paused, cold, full, memory, held (a part of the
-     *     prompt is suspected of crashing its VMs), or none
+     * @param bar what keeps it from receiving a request now: evacuated, suspected, paused, cold, full, memory, held (the
+     *     request or a part of its prompt is suspected of crashing its VMs), or none
      * @param home whether this node is one of its home nodes
      * @param running requests of this node that run there
      * @param load requests of all nodes that are known to run there
--- a/tool/src/main/java/org/apricotdeal/tool/fleet/ExplainCommand.java
+++ b/tool/src/main/java/org/apricotdeal/tool/fleet/ExplainCommand.java
@@ -25,6 +25,7 @@
     private final OptionSpec<String> path;
     private final OptionSpec<String> key;
     private final OptionSpec<String> headers;
+    private final OptionSpec<String> digest;
 
     ExplainCommand(Environment environment) {
         super("explain", "", "Show where a request would go now and why, without sending it (relay mode).");
@@ -35,6 +36,8 @@
         this.key = parser().accepts("key", "the caller's key").withRequiredArg();
         this.headers = parser().accepts("header", "a header of the request, NAME: VALUE; may be repeated")
                 .withRequiredArg();
+        this.digest = parser().accepts("digest", "digest of the whole request, ROUTE#HASH, as logs name it")
+                .withRequiredArg();
     }
 
     @Override
@@ -66,6 +69,9 @@
             query.append("&key=").append(encoded(options.valueOf(key)));
         }
         options.valuesOf(headers).forEach(header -> query.append("&header=").append(encoded(header)));
+        if (options.has(digest)) {
+            query.append("&digest=").append(encoded(options.valueOf(digest)));
+        }
         return query.toString();
     }
 
