Count and log the answers that a node cuts

Cause: how many answers were cut, and why, could be told only from log lines of several kinds. Change: metric answers_cut_<cause> and log line answer_cut with request, cause and whether bytes had been passed to the connection; AnswerLog takes over the answers that the node gives itself from RelayDuty.

--- a/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.apricotdeal.relay.policy.Arrival;
@@ -50,6 +51,8 @@
     private final RequestBody body;
     private final WatchedEndPoint endPoint;
     private final boolean closeConnection;
+    private final AnswerLog answers;
+    private final AtomicBoolean cut = new AtomicBoolean();
     private final AtomicBoolean completed = new AtomicBoolean();
     private final AtomicBoolean started = new AtomicBoolean();
     private final AtomicBoolean written = new AtomicBoolean();
@@ -66,19 +69,22 @@
             Callback callback,
             RequestBody body,
             ExchangeHeaders headerNames,
-            boolean closeConnection) {
+            boolean closeConnection,
+            AnswerLog answers) {
         this.arrival = arrival;
         this.request = request;
         this.response = response;
-        this.writer = new CallerWriter(response, Callback.from(callback, this::releaseAnswer));
+        this.writer = new CallerWriter(response, new Completion(callback));
         this.body = body;
         this.headerNames = headerNames;
         this.closeConnection = closeConnection;
+        this.answers = answers;
         this.requestId = Optional.ofNullable(request.getHeaders().get(headerNames.requestId()))
                 .orElse("-");
         this.lastEventId = request.getHeaders().get(headerNames.lastEventId());
         this.endPoint = (WatchedEndPoint)
                 request.getConnectionMetaData().getConnection().getEndPoint();
+        answers.begun(this);
     }
 
     Arrival arrival() {
@@ -215,7 +221,7 @@
 
     /** Counts the size of the response until the caller has read it or its connection has been closed. */
     void holdAnswer(CallerResources resources, int sizeBytes) {
-        UnreadAnswer held = new UnreadAnswer(resources, endPoint, sizeBytes);
+        UnreadAnswer held = new UnreadAnswer(resources, endPoint, sizeBytes, () -> recordCut(AnswerCut.CURBED));
         answer = held;
         held.hold();
         if (request.getConnectionMetaData().getConnection() instanceof CallerConnection connection) {
@@ -242,6 +248,7 @@
             if (!HttpStatus.hasNoBody(status)) {
                 response.getHeaders().put(HttpHeader.CONTENT_LENGTH, responseBody.length);
             }
+            written.set(true);
             writer.end(ByteBuffer.wrap(responseBody));
         }
     }
@@ -276,6 +283,7 @@
     void fail(RefusalReason reason) {
         if (written.get()) {
             if (complete()) {
+                recordCut(AnswerCut.of(reason));
                 endPoint.stopWatching();
                 writer.abort(new IllegalStateException("response aborted: " + reason));
             }
@@ -301,6 +309,7 @@
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
         response.getHeaders().put(HttpHeader.CONTENT_LENGTH, text.length);
         addConnectionClose();
+        written.set(true);
         writer.end(ByteBuffer.wrap(text));
     }
 
@@ -314,6 +323,35 @@
     /** Closes the connection of a caller whose answer could not be written, also if the attempt to write it was made. */
     void abortForFailure() {
         complete();
+        recordCut(AnswerCut.FAILURE);
         writer.abort(new IllegalStateException("the answer could not be written"));
     }
+
+    /** Records, once, that the node closes the connection before the whole answer has been written. */
+    void recordCut(AnswerCut cause) {
+        if (cut.compareAndSet(false, true)) {
+            answers.recordCut(requestId, cause, written.get());
+        }
+    }
+
+    /** Completion of the last write, or its failure. */
+    private final class Completion extends Callback.Nested {
+        Completion(Callback callback) {
+            super(callback);
+        }
+
+        @Override
+        public void failed(Throwable cause) {
+            if (cause instanceof TimeoutException || cause.getCause() instanceof TimeoutException) {
+                recordCut(AnswerCut.UNREAD);
+            }
+            super.failed(cause);
+        }
+
+        @Override
+        public void completed() {
+            answers.ended(Exchange.this);
+            releaseAnswer();
+        }
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -130,7 +130,7 @@
         if (draining || !bodyComplete) {
             response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
         }
-        duty.recordImmediateResponse(status, reason, bodyComplete);
+        duty.answers().recordImmediate(status, reason, bodyComplete);
         byte[] body = ("{\"error\":\"" + reason.toLowerCase(Locale.ROOT) + "\"}").getBytes(StandardCharsets.UTF_8);
         if (bodyComplete) {
             response.write(true, ByteBuffer.wrap(body), callback);
@@ -287,7 +287,14 @@
             duty.responseExpected();
             Callback written = Callback.from(callback, duty::responseWritten);
             Exchange exchange = new Exchange(
-                    arrival.withDigest(hasher.digest()), request, response, written, body, headerNames, draining);
+                    arrival.withDigest(hasher.digest()),
+                    request,
+                    response,
+                    written,
+                    body,
+                    headerNames,
+                    draining,
+                    duty.answers());
             exchange.watchCaller(() -> duty.callerDisconnected(exchange));
             duty.submit(exchange);
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -68,6 +68,7 @@
     private final Map<ExchangeId, Exchange> exchanges = new ConcurrentHashMap<>();
     private final AtomicInteger unwrittenResponses = new AtomicInteger();
     private final CallerResources callerResources;
+    private final AnswerLog answers;
     private volatile Map<TargetId, Integer> running = Map.of();
     private volatile Map<QueueId, QueueDemand> demand = Map.of();
     private volatile int waiting;
@@ -115,6 +116,7 @@
             MetricRegistry metrics,
             ResourceLimits limits) {
         this.callerResources = new CallerResources(limits, clock, log, metrics);
+        this.answers = new AnswerLog(log, metrics);
         this.dispatcher = dispatcher;
         this.requests = requests;
         this.headerNames = headerNames;
@@ -135,6 +137,11 @@
         return callerResources;
     }
 
+    /** Returns the log of the answers that the node gives itself or cuts. */
+    AnswerLog answers() {
+        return answers;
+    }
+
     /** Sets the listener for VMs that may have failed. */
     void onSuspectedVms(SuspicionListener listener) {
         suspicionListener = listener;
@@ -213,25 +220,6 @@
         }
     }
 
-    /**
-     * Counts and logs a response that the node gives itself.
-     *
-     * @param status status of the response
-     * @param reason reason for it
-     * @param bodyComplete whether the request had arrived to its end
-     */
-    void recordImmediateResponse(int status, String reason, boolean bodyComplete) {
-        metrics.counter("answered.at.once." + status).inc();
-        if (!bodyComplete) {
-            metrics.counter("answered.before.body").inc();
-        }
-        log.request("answered_at_once")
-                .with("status", status)
-                .with("reason", reason)
-                .with("bodyComplete", bodyComplete)
-                .write();
-    }
-
     void callerDisconnected(Exchange exchange) {
         duty.put(new RelayEvent.CallerDisconnected(exchange.arrival().id()));
     }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -174,6 +174,7 @@
             relay.endRemaining();
             relay.awaitIdle(endMillis + LAST_RESPONSES_MILLIS);
         }
+        relay.answers().cutRemaining();
         log.state("stopped").with("cutOff", relay.inProgress()).write();
         log.close();
     }
--- a/relay/src/main/java/org/apricotdeal/relay/node/UnreadAnswer.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UnreadAnswer.java
@@ -10,13 +10,23 @@
     private final CallerResources resources;
     private final WatchedEndPoint caller;
     private final int sizeBytes;
+    private final Runnable onCut;
     private final TransferProgress progress;
     private final AtomicBoolean held = new AtomicBoolean(true);
 
-    UnreadAnswer(CallerResources resources, WatchedEndPoint caller, int sizeBytes) {
+    /**
+     * Creates a response that holds no memory yet.
+     *
+     * @param resources memory that callers hold
+     * @param caller connection to which the response is written
+     * @param sizeBytes size of the response
+     * @param onCut called if the response gives way
+     */
+    UnreadAnswer(CallerResources resources, WatchedEndPoint caller, int sizeBytes, Runnable onCut) {
         this.resources = resources;
         this.caller = caller;
         this.sizeBytes = sizeBytes;
+        this.onCut = onCut;
         this.progress = new TransferProgress(ANSWER_HOLD_MILLIS, resources.nowMillis());
     }
 
@@ -53,6 +63,7 @@
             return false;
         }
         resources.record("answer");
+        onCut.run();
         caller.close();
         return true;
     }
