Give no connection to others on which a request has just begun

Cause: where connections are short, a new one takes the one that has been without a request for longest. Between that choice and the close the connection's thread could read a request and pass it on to a VM; the caller's connection was then closed without an answer (or the 408 for a late head sent after the request). Change: the connection is taken under a lock that the handler of a request takes as well, and one that has got a request is left alone; the next candidate is taken instead. The scripted VM's queue of connections is longer, as requests hung in the full one.

--- a/proofs/src/test/java/org/apricotdeal/proofs/http/ScriptedServer.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/http/ScriptedServer.java
@@ -11,6 +11,9 @@
 
 /** A server that a test scripts byte by byte, for answers that no well-behaved server gives. */
 public final class ScriptedServer implements AutoCloseable {
+    /** Enough for clients that connect at once: a connection beyond it hangs instead of failing. */
+    private static final int ACCEPT_QUEUE = 1_024;
+
     private final ServerSocket socket;
     private final Script script;
 
@@ -128,7 +131,7 @@
      */
     public ScriptedServer(Script script) throws IOException {
         this.script = script;
-        this.socket = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        this.socket = new ServerSocket(0, ACCEPT_QUEUE, InetAddress.getLoopbackAddress());
         Thread.ofVirtual().start(this::acceptAll);
     }
 
--- a/proofs/src/test/java/org/apricotdeal/proofs/process/HostileFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/HostileFleet.java
@@ -12,6 +12,8 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 import org.apricotdeal.node.NodeMain;
 import org.apricotdeal.proofs.http.ScriptedServer;
@@ -49,6 +51,7 @@
     private final UsersStoreStandin store = new UsersStoreStandin();
     private final List<ScriptedServer> vms = new ArrayList<>();
     private final UsersWorkerStandin service;
+    private final Set<String> sized = ConcurrentHashMap.newKeySet();
     private final List<Socket> clients = Collections.synchronizedList(new ArrayList<>());
     private final int callerPort = StandinFixture.freePort();
     private final int metricsPort = StandinFixture.freePort();
@@ -64,8 +67,8 @@
             }));
         }
         register("l0", "load", new ScriptedServer(HostileFleet::answerMuch));
-        register("w0", "size", new ScriptedServer(HostileFleet::answerSize));
-        store.put("op/config", catalogue());
+        register("w0", "size", new ScriptedServer(this::answerSize));
+        configure(1, 0);
         Path settings = directory.resolve("node.ini");
         Files.writeString(settings, settings());
         node = ChildProcess.start(
@@ -85,8 +88,9 @@
     }
 
     /** Answers with the number of lines named a and the size of the body. */
-    private static void answerSize(ScriptedServer.Connection connection) throws IOException {
+    private void answerSize(ScriptedServer.Connection connection) throws IOException {
         ScriptedServer.Received received = connection.read();
+        sized.add(received.header("x-attempt-id"));
         String size =
                 received.head().lines().filter(line -> line.startsWith("a:")).count() + " lines, "
                         + received.body().length() + " bytes";
@@ -104,7 +108,21 @@
                         + "\"slots\":400,\"state\":\"ready\",\"cold-remaining-ms\":0,\"sequence\":1,\"born\":5}");
     }
 
-    private static String catalogue() {
+    /** Returns whether the VM that tells the size of a request has received the request with an id. */
+    boolean isReceived(String id) {
+        return sized.contains(id);
+    }
+
+    /** Writes the catalogue with a number of keys that nobody uses. */
+    void configure(int version, int unusedKeys) {
+        StringBuilder keys = new StringBuilder("\"" + KEY + "\"");
+        for (int i = 0; i < unusedKeys; i++) {
+            keys.append(",\"unused-key-").append(version).append('-').append(i).append('"');
+        }
+        store.put("op/config", catalogue(version, keys.toString()));
+    }
+
+    private static String catalogue(int version, String keys) {
         StringBuilder routes = new StringBuilder();
         StringBuilder services = new StringBuilder();
         for (String[] route : new String[][] {{"book", "shop"}, {"hold", "hold"}, {"load", "load"}, {"size", "size"}}) {
@@ -118,10 +136,10 @@
                     """.formatted(route[1]));
         }
         return """
-                {"version":1,"routes":[%s],"services":[%s],
+                {"version":%d,"routes":[%s],"services":[%s],
                 "limits":{"max-header-bytes":%d,"max-body-bytes":%d,"header-timeout-ms":%d,"idle-timeout-ms":60000},
-                "tenants":[{"name":"customer-1","api-keys":["%s"],"priority":1}]}
-                """.formatted(routes, services, HEAD_BYTES, BODY_BYTES, HEAD_MILLIS, KEY);
+                "tenants":[{"name":"customer-1","api-keys":[%s],"priority":1}]}
+                """.formatted(version, routes, services, HEAD_BYTES, BODY_BYTES, HEAD_MILLIS, keys);
     }
 
     private String settings() {
--- a/relay/src/main/java/org/apricotdeal/relay/node/CallerConnection.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CallerConnection.java
@@ -25,6 +25,7 @@
     private volatile long beganMillis;
     private volatile boolean headArriving;
     private volatile StalledHolder holder;
+    private boolean gaveWay;
     private int headBytes;
     private int reservedBytes;
 
@@ -53,14 +54,36 @@
         super.onClose(cause);
     }
 
-    /** Releases the memory of the head when the request has been answered. */
-    void watch(Request request) {
+    /**
+     * Begins to handle a request, whose memory of the head is released when it has been answered.
+     *
+     * @param request request whose head has been read
+     * @return false if the connection has given way to others and is closed
+     */
+    boolean begin(Request request) {
+        boolean headHeld;
         synchronized (this) {
-            if (reservedBytes == 0) {
-                return;
+            if (gaveWay) {
+                return false;
             }
+            headHeld = reservedBytes > 0;
+        }
+        if (headHeld) {
+            Request.addCompletionListener(request, failure -> releaseHead());
+        }
+        return true;
+    }
+
+    /**
+     * Takes the connection from its caller unless a request is handled: the parser leaves the head before
+     * {@link #begin} is called, so one of the two sees the other.
+     */
+    private synchronized boolean takeIdle() {
+        if (!isWithoutRequest()) {
+            return false;
         }
-        Request.addCompletionListener(request, failure -> releaseHead());
+        gaveWay = true;
+        return true;
     }
 
     private synchronized void addToHead(int bytes) {
@@ -107,12 +130,16 @@
 
     @Override
     public boolean giveWay() {
-        resources.record("connections");
-        StalledHolder current = isWithoutRequest() ? null : holder;
-        if (current != null) {
-            return current.giveWay();
+        if (takeIdle()) {
+            resources.record("connections");
+            getEndPoint().close();
+            return true;
+        }
+        StalledHolder current = holder;
+        if (current == null || !current.giveWay()) {
+            return false;
         }
-        getEndPoint().close();
+        resources.record("connections");
         return true;
     }
 
@@ -123,6 +150,9 @@
 
     void closeOverdueHead() {
         headArriving = false;
+        if (!takeIdle()) {
+            return;
+        }
         resources.record("head.time");
         if (getEndPoint() instanceof WatchedEndPoint caller) {
             caller.closeWith(HttpStatus.REQUEST_TIMEOUT_408, "");
--- a/relay/src/main/java/org/apricotdeal/relay/node/CallerResources.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CallerResources.java
@@ -1,5 +1,6 @@
 package org.apricotdeal.relay.node;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -72,26 +73,34 @@
      * answer; else the new one.
      */
     void opened(CallerConnection connection) {
+        Set<CallerConnection> candidates = null;
         while (connections.size() + lingering.size() >= limits.connections()) {
             if (lingering.closeOldest()) {
                 continue;
             }
-            Optional<CallerConnection> stalled = longestStalled();
-            if (stalled.isEmpty() || !stalled.get().giveWay()) {
+            if (candidates == null) {
+                candidates = new HashSet<>(connections);
+            }
+            Optional<CallerConnection> stalled = longestStalled(candidates);
+            if (stalled.isEmpty()) {
                 connection.giveWay();
                 return;
             }
-            connections.remove(stalled.get());
+            candidates.remove(stalled.get());
+            // False for one that has just got a request.
+            if (stalled.get().giveWay()) {
+                connections.remove(stalled.get());
+            }
         }
         connections.add(connection);
     }
 
-    private Optional<CallerConnection> longestStalled() {
+    private Optional<CallerConnection> longestStalled(Set<CallerConnection> candidates) {
         List<CallerConnection> idle =
-                connections.stream().filter(CallerConnection::isWithoutRequest).toList();
+                candidates.stream().filter(CallerConnection::isWithoutRequest).toList();
         long nowMillis = nowMillis();
         return StalledHolder.longestStalled(idle, nowMillis, 0)
-                .or(() -> StalledHolder.longestStalled(connections, nowMillis, StalledHolder.MIN_STALL_MILLIS));
+                .or(() -> StalledHolder.longestStalled(candidates, nowMillis, StalledHolder.MIN_STALL_MILLIS));
     }
 
     void closed(CallerConnection connection) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -1,6 +1,7 @@
 package org.apricotdeal.relay.node;
 
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Optional;
@@ -71,8 +72,10 @@
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
         long arrivedMillis = clock.monotonicMillis();
-        if (request.getConnectionMetaData().getConnection() instanceof CallerConnection connection) {
-            connection.watch(request);
+        if (request.getConnectionMetaData().getConnection() instanceof CallerConnection connection
+                && !connection.begin(request)) {
+            callback.failed(new ClosedChannelException());
+            return true;
         }
         Optional<RelayCatalogue> current = catalogues.current();
         if (current.isEmpty() || arrivedMillis >= refuseFromMillis) {
