--- a/proofs/src/test/java/org/apricotdeal/proofs/process/CurbedWhileSendingTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/CurbedWhileSendingTest.java
@@ -8,6 +8,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.fail;
 
@@ -17,6 +18,8 @@
     private static final int PARTS = HostileFleet.BODY_BYTES / PART.length();
     private static final String LARGE = HostileFleet.head("/book/x", "large") + "Connection: close\r\nContent-Length: "
             + HostileFleet.BODY_BYTES + "\r\n\r\n";
+    private static final String REFUSED = HostileFleet.head("/gone/x", "") + "Transfer-Encoding: chunked\r\n\r\n";
+    private static final String CHUNK = "1\r\na\r\n";
     private static final String REFUSAL = "HTTP/1.1 503";
     private static final int CROWD = 40;
     private static final int MAX_CROWDS = 10;
@@ -64,11 +67,31 @@
         }
     }
 
+    /** A caller whose body is being discarded keeps its answer when the connection is given to others. */
+    @Test
+    public void callerWhoseDiscardedBodyGaveWayReadsTheRefusal() throws Exception {
+        try (Socket caller = fleet.connect(0)) {
+            write(caller, REFUSED);
+            Thread.sleep(STALL_MILLIS);
+            fleet.trickle(2 * HostileFleet.MAX_DESCRIPTORS, REFUSED, CHUNK, PARTS, TRICKLE_MILLIS);
+            ProcessFleet.await("a connection gives way", () -> fleet.metric("callers_curbed_connections") > 0);
+            assertThrows(IOException.class, () -> {
+                for (int i = 0; i < PARTS; i++) {
+                    write(caller, CHUNK);
+                    Thread.sleep(TRICKLE_MILLIS);
+                }
+            });
+            byte[] answer = new byte[1_024];
+            int count = caller.getInputStream().read(answer);
+            String text = new String(answer, 0, Math.max(0, count), StandardCharsets.US_ASCII);
+            assertTrue(text.startsWith("HTTP/1.1 404") && text.endsWith("}"), text);
+        }
+    }
+
     /** Refused callers that send on without end take no connection from others. */
     @Test
     public void refusedCallersGiveWay() throws Exception {
-        String refused = HostileFleet.head("/gone/x", "") + "Transfer-Encoding: chunked\r\n\r\n";
-        fleet.trickle(2 * HostileFleet.MAX_DESCRIPTORS, refused, "1\r\na\r\n", PARTS, TRICKLE_MILLIS);
+        fleet.trickle(2 * HostileFleet.MAX_DESCRIPTORS, REFUSED, CHUNK, PARTS, TRICKLE_MILLIS);
         ProcessFleet.await(
                 "an ordinary request is served", () -> fleet.ordinaryRequest().startsWith("HTTP/1.1 200"));
         assertTrue(fleet.node.descriptors() < HostileFleet.MAX_DESCRIPTORS);
