Refuse at once a copy of a lost request that could cost the last VM

A copy of a request that alone was lost with its VM waited where one VM was left, until its caller's timeout: in a fleet of two replicas it ended with 504 instead of a refusal. It is refused at once now (503, not run, Retry-After 1 s), on arrival and while it waits; explain says the same.

A heartbeat that comes too soon after an early one no longer keeps later crashes from being told early, and a VM that is the last of several counts as such for 20 s after the loss of another one, in place of 60 s.

--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -187,11 +187,11 @@
     }
 
     private void sendEarly() {
+        soon.set(false);
         long nowMillis = clock.monotonicMillis();
         if (nowMillis - sentEarlyMillis < MIN_EARLY_PERIOD_MILLIS) {
             return;
         }
-        soon.set(false);
         sentEarlyMillis = nowMillis;
         for (Peer peer : fleet.peerSnapshot().peers()) {
             if (lastRecipients.contains(peer.name())) {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
@@ -18,7 +18,10 @@
     private static final int FEW_TARGETS = 4;
 
     /** Time in which a lost VM is back or replaced; the only target left after it is the only one there is. */
-    private static final long REPLACEMENT_MILLIS = 60_000;
+    private static final long REPLACEMENT_MILLIS = 20_000;
+
+    /** Time after which a caller may try again whose request could cost the last target. */
+    private static final long UNAFFORDABLE_RETRY_MILLIS = 1_000;
 
     private static final PoisonVerdict FREE = new PoisonVerdict.Free();
 
@@ -32,7 +35,7 @@
         return detector;
     }
 
-    boolean isIdle() {
+    private boolean isIdle() {
         return detector.blamed().isEmpty();
     }
 
@@ -140,9 +143,33 @@
         return OptionalLong.of(earliestMillis);
     }
 
+    /**
+     * Returns the time before which a request that has not been sent is refused: it is held, or it could cost the last
+     * target, so that its caller need not wait here. Empty if it is not refused.
+     */
+    OptionalLong refusedUntilMillis(QueueState queue, Arrival arrival, long nowMillis) {
+        OptionalLong heldUntilMillis = heldUntilMillis(queue, arrival, nowMillis);
+        boolean unaffordable = isSuspect(arrival)
+                && !queue.targets.isEmpty()
+                && queue.targets.stream()
+                        .noneMatch(state -> verdict(state, arrival, nowMillis) instanceof PoisonVerdict.Free)
+                && !hasSpareTarget(queue, nowMillis);
+        return heldUntilMillis.isEmpty() && unaffordable
+                ? OptionalLong.of(nowMillis + UNAFFORDABLE_RETRY_MILLIS)
+                : heldUntilMillis;
+    }
+
+    /** Returns the time before which a waiting request is not sent; empty if it may go on waiting. */
+    OptionalLong heldUntilMillis(RequestState waiting, long nowMillis) {
+        return waiting.mayHaveRun
+                ? heldUntilMillis(waiting.queue, waiting.arrival, nowMillis)
+                : refusedUntilMillis(waiting.queue, waiting.arrival, nowMillis);
+    }
+
     /** Returns whether a request that was sent and is not being answered must be withdrawn. */
     boolean isToBeWithdrawn(RequestState request, long nowMillis) {
-        return !request.trial
+        return !isIdle()
+                && !request.trial
                 && !request.answering
                 && verdict(request.target, request.arrival, nowMillis) instanceof PoisonVerdict.Held held
                 && held.certain();
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -42,9 +42,8 @@
  * <p><em>Suspect requests:</em> a request that crashes VMs, or whose prompt has parts that do, is refused before it is
  * sent, and ended without a retry if it has been sent, see {@link PoisonGuard}.
  *
- * <p><em>Retry:</em> a failed attempt is repeated at another target if the route allows it, within the maximum
- * attempts of the route and the shared {@link RetryBudget}. A request that may have run and must not run twice
- * fails.
+ * <p><em>Retry:</em> a failed attempt is repeated at another target if the route allows it, within the maximum attempts of
+ * the route and the shared {@link RetryBudget}. A request that may have run and must not run twice fails.
  */
 public final class RelayDispatcher implements StateMachine<RelayEvent, RelayAction> {
     /** A replica sends events every few steps; without any for this long it has lost a member or its head. */
@@ -214,7 +213,7 @@
 
     private void admit(Arrival arrival) {
         QueueState queue = registry.queue(arrival.queue());
-        OptionalLong heldUntilMillis = poison.heldUntilMillis(queue, arrival, nowMillis);
+        OptionalLong heldUntilMillis = poison.refusedUntilMillis(queue, arrival, nowMillis);
         if (heldUntilMillis.isPresent()) {
             refuseUnservable(arrival, queue, RefusalReason.SUSPECT_REQUEST, heldUntilMillis.getAsLong());
             return;
@@ -440,14 +439,14 @@
 
     /** Ends the requests that other requests have shown to crash VMs, whether they wait or have been sent. */
     private void holdBackSuspects() {
-        if (poison.isIdle()) {
+        if (poison.detector().isIdle()) {
             return;
         }
         for (RequestState request : List.copyOf(requests.values())) {
             if (request.running()) {
                 withdrawIfSuspect(request);
             } else {
-                OptionalLong untilMillis = poison.heldUntilMillis(request.queue, request.arrival, nowMillis);
+                OptionalLong untilMillis = poison.heldUntilMillis(request, nowMillis);
                 if (untilMillis.isPresent() && request.queue.waiting.remove(request)) {
                     failSuspect(request, untilMillis.getAsLong());
                 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RequestExplainer.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RequestExplainer.java
@@ -85,7 +85,7 @@
     }
 
     private Optional<RefusalReason> refusal(RequestState request, QueueEstimate estimate, long nowMillis) {
-        if (poison.heldUntilMillis(request.queue, request.arrival, nowMillis).isPresent()) {
+        if (poison.refusedUntilMillis(request.queue, request.arrival, nowMillis).isPresent()) {
             return Optional.of(RefusalReason.SUSPECT_REQUEST);
         }
         return request.queue.isTooLarge(request)
