--- a/proofs/src/test/java/org/apricotdeal/relay/node/CrashNewsCodecTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/CrashNewsCodecTest.java
@@ -8,6 +8,7 @@
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.ModelId;
 import org.apricotdeal.relay.model.PromptPartId;
+import org.apricotdeal.relay.model.RequestDigest;
 import org.apricotdeal.relay.poison.CrashId;
 import org.apricotdeal.relay.poison.CrashNews;
 import org.apricotdeal.relay.poison.CrashReport;
@@ -18,6 +19,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 /** Tests that what nodes tell each other about crashes arrives whole, on the clock of the receiver. */
 public final class CrashNewsCodecTest {
@@ -46,4 +48,20 @@
         CrashNewsCodec.encode(news(0), heartbeat, 5_000);
         assertEquals(CrashNewsCodec.decode(heartbeat, 905_000), news(900_000));
     }
+
+    /** Nodes of earlier versions drop a heartbeat in whose crashes or trials a model is missing. */
+    @Test
+    public void crashesOfPlainServicesAreNotInFieldsOfEarlierVersions() {
+        ServedRelease service = new ServedRelease(new UpstreamId("shop"), Optional.empty(), "v1");
+        RequestDigest digest = new RequestDigest("orders", -1, 2);
+        CrashReport crash = new CrashReport(
+                new CrashId(new VmId("s1"), 7, 0), service, 1_000, Set.of(List.of(digest)), Set.of(), Set.of(digest), false);
+        TraitTrial trial = new TraitTrial(new ServedTrait(service, digest), 2_000, 1, false);
+        CrashNews news = new CrashNews(42, List.of(crash), List.of(trial));
+        TRelayHeartbeat heartbeat = new TRelayHeartbeat();
+        heartbeat.setCrashDigest(42);
+        CrashNewsCodec.encode(news, heartbeat, 5_000);
+        assertTrue(heartbeat.getCrashes().isEmpty() && heartbeat.getTrials().isEmpty());
+        assertEquals(CrashNewsCodec.decode(heartbeat, 5_000), news);
+    }
 }
