A stopping node waits for the refusals that it still writes

A stop waits for the responses that it knows of; the node's own answers to whole requests (404, 401, 503 "stopping") were not among them, so the process could end between the read request and its refusal.

--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -135,13 +135,9 @@
         }
         duty.answers().recordImmediate(status, reason, bodyComplete);
         byte[] body = ("{\"error\":\"" + reason.toLowerCase(Locale.ROOT) + "\"}").getBytes(StandardCharsets.UTF_8);
-        if (bodyComplete) {
-            response.write(true, ByteBuffer.wrap(body), callback);
-            return;
-        }
         duty.responseExpected();
-        Callback drained = Callback.from(callback, duty::responseWritten);
-        response.write(true, ByteBuffer.wrap(body), drain.thenComplete(drained));
+        Callback written = Callback.from(callback, duty::responseWritten);
+        response.write(true, ByteBuffer.wrap(body), bodyComplete ? written : drain.thenComplete(written));
     }
 
     private long maxDiscardedBytes() {
