Report a used answer without the lock of its attempt

The report blocks while the dispatcher's ring is full, and the dispatcher takes the same lock to cancel the attempt, so a full ring could have stopped the node. The order of report and write is as before.

--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -316,6 +316,7 @@
     private void onContent(Response response, Content.Chunk chunk, Runnable demandNext) {
         framingLimit.addContent(chunk.remaining());
         ByteBuffer events = null;
+        AttemptRace.Claim claim = AttemptRace.Claim.LOST;
         synchronized (this) {
             if (ended || foreignResponse) {
                 return;
@@ -334,14 +335,16 @@
                 if (firstEventMillis < 0) {
                     firstEventMillis = clock.monotonicMillis();
                 }
-                AttemptRace.Claim claim = exchange.queueEvents(this, events, framer.lastId(), demandNext);
-                // Reported before the write, which may ask for the next bytes at once and find the end of the answer.
-                if (mayAnswer(claim)) {
-                    exchange.flushEvents();
-                    return;
-                }
+                claim = exchange.queueEvents(this, events, framer.lastId(), demandNext);
             }
         }
+        // Reported without the lock, which the dispatcher may wait for, and before the write, which may ask for the
+        // next
+        // bytes at once and find the end of the answer.
+        if (claim != AttemptRace.Claim.LOST && mayAnswer(claim)) {
+            exchange.flushEvents();
+            return;
+        }
         demandNext.run();
     }
 
