Tell the crash of a repeat early as well

They are 20 ms apart at least now, less than losses with causes of their own. A peer that has not answered for a period gets none, so that they do not accumulate.

--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -72,8 +72,8 @@
      */
     private static final long MAX_RESPONSE_MILLIS = 2_000;
 
-    /** Minimum time between heartbeats that are sent early. */
-    private static final long MIN_EARLY_PERIOD_MILLIS = 50;
+    /** Minimum time between heartbeats that are sent early; less than that between the losses of a request and its repeat. */
+    private static final long MIN_EARLY_PERIOD_MILLIS = 20;
 
     private static final int RING_SLOTS = 16;
 
@@ -194,7 +194,9 @@
         }
         sentEarlyMillis = nowMillis;
         for (Peer peer : fleet.peerSnapshot().peers()) {
-            if (lastRecipients.contains(peer.name())) {
+            Long pendingMillis = pendingSinceMillis.get(peer.name());
+            boolean silent = pendingMillis != null && nowMillis - pendingMillis > PERIOD_MILLIS;
+            if (lastRecipients.contains(peer.name()) && !silent) {
                 send(peer);
             }
         }
