Hold a lost request back where few VMs are left only if it was lost alone

Found by review: where one of two VMs was lost by chance, a node failed the first of its lost requests with 502 before it had heard of the others, and all their copies were refused while the last VM was sound; with a dead VM still listed this had no end, since nothing could be answered.

A lost request waits 0.3 s for other losses with its VM, which speak for it; copies are refused only if it was lost alone, and for 20 s after the loss of a VM. In large fleets the first ten nodes take turns of 0.4 s with copies, so that each turn ends before the next. A second loss in the same millisecond is reviewed with the tick where many are known.

--- a/proofs/src/test/java/org/apricotdeal/relay/node/CrashNewsCodecTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/CrashNewsCodecTest.java
@@ -55,7 +55,13 @@
         ServedRelease service = new ServedRelease(new UpstreamId("shop"), Optional.empty(), "v1");
         RequestDigest digest = new RequestDigest("orders", -1, 2);
         CrashReport crash = new CrashReport(
-                new CrashId(new VmId("s1"), 7, 0), service, 1_000, Set.of(List.of(digest)), Set.of(), Set.of(digest), false);
+                new CrashId(new VmId("s1"), 7, 0),
+                service,
+                1_000,
+                Set.of(List.of(digest)),
+                Set.of(),
+                Set.of(digest),
+                false);
         TraitTrial trial = new TraitTrial(new ServedTrait(service, digest), 2_000, 1, false);
         CrashNews news = new CrashNews(42, List.of(crash), List.of(trial));
         TRelayHeartbeat heartbeat = new TRelayHeartbeat();
--- a/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
@@ -5,13 +5,11 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.TreeSet;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import org.apricotdeal.kernel.id.UpstreamId;
@@ -48,10 +46,13 @@
     private static final long TRIAL_MILLIS = 5_000;
 
     /** Time in which the copy of a lost request that is sent again is answered or lost. */
-    private static final long PROOF_MILLIS = 1_000;
+    private static final long REPEAT_MILLIS = 1_000;
 
     /** Time over which the nodes' entitlements to send a copy of a lost request are spread at most, in large fleets. */
-    private static final long MAX_PROOF_TURNS_MILLIS = 4_000;
+    private static final long MAX_REPEAT_TURNS_MILLIS = 4_000;
+
+    /** Time in which a copy that is sent to a free VM is answered or lost, and the others hear of it. */
+    private static final long MIN_REPEAT_TURN_MILLIS = 400;
 
     /** Age from which a crash that supports no blame is forgotten. */
     private static final long MAX_CRASH_AGE_MILLIS = 120_000;
@@ -83,7 +84,7 @@
     private final Map<ServedTrait, Long> unproven = new HashMap<>();
 
     private final Set<RequestTrait> unprovenDigests = new HashSet<>();
-    private IdentityHashMap<CrashReport, Long> reportHashes = new IdentityHashMap<>();
+    private final CrashNewsDigest digest = new CrashNewsDigest();
     private CrashNews news = CrashNews.NONE;
     private long reviewedMillis;
     private boolean reviewDue;
@@ -169,7 +170,7 @@
         }
         boolean lostAgain = request.stream().anyMatch(unprovenDigests::contains);
         CrashReport report = addCrash(CrashReport.of(lastLoss(first), served, nowMillis, request));
-        if (lostAgain) {
+        if (lostAgain && (lostTraitCount <= MAX_TRAITS_TO_REVIEW_AT_ONCE || nowMillis > reviewedMillis)) {
             review(nowMillis);
             return;
         }
@@ -320,8 +321,8 @@
         for (RequestTrait trait : request) {
             Long lostMillis = trait.isWholeRequest() ? unproven.get(new ServedTrait(served, trait)) : null;
             if (lostMillis != null) {
-                long turnMillis = turn(Set.of(trait)) * proofTurnMillis();
-                return new PoisonVerdict.Unproven(lostMillis + PROOF_MILLIS + turnMillis, turnMillis);
+                long turnMillis = repeatTurnMillis(Set.of(trait));
+                return new PoisonVerdict.Unproven(lostMillis + REPEAT_MILLIS + turnMillis, turnMillis);
             }
         }
         return FREE;
@@ -331,13 +332,15 @@
      * Returns whether a request was the only one that a crash is known to have lost, and has not been answered.
      *
      * @param digest digest of the request
+     * @param untilMillis monotonic time up to which crashes count
      * @return true if no other request is as likely to have caused some crash
      */
-    public boolean isSoleSuspect(RequestDigest digest) {
+    public boolean isSoleSuspect(RequestDigest digest, long untilMillis) {
         return unprovenDigests.contains(digest)
                 && crashes.values().stream()
                         .anyMatch(crash -> crash.isSuspect(digest)
                                 && !crash.survived()
+                                && crash.atMillis() <= untilMillis
                                 && crash.requests().size() == 1);
     }
 
@@ -356,19 +359,17 @@
     }
 
     /**
-     * Returns whether another VM that served the same has crashed, as far as is known.
+     * Returns whether a VM has crashed lately, as far as is known.
      *
-     * @param vm the VM
-     * @param served what the VM serves
+     * @param served what the VM served
      * @param sinceMillis monotonic time from which crashes count
-     * @return true if another VM has lost requests and not answered since
+     * @return true if one has lost requests and not answered since
      */
-    public boolean hasLostOther(VmId vm, ServedRelease served, long sinceMillis) {
+    public boolean hasLost(ServedRelease served, long sinceMillis) {
         return crashes.values().stream()
                 .anyMatch(crash -> !crash.survived()
                         && crash.atMillis() >= sinceMillis
-                        && crash.served().equals(served)
-                        && !crash.id().vm().equals(vm));
+                        && crash.served().equals(served));
     }
 
     /**
@@ -405,8 +406,11 @@
         return true;
     }
 
-    private long proofTurnMillis() {
-        return Math.min(TRIAL_TURN_MILLIS, MAX_PROOF_TURNS_MILLIS / Math.max(1, nodes.size()));
+    /** Returns the time for which this node lets others go first with a copy of a lost request. */
+    private long repeatTurnMillis(Set<RequestTrait> traits) {
+        long periodMillis =
+                Math.clamp(MAX_REPEAT_TURNS_MILLIS / nodes.size(), MIN_REPEAT_TURN_MILLIS, TRIAL_TURN_MILLIS);
+        return Math.min(MAX_REPEAT_TURNS_MILLIS, turn(traits) * periodMillis);
     }
 
     /** Returns the time from which this node may send a trial. */
@@ -427,7 +431,7 @@
 
     /** Returns this node's position in the order of the nodes for trials of the given traits. */
     private int turn(Set<RequestTrait> traits) {
-        String key = text(traits);
+        String key = CrashNewsDigest.text(traits);
         long own = rank(self, key);
         int preceding = 0;
         for (String node : nodes) {
@@ -479,7 +483,10 @@
         unproven.clear();
         unprovenDigests.clear();
         crashes.values().forEach(this::addUnproven);
-        news = new CrashNews(digest(), List.copyOf(crashes.values()), List.copyOf(trials.values()));
+        news = new CrashNews(
+                digest.of(crashes.values(), trials.values()),
+                List.copyOf(crashes.values()),
+                List.copyOf(trials.values()));
     }
 
     private long maxAgeMillis(CrashReport crash) {
@@ -563,36 +570,4 @@
         }
         return traits;
     }
-
-    /** Returns a text that does not depend on the order of a set. */
-    private static String text(Set<RequestTrait> traits) {
-        Set<String> texts = new TreeSet<>();
-        traits.forEach(trait -> texts.add(trait.toString()));
-        return texts.toString();
-    }
-
-    /** Returns a number that is equal for nodes with the same crashes and trials, whose times differ between clocks. */
-    private long digest() {
-        IdentityHashMap<CrashReport, Long> hashes = new IdentityHashMap<>();
-        long sum = 0;
-        for (CrashReport crash : crashes.values()) {
-            Long known = reportHashes.get(crash);
-            long hash = known == null ? hash(crash) : known;
-            hashes.put(crash, hash);
-            sum += hash;
-        }
-        reportHashes = hashes;
-        for (TraitTrial trial : trials.values()) {
-            sum += Hashing.komihash4_3().hashCharsToLong(trial.tried() + " " + trial.count() + " " + trial.passed());
-        }
-        return sum;
-    }
-
-    private static long hash(CrashReport crash) {
-        Set<String> requests = new TreeSet<>();
-        crash.requests().forEach(request -> requests.add(request.toString()));
-        return Hashing.komihash4_3()
-                .hashCharsToLong(crash.id() + " " + crash.served() + " " + requests + " " + text(crash.soundTraits())
-                        + " " + text(crash.clearedTraits()) + " " + crash.survived());
-    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
@@ -12,17 +12,20 @@
 /** Applies the conclusions of the {@link PoisonDetector} to requests and targets, and feeds it with what became of them. */
 final class PoisonGuard {
     /** Duration of an answer that shows that the prompt does not crash the VM; several events. */
-    private static final long PROOF_MILLIS = 250;
+    private static final long PROVING_ANSWER_MILLIS = 250;
 
     /** Number of targets that copies which wait at several nodes may all end at once. */
     private static final int FEW_TARGETS = 4;
 
-    /** Time in which a lost VM is back or replaced; the only target left after it is the only one there is. */
+    /** Time in which a lost VM is back or replaced. */
     private static final long REPLACEMENT_MILLIS = 20_000;
 
     /** Time after which a caller may try again whose request could cost the last target. */
     private static final long UNAFFORDABLE_RETRY_MILLIS = 1_000;
 
+    /** Time in which the losses of other requests with the same VM become known, at this node and others. */
+    private static final long OTHER_LOSSES_MILLIS = 300;
+
     private static final PoisonVerdict FREE = new PoisonVerdict.Free();
 
     private final PoisonDetector detector;
@@ -63,12 +66,10 @@
 
     /** Returns whether a copy of a lost request may be sent to find out whether it is to blame. */
     private boolean mayProve(RequestState request, PoisonVerdict.Unproven verdict, long nowMillis) {
-        boolean affordable = request.mayHaveRun
-                ? !isRetryTooCostly(request, nowMillis)
-                : nowMillis >= verdict.untilMillis()
-                        && hasSpareTarget(request.queue, nowMillis)
-                        && !isOthersTurn(request.queue, verdict.turnMillis(), nowMillis);
-        return affordable && !isCopyRunning(request);
+        boolean due = request.mayHaveRun
+                || (nowMillis >= verdict.untilMillis()
+                        && !isOthersTurn(request.queue, verdict.turnMillis(), nowMillis));
+        return due && !isTooCostly(request.queue, request.arrival, nowMillis) && !isCopyRunning(request);
     }
 
     /**
@@ -88,8 +89,8 @@
     }
 
     /**
-     * Returns whether another target remains if a request crashes one. An upstream that never had another is left out, since
-     * it could not be tried again at all. One whose other targets were lost a short while ago gets them back.
+     * Returns whether a request may crash a target without ending the last one. Where no VM was lost lately, the only target
+     * is all that there is, and others need not be awaited.
      */
     private boolean hasSpareTarget(QueueState queue, long nowMillis) {
         long availableCount = queue.targets.stream()
@@ -98,20 +99,21 @@
                         state.target.id().vm(), state.target.id().epoch()))
                 .count();
         return availableCount > 1
-                || (queue.targets.size() == 1 && !isLastOfSeveral(queue.targets.getFirst(), nowMillis));
-    }
-
-    private boolean isLastOfSeveral(TargetState only, long nowMillis) {
-        return detector.hasLostOther(only.target.id().vm(), only.served(), nowMillis - REPLACEMENT_MILLIS);
+                || queue.targets.stream()
+                        .map(TargetState::served)
+                        .distinct()
+                        .noneMatch(served -> detector.hasLost(served, nowMillis - REPLACEMENT_MILLIS));
     }
 
     /**
-     * Returns whether a lost request must not be sent again, because it alone was lost with its VM and may end the last one.
-     * Where several were lost, each of them is most likely sound.
+     * Returns whether a copy of a lost request must not be sent, because it alone was lost with its VM and may end the last
+     * one. Where several were lost, each of them is most likely sound.
      */
-    boolean isRetryTooCostly(RequestState request, long nowMillis) {
-        return request.arrival.digest().filter(detector::isSoleSuspect).isPresent()
-                && !hasSpareTarget(request.queue, nowMillis);
+    private boolean isTooCostly(QueueState queue, Arrival arrival, long nowMillis) {
+        return arrival.digest()
+                        .filter(digest -> detector.isSoleSuspect(digest, nowMillis))
+                        .isPresent()
+                && !hasSpareTarget(queue, nowMillis);
     }
 
     /** Returns whether some targets of a queue must not receive a request. */
@@ -149,21 +151,28 @@
      */
     OptionalLong refusedUntilMillis(QueueState queue, Arrival arrival, long nowMillis) {
         OptionalLong heldUntilMillis = heldUntilMillis(queue, arrival, nowMillis);
-        boolean unaffordable = isSuspect(arrival)
-                && !queue.targets.isEmpty()
+        boolean unaffordable = heldUntilMillis.isEmpty()
+                && isSuspect(arrival)
+                && isTooCostly(queue, arrival, nowMillis)
                 && queue.targets.stream()
-                        .noneMatch(state -> verdict(state, arrival, nowMillis) instanceof PoisonVerdict.Free)
-                && !hasSpareTarget(queue, nowMillis);
-        return heldUntilMillis.isEmpty() && unaffordable
-                ? OptionalLong.of(nowMillis + UNAFFORDABLE_RETRY_MILLIS)
-                : heldUntilMillis;
+                        .noneMatch(state -> verdict(state, arrival, nowMillis) instanceof PoisonVerdict.Free);
+        return unaffordable ? OptionalLong.of(nowMillis + UNAFFORDABLE_RETRY_MILLIS) : heldUntilMillis;
     }
 
-    /** Returns the time before which a waiting request is not sent; empty if it may go on waiting. */
-    OptionalLong heldUntilMillis(RequestState waiting, long nowMillis) {
-        return waiting.mayHaveRun
-                ? heldUntilMillis(waiting.queue, waiting.arrival, nowMillis)
-                : refusedUntilMillis(waiting.queue, waiting.arrival, nowMillis);
+    /**
+     * Returns the time before which a waiting request is not sent; empty if it may go on waiting. One that was lost waits
+     * until other losses with the same VM have become known, which speak for it.
+     */
+    OptionalLong refusedUntilMillis(RequestState waiting, long nowMillis) {
+        if (!waiting.mayHaveRun) {
+            return refusedUntilMillis(waiting.queue, waiting.arrival, nowMillis);
+        }
+        boolean alone = isTooCostly(waiting.queue, waiting.arrival, nowMillis)
+                && waiting.arrival
+                        .digest()
+                        .filter(digest -> detector.isSoleSuspect(digest, nowMillis - OTHER_LOSSES_MILLIS))
+                        .isPresent();
+        return alone ? OptionalLong.of(nowMillis) : heldUntilMillis(waiting.queue, waiting.arrival, nowMillis);
     }
 
     /** Returns whether a request that was sent and is not being answered must be withdrawn. */
@@ -186,7 +195,7 @@
 
     void onAnswering(RequestState request, long answeringMillis, long nowMillis) {
         request.answering |= answeringMillis >= 0;
-        if (answeringMillis >= PROOF_MILLIS) {
+        if (answeringMillis >= PROVING_ANSWER_MILLIS) {
             recordAnswer(request, nowMillis);
         }
     }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -408,8 +408,7 @@
         }
         boolean allowed = !request.mayHaveRun || request.arrival.route().retryable();
         boolean inTime = nowMillis < request.arrival.deadlineMillis();
-        boolean attemptsLeft = request.attempts < request.arrival.route().maxAttempts()
-                && !poison.isRetryTooCostly(request, nowMillis);
+        boolean attemptsLeft = request.attempts < request.arrival.route().maxAttempts();
         if (allowed && inTime && attemptsLeft && budget.tryRetry(request.queue.id.upstream(), nowMillis)) {
             request.queue.waiting.add(request);
             return;
@@ -446,7 +445,7 @@
             if (request.running()) {
                 withdrawIfSuspect(request);
             } else {
-                OptionalLong untilMillis = poison.heldUntilMillis(request, nowMillis);
+                OptionalLong untilMillis = poison.refusedUntilMillis(request, nowMillis);
                 if (untilMillis.isPresent() && request.queue.waiting.remove(request)) {
                     failSuspect(request, untilMillis.getAsLong());
                 }
