Name what replaces a silent attempt, and remove what nobody calls

replaceIfSilent no longer moves a request; EarlierAttempts.isEmpty had no caller; a comment was broken up by the formatter. Behaviour is as before.

--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -338,9 +338,8 @@
                 claim = exchange.queueEvents(this, events, framer.lastId(), demandNext);
             }
         }
-        // Reported without the lock, which the dispatcher may wait for, and before the write, which may ask for the
-        // next
-        // bytes at once and find the end of the answer.
+        // Reported without the lock, which the dispatcher may wait for. Reported before the write, after which the end
+        // of the answer may be found.
         if (claim != AttemptRace.Claim.LOST && mayAnswer(claim)) {
             exchange.flushEvents();
             return;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/EarlierAttempts.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/EarlierAttempts.java
@@ -11,10 +11,6 @@
 final class EarlierAttempts {
     private final List<RequestState> running = new ArrayList<>();
 
-    boolean isEmpty() {
-        return running.isEmpty();
-    }
-
     /** Keeps the current attempt of a request, which is then free for another one. */
     void keep(RequestState request) {
         RequestState kept = RequestState.copyOf(request);
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -380,7 +380,7 @@
     /** Retries a request that no VM has received; each target is tried once. */
     private void retryUnsent(RequestState request) {
         if (request.running()) {
-            moveIfPossible(request);
+            replaceIfSilent(request);
             return;
         }
         boolean untried =
@@ -395,7 +395,7 @@
     /** Retries a request; where an attempt of it goes on, only if that one is silent. */
     private void retry(RequestState request) {
         if (request.running()) {
-            moveIfPossible(request);
+            replaceIfSilent(request);
             return;
         }
         if (!requests.containsKey(request.arrival.id())) {
@@ -518,12 +518,13 @@
         }
         state.lastProgressMillis = nowMillis;
         for (RequestState request : List.copyOf(state.running)) {
-            moveIfPossible(request);
+            replaceIfSilent(request);
         }
     }
 
-    /** Sends a request to another target as well; its own may still go on, so that attempt is kept. */
-    private void moveIfPossible(RequestState request) {
+    /** Sends a request whose target is silent to another one as well; its own may still go on, so that attempt is kept. */
+    private void replaceIfSilent(RequestState request) {
+        // An attempt that has been replaced already has a state of its own.
         boolean replaced = requests.get(request.arrival.id()) != request;
         long patienceMillis = request.started ? BEGUN_STALL_MILLIS : STALL_MILLIS;
         if (replaced
