PoisonDetector and PoisonGuard: one way to read trials, losses and cost

The number of trials was computed twice, crashes that were not survived were filtered in five places, and a lost request that waits was checked twice for having been lost alone. Behaviour is as before.

--- a/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/poison/PoisonDetector.java
@@ -10,6 +10,8 @@
 import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import org.apricotdeal.kernel.id.UpstreamId;
@@ -51,7 +53,7 @@
     /** Time over which the nodes' entitlements to send a copy of a lost request are spread at most, in large fleets. */
     private static final long MAX_REPEAT_TURNS_MILLIS = 4_000;
 
-    /** Time in which a copy that is sent to a free VM is answered or lost, and the others hear of it. */
+    /** Time in which a copy that is sent to a free VM is answered or lost, and the other nodes hear of it. */
     private static final long MIN_REPEAT_TURN_MILLIS = 400;
 
     /** Age from which a crash that supports no blame is forgotten. */
@@ -134,17 +136,20 @@
      */
     public List<HeldTraits> held() {
         return blamed.stream()
-                .map(blame -> new HeldTraits(blame, trialCount(blame), heldUntilMillis(blame.served(), blame)))
+                .map(blame -> new HeldTraits(
+                        blame, trialCount(trialsOf(blame.served(), blame)), heldUntilMillis(blame.served(), blame)))
                 .toList();
     }
 
-    private int trialCount(BlamedTraits blame) {
+    private List<TraitTrial> trialsOf(ServedRelease served, BlamedTraits blame) {
         return blame.traits().stream()
-                .map(trait -> trials.get(new ServedTrait(blame.served(), trait)))
+                .map(trait -> trials.get(new ServedTrait(served, trait)))
                 .filter(Objects::nonNull)
-                .mapToInt(TraitTrial::count)
-                .max()
-                .orElse(0);
+                .toList();
+    }
+
+    private static int trialCount(List<TraitTrial> trials) {
+        return trials.stream().mapToInt(TraitTrial::count).max().orElse(0);
     }
 
     /**
@@ -337,11 +342,14 @@
      */
     public boolean isSoleSuspect(RequestDigest digest, long untilMillis) {
         return unprovenDigests.contains(digest)
-                && crashes.values().stream()
-                        .anyMatch(crash -> crash.isSuspect(digest)
-                                && !crash.survived()
-                                && crash.atMillis() <= untilMillis
-                                && crash.requests().size() == 1);
+                && losses().anyMatch(crash -> crash.isSuspect(digest)
+                        && crash.atMillis() <= untilMillis
+                        && crash.requests().size() == 1);
+    }
+
+    /** Returns the crashes that their VMs are not known to have survived. */
+    private Stream<CrashReport> losses() {
+        return crashes.values().stream().filter(crash -> !crash.survived());
     }
 
     /**
@@ -352,10 +360,8 @@
      * @return true if it has lost requests and not answered since
      */
     public boolean isLost(VmId vm, long epoch) {
-        return crashes.values().stream()
-                .anyMatch(crash -> !crash.survived()
-                        && crash.id().epoch() == epoch
-                        && crash.id().vm().equals(vm));
+        return losses().map(CrashReport::id)
+                .anyMatch(id -> id.epoch() == epoch && id.vm().equals(vm));
     }
 
     /**
@@ -366,10 +372,8 @@
      * @return true if one has lost requests and not answered since
      */
     public boolean hasLost(ServedRelease served, long sinceMillis) {
-        return crashes.values().stream()
-                .anyMatch(crash -> !crash.survived()
-                        && crash.atMillis() >= sinceMillis
-                        && crash.served().equals(served));
+        return losses().anyMatch(crash ->
+                crash.atMillis() >= sinceMillis && crash.served().equals(served));
     }
 
     /**
@@ -415,16 +419,13 @@
 
     /** Returns the time from which this node may send a trial. */
     private long heldUntilMillis(ServedRelease served, BlamedTraits blame) {
-        int trialCount = 0;
-        long trialEndMillis = Long.MIN_VALUE;
-        for (RequestTrait trait : blame.traits()) {
-            TraitTrial trial = trials.get(new ServedTrait(served, trait));
-            if (trial != null) {
-                trialCount = Math.max(trialCount, trial.count());
-                trialEndMillis = Math.max(trialEndMillis, trial.startedMillis() + TRIAL_MILLIS);
-            }
-        }
-        long holdMillis = blame.served().equals(served) ? FIRST_HOLD_MILLIS << Math.min(trialCount, MAX_DOUBLINGS) : 0;
+        List<TraitTrial> tried = trialsOf(served, blame);
+        long trialEndMillis = tried.stream()
+                .mapToLong(trial -> trial.startedMillis() + TRIAL_MILLIS)
+                .max()
+                .orElse(Long.MIN_VALUE);
+        int doublings = Math.min(trialCount(tried), MAX_DOUBLINGS);
+        long holdMillis = blame.served().equals(served) ? FIRST_HOLD_MILLIS << doublings : 0;
         long firstTurnMillis = Math.max(blame.lastCrashMillis() + holdMillis, trialEndMillis);
         return firstTurnMillis + turn(blame.traits()) * TRIAL_TURN_MILLIS;
     }
@@ -482,7 +483,7 @@
         blamed = inferBlame(nowMillis);
         unproven.clear();
         unprovenDigests.clear();
-        crashes.values().forEach(this::addUnproven);
+        losses().forEach(this::addUnproven);
         news = new CrashNews(
                 digest.of(crashes.values(), trials.values()),
                 List.copyOf(crashes.values()),
@@ -519,14 +520,8 @@
     }
 
     private List<BlamedTraits> inferBlame(long nowMillis) {
-        Map<ServedRelease, List<CrashReport>> crashesByServed = new HashMap<>();
-        for (CrashReport crash : crashes.values()) {
-            if (!crash.survived()) {
-                crashesByServed
-                        .computeIfAbsent(crash.served(), served -> new ArrayList<>())
-                        .add(crash);
-            }
-        }
+        Map<ServedRelease, List<CrashReport>> crashesByServed =
+                losses().collect(Collectors.groupingBy(CrashReport::served));
         Map<ServedRelease, List<BlamedTraits>> blameByServed = new HashMap<>();
         crashesByServed.forEach(
                 (served, reports) -> blameByServed.put(served, BlameInference.infer(reports, Set.of(), nowMillis)));
--- a/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/PoisonGuard.java
@@ -38,10 +38,6 @@
         return detector;
     }
 
-    private boolean isIdle() {
-        return detector.blamed().isEmpty();
-    }
-
     private boolean isSuspect(Arrival arrival) {
         return !detector.isIdle() && detector.isSuspect(arrival.queue().upstream(), arrival.traits());
     }
@@ -69,7 +65,7 @@
         boolean due = request.mayHaveRun
                 || (nowMillis >= verdict.untilMillis()
                         && !isOthersTurn(request.queue, verdict.turnMillis(), nowMillis));
-        return due && !isTooCostly(request.queue, request.arrival, nowMillis) && !isCopyRunning(request);
+        return due && !isTooCostly(request.queue, request.arrival, nowMillis, nowMillis) && !isCopyRunning(request);
     }
 
     /**
@@ -108,10 +104,12 @@
     /**
      * Returns whether a copy of a lost request must not be sent, because it alone was lost with its VM and may end the last
      * one. Where several were lost, each of them is most likely sound.
+     *
+     * @param lostUntilMillis monotonic time up to which losses count
      */
-    private boolean isTooCostly(QueueState queue, Arrival arrival, long nowMillis) {
+    private boolean isTooCostly(QueueState queue, Arrival arrival, long lostUntilMillis, long nowMillis) {
         return arrival.digest()
-                        .filter(digest -> detector.isSoleSuspect(digest, nowMillis))
+                        .filter(digest -> detector.isSoleSuspect(digest, lostUntilMillis))
                         .isPresent()
                 && !hasSpareTarget(queue, nowMillis);
     }
@@ -152,8 +150,7 @@
     OptionalLong refusedUntilMillis(QueueState queue, Arrival arrival, long nowMillis) {
         OptionalLong heldUntilMillis = heldUntilMillis(queue, arrival, nowMillis);
         boolean unaffordable = heldUntilMillis.isEmpty()
-                && isSuspect(arrival)
-                && isTooCostly(queue, arrival, nowMillis)
+                && isTooCostly(queue, arrival, nowMillis, nowMillis)
                 && queue.targets.stream()
                         .noneMatch(state -> verdict(state, arrival, nowMillis) instanceof PoisonVerdict.Free);
         return unaffordable ? OptionalLong.of(nowMillis + UNAFFORDABLE_RETRY_MILLIS) : heldUntilMillis;
@@ -167,17 +164,13 @@
         if (!waiting.mayHaveRun) {
             return refusedUntilMillis(waiting.queue, waiting.arrival, nowMillis);
         }
-        boolean alone = isTooCostly(waiting.queue, waiting.arrival, nowMillis)
-                && waiting.arrival
-                        .digest()
-                        .filter(digest -> detector.isSoleSuspect(digest, nowMillis - OTHER_LOSSES_MILLIS))
-                        .isPresent();
+        boolean alone = isTooCostly(waiting.queue, waiting.arrival, nowMillis - OTHER_LOSSES_MILLIS, nowMillis);
         return alone ? OptionalLong.of(nowMillis) : heldUntilMillis(waiting.queue, waiting.arrival, nowMillis);
     }
 
     /** Returns whether a request that was sent and is not being answered must be withdrawn. */
     boolean isToBeWithdrawn(RequestState request, long nowMillis) {
-        return !isIdle()
+        return !detector.blamed().isEmpty()
                 && !request.trial
                 && !request.answering
                 && verdict(request.target, request.arrival, nowMillis) instanceof PoisonVerdict.Held held
