--- a/relay/src/main/java/org/apricotdeal/relay/policy/Arrival.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/Arrival.java
@@ -81,17 +81,7 @@
      * @return request that differs in its size only
      */
     public Arrival withSize(RequestSize stated) {
-        return new Arrival(
-                id,
-                queue,
-                route,
-                sharedParts,
-                customer,
-                priority,
-                arrivedMillis,
-                deadlineMillis,
-                Optional.of(stated),
-                digest);
+        return with(Optional.of(stated), digest);
     }
 
     /**
@@ -101,17 +91,12 @@
      * @return request that differs in its digest only
      */
     public Arrival withDigest(RequestDigest content) {
+        return with(size, Optional.of(content));
+    }
+
+    private Arrival with(Optional<RequestSize> newSize, Optional<RequestDigest> newDigest) {
         return new Arrival(
-                id,
-                queue,
-                route,
-                sharedParts,
-                customer,
-                priority,
-                arrivedMillis,
-                deadlineMillis,
-                size,
-                Optional.of(content));
+                id, queue, route, sharedParts, customer, priority, arrivedMillis, deadlineMillis, newSize, newDigest);
     }
 
     /**
