--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -194,8 +195,7 @@
         }
         sentEarlyMillis = nowMillis;
         for (Peer peer : fleet.peerSnapshot().peers()) {
-            Long pendingMillis = pendingSinceMillis.get(peer.name());
-            boolean silent = pendingMillis != null && nowMillis - pendingMillis > PERIOD_MILLIS;
+            boolean silent = pendingMillis(peer).orElse(0) > PERIOD_MILLIS;
             if (lastRecipients.contains(peer.name()) && !silent) {
                 send(peer);
             }
@@ -204,8 +204,13 @@
 
     /** Returns whether a heartbeat is under way, so that they do not accumulate for an unresponsive peer. */
     private boolean isPending(Peer peer) {
+        return pendingMillis(peer).orElse(TIMEOUT_MILLIS) < TIMEOUT_MILLIS;
+    }
+
+    /** Returns the time since the last heartbeat was sent to a peer that has not responded to it. */
+    private OptionalLong pendingMillis(Peer peer) {
         Long sinceMillis = pendingSinceMillis.get(peer.name());
-        return sinceMillis != null && clock.monotonicMillis() - sinceMillis < TIMEOUT_MILLIS;
+        return sinceMillis == null ? OptionalLong.empty() : OptionalLong.of(clock.monotonicMillis() - sinceMillis);
     }
 
     private VmWatcher.Source vmSource() {
