--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/AnswerLostToReplacementTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/AnswerLostToReplacementTest.java
@@ -21,14 +21,10 @@
 
     @BeforeClass
     public void start() throws Exception {
-        fleet = new RelayFleet(1, 1);
-        fleet.configure(3, RelayFleet.KEY);
-        fleet.awaitServing(15);
+        fleet = RelayFleet.serving(1, 1);
         fleet.store.put(
                 "op/config",
-                RelayFleet.configuration(4, RelayFleet.KEY)
-                        .replace("\"timeout-ms\":1000", "\"timeout-ms\":6000")
-                        .replace("\"timeout-ms\":2000", "\"timeout-ms\":6000")
+                RelayFleet.patientConfiguration(4)
                         .replace("\"type\":\"non_idempotent\"", "\"type\":\"idempotent\"")
                         .replace("\"max-attempts\":1", "\"max-attempts\":2"));
     }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ClosedWhileSendingTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ClosedWhileSendingTest.java
@@ -20,9 +20,7 @@
 
     @BeforeClass
     void start() throws Exception {
-        fleet = new RelayFleet(1, 1);
-        fleet.configure(3, RelayFleet.KEY);
-        fleet.awaitServing(15);
+        fleet = RelayFleet.serving(1, 1);
     }
 
     @AfterClass
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/CrashingRequestNodesTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/CrashingRequestNodesTest.java
@@ -28,9 +28,7 @@
 
     @BeforeMethod
     public void start() throws Exception {
-        fleet = new RelayFleet(4, 5);
-        fleet.configure(3, RelayFleet.KEY);
-        fleet.awaitServing(15);
+        fleet = RelayFleet.serving(4, 5);
         for (int i = 0; i < 4; i++) {
             int index = i;
             vms.add(new ScriptedServer(connection -> serve(index, connection)));
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/EndlessRequestTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/EndlessRequestTest.java
@@ -33,9 +33,7 @@
 
     @BeforeMethod
     public void start() throws Exception {
-        fleet = new RelayFleet(1, 1);
-        fleet.configure(3, RelayFleet.KEY);
-        fleet.awaitServing(15);
+        fleet = RelayFleet.serving(1, 1);
     }
 
     @AfterMethod(alwaysRun = true)
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/EndlessResponseTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/EndlessResponseTest.java
@@ -34,9 +34,7 @@
 
     @BeforeMethod
     public void start() throws Exception {
-        fleet = new RelayFleet(1, 1);
-        fleet.configure(3, RelayFleet.KEY);
-        fleet.awaitServing(15);
+        fleet = RelayFleet.serving(1, 1);
     }
 
     @AfterMethod(alwaysRun = true)
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/PoisonNodesTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/PoisonNodesTest.java
@@ -19,9 +19,7 @@
 
     @BeforeMethod
     public void start() throws Exception {
-        fleet = new RelayFleet(12, 40);
-        fleet.configure(3, RelayFleet.KEY);
-        fleet.awaitServing(15);
+        fleet = RelayFleet.serving(12, 40);
         fleet.engines.forEach(engine -> engine.breakStreamsOn("dead"));
     }
 
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RefusalTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RefusalTest.java
@@ -17,9 +17,7 @@
 
     @BeforeClass
     public void start() throws Exception {
-        fleet = new RelayFleet(1, 1);
-        fleet.configure(3, RelayFleet.KEY);
-        fleet.awaitServing(15);
+        fleet = RelayFleet.serving(1, 1);
     }
 
     @AfterClass(alwaysRun = true)
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayFleet.java
@@ -65,6 +65,30 @@
         node.start();
     }
 
+    /** Starts a fleet whose node serves by version 3 of the configuration. */
+    static RelayFleet serving(int events, long gapMillis) throws Exception {
+        return serving(events, gapMillis, DRAIN_MILLIS);
+    }
+
+    static RelayFleet serving(int events, long gapMillis, long drainMillis) throws Exception {
+        RelayFleet fleet = new RelayFleet(events, gapMillis, drainMillis);
+        try {
+            fleet.configure(3, KEY);
+            fleet.awaitServing(15);
+            return fleet;
+        } catch (Throwable e) {
+            fleet.close();
+            throw e;
+        }
+    }
+
+    /** Returns a configuration whose routes leave requests 6 s. */
+    static String patientConfiguration(long version) {
+        return configuration(version, KEY)
+                .replace("\"timeout-ms\":1000", "\"timeout-ms\":6000")
+                .replace("\"timeout-ms\":2000", "\"timeout-ms\":6000");
+    }
+
     /** An additional node that uses the same store. */
     record Member(RelayNode node, String callerAddress, String metricsAddress) implements AutoCloseable {
         @Override
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayNodeTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayNodeTest.java
@@ -39,9 +39,7 @@
     }
 
     private void start(int events, long gapMillis) throws Exception {
-        fleet = new RelayFleet(events, gapMillis);
-        fleet.configure(3, RelayFleet.KEY);
-        fleet.awaitServing(15);
+        fleet = RelayFleet.serving(events, gapMillis);
     }
 
     private static List<Map<String, String>> runsOf(RelayFleet fleet, String id) {
@@ -331,9 +329,7 @@
     /** Long responses to requests accepted later would not complete before the end of the process. */
     @Test
     public void stoppingNodeRejectsRequestsThreeSecondsAfterSignal() throws Exception {
-        fleet = new RelayFleet(1, 1, 8_000);
-        fleet.configure(3, RelayFleet.KEY);
-        fleet.awaitServing(15);
+        fleet = RelayFleet.serving(1, 1, 8_000);
         Thread stopper = Thread.ofPlatform().unstarted(fleet.node::stopGracefully);
         try (Socket socket = fleet.connect(fleet.callerAddress)) {
             stopper.start();
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SilentVmTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SilentVmTest.java
@@ -26,14 +26,8 @@
 
     @BeforeMethod
     public void start() throws Exception {
-        fleet = new RelayFleet(1, 1);
-        fleet.configure(3, RelayFleet.KEY);
-        fleet.awaitServing(15);
-        fleet.store.put(
-                "op/config",
-                RelayFleet.configuration(4, RelayFleet.KEY)
-                        .replace("\"timeout-ms\":1000", "\"timeout-ms\":6000")
-                        .replace("\"timeout-ms\":2000", "\"timeout-ms\":6000"));
+        fleet = RelayFleet.serving(1, 1);
+        fleet.store.put("op/config", RelayFleet.patientConfiguration(4));
     }
 
     @AfterMethod(alwaysRun = true)
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/VmAnswersTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/VmAnswersTest.java
@@ -22,9 +22,7 @@
 
     @BeforeMethod
     public void start() throws Exception {
-        fleet = new RelayFleet(4, 5);
-        fleet.configure(3, RelayFleet.KEY);
-        fleet.awaitServing(15);
+        fleet = RelayFleet.serving(4, 5);
     }
 
     @AfterMethod(alwaysRun = true)
