--- a/lab/src/main/java/org/apricotdeal/lab/soak/TargetsNode.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/TargetsNode.java
@@ -382,8 +382,8 @@
                             toldRevisions.getOrDefault(send.target().id().vm(), StoreRevision.NONE);
                     later(1 + random.nextLong(MAX_CONNECT_MILLIS), () -> begin(send, toldRevision));
                 }
-                case RelayAction.CancelAttempt(ExchangeId id) -> attempts.remove(id);
-                case RelayAction.DropAttempt(AttemptId attempt) -> attempts.remove(attempt.exchange(), attempt);
+                case RelayAction.CancelAttempts(ExchangeId id) -> attempts.remove(id);
+                case RelayAction.CancelAttempt(AttemptId attempt) -> attempts.remove(attempt.exchange(), attempt);
                 case RelayAction.Refuse refusal -> attempts.remove(refusal.id());
                 case RelayAction.GiveUp(ExchangeId id, RefusalReason reason) -> attempts.remove(id);
                 case RelayAction.DropExchange(ExchangeId id) -> attempts.remove(id);
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/PoisonedFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/PoisonedFleet.java
@@ -424,8 +424,8 @@
                     calls.get(refusal.id()).retryAfterMillis = refusal.retryAfterMillis();
                 }
                 case RelayAction.GiveUp failure -> calls.get(failure.id()).failed = true;
-                case RelayAction.CancelAttempt(ExchangeId id) -> cancel(calls.get(id));
-                case RelayAction.DropAttempt(AttemptId attempt) ->
+                case RelayAction.CancelAttempts(ExchangeId id) -> cancel(calls.get(id));
+                case RelayAction.CancelAttempt(AttemptId attempt) ->
                     replicas.forEach(replica -> replica.running.remove(attempt));
                 case RelayAction.DropExchange dropped -> {}
                 case RelayAction.SuspectTarget suspected -> {}
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayDispatcherTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/RelayDispatcherTest.java
@@ -175,10 +175,10 @@
     private static void assertMoved(RelayFixture relay, List<RelayAction> actions, RelayAction.Send sent) {
         RelayAction.Send second = RelayFixture.onlySend(actions);
         assertNotEquals(second.target(), sent.target());
-        assertEquals(RelayFixture.actionsOfType(actions, RelayAction.CancelAttempt.class), List.of());
+        assertEquals(RelayFixture.actionsOfType(actions, RelayAction.CancelAttempts.class), List.of());
         assertEquals(relay.dispatcher.runningRequests().size(), 2);
         List<RelayAction> onAnswer = relay.step(new RelayEvent.AnswerUsed(second.attempt()));
-        assertEquals(onAnswer, List.of(new RelayAction.DropAttempt(sent.attempt())));
+        assertEquals(onAnswer, List.of(new RelayAction.CancelAttempt(sent.attempt())));
         assertEquals(relay.dispatcher.runningRequests(), Map.of(second.target().id(), 1));
     }
 
@@ -206,7 +206,7 @@
             List<RelayAction> actions = callerLeaves
                     ? relay.step(new RelayEvent.CallerDisconnected(first.id()))
                     : relay.advance(RelayFixture.TIMEOUT_MILLIS);
-            assertTrue(actions.contains(new RelayAction.CancelAttempt(first.id())), actions.toString());
+            assertTrue(actions.contains(new RelayAction.CancelAttempts(first.id())), actions.toString());
             assertEquals(relay.dispatcher.runningRequests(), Map.of());
         }
     }
@@ -257,7 +257,7 @@
         RelayAction.Send first = RelayFixture.onlySend(relay.arrive(RetrySafety.STREAM));
         RelayFixture.onlySend(relay.advance(600));
         List<RelayAction> actions = relay.step(new RelayEvent.RequestFinished(first.attempt()));
-        assertEquals(actions, List.of(new RelayAction.CancelAttempt(first.id())));
+        assertEquals(actions, List.of(new RelayAction.CancelAttempts(first.id())));
         assertEquals(relay.dispatcher.runningRequests(), Map.of());
     }
 
@@ -341,7 +341,7 @@
         RelayAction.Send sent = RelayFixture.onlySend(relay.arrive(RetrySafety.ONCE));
         List<RelayAction> actions = relay.step(new RelayEvent.CallerDisconnected(sent.id()));
         assertEquals(
-                RelayFixture.actionsOfType(actions, RelayAction.CancelAttempt.class)
+                RelayFixture.actionsOfType(actions, RelayAction.CancelAttempts.class)
                         .size(),
                 1);
         assertEquals(relay.dispatcher.runningRequests(), Map.of());
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SuspectPromptTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SuspectPromptTest.java
@@ -74,7 +74,7 @@
         RelayAction.Send deadly = send(arrival("dead"));
         RelayAction.Send unbegun = send(arrival("dead"));
         List<RelayAction> actions = loseTwice(deadly);
-        assertTrue(actions.contains(new RelayAction.CancelAttempt(unbegun.id())), actions.toString());
+        assertTrue(actions.contains(new RelayAction.CancelAttempts(unbegun.id())), actions.toString());
         assertTrue(
                 failures(actions).contains(new RelayAction.GiveUp(unbegun.id(), RefusalReason.SUSPECT_REQUEST)),
                 actions.toString());
@@ -88,7 +88,7 @@
         relay.dispatcher.recordAnswering(relay.nowMillis, begun.attempt(), 30);
         List<RelayAction> actions = loseTwice(deadly);
         assertEquals(failures(actions).size(), 1);
-        assertTrue(!actions.contains(new RelayAction.CancelAttempt(begun.id())), actions.toString());
+        assertTrue(!actions.contains(new RelayAction.CancelAttempts(begun.id())), actions.toString());
     }
 
     /** Guards against a part whose answers are short being held for good, because no trial could clear it. */
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -360,8 +360,8 @@
             case RelayAction.Send send -> send.id();
             case RelayAction.Refuse refusal -> refusal.id();
             case RelayAction.GiveUp(ExchangeId id, RefusalReason reason) -> id;
-            case RelayAction.CancelAttempt(ExchangeId id) -> id;
-            case RelayAction.DropAttempt(AttemptId attempt) -> attempt.exchange();
+            case RelayAction.CancelAttempts(ExchangeId id) -> id;
+            case RelayAction.CancelAttempt(AttemptId attempt) -> attempt.exchange();
             case RelayAction.DropExchange(ExchangeId id) -> id;
             case RelayAction.SuspectTarget suspicion -> NO_EXCHANGE;
         };
@@ -372,8 +372,8 @@
             case RelayAction.Send send -> send(send);
             case RelayAction.Refuse refusal -> refuse(refusal);
             case RelayAction.GiveUp(ExchangeId id, RefusalReason reason) -> giveUp(id, reason);
-            case RelayAction.CancelAttempt(ExchangeId id) -> cancelAttempts(id, attempt -> true);
-            case RelayAction.DropAttempt(AttemptId dropped) ->
+            case RelayAction.CancelAttempts(ExchangeId id) -> cancelAttempts(id, attempt -> true);
+            case RelayAction.CancelAttempt(AttemptId dropped) ->
                 cancelAttempts(dropped.exchange(), attempt -> attempt.id().equals(dropped));
             case RelayAction.DropExchange(ExchangeId id) -> dropExchange(id);
             case RelayAction.SuspectTarget(Target target, String reason) -> suspectTarget(target, reason);
@@ -388,7 +388,7 @@
                 closeUnanswered(exchange);
                 yield List.of();
             }
-            case RelayAction.CancelAttempt _, RelayAction.DropAttempt _, RelayAction.SuspectTarget _ -> List.of();
+            case RelayAction.CancelAttempts _, RelayAction.CancelAttempt _, RelayAction.SuspectTarget _ -> List.of();
         };
     }
 
@@ -464,7 +464,7 @@
     /** Ends a request whatever the dispatcher thinks of it. */
     private void end(Exchange exchange, RelayAction lastAction) {
         ExchangeId id = exchange.arrival().id();
-        execute(List.of(new RelayAction.CancelAttempt(id), lastAction));
+        execute(List.of(new RelayAction.CancelAttempts(id), lastAction));
         execute(dispatcher.step(clock.monotonicMillis(), new RelayEvent.CallerDisconnected(id)));
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayAction.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayAction.java
@@ -47,14 +47,14 @@
      *
      * @param id exchange of the attempts
      */
-    record CancelAttempt(ExchangeId id) implements RelayAction {}
+    record CancelAttempts(ExchangeId id) implements RelayAction {}
 
     /**
      * Cancels one of several running attempts, because the answer of another one is used; its outcome is ignored.
      *
      * @param attempt attempt to cancel
      */
-    record DropAttempt(AttemptId attempt) implements RelayAction {}
+    record CancelAttempt(AttemptId attempt) implements RelayAction {}
 
     /**
      * Discards an exchange whose caller has disconnected.
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -300,7 +300,7 @@
     private void onAnswerUsed(AttemptId attempt) {
         if (running(attempt).isPresent()) {
             RequestState request = requests.get(attempt.exchange());
-            request.endBeside(attempt).forEach(other -> actions.add(new RelayAction.DropAttempt(other)));
+            request.endBeside(attempt).forEach(other -> actions.add(new RelayAction.CancelAttempt(other)));
             dispatchWaiting(request.queue);
         }
     }
@@ -313,7 +313,7 @@
         }
         registry.queue(request.arrival.queue()).waiting.remove(request);
         if (!request.runningBeside(attempt).isEmpty()) {
-            actions.add(new RelayAction.CancelAttempt(attempt.exchange()));
+            actions.add(new RelayAction.CancelAttempts(attempt.exchange()));
         }
         request.runningAttempt(attempt).ifPresent(finished -> {
             finished.target.recordProgress(nowMillis);
@@ -332,7 +332,7 @@
         request.queue.waiting.remove(request);
         if (request.running()) {
             request.release();
-            actions.add(new RelayAction.CancelAttempt(id));
+            actions.add(new RelayAction.CancelAttempts(id));
         }
         actions.add(new RelayAction.DropExchange(id));
         dispatchWaiting(request.queue);
@@ -459,7 +459,7 @@
         }
         request.mayHaveRun = true;
         request.release();
-        actions.add(new RelayAction.CancelAttempt(request.arrival.id()));
+        actions.add(new RelayAction.CancelAttempts(request.arrival.id()));
         failSuspect(request, nowMillis);
     }
 
@@ -560,7 +560,7 @@
         if (request.running()) {
             request.mayHaveRun = true;
             request.release();
-            actions.add(new RelayAction.CancelAttempt(request.arrival.id()));
+            actions.add(new RelayAction.CancelAttempts(request.arrival.id()));
         }
         fail(request, RefusalReason.TIMEOUT);
     }
