A planner that takes over knows the loads that VMs execute for its predecessor

Callers saw 503 for the large model while VMs that could have joined it had no load. Cause: loads in progress were known to the planner that had ordered them only. Its successor ordered others at the same VMs, was refused with 409, and ordered the next load at the same VM again, since a blank VM comes first; no other VM got a load until the first one ended. An order for the same model was answered 202 without being counted, so the order count of the next Join was wrong and the replica was not formed.

Change: the planner takes a VM that reports that it executes an order for one that loads, until its weights change or it reports the end.

--- a/lab/src/main/java/org/apricotdeal/lab/soak/TargetsVm.java
+++ b/lab/src/main/java/org/apricotdeal/lab/soak/TargetsVm.java
@@ -76,6 +76,7 @@
                 List.of(),
                 Optional.empty(),
                 Optional.empty(),
-                OptionalLong.of(Math.max(0, coldUntilMillis - nowMillis)));
+                OptionalLong.of(Math.max(0, coldUntilMillis - nowMillis)),
+                false);
     }
 }
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ModelBalanceTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ModelBalanceTest.java
@@ -106,6 +106,29 @@
         assertEquals(fleet.closeOrders(), 0);
     }
 
+    /**
+     * Guards against a fault in which a planner that took over ordered loads at VMs that were loading for its predecessor, again
+     * and again, and none at the others.
+     *
+     * @param shape size of the fleet and of the large model's replicas
+     * @param seed seed of the run
+     */
+    @Test(dataProvider = "fleets")
+    public void successorRepeatedLoadsAndOrderedNoOthers(SimFleet.Shape shape, long seed) {
+        SimFleet fleet = startedFleet(seed, shape);
+        fleet.loadShare = 2;
+        fleet.demand = new ModelDemand(Map.of(LARGE, 0.9, SMALL, 0.1), Set.of());
+        SimVm loading = fleet.add(0);
+        fleet.run(12 * STEP_MILLIS);
+        assertTrue(loading.report().busy(), "the first load has not begun");
+        fleet.demand = new ModelDemand(Map.of(LARGE, 0.1, SMALL, 0.9), Set.of());
+        fleet.handOverPlanning();
+        SimVm blank = fleet.add(1);
+        fleet.run(8 * STEP_MILLIS);
+        assertEquals(fleet.refusedStageOrders(), 0, "loads were ordered at VMs that were loading");
+        assertTrue(blank.report().busy(), "a blank VM waits for its load");
+    }
+
     private static SimFleet startedFleet(long seed, SimFleet.Shape shape) {
         SimFleet fleet = new SimFleet(seed, shape);
         fleet.loadShare = LOAD_SHARE;
--- a/relay/src/main/java/org/apricotdeal/relay/model/UpstreamVm.java
+++ b/relay/src/main/java/org/apricotdeal/relay/model/UpstreamVm.java
@@ -26,6 +26,7 @@
  * @param loadedModel model of its last replica since its start, if known
  * @param group membership in a replica, or empty
  * @param coldRemainingMillis time for which the VM remained cold when it wrote this; empty if that is not known
+ * @param busy whether it executed an order when it last reported its state; false if it has not reported it
  */
 public record UpstreamVm(
         VmId id,
@@ -41,7 +42,8 @@
         List<ModelId> stagedModels,
         Optional<ModelId> loadedModel,
         Optional<GroupMembership> group,
-        OptionalLong coldRemainingMillis) {
+        OptionalLong coldRemainingMillis,
+        boolean busy) {
     /** Order count of a VM that has not reported it; a VM reports it when its state is polled. */
     public static final long ORDER_COUNT_UNKNOWN = -1;
 
@@ -95,7 +97,8 @@
                 stagedModels,
                 loadedModel,
                 group,
-                OptionalLong.of(0));
+                OptionalLong.of(0),
+                false);
     }
 
     /**
@@ -116,7 +119,7 @@
      * @return modified copy
      */
     public UpstreamVm withOrdersAndGroup(long otherOrders, Optional<GroupMembership> otherGroup) {
-        return copy(leaving, fabricDomain, otherOrders, stagedModels, loadedModel, otherGroup);
+        return copy(leaving, fabricDomain, otherOrders, stagedModels, loadedModel, otherGroup, busy);
     }
 
     /**
@@ -125,18 +128,29 @@
      * @return modified copy
      */
     public UpstreamVm withLeaving() {
-        return copy(true, fabricDomain, orderCount, stagedModels, loadedModel, group);
+        return copy(true, fabricDomain, orderCount, stagedModels, loadedModel, group, busy);
     }
 
     /**
-     * Returns a copy with the weights and the fabric domain of a report.
+     * Returns a copy that executes an order, or does not.
+     *
+     * @param nowBusy whether it executes an order
+     * @return modified copy
+     */
+    public UpstreamVm withBusy(boolean nowBusy) {
+        return copy(leaving, fabricDomain, orderCount, stagedModels, loadedModel, group, nowBusy);
+    }
+
+    /**
+     * Returns a copy with the weights, the fabric domain and the activity of a report.
      *
      * @param report report of the same VM
      * @return modified copy
      */
     public UpstreamVm withWeights(VmReport report) {
         Optional<FabricDomainId> reportedDomain = report.fabricDomain().or(() -> fabricDomain);
-        return copy(leaving, reportedDomain, orderCount, report.stagedModels(), report.loadedModel(), group);
+        return copy(
+                leaving, reportedDomain, orderCount, report.stagedModels(), report.loadedModel(), group, report.busy());
     }
 
     /** Returns a copy with the fields that change while the VM runs. */
@@ -146,7 +160,8 @@
             long newOrderCount,
             List<ModelId> newStagedModels,
             Optional<ModelId> newLoadedModel,
-            Optional<GroupMembership> newGroup) {
+            Optional<GroupMembership> newGroup,
+            boolean newBusy) {
         return new UpstreamVm(
                 id,
                 upstream,
@@ -161,6 +176,7 @@
                 newStagedModels,
                 newLoadedModel,
                 newGroup,
-                coldRemainingMillis);
+                coldRemainingMillis,
+                newBusy);
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaPlanner.java
@@ -158,6 +158,7 @@
     public List<VmId> vmsToPoll() {
         List<VmId> vms = new ArrayList<>(orders.vmsWithOrders());
         if (input != null) {
+            vms.addAll(staging.vmsWithOverdueLoads(input.nowMillis()));
             for (UpstreamVm vm : input.vms()) {
                 boolean joining = vm.group()
                         .map(group -> group.phase() == GroupPhase.JOINING)
@@ -195,7 +196,7 @@
         if (firstPlanMillis < 0) {
             firstPlanMillis = latestInput.nowMillis();
         }
-        staging.removeEndedLoads(latestInput);
+        staging.updateLoads(latestInput);
         List<ReplicaGroup> groups = ReplicaGroups.of(latestInput.vms(), latestInput.engine());
         heads.observe(latestInput, groups);
         List<ReplicaGroup> activeGroups = groups.stream().filter(this::maintain).toList();
--- a/relay/src/main/java/org/apricotdeal/relay/policy/WeightStaging.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/WeightStaging.java
@@ -31,8 +31,22 @@
     private final WeightLoadLimiter limit = new WeightLoadLimiter();
     private final Map<VmId, Load> loadsInProgress = new HashMap<>();
 
-    /** A load of weights that a host was ordered to begin. */
-    private record Load(ModelId model, long untilMillis) {}
+    /**
+     * A load of weights that a host was ordered to begin.
+     *
+     * @param model model that is loaded; empty if another planner has ordered it
+     * @param stagedBefore models whose weights were on the host when the load became known
+     * @param overdueMillis time after which a load that this planner has ordered counts as failed, and the VM is asked for
+     * another one
+     */
+    private record Load(Optional<ModelId> model, List<ModelId> stagedBefore, long overdueMillis) {
+        boolean hasEnded(UpstreamVm vm, long nowMillis) {
+            if (model.isEmpty()) {
+                return !vm.busy() || !vm.stagedModels().equals(stagedBefore);
+            }
+            return nowMillis >= overdueMillis || vm.stagedModels().contains(model.get());
+        }
+    }
 
     /**
      * A load to order.
@@ -59,22 +73,46 @@
             Predicate<UpstreamVm> serving,
             Predicate<UpstreamVm> canOrder) {}
 
-    /** Removes loads that have ended and loads of VMs that are gone. */
-    void removeEndedLoads(ReplicaPlanner.Input planning) {
+    /**
+     * Removes loads that have ended and loads of VMs that are gone, and adds those that VMs execute for another planner: a
+     * host executes one load at a time, so an order for another one would be refused until its end.
+     */
+    void updateLoads(ReplicaPlanner.Input planning) {
         Map<VmId, UpstreamVm> vms = new HashMap<>();
         planning.vms().forEach(vm -> vms.put(vm.id(), vm));
         loadsInProgress.entrySet().removeIf(entry -> {
             UpstreamVm vm = vms.get(entry.getKey());
-            return vm == null
-                    || planning.nowMillis() >= entry.getValue().untilMillis()
-                    || vm.stagedModels().contains(entry.getValue().model());
+            return vm == null || entry.getValue().hasEnded(vm, planning.nowMillis());
         });
+        long longestLoadMillis = planning.engine().models().stream()
+                .mapToLong(ModelSpec::coldLoadMillis)
+                .max()
+                .orElse(0);
+        for (UpstreamVm vm : planning.vms()) {
+            if (vm.busy() && vm.group().isEmpty()) {
+                loadsInProgress.putIfAbsent(
+                        vm.id(),
+                        new Load(Optional.empty(), vm.stagedModels(), planning.nowMillis() + 2 * longestLoadMillis));
+            }
+        }
+    }
+
+    /** Returns the VMs that execute loads for other planners for so long that their last report may be outdated. */
+    List<VmId> vmsWithOverdueLoads(long nowMillis) {
+        return loadsInProgress.entrySet().stream()
+                .filter(entry -> entry.getValue().model().isEmpty()
+                        && nowMillis >= entry.getValue().overdueMillis())
+                .map(Map.Entry::getKey)
+                .toList();
     }
 
     void onBegun(Choice choice, long nowMillis) {
         loadsInProgress.put(
                 choice.vm().id(),
-                new Load(choice.model().id(), nowMillis + 2 * choice.model().coldLoadMillis()));
+                new Load(
+                        Optional.of(choice.model().id()),
+                        choice.vm().stagedModels(),
+                        nowMillis + 2 * choice.model().coldLoadMillis()));
     }
 
     void onEnded(VmId vm) {
@@ -91,7 +129,7 @@
 
     boolean isLoading(UpstreamVm vm, ModelId model) {
         Load load = loadsInProgress.get(vm.id());
-        return load != null && load.model().equals(model);
+        return load != null && load.model().equals(Optional.of(model));
     }
 
     /**
