A node that does not reach the VMs plans no more

Cause: whether a VM answers was judged by the planner's own calls alone. Change: IsolationDetector tells the loss of a node's links from the loss of VMs: most VMs have been silent for a second, and no other node that is heard reports them. An isolated node is no candidate for planning and says so in its heartbeats, as a stopping one does.

--- /dev/null
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/IsolationDetectorTest.java
@@ -0,0 +1,76 @@
+package org.apricotdeal.proofs.relay;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import org.apricotdeal.kernel.id.VmId;
+import org.apricotdeal.relay.policy.IsolationDetector;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+/** Tests that a node tells the loss of its own links from the loss of VMs. */
+public final class IsolationDetectorTest {
+    private static final int LISTED = 20;
+
+    /** Time within which a node has to know that it is isolated. */
+    private static final long CONTACT_MILLIS = 3_000;
+
+    private static final long TICK_MILLIS = 100;
+
+    @DataProvider
+    static Object[][] losses() {
+        return new Object[][] {
+            // name, silent VMs, of which other nodes report, peers are heard, isolated
+            {"one VM is silent", 1, 0, true, false},
+            {"a fabric domain is lost", 10, 10, true, false},
+            {"the links are lost", 20, 0, true, true},
+            {"most links are lost", 12, 0, true, true},
+            {"few links are lost", 5, 0, true, false},
+            {"links are lost beside a fabric domain", 20, 5, true, true},
+            {"the node is cut off from the other nodes too", 20, 0, false, false},
+        };
+    }
+
+    @Test(dataProvider = "losses")
+    public void isolationIsToldFromLossOfVms(
+            String name, int silentCount, int reportedCount, boolean peersHeard, boolean isolated) {
+        IsolationDetector detector = new IsolationDetector();
+        for (long nowMillis = 0; nowMillis < CONTACT_MILLIS; nowMillis += TICK_MILLIS) {
+            if (nowMillis >= 5 * TICK_MILLIS) {
+                detector.recordPeerReport(vms(reportedCount), nowMillis);
+            }
+            detector.update(LISTED, vms(silentCount), peersHeard, nowMillis);
+        }
+        assertEquals(detector.isIsolated(), isolated, name);
+    }
+
+    /** Silences of sound VMs last a second or so. */
+    @Test
+    public void shortSilenceOfAllVmsIsNoIsolation() {
+        IsolationDetector detector = new IsolationDetector();
+        for (long nowMillis = 0; nowMillis < CONTACT_MILLIS; nowMillis += TICK_MILLIS) {
+            detector.update(LISTED, vms(nowMillis < 900 ? LISTED : 0), true, nowMillis);
+            assertEquals(detector.isIsolated(), false, "at " + nowMillis);
+        }
+    }
+
+    @Test
+    public void isolationEndsWhenMostVmsAnswer() {
+        IsolationDetector detector = new IsolationDetector();
+        detector.update(LISTED, vms(LISTED), true, 0);
+        detector.update(LISTED, vms(LISTED), true, 1_000);
+        assertEquals(detector.isIsolated(), true);
+        detector.update(LISTED, vms(LISTED / 2 - 1), true, 1_100);
+        assertEquals(detector.isIsolated(), false);
+    }
+
+    private static Set<VmId> vms(int count) {
+        Set<VmId> vms = new HashSet<>();
+        for (int i = 0; i < count; i++) {
+            vms.add(new VmId("v" + i));
+        }
+        return vms;
+    }
+}
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -44,7 +44,7 @@
  * Duty that owns the node's view of the VMs and of the other nodes. It derives the targets for the dispatcher, polls
  * suspected VMs for their state, and runs the planners of the failure domains that are assigned to this node.
  */
-final class FleetDuty implements AutoCloseable {
+final class FleetDuty implements VmReach, AutoCloseable {
     private static final int RING_SLOTS = 4_096;
     private static final long TICK_MILLIS = 100;
 
@@ -74,9 +74,6 @@
     /** Time without a heartbeat after which a node is not considered for planning; several heartbeat periods. */
     private static final long PEER_TIMEOUT_MILLIS = 2_000;
 
-    /** Number of unresponsive VMs that a report of a peer may always contain, however small the fleet is. */
-    private static final int MIN_REPORTED_VMS_LIMIT = 4;
-
     /** Startup time of a fleet, during which it gets no requests yet and loading takes less time. */
     private static final long STARTUP_MILLIS = 12_000;
 
@@ -99,6 +96,7 @@
     private final NodeLoadLog nodeLoadLog;
     private final ColdVmFeed coldVms;
     private final FleetDemand peerDemand = new FleetDemand();
+    private final IsolationWatch isolation;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<String, Long> lastHeardMillis = new HashMap<>();
     private final Set<String> stoppingPeers = new HashSet<>();
@@ -112,6 +110,7 @@
     private boolean peersListed;
     private volatile PeerSnapshot peerSnapshot = new PeerSnapshot(List.of(), Set.of(), Map.of());
     private volatile Map<VmId, Long> unresponsiveVms = Map.of();
+    private volatile Set<QueueId> listedQueues = Set.of();
     private boolean hasListedVms;
     private volatile boolean hasPublishedTargets;
     private volatile boolean stopping;
@@ -132,6 +131,7 @@
         this.metrics = metrics;
         this.evacuations = new FleetEvacuations(log, metrics);
         this.nodeLoadLog = new NodeLoadLog(log, metrics);
+        this.isolation = new IsolationWatch(log, metrics);
         this.coldVms = new ColdVmFeed(settings.coldBounds(), log, metrics);
         this.startedMillis = clock.monotonicMillis();
         this.plannerName = plannerName(settings.name(), clock.wallMillis());
@@ -156,23 +156,14 @@
         }
     }
 
-    /** Returns the current snapshot of the other nodes. */
-    PeerSnapshot peerSnapshot() {
+    @Override
+    public PeerSnapshot peerSnapshot() {
         return peerSnapshot;
     }
 
     /** Returns the other nodes whose heartbeats were received recently by any node. */
     List<FleetEvent.NodeSeen> recentlySeenNodes() {
-        long nowMillis = clock.monotonicMillis();
-        PeerSnapshot snapshot = peerSnapshot;
-        List<FleetEvent.NodeSeen> nodes = new ArrayList<>();
-        snapshot.lastHeardMillis().forEach((name, atMillis) -> {
-            if (nowMillis - atMillis < PEER_TIMEOUT_MILLIS) {
-                nodes.add(new FleetEvent.NodeSeen(
-                        name, atMillis, snapshot.stopping().contains(name)));
-            }
-        });
-        return nodes;
+        return peerSnapshot.seenWithin(PEER_TIMEOUT_MILLIS, clock.monotonicMillis());
     }
 
     /** Returns the unresponsive VMs with the times of their last missed calls. */
@@ -185,9 +176,19 @@
         return peerDemand;
     }
 
-    /** Returns whether this node is stopping and no longer plans. */
-    boolean isStopping() {
-        return stopping;
+    /** Returns whether this node plans no more: it is stopping, or cannot reach the VMs. */
+    boolean plansNoMore() {
+        return stopping || isolation.isIsolated();
+    }
+
+    @Override
+    public boolean isIsolated() {
+        return isolation.isIsolated();
+    }
+
+    @Override
+    public boolean isListed(QueueId queue) {
+        return listedQueues.contains(queue);
     }
 
     /** Returns whether the targets of a listed fleet have been passed to the dispatcher; until then it has none. */
@@ -205,7 +206,7 @@
         return coldVms.coldVms();
     }
 
-    /** Returns the node that plans this node's failure domain, as far as this node knows; empty before it has planned. */
+    /** Returns the node that plans this node's failure domain; empty before this node has planned. */
     String planner() {
         return planner;
     }
@@ -242,7 +243,7 @@
             }
             case FleetEvent.VmReported(VmId vm, Result<VmReport, String> report) -> applyReport(vm, report);
             case FleetEvent.VmsSuspected(List<VmId> vms, Optional<String> faultyAddress, String reason) ->
-                faultyVms(vms, faultyAddress).forEach(vm -> poll(vm, REPORT_PERIOD_MILLIS));
+                table.faultyVms(vms, faultyAddress).forEach(vm -> poll(vm, REPORT_PERIOD_MILLIS));
             case FleetEvent.VmLeaves(TargetId target) -> {
                 if (table.recordLeaving(target)) {
                     log.state("vm_leaves").with("vm", target.vm()).write();
@@ -276,16 +277,6 @@
         }
     }
 
-    /** Returns the member of a target with the faulty address, or all its members if none is known by it. */
-    private List<VmId> faultyVms(List<VmId> members, Optional<String> faultyAddress) {
-        List<VmId> faulty = members.stream()
-                .filter(id -> table.find(id)
-                        .filter(vm -> faultyAddress.equals(Optional.of(vm.address())))
-                        .isPresent())
-                .toList();
-        return faulty.isEmpty() ? members : faulty;
-    }
-
     /** Records when a heartbeat of a node was received by this node or a peer; ignored if older than the known time. */
     private void recordHeard(String name, long atMillis, boolean peerStopping) {
         if (name.equals(settings.name()) || atMillis <= lastHeardMillis.getOrDefault(name, Long.MIN_VALUE)) {
@@ -306,12 +297,12 @@
     }
 
     private void suspectReportedVms(Map<VmId, Long> missedMillis) {
-        // A node that finds many VMs unresponsive is probably disconnected or overloaded itself.
-        if (missedMillis.size() > Math.max(MIN_REPORTED_VMS_LIMIT, table.all().size() / 4)) {
+        long nowMillis = clock.monotonicMillis();
+        if (!isolation.acceptsReport(missedMillis.keySet(), table.all().size(), nowMillis)) {
             return;
         }
         missedMillis.forEach((vm, atMillis) -> {
-            if (table.suspectOnPeerReport(vm, atMillis, clock.monotonicMillis())) {
+            if (table.suspectOnPeerReport(vm, atMillis, nowMillis)) {
                 metrics.counter("vms.suspected").inc();
                 poll(vm, 0);
                 targetsOutdated = true;
@@ -399,6 +390,9 @@
         if (table.removeExpired(nowMillis)) {
             targetsOutdated = true;
         }
+        isolation
+                .update(table, this::hasEngine, anyPeerLive(nowMillis), nowMillis)
+                .forEach(vm -> poll(vm, UNRESPONSIVE_REPORT_PERIOD_MILLIS));
         pollUnresponsiveVms();
         unresponsiveVms = table.recentlyUnresponsive(nowMillis);
         nodeLoadLog.tick(nowMillis);
@@ -450,6 +444,7 @@
 
     private void publishTargets() {
         lastPollMillis.keySet().removeIf(id -> table.find(id).isEmpty());
+        listedQueues = TargetBuilder.listedQueues(table, catalogue);
         List<Target> built = TargetBuilder.build(table, catalogue, clock.monotonicMillis());
         if (Set.copyOf(built).equals(Set.copyOf(targets))) {
             return;
@@ -504,9 +499,11 @@
      * is heard.
      */
     private List<PlannerChoice.Candidate> candidates(long nowMillis) {
-        boolean anyPeerLive = peers.keySet().stream().anyMatch(name -> isLive(name, nowMillis));
+        boolean anyPeerLive = anyPeerLive(nowMillis);
         List<PlannerChoice.Candidate> candidates = new ArrayList<>();
-        candidates.add(new PlannerChoice.Candidate(settings.name(), settings.failureDomain()));
+        if (!isIsolated()) {
+            candidates.add(new PlannerChoice.Candidate(settings.name(), settings.failureDomain()));
+        }
         for (Peer peer : peers.values()) {
             if (!stoppingPeers.contains(peer.name()) && (!anyPeerLive || isLive(peer.name(), nowMillis))) {
                 candidates.add(new PlannerChoice.Candidate(peer.name(), peer.failureDomain()));
@@ -515,6 +512,10 @@
         return candidates;
     }
 
+    private boolean anyPeerLive(long nowMillis) {
+        return peers.keySet().stream().anyMatch(name -> isLive(name, nowMillis));
+    }
+
     private boolean isLive(String name, long nowMillis) {
         Long atMillis = lastHeardMillis.get(name);
         return atMillis != null && nowMillis - atMillis < PEER_TIMEOUT_MILLIS;
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -282,7 +282,7 @@
         heartbeat.setVmIncarnation(vmRevision.incarnation());
         heartbeat.setVmAgeMillis((int) Math.min(Integer.MAX_VALUE, vms.ageMillis()));
         heartbeat.setStoreAway(vms.isStoreFailing() || catalogueWatcher.isStoreFailing());
-        heartbeat.setStopping(fleet.isStopping());
+        heartbeat.setStopping(fleet.plansNoMore());
         heartbeat.setCrashDigest(relay.crashNews().news().digest());
         EvacuationCodec.encode(evacuations.current(), heartbeat);
         long nowMillis = clock.monotonicMillis();
--- a/relay/src/main/java/org/apricotdeal/relay/node/PeerSnapshot.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/PeerSnapshot.java
@@ -1,5 +1,6 @@
 package org.apricotdeal.relay.node;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -11,4 +12,15 @@
  * @param stopping names of the nodes that are shutting down
  * @param lastHeardMillis time of the last heartbeat of each node, received by this node or by a different one
  */
-record PeerSnapshot(List<Peer> peers, Set<String> stopping, Map<String, Long> lastHeardMillis) {}
+record PeerSnapshot(List<Peer> peers, Set<String> stopping, Map<String, Long> lastHeardMillis) {
+    /** Returns the nodes that were heard less than a given time ago. */
+    List<FleetEvent.NodeSeen> seenWithin(long millis, long nowMillis) {
+        List<FleetEvent.NodeSeen> nodes = new ArrayList<>();
+        lastHeardMillis.forEach((name, atMillis) -> {
+            if (nowMillis - atMillis < millis) {
+                nodes.add(new FleetEvent.NodeSeen(name, atMillis, stopping.contains(name)));
+            }
+        });
+        return nodes;
+    }
+}
--- a/relay/src/main/java/org/apricotdeal/relay/policy/TargetBuilder.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/TargetBuilder.java
@@ -1,9 +1,11 @@
 package org.apricotdeal.relay.policy;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.EngineProfile;
@@ -38,6 +40,29 @@
         return targets;
     }
 
+    /**
+     * Returns the queues that VMs serve by their entries and reports, whether or not this node reaches them.
+     *
+     * @param table state of the VMs
+     * @param catalogue catalogue in force
+     * @return queues with at least one target
+     */
+    public static Set<QueueId> listedQueues(VmTable table, RelayCatalogue catalogue) {
+        Set<QueueId> queues = new HashSet<>();
+        for (UpstreamEntry upstream : catalogue.upstreams().values()) {
+            List<UpstreamVm> vms = table.all().stream()
+                    .filter(vm -> vm.upstream().equals(upstream.id()) && !vm.leaving())
+                    .toList();
+            if (upstream.engine().isEmpty() && !vms.isEmpty()) {
+                queues.add(new QueueId(upstream.id(), Optional.empty()));
+            }
+            upstream.engine().ifPresent(engine -> ReplicaGroups.of(vms, engine).stream()
+                    .filter(group -> group.open() && group.ready())
+                    .forEach(group -> queues.add(new QueueId(upstream.id(), Optional.of(group.model())))));
+        }
+        return queues;
+    }
+
     private static void addReplicas(
             VmTable table,
             UpstreamEntry upstream,
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -408,6 +408,21 @@
         return Optional.ofNullable(vms.get(id)).map(tracked -> tracked.vm);
     }
 
+    /**
+     * Returns which members of a target to suspect of a failure.
+     *
+     * @param members members of the target
+     * @param faultyAddress address of the member that the target named as faulty; empty if it named none
+     * @return the member with that address, or all members if none has it
+     */
+    public List<VmId> faultyVms(List<VmId> members, Optional<String> faultyAddress) {
+        List<VmId> faulty = members.stream()
+                .filter(id -> faultyAddress.isPresent()
+                        && find(id).map(UpstreamVm::address).equals(faultyAddress))
+                .toList();
+        return faulty.isEmpty() ? members : faulty;
+    }
+
     /**
      * Returns the known state of all VMs.
      *
