A request that a node can send to no VM is handed over to another node

Cause: nothing passed a request on; a node served only by its own connections to VMs. Change: a request that no VM has received, and for which VMs are listed, goes once to another node, at its port for callers: in the same failure domain if one is heard there. That node checks the key by its own catalogue, applies its own limits, and does not hand over again. What it refuses is refused to the caller as before; 502, 504, and a stream that breaks off say that the request may have run. An isolated node hands requests over on arrival. Nodes of earlier releases register no such port and take nothing.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/VmAnswersTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/VmAnswersTest.java
@@ -156,4 +156,23 @@
         assertTrue(answer.contains("X-Attempt-Id: r1"), answer);
         assertFalse(answer.contains("X-Response-Signature"), answer);
     }
+
+    /** The VM gets neither the key nor the mark of a request that another node has handed over. */
+    @Test
+    public void vmGetsNoKeyOfRequestThatWasHandedOver() throws Exception {
+        List<String> heads = new CopyOnWriteArrayList<>();
+        try (ScriptedServer vm = new ScriptedServer(connection -> {
+            ScriptedServer.Received received = connection.read();
+            heads.add(received.head());
+            connection.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + received.header("x-attempt-id")
+                    + "\r\nX-Response-Signature: s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
+        })) {
+            fleet.replaceService("s9", vm, 4);
+            String answer = fleet.call("POST", "/book/x", "r3", RelayFleet.KEY + "\nX-Apricotdeal-Hop: 1");
+            assertTrue(answer.endsWith("ok"), answer);
+        }
+        assertFalse(heads.toString().contains(RelayFleet.KEY), heads.toString());
+        assertFalse(heads.toString().contains("x-apricotdeal-hop"), heads.toString());
+        assertTrue(heads.toString().contains("customer-1"), heads.toString());
+    }
 }
--- a/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
@@ -56,11 +56,13 @@
     private static final int CALLERS = 3;
     private static final String CONFIGURATION = """
             {"version":3,"routes":[{"name":"book","host":"h.example","path-prefix":"/","type":"non_idempotent",
-            "timeout-ms":%d,"target-latency-ms":300,"priority":1,"service":"shop","max-attempts":2,"public":true}],
+            "timeout-ms":%1$d,"target-latency-ms":300,"priority":1,"service":"shop","max-attempts":2,"public":true},
+            {"name":"watch","host":"h.example","path-prefix":"/watch/","type":"streaming","stream-resume":true,
+            "timeout-ms":%1$d,"target-latency-ms":300,"priority":1,"service":"shop","max-attempts":2,"public":true}],
             "services":[{"name":"shop","health-path":"/h","max-connections":50}],"limits":{}}""".formatted(TIMEOUT_MILLIS);
 
     /** Action that fails. */
-    private enum Fault {
+    enum Fault {
         NONE(""),
         REFUSE("refused."),
         GIVE_UP("given.up."),
@@ -168,7 +170,7 @@
                 + "\r\nX-Response-Signature: s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
     }
 
-    private static Target target(String id, String address) {
+    static Target target(String id, String address) {
         return new Target(
                 new TargetId(new VmId(id), 1),
                 new QueueId(new UpstreamId("shop"), Optional.empty()),
@@ -181,12 +183,12 @@
     }
 
     /** The part of a node between callers and VMs, without the store. */
-    private static final class Node implements AutoCloseable {
-        private final RelayDuty relay;
-        private final MetricRegistry metrics;
-        private final DecisionLog log;
+    static final class Node implements AutoCloseable {
+        final RelayDuty relay;
+        final MetricRegistry metrics;
+        final DecisionLog log;
+        final HttpClient client;
         private final QueuedThreadPool threads = RelayClients.newThreadPool();
-        private final HttpClient client;
         private final Server server;
         private final CallerConnector callers;
 
@@ -214,7 +216,16 @@
                     new RetryBudget(10_000, 0.2, 20, 1),
                     fault == Fault.STEP ? failingRandom : random);
             UsersPlatform adapter = new UsersPlatform();
-            relay = new RelayDuty(dispatcher, requests, adapter.headers(), evacuated, clock, random, log, metrics);
+            relay = new RelayDuty(
+                    dispatcher,
+                    requests,
+                    adapter.headers(),
+                    evacuated,
+                    clock,
+                    random,
+                    log,
+                    metrics,
+                    ResourceLimits.of(0, 0));
             CatalogueHolder catalogues = new CatalogueHolder(adapter.codec(), log);
             catalogues.subscribe(catalogue -> relay.put(new RelayEvent.CatalogueChanged(catalogue)));
             catalogues.offer(CONFIGURATION.getBytes(StandardCharsets.UTF_8), "test");
@@ -227,11 +238,17 @@
         }
 
         Socket call(String id) throws IOException {
+            return call(id, "/x", "");
+        }
+
+        /** Sends a request with an additional header line, which may be empty. */
+        Socket call(String id, String path, String header) throws IOException {
             Socket socket = new Socket();
             socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), callers.getLocalPort()));
             socket.setSoTimeout(TIMEOUT_MILLIS + SLACK_MILLIS);
             socket.getOutputStream()
-                    .write(("POST /x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nX-Attempt-Id: " + id
+                    .write(("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n" + header
+                                    + "X-Attempt-Id: " + id
                                     + "\r\nX-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n")
                             .getBytes(StandardCharsets.UTF_8));
             return socket;
--- a/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
@@ -50,7 +50,15 @@
                 new RetryBudget(10_000, 0.2, 20, 1),
                 RandomSource.SPLIT_MIX_64.create(1));
         relay = new RelayDuty(
-                dispatcher, null, null, domain -> false, clock, RandomSource.SPLIT_MIX_64.create(2), log, metrics);
+                dispatcher,
+                null,
+                null,
+                domain -> false,
+                clock,
+                RandomSource.SPLIT_MIX_64.create(2),
+                log,
+                metrics,
+                ResourceLimits.of(0, 0));
         fleet = new FleetDuty(settings(), relay, vmClient, clock, log, metrics);
         if (knowsEvacuations) {
             fleet.put(new FleetEvent.EvacuationsChanged(Set.of()));
--- a/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
@@ -305,6 +305,7 @@
         byte[] text = ("{\"error\":\"" + reason.toLowerCase(Locale.ROOT) + "\"}").getBytes(StandardCharsets.UTF_8);
         response.setStatus(status);
         response.getHeaders().put(headerNames.requestId(), requestId);
+        NodeAttempt.markOwnAnswer(request, response.getHeaders());
         retryAfterSeconds.ifPresent(seconds -> response.getHeaders().put(HttpHeader.RETRY_AFTER, seconds));
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
         response.getHeaders().put(HttpHeader.CONTENT_LENGTH, text.length);
--- a/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IngressHandler.java
@@ -125,6 +125,7 @@
 
     private void answer(Response response, Callback callback, int status, String reason) {
         response.setStatus(status);
+        NodeAttempt.markOwnAnswer(response.getRequest(), response.getHeaders());
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
         BodyDrain drain = new BodyDrain(response.getRequest(), maxDiscardedBytes(), clock);
         boolean bodyComplete = drain.discardArrived();
--- a/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
@@ -131,7 +131,10 @@
                 Names.require(node.getName()),
                 new FailureDomainId(node.getFailureDomain()),
                 address.host() + ":" + address.port(),
-                node.getStartedMillis());
+                node.getStartedMillis(),
+                Optional.ofNullable(node.getCallerAddress())
+                        .map(HostPort::parse)
+                        .map(caller -> caller.host() + ":" + caller.port()));
     }
 
     private static byte[] encode(TRelayNode node) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayClients.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayClients.java
@@ -13,6 +13,9 @@
     /** Enough for the concurrent requests of a node to a VM, and for reports and orders. */
     private static final int MAX_CONNECTIONS_PER_ADDRESS = 24;
 
+    /** Enough for the concurrent streams of a small node. */
+    private static final int MAX_CONNECTIONS_PER_PARTNER = 192;
+
     private static final int MAX_QUEUED_PER_ADDRESS = 64;
     private static final int MIN_THREADS = 4;
     private static final int MAX_THREADS = 12;
@@ -37,6 +40,13 @@
         return threads;
     }
 
+    /** Starts the client for requests that are handed over to other nodes: all those of a node may run at one of them. */
+    static HttpClient startPartnerClient(QueuedThreadPool threads) {
+        HttpClient client = startClient(threads, new UpstreamConnector());
+        client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_PARTNER);
+        return client;
+    }
+
     static HttpClient startClient(QueuedThreadPool threads, UpstreamConnector connector) {
         connector.setSelectors(1);
         HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -77,6 +77,7 @@
     private long demandUpdatedMillis;
     private volatile SuspicionListener suspicionListener = (vms, faultyAddress, reason) -> {};
     private volatile Function<String, OptionalInt> loadReader = header -> OptionalInt.empty();
+    private volatile HandOver handOver;
     private volatile Consumer<TargetId> leavingListener = target -> {};
     private final CrashNewsFeed crashNews;
     private final SuspensionDetector suspensions;
@@ -93,18 +94,6 @@
         void suspect(List<VmId> vms, Optional<String> faultyAddress, String reason);
     }
 
-    RelayDuty(
-            RelayDispatcher dispatcher,
-            UpstreamRequest.Factory requests,
-            ExchangeHeaders headerNames,
-            Predicate<FailureDomainId> evacuated,
-            Clock clock,
-            UniformRandomProvider random,
-            DecisionLog log,
-            MetricRegistry metrics) {
-        this(dispatcher, requests, headerNames, evacuated, clock, random, log, metrics, ResourceLimits.of(0, 0));
-    }
-
     RelayDuty(
             RelayDispatcher dispatcher,
             UpstreamRequest.Factory requests,
@@ -152,6 +141,11 @@
         leavingListener = listener;
     }
 
+    /** Sets what hands requests over to other nodes; without it, none is handed over. */
+    void handOverBy(HandOver newHandOver) {
+        handOver = newHandOver;
+    }
+
     /** Sets the parser of the header in which a VM reports the number of requests at it. */
     void readLoadsWith(Function<String, OptionalInt> reader) {
         loadReader = reader;
@@ -198,21 +192,15 @@
     }
 
     UpstreamId chooseUpstream(RouteEntry route) {
-        List<WeightedUpstream> upstreams = route.upstreams();
-        double sum = upstreams.stream().mapToDouble(WeightedUpstream::weight).sum();
-        double remaining = sum <= 0 || upstreams.size() == 1 ? 0 : random.nextDouble() * sum;
-        for (WeightedUpstream upstream : upstreams) {
-            remaining -= upstream.weight();
-            if (remaining < 0) {
-                return upstream.upstream();
-            }
-        }
-        return upstreams.getFirst().upstream();
+        return WeightedUpstream.choose(route.upstreams(), random::nextDouble);
     }
 
     void submit(Exchange exchange) {
         exchanges.put(exchange.arrival().id(), exchange);
         metrics.meter("requests." + exchange.arrival().route().name()).mark();
+        if (handOver != null && handOver.beginIfIsolated(exchange, this)) {
+            return;
+        }
         if (!duty.offer(new RelayEvent.RequestArrived(exchange.arrival()))) {
             exchanges.remove(exchange.arrival().id());
             metrics.counter("refused.ring.full").inc();
@@ -303,6 +291,9 @@
         execute(dispatcher.step(clock.monotonicMillis(), event));
         crashNews.update(dispatcher.crashNews(), dispatcher::blamedTraits);
         if (exchange != null) {
+            // The dispatcher does not know a request that has been handed over.
+            cancelAttempts(exchange.arrival().id(), attempt -> true);
+            dropExchange(exchange.arrival().id());
             metrics.counter("callers.left").inc();
             log.request("caller_left").with("request", exchange.requestId()).write();
         }
@@ -490,6 +481,22 @@
     }
 
     private void refuse(RelayAction.Refuse refusal) {
+        Exchange exchange = exchanges.get(refusal.id());
+        if (exchange == null || handOver == null || !handOver.begin(exchange, refusal, this)) {
+            endUnsent(refusal);
+        }
+    }
+
+    /** Ends a request that no other node has answered. */
+    void endHandedOver(RelayAction.Refuse refusal, boolean notRun) {
+        if (notRun) {
+            endUnsent(refusal);
+        } else {
+            giveUp(refusal.id(), RefusalReason.BROKEN);
+        }
+    }
+
+    private void endUnsent(RelayAction.Refuse refusal) {
         Exchange exchange = exchanges.remove(refusal.id());
         if (exchange == null) {
             return;
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -86,6 +86,16 @@
                 metrics,
                 settings.resources());
         fleet = new FleetDuty(settings, relay, adapter.vmClient(client), clock, log, metrics);
+        HttpClient partnerClient = RelayClients.startPartnerClient(threads);
+        relay.handOverBy(new HandOver(
+                settings.failureDomain(),
+                (address, target) -> new UpstreamRequest(partnerClient, address, target),
+                adapter.headers(),
+                relay.callerResources(),
+                fleet,
+                clock,
+                log,
+                metrics));
         relay.readLoadsWith(adapter::requestsAtVm);
         relay.onSuspectedVms(fleet::suspect);
         relay.onLeavingVms(target -> fleet.put(new FleetEvent.VmLeaves(target)));
@@ -101,6 +111,7 @@
         });
         TRelayNode self = new TRelayNode(
                 settings.name(), settings.failureDomain().value(), settings.peerAddress(), clock.wallMillis());
+        self.setCallerAddress(settings.callerAddress());
         registration = new Registration(self, counted(store, "registration"), fleet, clock, log);
         VmWatcher vms = new VmWatcher(counted(store, "vms"), adapter.codec(), fleet, clock, log);
         CatalogueWatcher watcher =
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -33,7 +33,7 @@
  * An attempt to get the response to a request from a VM. Checks that the response comes from a VM and belongs to the request
  * before any of it is relayed. A cancelled attempt has no further effect on the exchange.
  */
-final class UpstreamAttempt {
+class UpstreamAttempt {
     /** Maximum size of a buffered response and of a stream event. */
     private static final int MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 
@@ -174,7 +174,7 @@
         HostPort address = HostPort.parse(target.address());
         org.eclipse.jetty.server.Request incoming = exchange.request();
         request = requests.create(address, incoming.getHttpURI().getPathQuery()).method(incoming.getMethod());
-        request.headers(this::copyHeaders);
+        request.headers(this::setHeaders);
         if (exchange.body().size() > 0 || incoming.getHeaders().contains(HttpHeader.CONTENT_LENGTH)) {
             request.body(
                     new ByteBufferRequestContent((String) null, exchange.body().content()));
@@ -188,29 +188,33 @@
         request.send(this::complete);
     }
 
-    private void copyHeaders(HttpFields.Mutable headers) {
+    /** Sets the headers of the request: those of the caller, but for those of its connection, and those of this node. */
+    void setHeaders(HttpFields.Mutable headers) {
+        copyHeaders(headers);
+        headers.remove(HttpHeader.AUTHORIZATION);
+        headers.remove(headerNames.customer());
+        headers.remove(NodeAttempt.HOP_HEADER);
+        headers.put(headerNames.targetVm(), target.id().vm().value());
+        headers.put(
+                headerNames.priority(),
+                Integer.toString(Math.clamp(exchange.arrival().priority(), 0, 9)));
+        if (!exchange.arrival().customer().isEmpty()) {
+            headers.put(headerNames.customer(), exchange.arrival().customer());
+        }
+    }
+
+    /** Copies the caller's headers, but for those of its connection, with the time and the stream position as they are now. */
+    final void copyHeaders(HttpFields.Mutable headers) {
         HttpFields incoming = exchange.request().getHeaders();
         var connectionOptions = incoming.getCSV(HttpHeader.CONNECTION, false);
         for (HttpField field : incoming) {
             String lower = field.getLowerCaseName();
             if (!Exchange.CONNECTION_HEADERS.contains(lower)
-                    && connectionOptions.stream().noneMatch(lower::equalsIgnoreCase)
-                    && !field.is(HttpHeader.AUTHORIZATION.asString())
-                    && !field.is(headerNames.customer())
-                    && !field.is(headerNames.targetVm())
-                    && !field.is(headerNames.priority())
-                    && !field.is(headerNames.remainingMillis())) {
+                    && connectionOptions.stream().noneMatch(lower::equalsIgnoreCase)) {
                 headers.add(field);
             }
         }
         headers.put(headerNames.remainingMillis(), Long.toString(remainingMillis()));
-        headers.put(headerNames.targetVm(), target.id().vm().value());
-        headers.put(
-                headerNames.priority(),
-                Integer.toString(Math.clamp(exchange.arrival().priority(), 0, 9)));
-        if (!exchange.arrival().customer().isEmpty()) {
-            headers.put(headerNames.customer(), exchange.arrival().customer());
-        }
         if (exchange.lastEventId() != null) {
             headers.put(headerNames.lastEventId(), exchange.lastEventId());
         }
@@ -272,7 +276,8 @@
         var unused = sent.abort(new IllegalStateException(reason));
     }
 
-    private boolean isOwnResponse(Response response) {
+    /** Returns whether a response is one to this request. */
+    boolean isOwnResponse(Response response) {
         HttpFields headers = response.getHeaders();
         boolean echoed = exchange.requestId().equals(headers.get(headerNames.requestId()));
         boolean signed = headers.contains(headerNames.signature()) || !HttpStatus.isSuccess(response.getStatus());
@@ -300,7 +305,8 @@
         }
     }
 
-    private void reportVmState(Response response) {
+    /** Tells the listener what a VM says of itself beside its answer. */
+    void reportVmState(Response response) {
         if (response.getStatus() == HttpStatus.MISDIRECTED_REQUEST_421) {
             return;
         }
@@ -451,7 +457,7 @@
 
     private void completeResponse(Response response) {
         int status = response.getStatus();
-        if (response.getHeaders().contains(headerNames.notRun()) || status == HttpStatus.MISDIRECTED_REQUEST_421) {
+        if (isNotRun(response)) {
             fail(AttemptOutcome.NOT_RUN, "status " + status + " not run", response);
             return;
         }
@@ -469,6 +475,12 @@
         listener.completed(this, status);
     }
 
+    /** Returns whether a response says that the request has not run. */
+    boolean isNotRun(Response response) {
+        return response.getHeaders().contains(headerNames.notRun())
+                || response.getStatus() == HttpStatus.MISDIRECTED_REQUEST_421;
+    }
+
     private boolean mayBeAnsweredOtherwise() {
         return countedAttempts < exchange.arrival().route().maxAttempts() || !exchange.runsAlone();
     }
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayNode.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayNode.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField FAILURE_DOMAIN_FIELD_DESC = new org.apache.thrift.protocol.TField("failureDomain", org.apache.thrift.protocol.TType.STRING, (short)2);
   private static final org.apache.thrift.protocol.TField PEER_ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("peerAddress", org.apache.thrift.protocol.TType.STRING, (short)3);
   private static final org.apache.thrift.protocol.TField STARTED_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("startedMillis", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField CALLER_ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("callerAddress", org.apache.thrift.protocol.TType.STRING, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TRelayNodeStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TRelayNodeTupleSchemeFactory();
@@ -22,13 +23,15 @@
   public @org.apache.thrift.annotation.Nullable java.lang.String failureDomain; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String peerAddress; // required
   public long startedMillis; // required
+  public @org.apache.thrift.annotation.Nullable java.lang.String callerAddress; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     NAME((short)1, "name"),
     FAILURE_DOMAIN((short)2, "failureDomain"),
     PEER_ADDRESS((short)3, "peerAddress"),
-    STARTED_MILLIS((short)4, "startedMillis");
+    STARTED_MILLIS((short)4, "startedMillis"),
+    CALLER_ADDRESS((short)5, "callerAddress");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -52,6 +55,8 @@
           return PEER_ADDRESS;
         case 4: // STARTED_MILLIS
           return STARTED_MILLIS;
+        case 5: // CALLER_ADDRESS
+          return CALLER_ADDRESS;
         default:
           return null;
       }
@@ -97,6 +102,7 @@
   // isset id assignments
   private static final int __STARTEDMILLIS_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.CALLER_ADDRESS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -108,6 +114,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.STARTED_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("startedMillis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.CALLER_ADDRESS, new org.apache.thrift.meta_data.FieldMetaData("callerAddress", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TRelayNode.class, metaDataMap);
   }
@@ -144,6 +152,9 @@
       this.peerAddress = other.peerAddress;
     }
     this.startedMillis = other.startedMillis;
+    if (other.isSetCallerAddress()) {
+      this.callerAddress = other.callerAddress;
+    }
   }
 
   @Override
@@ -158,6 +169,7 @@
     this.peerAddress = null;
     setStartedMillisIsSet(false);
     this.startedMillis = 0;
+    this.callerAddress = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -258,6 +270,31 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STARTEDMILLIS_ISSET_ID, value);
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getCallerAddress() {
+    return this.callerAddress;
+  }
+
+  public TRelayNode setCallerAddress(@org.apache.thrift.annotation.Nullable java.lang.String callerAddress) {
+    this.callerAddress = callerAddress;
+    return this;
+  }
+
+  public void unsetCallerAddress() {
+    this.callerAddress = null;
+  }
+
+  /** Returns true if field callerAddress is set (has been assigned a value) and false otherwise */
+  public boolean isSetCallerAddress() {
+    return this.callerAddress != null;
+  }
+
+  public void setCallerAddressIsSet(boolean value) {
+    if (!value) {
+      this.callerAddress = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -293,6 +330,14 @@
       }
       break;
 
+    case CALLER_ADDRESS:
+      if (value == null) {
+        unsetCallerAddress();
+      } else {
+        setCallerAddress((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -312,6 +357,9 @@
     case STARTED_MILLIS:
       return getStartedMillis();
 
+    case CALLER_ADDRESS:
+      return getCallerAddress();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -332,6 +380,8 @@
       return isSetPeerAddress();
     case STARTED_MILLIS:
       return isSetStartedMillis();
+    case CALLER_ADDRESS:
+      return isSetCallerAddress();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -385,6 +435,15 @@
         return false;
     }
 
+    boolean this_present_callerAddress = true && this.isSetCallerAddress();
+    boolean that_present_callerAddress = true && that.isSetCallerAddress();
+    if (this_present_callerAddress || that_present_callerAddress) {
+      if (!(this_present_callerAddress && that_present_callerAddress))
+        return false;
+      if (!this.callerAddress.equals(that.callerAddress))
+        return false;
+    }
+
     return true;
   }
 
@@ -406,6 +465,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(startedMillis);
 
+    hashCode = hashCode * 8191 + ((isSetCallerAddress()) ? 131071 : 524287);
+    if (isSetCallerAddress())
+      hashCode = hashCode * 8191 + callerAddress.hashCode();
+
     return hashCode;
   }
 
@@ -457,6 +520,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetCallerAddress(), other.isSetCallerAddress());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCallerAddress()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.callerAddress, other.callerAddress);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -508,6 +581,16 @@
     sb.append("startedMillis:");
     sb.append(this.startedMillis);
     first = false;
+    if (isSetCallerAddress()) {
+      if (!first) sb.append(", ");
+      sb.append("callerAddress:");
+      if (this.callerAddress == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.callerAddress);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -597,6 +680,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // CALLER_ADDRESS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.callerAddress = iprot.readString();
+              struct.setCallerAddressIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -634,6 +725,13 @@
       oprot.writeFieldBegin(STARTED_MILLIS_FIELD_DESC);
       oprot.writeI64(struct.startedMillis);
       oprot.writeFieldEnd();
+      if (struct.callerAddress != null) {
+        if (struct.isSetCallerAddress()) {
+          oprot.writeFieldBegin(CALLER_ADDRESS_FIELD_DESC);
+          oprot.writeString(struct.callerAddress);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -656,6 +754,14 @@
       oprot.writeString(struct.failureDomain);
       oprot.writeString(struct.peerAddress);
       oprot.writeI64(struct.startedMillis);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetCallerAddress()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetCallerAddress()) {
+        oprot.writeString(struct.callerAddress);
+      }
     }
 
     @Override
@@ -669,6 +775,11 @@
       struct.setPeerAddressIsSet(true);
       struct.startedMillis = iprot.readI64();
       struct.setStartedMillisIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.callerAddress = iprot.readString();
+        struct.setCallerAddressIsSet(true);
+      }
     }
   }
 
--- a/wire-gen/src/main/thrift/relay.thrift
+++ b/wire-gen/src/main/thrift/relay.thrift
@@ -7,6 +7,7 @@
   2: required string failureDomain;
   3: required string peerAddress;
   4: required i64 startedMillis;
+  5: optional string callerAddress;   // where it takes requests that other nodes hand over; absent: it takes none
 }
 
 // Requests of one node at one target.
