An answer whose status the protocol does not know is no answer

Checked here: 000, 099 and 1000 reach no caller, also after 100 and for streams; 600 and 999 were passed on for bookings, with the signature of the VM. Cause: an attempt took any number that Jetty parses for a status. Change: an answer below 200 or above 599 is taken for none, as one to another request is.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/VmAnswersTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/VmAnswersTest.java
@@ -175,4 +175,38 @@
         assertFalse(heads.toString().contains("x-apricotdeal-hop"), heads.toString());
         assertTrue(heads.toString().contains("customer-1"), heads.toString());
     }
+
+    @DataProvider
+    static Object[][] statusLines() {
+        return new Object[][] {
+            {"/book/x", "HTTP/1.1 000 Odd", "502"},
+            {"/book/x", "HTTP/1.1 099 Odd", "502"},
+            {"/book/x", "HTTP/1.1 600 Odd", "502"},
+            {"/book/x", "HTTP/1.1 999 Odd", "502"},
+            {"/book/x", "HTTP/1.1 1000 Odd", "502"},
+            {"/book/x", "HTTP/1.1 100 Continue\n\nHTTP/1.1 000 Odd", "502"},
+            {"/book/x", "HTTP/1.1 103 Early Hints\n\nHTTP/1.1 600 Odd", "502"},
+            {"/watch/x", "HTTP/1.1 000 Odd", "504"},
+            {"/watch/x", "HTTP/1.1 600 Odd", "504"},
+        };
+    }
+
+    /**
+     * Guards against an answer with a status that the protocol does not know reaching the caller.
+     *
+     * @param path path of a booking or a stream
+     * @param statusLine how the answer of the VM begins
+     * @param expected status for the caller; a stream is tried until its time has passed
+     */
+    @Test(dataProvider = "statusLines")
+    public void answerWithInvalidStatusReachedCaller(String path, String statusLine, String expected) throws Exception {
+        ScriptedVm odd = new ScriptedVm(
+                statusLine + "\nX-Attempt-Id: ID\nX-Response-Signature: s\nContent-Length: 2\nConnection: close\n\nok");
+        try (ScriptedServer vm = new ScriptedServer(odd)) {
+            fleet.replaceService("s9", vm, 4);
+            String answer = fleet.call("POST", path, "r1", RelayFleet.KEY);
+            assertTrue(answer.startsWith("HTTP/1.1 " + expected), answer);
+            assertFalse(answer.contains("X-Response-Signature"), answer);
+        }
+    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamAttempt.java
@@ -46,6 +46,9 @@
     /** Time after the deadline of a request in which its attempt has been cancelled. */
     private static final long IDLE_MARGIN_MILLIS = 1_000;
 
+    /** The protocol knows no status above; what a VM sends with one is no answer. */
+    private static final int MAX_STATUS = 599;
+
     private final Exchange exchange;
     private final AttemptId id;
     private final Target target;
@@ -279,9 +282,11 @@
     /** Returns whether a response is one to this request. */
     boolean isOwnResponse(Response response) {
         HttpFields headers = response.getHeaders();
+        int status = response.getStatus();
+        boolean valid = status >= HttpStatus.OK_200 && status <= MAX_STATUS;
         boolean echoed = exchange.requestId().equals(headers.get(headerNames.requestId()));
         boolean signed = headers.contains(headerNames.signature()) || !HttpStatus.isSuccess(response.getStatus());
-        return echoed && signed && !headers.contains(HttpHeader.CONTENT_ENCODING);
+        return valid && echoed && signed && !headers.contains(HttpHeader.CONTENT_ENCODING);
     }
 
     private synchronized void onHeaders(Response response) {
