A failure domain that is cut off from the others still plans its own replicas

Nodes of a failure domain that is cut off reach its VMs and none of the others, and hear each other: with more than half of all VMs beyond the cut, all of them would have taken themselves for isolated, and nobody would have planned there. Change: an isolated node also reaches few VMs of its own failure domain; VMs that other nodes report as silent count for neither.

--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -131,7 +131,7 @@
         this.metrics = metrics;
         this.evacuations = new FleetEvacuations(log, metrics);
         this.nodeLoadLog = new NodeLoadLog(log, metrics);
-        this.isolation = new IsolationWatch(log, metrics);
+        this.isolation = new IsolationWatch(settings.failureDomain(), log, metrics);
         this.coldVms = new ColdVmFeed(settings.coldBounds(), log, metrics);
         this.startedMillis = clock.monotonicMillis();
         this.plannerName = plannerName(settings.name(), clock.wallMillis());
--- a/relay/src/main/java/org/apricotdeal/relay/node/IsolationWatch.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/IsolationWatch.java
@@ -1,12 +1,13 @@
 package org.apricotdeal.relay.node;
 
-import java.util.List;
+import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.policy.IsolationDetector;
@@ -17,12 +18,14 @@
     /** Number of silent VMs that a report of a peer may always contain, however small the fleet is. */
     private static final int MIN_REPORTED_VMS_LIMIT = 4;
 
+    private final FailureDomainId ownDomain;
     private final DecisionLog log;
     private final IsolationDetector detector = new IsolationDetector();
     private volatile boolean isolated;
     private long sinceMillis;
 
-    IsolationWatch(DecisionLog log, MetricRegistry metrics) {
+    IsolationWatch(FailureDomainId ownDomain, DecisionLog log, MetricRegistry metrics) {
+        this.ownDomain = ownDomain;
         this.log = log;
         metrics.register("isolated", (Gauge<Integer>) () -> isolated ? 1 : 0);
     }
@@ -44,11 +47,19 @@
     }
 
     /** Evaluates the VMs that this node may ask; returns those that it should ask now. */
-    List<VmId> update(VmTable table, Predicate<UpstreamVm> mayAsk, boolean peersHeard, long nowMillis) {
-        List<VmId> listed =
-                table.all().stream().filter(mayAsk).map(UpstreamVm::id).toList();
+    Set<VmId> update(VmTable table, Predicate<UpstreamVm> mayAsk, boolean peersHeard, long nowMillis) {
+        Set<VmId> listed = new HashSet<>();
+        Set<VmId> nearby = new HashSet<>();
+        for (UpstreamVm vm : table.all()) {
+            if (mayAsk.test(vm)) {
+                listed.add(vm.id());
+                if (vm.failureDomain().equals(ownDomain)) {
+                    nearby.add(vm.id());
+                }
+            }
+        }
         Set<VmId> silent = listed.stream().filter(table::isUnresponsive).collect(Collectors.toSet());
-        detector.update(listed.size(), silent, peersHeard, nowMillis);
+        detector.update(listed, nearby, silent, peersHeard, nowMillis);
         if (detector.isIsolated() != isolated) {
             isolated = detector.isIsolated();
             log.state(isolated ? "isolated_from_vms" : "reaches_vms_again")
@@ -58,6 +69,6 @@
                     .write();
             sinceMillis = nowMillis;
         }
-        return detector.isSuspected() || isolated ? listed : List.of();
+        return detector.isSuspected() || isolated ? listed : Set.of();
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/IsolationDetector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/IsolationDetector.java
@@ -1,6 +1,7 @@
 package org.apricotdeal.relay.policy;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
@@ -10,8 +11,9 @@
  * Decides whether this node has lost its links to the VMs while other nodes reach them.
  *
  * <p>Load pattern: all connections of a node to VMs hang, are refused, or live on while new ones are refused, for seconds, or
- * many VMs are lost at once. In both cases most VMs do not answer this node; in the second one, other nodes report the same VMs.
- * A VM that is silent for a second is a single one, and is reported by all.
+ * many VMs are lost at once, or a failure domain is cut off from the others. In the first two cases most VMs do not answer this
+ * node; in the second one, other nodes report the same VMs. In the third one the VMs of its own failure domain answer. A VM that
+ * is silent for a second is a single one, and is reported by all.
  */
 public final class IsolationDetector {
     /** Minimum number of VMs that are silent for this node only. */
@@ -47,25 +49,39 @@
     /**
      * Evaluates which VMs answer this node.
      *
-     * @param listedCount number of VMs that this node may ask
-     * @param silent those that do not answer it
+     * @param listed VMs that this node may ask
+     * @param nearby those of them in its own failure domain
+     * @param silent those of them that do not answer it
      * @param peersHeard whether heartbeats of other nodes arrive
      * @param nowMillis monotonic time
      */
-    public void update(int listedCount, Set<VmId> silent, boolean peersHeard, long nowMillis) {
+    public void update(Set<VmId> listed, Set<VmId> nearby, Set<VmId> silent, boolean peersHeard, long nowMillis) {
         silentSinceMillis.keySet().retainAll(silent);
         silent.forEach(vm -> silentSinceMillis.putIfAbsent(vm, nowMillis));
         reportedMillis.values().removeIf(atMillis -> nowMillis - atMillis >= REPORT_MILLIS);
-        suspected = peersHeard && silentHereOnly(SUSPICION_MILLIS, nowMillis) >= MIN_SILENT_VMS;
-        long silentCount = silentHereOnly(isolated ? 0 : PEER_LAG_MILLIS, nowMillis);
-        isolated = peersHeard && silentCount >= MIN_SILENT_VMS && silentCount >= MIN_SILENT_SHARE * listedCount;
+        suspected = peersHeard && silentHereOnly(SUSPICION_MILLIS, nowMillis).size() >= MIN_SILENT_VMS;
+        Set<VmId> silentHere = silentHereOnly(isolated ? 0 : PEER_LAG_MILLIS, nowMillis);
+        isolated = peersHeard
+                && silentHere.size() >= MIN_SILENT_VMS
+                && mostAreIn(silentHere, listed)
+                && mostAreIn(silentHere, nearby);
     }
 
-    private long silentHereOnly(long minMillis, long nowMillis) {
-        return silentSinceMillis.entrySet().stream()
-                .filter(entry ->
-                        nowMillis - entry.getValue() >= minMillis && !reportedMillis.containsKey(entry.getKey()))
-                .count();
+    private Set<VmId> silentHereOnly(long minMillis, long nowMillis) {
+        Set<VmId> vms = new HashSet<>();
+        silentSinceMillis.forEach((vm, sinceMillis) -> {
+            if (nowMillis - sinceMillis >= minMillis && !reportedMillis.containsKey(vm)) {
+                vms.add(vm);
+            }
+        });
+        return vms;
+    }
+
+    /** Returns whether most of the VMs that no other node reports are among the silent ones. */
+    private boolean mostAreIn(Set<VmId> silentHere, Set<VmId> vms) {
+        long unreported =
+                vms.stream().filter(vm -> !reportedMillis.containsKey(vm)).count();
+        return vms.stream().filter(silentHere::contains).count() >= MIN_SILENT_SHARE * unreported;
     }
 
     /**
