--- a/relay/src/main/java/org/apricotdeal/relay/node/NodeStatus.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/NodeStatus.java
@@ -99,6 +99,7 @@
         root.put("inProgress", relay.inProgress());
         root.put("waiting", relay.waiting());
         root.put("targets", fleet.targetCount());
+        root.put("isolated", fleet.isIsolated());
         root.put("storeIncarnation", words.revision().incarnation());
         root.put("evacuationsKnown", words.isKnown());
         root.put("evacuationsRevision", words.revision().number());
