A VM that has joined or left a replica since its last report is not taken for busy

A VM is asked while it joins a replica, reports that it executes that order, and is not asked again: when the replica lost a member, the survivors counted as loading for up to 32 s, got no loads and did not join from weights on their hosts. ModelBalanceTest.survivorOfReplicaWasTakenForLoading and replicasFollowDemand fail without it.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ModelBalanceTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ModelBalanceTest.java
@@ -5,12 +5,19 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.apricotdeal.kernel.id.ReplicaId;
 import org.apricotdeal.relay.model.ModelId;
+import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.policy.ModelDemand;
+import org.apricotdeal.relay.policy.PlannedOrder;
+import org.apricotdeal.relay.policy.VmTable;
+import org.apricotdeal.relay.port.OrderReply;
+import org.apricotdeal.relay.port.ReplicaOrder;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -129,6 +136,26 @@
         assertTrue(blank.report().busy(), "a blank VM waits for its load");
     }
 
+    /** Guards against survivors of a replica waiting for a load that they do not execute, for they reported that they joined. */
+    @Test
+    public void survivorOfReplicaWasTakenForLoading() {
+        SimFleet fleet = new SimFleet(1, SimFleet.Shape.SMALL, 1);
+        SimVm vm = fleet.liveVms().getFirst();
+        VmTable table = new VmTable();
+        table.applyEntry(vm.entry(), 0);
+        ReplicaId replica = new ReplicaId("m1.p-1");
+        vm.handleOrder(0, 0, new ReplicaOrder.Join(replica, 1, SMALL, List.of(vm.id)));
+        vm.tick(1);
+        assertTrue(vm.report().busy());
+        table.applyReport(vm.id, vm.report(), 1);
+        UpstreamVm member = table.find(vm.id).orElseThrow();
+        assertTrue(member.group().isPresent());
+        PlannedOrder leave =
+                new PlannedOrder(member, member.orderCount(), new ReplicaOrder.Leave(replica, 1), "a member is gone");
+        table.applyReply(leave, OrderReply.HOLDS, 2);
+        assertFalse(table.find(vm.id).orElseThrow().busy());
+    }
+
     private static SimFleet startedFleet(long seed, SimFleet.Shape shape) {
         SimFleet fleet = new SimFleet(seed, shape);
         fleet.loadShare = LOAD_SHARE;
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimVm.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimVm.java
@@ -104,7 +104,7 @@
                 Optional.of(fabric),
                 startedMillis,
                 orderCount,
-                stagingModel != null,
+                stagingModel != null || nextPhaseMillis != Long.MAX_VALUE,
                 stagedModel.stream().toList(),
                 loadedModel,
                 group,
--- a/relay/src/main/java/org/apricotdeal/relay/model/UpstreamVm.java
+++ b/relay/src/main/java/org/apricotdeal/relay/model/UpstreamVm.java
@@ -26,7 +26,8 @@
  * @param loadedModel model of its last replica since its start, if known
  * @param group membership in a replica, or empty
  * @param coldRemainingMillis time for which the VM remained cold when it wrote this; empty if that is not known
- * @param busy whether it executed an order when it last reported its state; false if it has not reported it
+ * @param busy whether it executed an order when it last reported its state; false if it has not reported it, or has joined or
+ * left a replica since
  */
 public record UpstreamVm(
         VmId id,
@@ -119,7 +120,8 @@
      * @return modified copy
      */
     public UpstreamVm withOrdersAndGroup(long otherOrders, Optional<GroupMembership> otherGroup) {
-        return copy(leaving, fabricDomain, otherOrders, stagedModels, loadedModel, otherGroup, busy);
+        boolean stillBusy = busy && group.isEmpty() && otherGroup.isEmpty();
+        return copy(leaving, fabricDomain, otherOrders, stagedModels, loadedModel, otherGroup, stillBusy);
     }
 
     /**
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -99,8 +99,9 @@
         // Holds for the rest of the incarnation; an entry of a restored store may be older than the announcement.
         tracked.leaving |= entry.leaving();
         recordColdness(tracked, entry.coldRemainingMillis(), nowMillis);
-        UpstreamVm current = entry.withOrdersAndGroup(tracked.vm.orderCount(), mostAdvanced(tracked, entry.group()))
-                .withBusy(tracked.vm.busy() && entry.stagedModels().equals(tracked.vm.stagedModels()));
+        boolean busy = tracked.vm.busy() && entry.stagedModels().equals(tracked.vm.stagedModels());
+        UpstreamVm current =
+                entry.withBusy(busy).withOrdersAndGroup(tracked.vm.orderCount(), mostAdvanced(tracked, entry.group()));
         update(tracked, tracked.leaving ? current.withLeaving() : current, nowMillis);
         return entry.group().isEmpty() && tracked.vm.group().isPresent();
     }
