The reply to a load does not tell whether the VM has counted it

Callers' requests at a replica would have been cut off: a VM that belonged to an open replica joined another one. Cause: a VM that executes a load replies to an order for the same load as to a new one, and does not count it; VmTable counted it. The order count was one too high, so that after the next order of another planner a Join by the outdated view fitted it. It needs two planners, of which one has not seen the other's orders. Class: a reply taken for evidence of more than it says.

Change: after such a reply the order count is unknown until a report that is younger than the reply; the VM is settled then.

--- a/relay/src/main/java/org/apricotdeal/relay/policy/PendingOrders.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/PendingOrders.java
@@ -86,9 +86,10 @@
         }
         boolean restarted = vm.startedWallMillis() != entry.order.vm().startedWallMillis();
         boolean moved = vm.orderCount() > entry.order.expectedOrders();
+        boolean reported = entry.begun && vm.orderCount() != UpstreamVm.ORDER_COUNT_UNKNOWN;
         boolean paused = entry.pauseUntilMillis > 0 && nowMillis >= entry.pauseUntilMillis;
         boolean expired = nowMillis - entry.firstSentMillis > MAX_ORDER_DELAY_MILLIS;
-        if (restarted || moved || paused || expired) {
+        if (restarted || moved || reported || paused || expired) {
             entries.remove(vm.id());
             return true;
         }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -61,6 +61,8 @@
         private UpstreamVm vm;
         private long groupChangedMillis;
         private long leftEpoch = -1;
+        private long ordersBeforeBegun = -1;
+        private long begunMillis = NEVER_MILLIS;
         private int misses;
         private long answeredMillis = Long.MIN_VALUE / 2;
         private long missedMillis = Long.MIN_VALUE / 2;
@@ -191,7 +193,9 @@
         if (report.coldRemainingMillis().isPresent()) {
             recordColdness(tracked, report.coldRemainingMillis(), nowMillis);
         }
-        if (report.orderCount() < tracked.vm.orderCount()) {
+        boolean mayPrecedeBegun = report.orderCount() <= tracked.ordersBeforeBegun
+                && nowMillis - tracked.begunMillis < MAX_REPORT_AGE_MILLIS;
+        if (report.orderCount() < tracked.vm.orderCount() || mayPrecedeBegun) {
             return;
         }
         boolean mayBeOlder = nowMillis - tracked.groupChangedMillis < MAX_REPORT_AGE_MILLIS;
@@ -220,7 +224,15 @@
         }
         switch (reply) {
             case BEGUN -> {
-                if (tracked.vm.orderCount() <= order.expectedOrders()) {
+                if (tracked.vm.orderCount() > order.expectedOrders()) {
+                    return;
+                }
+                if (order.order() instanceof ReplicaOrder.Stage) {
+                    // A VM replies the same to a load that it executes already, and does not count it again.
+                    tracked.ordersBeforeBegun = order.expectedOrders();
+                    tracked.begunMillis = nowMillis;
+                    tracked.vm = tracked.vm.withOrdersAndGroup(UpstreamVm.ORDER_COUNT_UNKNOWN, tracked.vm.group());
+                } else {
                     Optional<GroupMembership> group = groupAfterOrder(order, tracked.vm.group());
                     update(tracked, tracked.vm.withOrdersAndGroup(order.expectedOrders() + 1, group), nowMillis);
                 }
