An outdated report does not move a VM back to its former replica

A VM of an open replica joined another one. Cause: when the order count of a VM was unknown, a report replaced its membership even if the store's entry had named a later one; its head was then believed to have left the replica, and the members counted as free.

Change: the epochs of an incarnation only increase, so a report with a lower epoch than the known one is dropped.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimVm.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimVm.java
@@ -99,7 +99,8 @@
         return reports.isEmpty() ? state() : reports.getFirst();
     }
 
-    private VmReport state() {
+    /** Returns a report of the present state. */
+    VmReport state() {
         return new VmReport(
                 Optional.of(fabric),
                 startedMillis,
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -195,7 +195,7 @@
         }
         boolean mayPrecedeBegun = report.orderCount() <= tracked.ordersBeforeBegun
                 && nowMillis - tracked.begunMillis < MAX_REPORT_AGE_MILLIS;
-        if (report.orderCount() < tracked.vm.orderCount() || mayPrecedeBegun) {
+        if (report.orderCount() < tracked.vm.orderCount() || mayPrecedeBegun || namesFormerReplica(tracked, report)) {
             return;
         }
         boolean mayBeOlder = nowMillis - tracked.groupChangedMillis < MAX_REPORT_AGE_MILLIS;
@@ -210,6 +210,15 @@
         update(tracked, tracked.vm.withWeights(report).withOrdersAndGroup(report.orderCount(), group), nowMillis);
     }
 
+    /** Returns whether a report is older than the known membership: the epochs of an incarnation only increase. */
+    private static boolean namesFormerReplica(TrackedVm tracked, VmReport report) {
+        return report.group().isPresent()
+                && tracked.vm
+                        .group()
+                        .filter(known -> known.epoch() > report.group().get().epoch())
+                        .isPresent();
+    }
+
     /**
      * Applies the reply to an order, which shows at once whether the VM has begun it.
      *
