A connection whose request has arrived does not give way as idle

A caller got a reset instead of an answer, as a crowd of connections without requests came at the same moment. Cause: when there are too many connections, the one without a request for the longest time is closed. A node accepts all waiting connections before it reads from any, so the request of the oldest could have arrived and be unread, or be read and not parsed yet.

Change: a connection with unread bytes, or from which the node reads, is passed over. Connections that arrive while all others have unread bytes are closed, as those are that find all places taken by requests.

--- a/proofs/src/test/java/org/apricotdeal/proofs/process/HostileClientsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/HostileClientsTest.java
@@ -1,5 +1,8 @@
 package org.apricotdeal.proofs.process;
 
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -118,6 +121,21 @@
         assertServes(crowd + ", after the crowd");
     }
 
+    /**
+     * Connections that arrived together were accepted before any was read, so that one with a request was closed as the one without
+     * a request for the longest time.
+     */
+    @Test
+    public void unreadRequestGaveWayToConnectionsBehindIt() throws Exception {
+        fleet.node.signal("STOP");
+        try (Socket early = fleet.connect(0)) {
+            early.getOutputStream().write(HostileFleet.ordinary("early").getBytes(StandardCharsets.UTF_8));
+            fleet.crowd(2 * HostileFleet.MAX_DESCRIPTORS, "", "", 0);
+            fleet.node.signal("CONT");
+            assertServed(new String(early.getInputStream().readAllBytes(), StandardCharsets.UTF_8));
+        }
+    }
+
     private void assertServes(String when) throws Exception {
         String answer = fleet.ordinaryRequest();
         assertTrue(fleet.node.isAlive(), when + ": " + fleet.log());
--- a/proofs/src/test/java/org/apricotdeal/proofs/process/HostileFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/process/HostileFleet.java
@@ -178,7 +178,12 @@
 
     /** Sends one request with a small body on a new connection; returns the whole answer, or why there is none. */
     String ordinaryRequest() {
-        return request(head("/book/x", "ordinary") + "Connection: close\r\nContent-Length: 8\r\n\r\nquestion");
+        return request(ordinary("ordinary"));
+    }
+
+    /** Returns a request with a small body whose answer ends its connection. */
+    static String ordinary(String id) {
+        return head("/book/x", id) + "Connection: close\r\nContent-Length: 8\r\n\r\nquestion";
     }
 
     /** Sends one request on a new connection; returns the whole answer, or why there is none. */
--- a/relay/src/main/java/org/apricotdeal/relay/node/CallerConnection.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CallerConnection.java
@@ -1,5 +1,8 @@
 package org.apricotdeal.relay.node;
 
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpStatus;
@@ -26,6 +29,7 @@
     private volatile boolean headArriving;
     private volatile StalledHolder holder;
     private boolean gaveWay;
+    private boolean reading;
     private int headBytes;
     private int reservedBytes;
 
@@ -47,6 +51,21 @@
         super.onOpen();
     }
 
+    @Override
+    public void onFillable() {
+        setReading(true);
+        try {
+            super.onFillable();
+        } finally {
+            setReading(false);
+        }
+    }
+
+    /** Sets whether input is read and parsed, during which the connection does not give way. */
+    private synchronized void setReading(boolean nowReading) {
+        reading = nowReading;
+    }
+
     @Override
     public void onClose(Throwable cause) {
         resources.closed(this);
@@ -79,7 +98,7 @@
      * {@link #begin} is called, so one of the two sees the other.
      */
     private synchronized boolean takeIdle() {
-        if (!isWithoutRequest()) {
+        if (reading || !isWithoutRequest()) {
             return false;
         }
         gaveWay = true;
@@ -130,9 +149,10 @@
 
     @Override
     public boolean giveWay() {
-        if (takeIdle()) {
-            resources.record("connections");
-            getEndPoint().close();
+        if (isWithoutRequest() && hasUnreadInput()) {
+            return false;
+        }
+        if (closeIdle()) {
             return true;
         }
         StalledHolder current = holder;
@@ -143,6 +163,28 @@
         return true;
     }
 
+    /** Closes the connection unless a request is handled; returns whether it was closed. */
+    boolean closeIdle() {
+        if (!takeIdle()) {
+            return false;
+        }
+        resources.record("connections");
+        getEndPoint().close();
+        return true;
+    }
+
+    /** Returns whether bytes have arrived that the node has not read: on a busy node, a request may wait for its turn. */
+    private boolean hasUnreadInput() {
+        if (!(getEndPoint().getTransport() instanceof SocketChannel channel)) {
+            return false;
+        }
+        try {
+            return channel.socket().getInputStream().available() > 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Returns whether a part of a head has arrived; Jetty also announces a head of which there is no byte yet. */
     boolean isHeadOverdue(long beforeMillis) {
         return headArriving && !getParser().isStart() && beganMillis < beforeMillis;
--- a/relay/src/main/java/org/apricotdeal/relay/node/CallerResources.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CallerResources.java
@@ -83,11 +83,11 @@
             }
             Optional<CallerConnection> stalled = longestStalled(candidates);
             if (stalled.isEmpty()) {
-                connection.giveWay();
+                connection.closeIdle();
                 return;
             }
             candidates.remove(stalled.get());
-            // False for one that has just got a request.
+            // False for one that has just got a request, even an unread one.
             if (stalled.get().giveWay()) {
                 connections.remove(stalled.get());
             }
