The load of a VM that is known to be idle is counted at once

Change: a VM that reported no order in progress at the expected count cannot execute the load already, so it has counted the new one.

Measured: VmTableTest.firstLoadOfIdleVmWasNotCountedAtOnce fails without the change.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/VmTableTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/VmTableTest.java
@@ -49,6 +49,19 @@
         assertEquals(table.find(vm.id).orElseThrow().orderCount(), 1);
     }
 
+    /** VMs of a starting fleet were left out of its layout after their first loads, since their order counts were unknown. */
+    @Test
+    public void firstLoadOfIdleVmWasNotCountedAtOnce() {
+        SimVm vm = startedVm();
+        VmTable table = new VmTable();
+        ReplicaOrder load = new ReplicaOrder.Stage(MODEL);
+        table.applyEntry(vm.entry(), NOW_MILLIS);
+        table.applyReport(vm.id, vm.report(), NOW_MILLIS);
+        PlannedOrder order = new PlannedOrder(table.find(vm.id).orElseThrow(), 0, load, "a test");
+        table.applyReply(order, vm.handleOrder(NOW_MILLIS, 0, load), NOW_MILLIS);
+        assertEquals(table.find(vm.id).orElseThrow().orderCount(), 1);
+    }
+
     /** An outdated report moved a head back to its former replica, so that it was taken for stopped and lost a member. */
     @Test
     public void outdatedReportMovedVmBackToFormerReplica() {
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -61,6 +61,7 @@
         private UpstreamVm vm;
         private long groupChangedMillis;
         private long leftEpoch = -1;
+        private long idleOrderCount = -1;
         private long ordersBeforeBegun = -1;
         private long begunMillis = NEVER_MILLIS;
         private int misses;
@@ -208,6 +209,9 @@
         Optional<GroupMembership> group =
                 report.orderCount() > tracked.vm.orderCount() ? reported : mostAdvanced(tracked, reported);
         update(tracked, tracked.vm.withWeights(report).withOrdersAndGroup(report.orderCount(), group), nowMillis);
+        if (!report.busy()) {
+            tracked.idleOrderCount = report.orderCount();
+        }
     }
 
     /** Returns whether a report is older than the known membership: the epochs of an incarnation only increase. */
@@ -236,8 +240,8 @@
                 if (tracked.vm.orderCount() > order.expectedOrders()) {
                     return;
                 }
-                if (order.order() instanceof ReplicaOrder.Stage) {
-                    // A VM replies the same to a load that it executes already, and does not count it again.
+                if (order.order() instanceof ReplicaOrder.Stage && tracked.idleOrderCount != order.expectedOrders()) {
+                    // A VM replies the same to a load that it may execute already, and does not count it again.
                     tracked.ordersBeforeBegun = order.expectedOrders();
                     tracked.begunMillis = nowMillis;
                     tracked.vm = tracked.vm.withOrdersAndGroup(UpstreamVm.ORDER_COUNT_UNKNOWN, tracked.vm.group());
