Share the VM of the tests of FleetDuty; remove a condition that VmTable ensures

Three tests built the same UpstreamVm; FleetDutyFixture.vm does. UpstreamVm.busy is false for members of replicas, so WeightStaging need not ask again. No change of behaviour; ModelBalanceTest, VmTableTest, FleetEvacuationTest, OwnDelayTest and IsolatedPlannerTest pass.

--- a/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
@@ -4,13 +4,17 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
 import org.apache.commons.rng.simple.RandomSource;
+import org.apricotdeal.kernel.id.FabricDomainId;
 import org.apricotdeal.kernel.id.FailureDomainId;
+import org.apricotdeal.kernel.id.UpstreamId;
+import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.model.UpstreamVm;
@@ -65,6 +69,24 @@
         }
     }
 
+    /** Returns a blank engine VM of the planned failure domain. */
+    static UpstreamVm vm(VmId id) {
+        return new UpstreamVm(
+                id,
+                new UpstreamId("chat"),
+                "127.0.0.1:1",
+                PLANNED_DOMAIN,
+                Optional.of(new FabricDomainId("f0")),
+                "v1",
+                12,
+                false,
+                1,
+                0,
+                List.of(),
+                Optional.empty(),
+                Optional.empty());
+    }
+
     String logText() {
         return written.toString(StandardCharsets.UTF_8);
     }
--- a/proofs/src/test/java/org/apricotdeal/relay/node/FleetEvacuationTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FleetEvacuationTest.java
@@ -6,8 +6,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import org.apricotdeal.kernel.id.FabricDomainId;
-import org.apricotdeal.kernel.id.UpstreamId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.kernel.time.SystemClock;
@@ -54,7 +52,7 @@
             fixture.fleet.put(new FleetEvent.EvacuationsChanged(Set.of(FleetDutyFixture.PLANNED_DOMAIN)));
             fixture.fleet.put(new FleetEvent.CatalogueChanged(UnregisteredPlannerTest.catalogue()));
             fixture.fleet.put(new FleetEvent.PeersListed(List.of()));
-            fixture.fleet.put(new FleetEvent.AllVmsListed(List.of(vm()), Long.MAX_VALUE));
+            fixture.fleet.put(new FleetEvent.AllVmsListed(List.of(FleetDutyFixture.vm(VM)), Long.MAX_VALUE));
             fixture.fleet.put(new FleetEvent.VmsSuspected(List.of(VM), Optional.empty(), "test"));
             Thread.sleep(EVACUATED_MILLIS);
             assertEquals(client.calls.get(), 0);
@@ -65,21 +63,4 @@
             assertTrue(client.calls.get() > 0, "the poll that was left out is caught up");
         }
     }
-
-    private static UpstreamVm vm() {
-        return new UpstreamVm(
-                VM,
-                new UpstreamId("chat"),
-                "127.0.0.1:1",
-                FleetDutyFixture.PLANNED_DOMAIN,
-                Optional.of(new FabricDomainId("f0")),
-                "v1",
-                12,
-                false,
-                1,
-                0,
-                List.of(),
-                Optional.empty(),
-                Optional.empty());
-    }
 }
--- a/proofs/src/test/java/org/apricotdeal/relay/node/IsolatedPlannerTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/IsolatedPlannerTest.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 
 import org.apricotdeal.kernel.id.FabricDomainId;
-import org.apricotdeal.kernel.id.UpstreamId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.kernel.time.SystemClock;
@@ -87,20 +86,7 @@
     private static List<UpstreamVm> vms() {
         List<UpstreamVm> vms = new ArrayList<>();
         for (int i = 0; i < VMS; i++) {
-            vms.add(new UpstreamVm(
-                    new VmId("v" + i),
-                    new UpstreamId("chat"),
-                    "127.0.0.1:1",
-                    FleetDutyFixture.PLANNED_DOMAIN,
-                    Optional.of(new FabricDomainId("f0")),
-                    "v1",
-                    12,
-                    false,
-                    1,
-                    0,
-                    List.of(),
-                    Optional.empty(),
-                    Optional.empty()));
+            vms.add(FleetDutyFixture.vm(new VmId("v" + i)));
         }
         return vms;
     }
--- a/proofs/src/test/java/org/apricotdeal/relay/node/OwnDelayTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/OwnDelayTest.java
@@ -1,12 +1,9 @@
 package org.apricotdeal.relay.node;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 
-import org.apricotdeal.kernel.id.FabricDomainId;
-import org.apricotdeal.kernel.id.UpstreamId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.kernel.time.Clock;
@@ -64,7 +61,7 @@
     public void reportsThatExpiredWhileTheNodeWasHeldUpAreNoSilence() throws Exception {
         JumpingClock clock = new JumpingClock();
         try (FleetDutyFixture fixture = new FleetDutyFixture(clock, new PendingVmClient())) {
-            fixture.fleet.put(new FleetEvent.AllVmsListed(List.of(vm()), Long.MAX_VALUE));
+            fixture.fleet.put(new FleetEvent.AllVmsListed(List.of(FleetDutyFixture.vm(VM)), Long.MAX_VALUE));
             Thread.sleep(TICKS_MILLIS);
             clock.offsetMillis.addAndGet(HELD_UP_MILLIS);
             missReports(fixture);
@@ -80,21 +77,4 @@
         fixture.fleet.put(new FleetEvent.VmReported(VM, Result.err("timeout")));
         Thread.sleep(TICKS_MILLIS / 2);
     }
-
-    private static UpstreamVm vm() {
-        return new UpstreamVm(
-                VM,
-                new UpstreamId("chat"),
-                "127.0.0.1:1",
-                FleetDutyFixture.PLANNED_DOMAIN,
-                Optional.of(new FabricDomainId("f0")),
-                "v1",
-                12,
-                false,
-                1,
-                0,
-                List.of(),
-                Optional.empty(),
-                Optional.empty());
-    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/WeightStaging.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/WeightStaging.java
@@ -89,7 +89,7 @@
                 .max()
                 .orElse(0);
         for (UpstreamVm vm : planning.vms()) {
-            if (vm.busy() && vm.group().isEmpty()) {
+            if (vm.busy()) {
                 loadsInProgress.putIfAbsent(
                         vm.id(),
                         new Load(Optional.empty(), vm.stagedModels(), planning.nowMillis() + 2 * longestLoadMillis));
