A replica lives on while the entry of a member is missing

Callers of the large model got 503 while its VMs were sound. Cause: a VM that cannot write to the store loses its entry after three heartbeats, and was then taken for gone, though it answers. Class: the absence of a sign of life is taken for evidence of an end that another sign disproves.

Change: a member that is not the head is kept for 9 s without an entry while it answers, in a replica that serves; all nodes poll it. A member that leaves unannounced remains in its replica for 10 s, and requests reach the head only, so none reaches a VM that is gone. Such a VM joins nothing else. A head without an entry is dropped at once, as before.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/ReplicaPlannerTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/ReplicaPlannerTest.java
@@ -11,6 +11,8 @@
 import org.apricotdeal.kernel.id.UpstreamId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.EngineProfile;
+import org.apricotdeal.relay.model.GroupMembership;
+import org.apricotdeal.relay.model.GroupPhase;
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.policy.ModelDemand;
 import org.apricotdeal.relay.policy.ReplicaPlanner;
@@ -208,6 +210,24 @@
         assertTrue(servingVms * 2 >= fleet.liveVms().size(), servingVms + " VMs serve out of " + fleet.describe());
     }
 
+    /**
+     * A replica was dissolved when a member could not write its entry, though its head and all members served.
+     *
+     * @param seed seed for the ages of entries
+     */
+    @Test(dataProvider = "seeds")
+    public void replicaOfMemberWithoutEntryWasDissolved(long seed) {
+        SimFleet fleet = startedFleet(seed);
+        SimVm head = fleet.liveVms().stream()
+                .filter(vm -> vm.group.isPresent() && vm.group.get().phase() == GroupPhase.OPEN)
+                .findFirst()
+                .orElseThrow();
+        Optional<GroupMembership> group = head.group;
+        fleet.cutFromStore(fleet.vms.get(head.members.getLast()), 10_000);
+        fleet.run(20_000);
+        assertEquals(head.group, group);
+    }
+
     @DataProvider
     public Object[][] seeds() {
         Object[][] seeds = new Object[SEEDS][];
--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
@@ -24,6 +24,7 @@
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.policy.ModelDemand;
 import org.apricotdeal.relay.policy.PlannedOrder;
+import org.apricotdeal.relay.policy.ReplicaGroups;
 import org.apricotdeal.relay.policy.ReplicaPlanner;
 import org.apricotdeal.relay.policy.VmActivity;
 import org.apricotdeal.relay.policy.VmCounts;
@@ -354,13 +355,15 @@
         List<UpstreamVm> knownVms = node.table.all().stream()
                 .sorted(Comparator.comparing(UpstreamVm::id))
                 .toList();
+        List<UpstreamVm> vmsToPlan =
+                ReplicaGroups.plannable(knownVms, shape.engine(), vm -> node.table.isUnlisted(vm.id(), nowMillis));
         List<PlannedOrder> orders = node.planner.plan(new ReplicaPlanner.Input(
-                nowMillis, nowMillis, shape.engine(), knownVms, unresponsive, startup, loadShare, demand, Map.of()));
+                nowMillis, nowMillis, shape.engine(), vmsToPlan, unresponsive, startup, loadShare, demand, Map.of()));
         VmCounts counts = node.planner.statistics().vmCounts();
         int served = counts.count(VmActivity.SERVING) + counts.count(VmActivity.AWAY);
-        if (counts.notServing() + served != knownVms.size()) {
+        if (counts.notServing() + served != vmsToPlan.size()) {
             throw new AssertionError(
-                    "at " + nowMillis + ": " + counts + " does not add up to " + knownVms.size() + " VMs");
+                    "at " + nowMillis + ": " + counts + " does not add up to " + vmsToPlan.size() + " VMs");
         }
         checkJoinsComplete(node, orders);
         orders.forEach(order -> send(node, order));
@@ -394,7 +397,8 @@
                 if (node.table.applyEntry(entryMaybeStale(vm), nowMillis)) {
                     pollState(node, vm.id);
                 }
-            } else if (vm.dead || node.table.isUnresponsive(vm.id)) {
+            }
+            if (vm.dead || node.table.isUnresponsive(vm.id) || node.table.isUnlisted(vm.id, nowMillis)) {
                 pollState(node, vm.id);
             }
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -33,6 +33,7 @@
 import org.apricotdeal.relay.policy.QueueDemand;
 import org.apricotdeal.relay.policy.QueueId;
 import org.apricotdeal.relay.policy.RelayEvent;
+import org.apricotdeal.relay.policy.ReplicaGroups;
 import org.apricotdeal.relay.policy.ReplicaPlanner;
 import org.apricotdeal.relay.policy.Target;
 import org.apricotdeal.relay.policy.TargetBuilder;
@@ -393,7 +394,7 @@
         isolation
                 .update(table, this::hasEngine, anyPeerLive(nowMillis), nowMillis)
                 .forEach(vm -> poll(vm, UNRESPONSIVE_REPORT_PERIOD_MILLIS));
-        pollUnresponsiveVms();
+        pollDoubtfulVms(nowMillis);
         unresponsiveVms = table.recentlyUnresponsive(nowMillis);
         nodeLoadLog.tick(nowMillis);
         if (catalogue == null || !evacuations.isKnown()) {
@@ -413,9 +414,10 @@
         }
     }
 
-    private void pollUnresponsiveVms() {
+    /** Polls VMs that do not answer, and VMs without entries, whose end no entry shows. */
+    private void pollDoubtfulVms(long nowMillis) {
         for (UpstreamVm vm : table.all()) {
-            if (table.isUnresponsive(vm.id())) {
+            if (table.isUnresponsive(vm.id()) || table.isUnlisted(vm.id(), nowMillis)) {
                 boolean planned = planners.containsKey(new PlannerKey(vm.failureDomain(), vm.upstream()));
                 poll(vm.id(), planned ? UNRESPONSIVE_REPORT_PERIOD_MILLIS : FOREIGN_REPORT_PERIOD_MILLIS);
             }
@@ -530,11 +532,12 @@
         }
         UpstreamEntry upstream = catalogue.upstreams().get(key.upstream());
         EngineProfile engine = upstream.engine().orElseThrow();
-        List<UpstreamVm> vms = table.all().stream()
+        List<UpstreamVm> known = table.all().stream()
                 .filter(vm -> vm.upstream().equals(key.upstream())
                         && vm.failureDomain().equals(key.failureDomain()))
                 .sorted(Comparator.comparing(UpstreamVm::id))
                 .toList();
+        List<UpstreamVm> vms = ReplicaGroups.plannable(known, engine, vm -> table.isUnlisted(vm.id(), nowMillis));
         Set<VmId> unresponsive = new HashSet<>();
         vms.stream().map(UpstreamVm::id).filter(table::isUnresponsive).forEach(unresponsive::add);
         boolean startup = settings.firstStart() && nowMillis - startedMillis < STARTUP_MILLIS;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaGroups.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/ReplicaGroups.java
@@ -3,12 +3,16 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
 
 import org.apricotdeal.kernel.id.ReplicaId;
+import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.relay.model.EngineProfile;
 import org.apricotdeal.relay.model.GroupMembership;
 import org.apricotdeal.relay.model.GroupPhase;
@@ -134,6 +138,27 @@
         return groups;
     }
 
+    /**
+     * Leaves out the unlisted VMs that are not in a serving replica, since they may be gone soon.
+     *
+     * @param vms VMs of the upstream
+     * @param engine profile of the engines
+     * @param unlisted whether the entry of a VM is missing
+     * @return VMs that replicas can be planned with
+     */
+    public static List<UpstreamVm> plannable(
+            Collection<UpstreamVm> vms, EngineProfile engine, Predicate<UpstreamVm> unlisted) {
+        Set<VmId> serving = new HashSet<>();
+        for (ReplicaGroup group : of(vms, engine)) {
+            if (group.open() && group.ready()) {
+                group.members().forEach(member -> serving.add(member.id()));
+            }
+        }
+        return vms.stream()
+                .filter(vm -> serving.contains(vm.id()) || !unlisted.test(vm))
+                .toList();
+    }
+
     /**
      * Extracts the model from a replica name.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/VmTable.java
@@ -52,6 +52,9 @@
      */
     private static final long COLD_JITTER_MILLIS = 250;
 
+    /** Time for which a member without an entry is kept, below the ten seconds for which a member that leaves remains. */
+    private static final long UNLISTED_MEMBER_MILLIS = 9_000;
+
     private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
 
     private final Map<VmId, TrackedVm> vms = new HashMap<>();
@@ -164,13 +167,33 @@
     }
 
     /**
-     * Removes the VMs whose entries have not returned in time.
+     * Removes the VMs whose entries have not returned in time. A member of a replica that is not its head is kept for some
+     * seconds while it answers: it may only be cut off from the store, and requests reach the head.
      *
      * @param nowMillis monotonic time
      * @return true if any VM was removed
      */
     public boolean removeExpired(long nowMillis) {
-        return vms.values().removeIf(tracked -> nowMillis >= tracked.removeAtMillis);
+        return vms.values().removeIf(tracked -> nowMillis >= tracked.removeAtMillis && !isKept(tracked, nowMillis));
+    }
+
+    private static boolean isKept(TrackedVm tracked, long nowMillis) {
+        return tracked.vm.group().filter(group -> group.rank() > 0).isPresent()
+                && !tracked.leaving
+                && tracked.misses < UNRESPONSIVE_AFTER_MISSES
+                && nowMillis - tracked.removeAtMillis < UNLISTED_MEMBER_MILLIS;
+    }
+
+    /**
+     * Returns whether the entry of a VM is missing, though the VM is kept.
+     *
+     * @param id identifies the VM
+     * @param nowMillis monotonic time
+     * @return true if the VM may only remain in the replica in which it is
+     */
+    public boolean isUnlisted(VmId id, long nowMillis) {
+        TrackedVm tracked = vms.get(id);
+        return tracked != null && nowMillis >= tracked.removeAtMillis;
     }
 
     /**
