A new connection is not closed because bytes arrive on all others

My fault in: a caller got no answer, as a crowd sent long heads. Cause: connections from which bytes arrive were passed over for good, so that the newcomer was closed if there were no others.

Change: they are passed over first, and are closed, the longest first, before the newcomer is.

--- a/relay/src/main/java/org/apricotdeal/relay/node/CallerConnection.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CallerConnection.java
@@ -27,9 +27,9 @@
     private final CallerResources resources;
     private volatile long beganMillis;
     private volatile boolean headArriving;
+    private volatile boolean reading;
     private volatile StalledHolder holder;
     private boolean gaveWay;
-    private boolean reading;
     private int headBytes;
     private int reservedBytes;
 
@@ -53,19 +53,14 @@
 
     @Override
     public void onFillable() {
-        setReading(true);
+        reading = true;
         try {
             super.onFillable();
         } finally {
-            setReading(false);
+            reading = false;
         }
     }
 
-    /** Sets whether input is read and parsed, during which the connection does not give way. */
-    private synchronized void setReading(boolean nowReading) {
-        reading = nowReading;
-    }
-
     @Override
     public void onClose(Throwable cause) {
         resources.closed(this);
@@ -98,7 +93,7 @@
      * {@link #begin} is called, so one of the two sees the other.
      */
     private synchronized boolean takeIdle() {
-        if (reading || !isWithoutRequest()) {
+        if (!isWithoutRequest()) {
             return false;
         }
         gaveWay = true;
@@ -149,10 +144,9 @@
 
     @Override
     public boolean giveWay() {
-        if (isWithoutRequest() && hasUnreadInput()) {
-            return false;
-        }
-        if (closeIdle()) {
+        if (takeIdle()) {
+            resources.record("connections");
+            getEndPoint().close();
             return true;
         }
         StalledHolder current = holder;
@@ -163,14 +157,9 @@
         return true;
     }
 
-    /** Closes the connection unless a request is handled; returns whether it was closed. */
-    boolean closeIdle() {
-        if (!takeIdle()) {
-            return false;
-        }
-        resources.record("connections");
-        getEndPoint().close();
-        return true;
+    /** Returns whether a request may be arriving: bytes wait to be read, or have been read and are not parsed yet. */
+    boolean isReceiving() {
+        return isWithoutRequest() && (hasUnreadInput() || reading);
     }
 
     /** Returns whether bytes have arrived that the node has not read: on a busy node, a request may wait for its turn. */
--- a/relay/src/main/java/org/apricotdeal/relay/node/CallerResources.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/CallerResources.java
@@ -1,5 +1,7 @@
 package org.apricotdeal.relay.node;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -69,11 +71,12 @@
 
     /**
      * Adds a connection. If there are too many, closes those that linger; then the one that has been without a request for
-     * the longest time; if all have one, the one that has stalled for the longest time in sending its body or reading its
-     * answer; else the new one.
+     * the longest time and from which nothing arrives; then the one that has stalled for the longest time in sending its body or
+     * reading its answer; then the oldest one whose request may be arriving; else the new one.
      */
     void opened(CallerConnection connection) {
         Set<CallerConnection> candidates = null;
+        Deque<CallerConnection> receiving = new ArrayDeque<>();
         while (connections.size() + lingering.size() >= limits.connections()) {
             if (lingering.closeOldest()) {
                 continue;
@@ -82,14 +85,21 @@
                 candidates = new HashSet<>(connections);
             }
             Optional<CallerConnection> stalled = longestStalled(candidates);
-            if (stalled.isEmpty()) {
-                connection.closeIdle();
+            if (stalled.isPresent()) {
+                candidates.remove(stalled.get());
+                if (stalled.get().isReceiving()) {
+                    receiving.add(stalled.get());
+                    continue;
+                }
+            }
+            CallerConnection next = stalled.orElseGet(receiving::poll);
+            if (next == null) {
+                connection.giveWay();
                 return;
             }
-            candidates.remove(stalled.get());
-            // False for one that has just got a request, even an unread one.
-            if (stalled.get().giveWay()) {
-                connections.remove(stalled.get());
+            // False for one that has just got a request.
+            if (next.giveWay()) {
+                connections.remove(next);
             }
         }
         connections.add(connection);
