--- a/proofs/src/test/java/org/apricotdeal/relay/node/CountedStoreTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/CountedStoreTest.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 
 import com.codahale.metrics.MetricRegistry;
+import org.apricotdeal.relay.health.LocalHealth;
 import org.apricotdeal.relay.port.StoreLease;
 import org.testng.annotations.Test;
 
@@ -24,7 +25,7 @@
         ByteArrayOutputStream written = new ByteArrayOutputStream();
         try (DecisionLog log =
                 new DecisionLog(new PrintStream(written, true, StandardCharsets.UTF_8), new MetricRegistry())) {
-            NodeLoadLog loads = new NodeLoadLog(log, metrics);
+            NodeLoadLog loads = new NodeLoadLog(log, metrics, new LocalHealth());
             loads.tick(1);
             loads.tick(10_000);
         }
--- a/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FailingActionsTest.java
@@ -200,7 +200,7 @@
             SystemClock clock = new SystemClock();
             metrics = new FailingMetrics(fault.failingMetric);
             log = new DecisionLog(System.out, metrics);
-            client = RelayClients.startClient(threads, new UpstreamConnector());
+            client = RelayClients.startClient(threads, new UpstreamConnector(new Counter()));
             UpstreamRequest.Factory requests =
                     switch (fault) {
                         case CANCEL -> (address, target) -> new UncancellableRequest(client, address, target);
--- a/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
@@ -17,6 +17,7 @@
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.relay.health.LocalHealth;
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.model.VmReport;
 import org.apricotdeal.relay.policy.ColdBounds;
@@ -34,6 +35,7 @@
 
     final FleetDuty fleet;
     final DecisionLog log;
+    final LocalHealth health = new LocalHealth();
     private final RelayDuty relay;
     private final ByteArrayOutputStream written = new ByteArrayOutputStream();
 
@@ -63,7 +65,7 @@
                 log,
                 metrics,
                 ResourceLimits.of(0, 0));
-        fleet = new FleetDuty(settings(), relay, vmClient, clock, log, metrics);
+        fleet = new FleetDuty(settings(), relay, vmClient, health, clock, log, metrics);
         if (knowsEvacuations) {
             fleet.put(new FleetEvent.EvacuationsChanged(Set.of()));
         }
--- a/proofs/src/test/java/org/apricotdeal/relay/node/UpstreamEndPointTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/UpstreamEndPointTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
+import com.codahale.metrics.Counter;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -28,7 +29,7 @@
     @BeforeClass
     public void start() {
         threads = RelayClients.newThreadPool();
-        client = RelayClients.startClient(threads, new UpstreamConnector());
+        client = RelayClients.startClient(threads, new UpstreamConnector(new Counter()));
     }
 
     @AfterClass(alwaysRun = true)
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -17,6 +17,7 @@
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.relay.health.LocalHealth;
 import org.apricotdeal.relay.model.EngineProfile;
 import org.apricotdeal.relay.model.ModelId;
 import org.apricotdeal.relay.model.RelayCatalogue;
@@ -120,6 +121,7 @@
             RelaySettings settings,
             RelayDuty relay,
             VmClient vmClient,
+            LocalHealth health,
             Clock clock,
             DecisionLog log,
             MetricRegistry metrics) {
@@ -131,7 +133,7 @@
         this.statisticsLog = new PlannerStatisticsLog(log);
         this.metrics = metrics;
         this.evacuations = new FleetEvacuations(log, metrics);
-        this.nodeLoadLog = new NodeLoadLog(log, metrics);
+        this.nodeLoadLog = new NodeLoadLog(log, metrics, health);
         this.isolation = new IsolationWatch(settings.failureDomain(), log, metrics);
         this.coldVms = new ColdVmFeed(settings.coldBounds(), log, metrics);
         this.startedMillis = clock.monotonicMillis();
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -62,7 +62,7 @@
     static final String PATH = "/heartbeat";
 
     /** Time between two heartbeats; request counts take up to three heartbeats to spread, and are used for 1.5 s. */
-    private static final long PERIOD_MILLIS = 200;
+    static final long PERIOD_MILLIS = 200;
 
     /** Time after which a heartbeat counts as lost and the next one is sent. */
     private static final long TIMEOUT_MILLIS = 600;
@@ -89,6 +89,7 @@
     private final EvacuationHolder evacuations;
     private final CatalogueWatcher catalogueWatcher;
     private final VmWatcher vms;
+    private final HealthProbe healthProbe;
     private final Clock clock;
     private final DecisionLog log;
     private final MetricRegistry metrics;
@@ -129,6 +130,7 @@
             EvacuationHolder evacuations,
             CatalogueWatcher catalogueWatcher,
             VmWatcher vms,
+            HealthProbe healthProbe,
             Clock clock,
             DecisionLog log,
             MetricRegistry metrics) {
@@ -140,6 +142,7 @@
         this.evacuations = evacuations;
         this.catalogueWatcher = catalogueWatcher;
         this.vms = vms;
+        this.healthProbe = healthProbe;
         this.clock = clock;
         this.log = log;
         this.metrics = metrics;
@@ -154,6 +157,7 @@
     }
 
     private void sendAll() {
+        healthProbe.tick();
         PeerSnapshot snapshot = fleet.peerSnapshot();
         Set<String> recipients;
         synchronized (partners) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/NodeLoadLog.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/NodeLoadLog.java
@@ -1,15 +1,12 @@
 package org.apricotdeal.relay.node;
 
-import java.lang.management.ManagementFactory;
-import java.lang.management.ThreadInfo;
-import java.lang.management.ThreadMXBean;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricFilter;
 import com.codahale.metrics.MetricRegistry;
+import org.apricotdeal.relay.health.LocalHealth;
 
 /**
  * Periodically logs the cost of a node's own work: processor time by thread since the last line, heartbeats and their bytes,
@@ -27,21 +24,28 @@
         "heartbeats.sent.bytes",
         "catalogues.sent.bytes",
         CountedStore.CALLS,
-        "vm.reports.asked"
+        "vm.reports.asked",
+        "vm.reports.missed",
+        "vm.reports.excused",
+        "connections.opened",
+        "attempts.failed.NOT_SENT",
+        "handed.over"
     };
 
     private final DecisionLog log;
     private final MetricRegistry metrics;
-    private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    private final LocalHealth health;
     private final Map<String, Long> lastCounts = new TreeMap<>();
     private Map<String, Long> lastCpuMillis = Map.of();
     private long lastMillis;
 
-    NodeLoadLog(DecisionLog log, MetricRegistry metrics) {
+    NodeLoadLog(DecisionLog log, MetricRegistry metrics, LocalHealth health) {
         this.log = log;
+        this.health = health;
         this.metrics = metrics;
-        metrics.register("processor.millis", (Gauge<Long>) () ->
-                cpuMillisByThread().values().stream().mapToLong(Long::longValue).sum());
+        metrics.register("processor.millis", (Gauge<Long>) () -> ThreadTimes.millisByName().values().stream()
+                .mapToLong(Long::longValue)
+                .sum());
     }
 
     /** Writes a line if the period has elapsed. */
@@ -54,7 +58,7 @@
             return;
         }
         lastMillis = nowMillis;
-        Map<String, Long> cpuMillis = cpuMillisByThread();
+        Map<String, Long> cpuMillis = ThreadTimes.millisByName();
         Map<String, Long> spent = new TreeMap<>();
         cpuMillis.forEach((thread, millis) -> spent.put(thread, millis - lastCpuMillis.getOrDefault(thread, 0L)));
         lastCpuMillis = cpuMillis;
@@ -62,7 +66,8 @@
         for (String counter : COUNTERS) {
             line.with(counter, countSinceLastLine(counter));
         }
-        line.with("storeCalls", storeCallsByKind())
+        line.with("delayMillis", health.takeLongestMillis())
+                .with("storeCalls", storeCallsByKind())
                 .with("processorMillis", spent)
                 .write();
     }
@@ -86,23 +91,4 @@
         }
         return calls;
     }
-
-    /** Sums processor time by thread name, ignoring the number at the end of the name. */
-    private Map<String, Long> cpuMillisByThread() {
-        Map<String, Long> millis = new TreeMap<>();
-        if (!threads.isThreadCpuTimeSupported()) {
-            return millis;
-        }
-        for (ThreadInfo thread : threads.getThreadInfo(threads.getAllThreadIds())) {
-            if (thread == null) {
-                continue;
-            }
-            long nanos = threads.getThreadCpuTime(thread.getThreadId());
-            if (nanos > 0) {
-                String name = thread.getThreadName().replaceAll("[0-9@-].*$", "");
-                millis.merge(name, TimeUnit.NANOSECONDS.toMillis(nanos), Long::sum);
-            }
-        }
-        return millis;
-    }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayClients.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayClients.java
@@ -1,5 +1,6 @@
 package org.apricotdeal.relay.node;
 
+import com.codahale.metrics.Counter;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
@@ -41,8 +42,8 @@
     }
 
     /** Starts the client for requests that are handed over to other nodes: all those of a node may run at one of them. */
-    static HttpClient startPartnerClient(QueuedThreadPool threads) {
-        HttpClient client = startClient(threads, new UpstreamConnector());
+    static HttpClient startPartnerClient(QueuedThreadPool threads, Counter opened) {
+        HttpClient client = startClient(threads, new UpstreamConnector(opened));
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_PARTNER);
         return client;
     }
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -10,6 +10,7 @@
 import org.apricotdeal.kernel.misc.Version;
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.kernel.time.SystemClock;
+import org.apricotdeal.relay.health.LocalHealth;
 import org.apricotdeal.relay.policy.FleetNode;
 import org.apricotdeal.relay.policy.RelayDispatcher;
 import org.apricotdeal.relay.policy.RelayEvent;
@@ -63,7 +64,7 @@
         this.settings = settings;
         log = new DecisionLog(System.out, metrics);
         threads = RelayClients.newThreadPool();
-        UpstreamConnector connector = new UpstreamConnector();
+        UpstreamConnector connector = new UpstreamConnector(metrics.counter("connections.opened"));
         client = RelayClients.startClient(threads, connector);
         PlatformAdapter adapter = adapter(settings.adapter());
         WatchStore store = adapter.store(client, settings.storeAddress(), settings.storeTimeoutMillis());
@@ -85,8 +86,10 @@
                 log,
                 metrics,
                 settings.resources());
-        fleet = new FleetDuty(settings, relay, adapter.vmClient(client), clock, log, metrics);
-        HttpClient partnerClient = RelayClients.startPartnerClient(threads);
+        LocalHealth health = new LocalHealth();
+        fleet = new FleetDuty(settings, relay, adapter.vmClient(client), health, clock, log, metrics);
+        HttpClient partnerClient =
+                RelayClients.startPartnerClient(threads, metrics.counter("connections.to.nodes.opened"));
         relay.handOverBy(new HandOver(
                 settings.failureDomain(),
                 (address, target) -> new UpstreamRequest(partnerClient, address, target),
@@ -109,9 +112,7 @@
             relay.put(new RelayEvent.EvacuationsChanged(domains));
             fleet.put(new FleetEvent.EvacuationsChanged(domains));
         });
-        TRelayNode self = new TRelayNode(
-                settings.name(), settings.failureDomain().value(), settings.peerAddress(), clock.wallMillis());
-        self.setCallerAddress(settings.callerAddress());
+        TRelayNode self = registered();
         registration = new Registration(self, counted(store, "registration"), fleet, clock, log);
         VmWatcher vms = new VmWatcher(counted(store, "vms"), adapter.codec(), fleet, clock, log);
         CatalogueWatcher watcher =
@@ -119,12 +120,28 @@
         storeThreads = List.of(watcher, vms, registration);
         CataloguePull cataloguePull = new CataloguePull(client, catalogues, watcher::isStoreFailing, clock, metrics);
         heartbeats = new Heartbeats(
-                self, client, relay, fleet, catalogues, cataloguePull, evacuations, watcher, vms, clock, log, metrics);
+                self,
+                client,
+                relay,
+                fleet,
+                catalogues,
+                cataloguePull,
+                evacuations,
+                watcher,
+                vms,
+                new HealthProbe(health, connector::runOnSelector, clock, Heartbeats.PERIOD_MILLIS),
+                clock,
+                log,
+                metrics);
         relay.crashNews().onNewCrash(heartbeats::sendSoon);
         ingress = new IngressHandler(catalogues, adapter, relay, clock);
         SelectorProbe selectorProbe = new SelectorProbe(connector::runOnSelector, clock);
         status = new NodeStatus(settings, catalogues, evacuations, fleet, relay, selectorProbe, clock);
-        server = new RelayServer(
+        server = newServer(adapter, cataloguePull);
+    }
+
+    private RelayServer newServer(PlatformAdapter adapter, CataloguePull cataloguePull) {
+        return new RelayServer(
                 settings,
                 threads,
                 ingress,
@@ -137,6 +154,13 @@
                 relay.callerResources());
     }
 
+    private TRelayNode registered() {
+        TRelayNode self = new TRelayNode(
+                settings.name(), settings.failureDomain().value(), settings.peerAddress(), clock.wallMillis());
+        self.setCallerAddress(settings.callerAddress());
+        return self;
+    }
+
     private WatchStore counted(WatchStore store, String task) {
         return new CountedStore(store, metrics, task);
     }
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamConnector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamConnector.java
@@ -4,17 +4,29 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 
+import com.codahale.metrics.Counter;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 
 /** Opens connections to upstreams, the store and other nodes as {@link UpstreamEndPoint}. */
 final class UpstreamConnector extends ClientConnector {
+    private final Counter opened;
     private volatile ManagedSelector lastSelector;
 
+    /**
+     * Creates a connector.
+     *
+     * @param opened counts the connections
+     */
+    UpstreamConnector(Counter opened) {
+        this.opened = opened;
+    }
+
     @Override
     protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
         lastSelector = selector;
+        opened.inc();
         return new UpstreamEndPoint((SocketChannel) channel, selector, key, getScheduler());
     }
 
