No stack trace for each caller that leaves before its answer

Cause: an exchange was aborted with an exception that Jetty takes for a fault of the handler. Change: the exception is a QuietException; the structured lines (caller_left, answer_cut) stay. Measured: CallerLeftLogTest fails before, passes now.

--- a/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Exchange.java
@@ -17,6 +17,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.QuietException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -285,7 +286,7 @@
             if (complete()) {
                 recordCut(AnswerCut.of(reason));
                 endPoint.stopWatching();
-                writer.abort(new IllegalStateException("response aborted: " + reason));
+                writer.abort(new QuietException.RuntimeException("response aborted: " + reason));
             }
             return;
         }
@@ -317,7 +318,7 @@
     /** Ends the exchange of a caller that has disconnected. */
     void abortForDisconnect() {
         if (complete()) {
-            writer.abort(new IllegalStateException("the caller has disconnected"));
+            writer.abort(new QuietException.RuntimeException("the caller has disconnected"));
         }
     }
 
@@ -325,7 +326,7 @@
     void abortForFailure() {
         complete();
         recordCut(AnswerCut.FAILURE);
-        writer.abort(new IllegalStateException("the answer could not be written"));
+        writer.abort(new QuietException.RuntimeException("the answer could not be written"));
     }
 
     /** Records, once, that the node closes the connection before the whole answer has been written. */
