A node that is late itself waits longer before others count as silent

Cause: timeouts of 250 ms to 800 ms run while the node has not read the reply or sent the call: FleetDuty excused only gaps of its own thread. Class of fault: overload taken for the failure of others. Change: LocalHealth judges the delay of the reading and the heartbeat thread; reports, connections, stalls of targets and the silence of nodes get twice that delay more, at most a second. VmPolls and Patience are rooms of their own.

--- a/proofs/src/test/java/org/apricotdeal/relay/node/HealthProbeTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/HealthProbeTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.apricotdeal.relay.health.LocalHealth;
 import org.testng.annotations.Test;
@@ -16,7 +17,9 @@
     private final ManualClock clock = new ManualClock();
     private final Queue<Runnable> tasks = new ArrayDeque<>();
     private final LocalHealth health = new LocalHealth();
-    private final HealthProbe probe = new HealthProbe(health, tasks::add, clock, PERIOD_MILLIS);
+    private final AtomicLong connectTimeoutMillis = new AtomicLong();
+    private final HealthProbe probe =
+            new HealthProbe(health, tasks::add, connectTimeoutMillis::set, clock, PERIOD_MILLIS);
 
     @Test
     public void delayIsThatOfTheSlowestThread() {
@@ -27,6 +30,7 @@
         clock.advance(PERIOD_MILLIS + 50);
         probe.tick();
         assertEquals(delayMillis(), 80, "of the calling thread");
+        assertEquals(connectTimeoutMillis.get(), RelayClients.CONNECT_TIMEOUT_MILLIS + 2 * 80);
         for (int i = 0; i < 3; i++) {
             clock.advance(PERIOD_MILLIS);
             probe.tick();
--- a/relay/src/main/java/org/apricotdeal/relay/health/LocalHealth.java
+++ b/relay/src/main/java/org/apricotdeal/relay/health/LocalHealth.java
@@ -13,6 +13,11 @@
 public final class LocalHealth {
     private static final long BUCKET_MILLIS = 500;
 
+    /** A call and its reply each wait for the late threads. */
+    private static final int WAITS_PER_CALL = 2;
+
+    private static final long MAX_EXTENSION_MILLIS = 1_000;
+
     private long bucketStartMillis = Long.MIN_VALUE / 2;
     private long bucketDelayMillis;
     private long previousDelayMillis;
@@ -41,6 +46,17 @@
         return Math.max(bucketDelayMillis, previousDelayMillis);
     }
 
+    /**
+     * Extends a timeout by the time by which this node itself may be late with the call and its reply.
+     *
+     * @param timeoutMillis time within which the other side replies
+     * @param nowMillis monotonic time
+     * @return the timeout, at most a second longer
+     */
+    public long extend(long timeoutMillis, long nowMillis) {
+        return timeoutMillis + Math.min(MAX_EXTENSION_MILLIS, WAITS_PER_CALL * delayMillis(nowMillis));
+    }
+
     /**
      * Returns the largest delay since the last call, for the log.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -30,7 +30,6 @@
 import org.apricotdeal.relay.policy.FleetNode;
 import org.apricotdeal.relay.policy.ModelDemand;
 import org.apricotdeal.relay.policy.PlannedOrder;
-import org.apricotdeal.relay.policy.ProcessDelay;
 import org.apricotdeal.relay.policy.QueueDemand;
 import org.apricotdeal.relay.policy.QueueId;
 import org.apricotdeal.relay.policy.RelayEvent;
@@ -50,17 +49,8 @@
     private static final int RING_SLOTS = 4_096;
     private static final long TICK_MILLIS = 100;
 
-    /** Timeout of a report; a VM replies within milliseconds, even under load. */
-    private static final long REPORT_TIMEOUT_MILLIS = 250;
-
     private static final long ORDER_TIMEOUT_MILLIS = 600;
 
-    /** Time without any work of this duty after which the process was held up. */
-    private static final long MAX_GAP_MILLIS = REPORT_TIMEOUT_MILLIS;
-
-    /** Time after a delay of the process during which reports time out because of it. */
-    private static final long DELAY_EFFECT_MILLIS = REPORT_TIMEOUT_MILLIS + TICK_MILLIS;
-
     /** Minimum time between two polls of the same VM. */
     private static final long REPORT_PERIOD_MILLIS = 300;
 
@@ -85,13 +75,12 @@
     private final RelaySettings settings;
     private final RelayDuty relay;
     private final VmClient vmClient;
+    private final VmPolls polls;
     private final Clock clock;
     private final DecisionLog log;
     private final MetricRegistry metrics;
     private final Duty<FleetEvent> duty;
     private final VmTable table = new VmTable();
-    private final ProcessDelay ownDelay = new ProcessDelay(MAX_GAP_MILLIS);
-    private final Map<VmId, Long> lastPollMillis = new HashMap<>();
     private final Map<PlannerKey, ReplicaPlanner> planners = new HashMap<>();
     private final FleetEvacuations evacuations;
     private final PlannerStatisticsLog statisticsLog;
@@ -136,6 +125,7 @@
         this.nodeLoadLog = new NodeLoadLog(log, metrics, health);
         this.isolation = new IsolationWatch(settings.failureDomain(), log, metrics);
         this.coldVms = new ColdVmFeed(settings.coldBounds(), log, metrics);
+        this.polls = new VmPolls(vmClient, TICK_MILLIS, this::putReport, health, clock, metrics);
         this.startedMillis = clock.monotonicMillis();
         this.plannerName = plannerName(settings.name(), clock.wallMillis());
         metrics.register("targets", (Gauge<Integer>) () -> targets.size());
@@ -225,7 +215,7 @@
     }
 
     private void step(FleetEvent event) {
-        ownDelay.observe(clock.monotonicMillis());
+        polls.observe();
         switch (event) {
             case FleetEvent.AllVmsListed(List<UpstreamVm> vms, long removeAtMillis) -> {
                 table.replaceEntries(vms, removeAtMillis, clock.monotonicMillis())
@@ -314,7 +304,7 @@
     }
 
     private void applyReport(VmId vm, Result<VmReport, String> report) {
-        if (report instanceof Result.Err<VmReport, String> && isOwnDelay(vm)) {
+        if (report instanceof Result.Err<VmReport, String> && polls.isOwnDelay(vm)) {
             metrics.counter("vm.reports.excused").inc();
             poll(vm, 0);
             return;
@@ -340,14 +330,6 @@
         targetsOutdated = true;
     }
 
-    /** Returns whether a report timed out because this node was held up; a failure before the timeout is the VM's own. */
-    private boolean isOwnDelay(VmId vm) {
-        long nowMillis = clock.monotonicMillis();
-        Long polledMillis = lastPollMillis.get(vm);
-        return ownDelay.hasResumedWithin(nowMillis, DELAY_EFFECT_MILLIS)
-                && (polledMillis == null || nowMillis - polledMillis >= REPORT_TIMEOUT_MILLIS);
-    }
-
     private void applyReply(FleetEvent.OrderReplied replied) {
         ReplicaPlanner planner = planners.get(replied.planner());
         if (planner != null) {
@@ -389,7 +371,7 @@
 
     private void tick() {
         long nowMillis = clock.monotonicMillis();
-        ownDelay.observe(nowMillis);
+        polls.observe();
         if (table.removeExpired(nowMillis)) {
             targetsOutdated = true;
         }
@@ -427,16 +409,15 @@
     }
 
     private void poll(VmId id, long periodMillis) {
-        long nowMillis = clock.monotonicMillis();
-        Optional<UpstreamVm> vm = table.find(id).filter(this::hasEngine).filter(evacuations::mayPoll);
-        Long lastMillis = lastPollMillis.get(id);
-        if (vm.isEmpty() || (lastMillis != null && nowMillis - lastMillis < periodMillis)) {
-            return;
-        }
-        lastPollMillis.put(id, nowMillis);
-        metrics.counter("vm.reports.asked").inc();
-        var unused = vmClient.report(vm.get(), REPORT_TIMEOUT_MILLIS)
-                .thenAccept(report -> duty.put(new FleetEvent.VmReported(id, report)));
+        mayPoll(id).ifPresent(vm -> polls.ask(vm, periodMillis));
+    }
+
+    private Optional<UpstreamVm> mayPoll(VmId id) {
+        return table.find(id).filter(this::hasEngine).filter(evacuations::mayPoll);
+    }
+
+    private void putReport(VmId vm, Result<VmReport, String> report) {
+        duty.put(new FleetEvent.VmReported(vm, report));
     }
 
     /** Plain services cannot be polled; only requests show whether they respond. */
@@ -447,7 +428,7 @@
     }
 
     private void publishTargets() {
-        lastPollMillis.keySet().removeIf(id -> table.find(id).isEmpty());
+        polls.retain(id -> table.find(id).isPresent());
         listedQueues = TargetBuilder.listedQueues(table, catalogue);
         List<Target> built = TargetBuilder.build(table, catalogue, clock.monotonicMillis());
         if (Set.copyOf(built).equals(Set.copyOf(targets))) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -166,6 +166,7 @@
                             .map(peer -> new PlannerChoice.Candidate(peer.name(), peer.failureDomain()))
                             .toList(),
                     snapshot.stopping(),
+                    healthProbe.extend(HeartbeatPartners.SUSPECT_MILLIS),
                     clock.monotonicMillis());
             setDelegate(partners.isDelegate());
             storeFollower = partners.isStoreFollower();
@@ -208,7 +209,8 @@
 
     /** Returns whether a heartbeat is under way, so that they do not accumulate for an unresponsive peer. */
     private boolean isPending(Peer peer) {
-        return pendingMillis(peer).orElse(TIMEOUT_MILLIS) < TIMEOUT_MILLIS;
+        long timeoutMillis = healthProbe.extend(TIMEOUT_MILLIS);
+        return pendingMillis(peer).orElse(timeoutMillis) < timeoutMillis;
     }
 
     /** Returns the time since the last heartbeat was sent to a peer that has not responded to it. */
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayClients.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayClients.java
@@ -26,7 +26,7 @@
     private static final int MAX_HEAD_BYTES = 16 * 1024;
 
     /** Short, because all addresses are within the same network. */
-    private static final long CONNECT_TIMEOUT_MILLIS = 500;
+    static final long CONNECT_TIMEOUT_MILLIS = 500;
 
     /** Below the idle timeouts of VMs, which are set in whole seconds, so that VMs do not close pooled connections. */
     private static final long IDLE_CONNECTION_MILLIS = 4_000;
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayDuty.java
@@ -22,6 +22,7 @@
 import org.apricotdeal.kernel.id.UpstreamId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.relay.health.LocalHealth;
 import org.apricotdeal.relay.model.RouteEntry;
 import org.apricotdeal.relay.model.WeightedUpstream;
 import org.apricotdeal.relay.policy.Arrival;
@@ -80,7 +81,7 @@
     private volatile HandOver handOver;
     private volatile Consumer<TargetId> leavingListener = target -> {};
     private final CrashNewsFeed crashNews;
-    private final SuspensionDetector suspensions;
+    private volatile NodeDelayFeed nodeDelays;
 
     /** Receives VMs that may have failed. */
     interface SuspicionListener {
@@ -115,7 +116,7 @@
         this.log = log;
         this.metrics = metrics;
         this.crashNews = new CrashNewsFeed(log, metrics, clock);
-        this.suspensions = new SuspensionDetector(clock);
+        this.nodeDelays = new NodeDelayFeed(new LocalHealth(), clock);
         metrics.register("requests.in.progress", (Gauge<Integer>) exchanges::size);
         metrics.register("requests.waiting", (Gauge<Integer>) () -> waiting);
         this.duty = new Duty<>("dispatch", RING_SLOTS, TICK_MILLIS, this::step, this::tick);
@@ -146,6 +147,11 @@
         handOver = newHandOver;
     }
 
+    /** Sets the judge of this node's delay; without it, the node takes itself for punctual. */
+    void judgeDelayBy(LocalHealth health) {
+        nodeDelays = new NodeDelayFeed(health, clock);
+    }
+
     /** Sets the parser of the header in which a VM reports the number of requests at it. */
     void readLoadsWith(Function<String, OptionalInt> reader) {
         loadReader = reader;
@@ -309,8 +315,8 @@
                 dispatcher.recordAnswering(clock.monotonicMillis(), attempt.id(), attempt.answeringMillis());
             }
         }
-        if (suspensions.wasSuspended()) {
-            execute(dispatcher.step(clock.monotonicMillis(), new RelayEvent.ProcessSuspended()));
+        for (RelayEvent change : nodeDelays.changes()) {
+            execute(dispatcher.step(clock.monotonicMillis(), change));
         }
         try {
             execute(dispatcher.step(clock.monotonicMillis(), new RelayEvent.Tick()));
--- a/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/RelayNode.java
@@ -99,6 +99,7 @@
                 clock,
                 log,
                 metrics));
+        relay.judgeDelayBy(health);
         relay.readLoadsWith(adapter::requestsAtVm);
         relay.onSuspectedVms(fleet::suspect);
         relay.onLeavingVms(target -> fleet.put(new FleetEvent.VmLeaves(target)));
@@ -129,7 +130,7 @@
                 evacuations,
                 watcher,
                 vms,
-                new HealthProbe(health, connector::runOnSelector, clock, Heartbeats.PERIOD_MILLIS),
+                healthProbe(health, connector),
                 clock,
                 log,
                 metrics);
@@ -140,6 +141,11 @@
         server = newServer(adapter, cataloguePull);
     }
 
+    private HealthProbe healthProbe(LocalHealth health, UpstreamConnector connector) {
+        return new HealthProbe(
+                health, connector::runOnSelector, connector::setConnectTimeoutMillis, clock, Heartbeats.PERIOD_MILLIS);
+    }
+
     private RelayServer newServer(PlatformAdapter adapter, CataloguePull cataloguePull) {
         return new RelayServer(
                 settings,
--- a/relay/src/main/java/org/apricotdeal/relay/node/UpstreamConnector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/UpstreamConnector.java
@@ -3,6 +3,7 @@
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.time.Duration;
 
 import com.codahale.metrics.Counter;
 import org.eclipse.jetty.io.ClientConnector;
@@ -30,6 +31,15 @@
         return new UpstreamEndPoint((SocketChannel) channel, selector, key, getScheduler());
     }
 
+    /**
+     * Sets the time within which a connection that is opened from now on has to be open.
+     *
+     * @param millis time in milliseconds
+     */
+    void setConnectTimeoutMillis(long millis) {
+        setConnectTimeout(Duration.ofMillis(millis));
+    }
+
     /**
      * Runs a task on the selector thread; at once if no connection has been opened yet.
      *
--- a/relay/src/main/java/org/apricotdeal/relay/peer/HeartbeatPartners.java
+++ b/relay/src/main/java/org/apricotdeal/relay/peer/HeartbeatPartners.java
@@ -21,7 +21,7 @@
  */
 public final class HeartbeatPartners {
     /** Time without a heartbeat after which a node counts as unresponsive; a few heartbeat periods. */
-    private static final long SUSPECT_MILLIS = 800;
+    public static final long SUSPECT_MILLIS = 800;
 
     /** Number of delegates that follow the store, so that one of them may fail unnoticed. */
     private static final int STORE_FOLLOWERS = 2;
@@ -29,6 +29,7 @@
     private final PlannerChoice.Candidate self;
     private final Map<String, Long> lastHeartbeatMillis = new HashMap<>();
     private final Map<String, Long> contactedSinceMillis = new HashMap<>();
+    private long suspectMillis = SUSPECT_MILLIS;
     private boolean delegate = true;
     private int precedingDelegates;
 
@@ -82,7 +83,7 @@
     }
 
     /**
-     * Chooses the recipients of the next heartbeat.
+     * Chooses the recipients of heartbeats, of a node that is not late itself.
      *
      * @param peers the other nodes
      * @param stopping names of the nodes that are shutting down
@@ -90,7 +91,23 @@
      * @return names of the recipients
      */
     public Set<String> choose(Collection<PlannerChoice.Candidate> peers, Set<String> stopping, long nowMillis) {
-        lastHeartbeatMillis.values().removeIf(atMillis -> nowMillis - atMillis >= SUSPECT_MILLIS);
+        return choose(peers, stopping, SUSPECT_MILLIS, nowMillis);
+    }
+
+    /**
+     * Chooses the recipients of heartbeats.
+     *
+     * @param peers the other nodes
+     * @param stopping names of the nodes that are shutting down
+     * @param silenceMillis time without a heartbeat after which a node counts as unresponsive; longer than
+     * {@link #SUSPECT_MILLIS} if this node is late
+     * @param nowMillis current time
+     * @return names of the recipients
+     */
+    public Set<String> choose(
+            Collection<PlannerChoice.Candidate> peers, Set<String> stopping, long silenceMillis, long nowMillis) {
+        suspectMillis = silenceMillis;
+        lastHeartbeatMillis.values().removeIf(atMillis -> nowMillis - atMillis >= suspectMillis);
         Map<FailureDomainId, List<PlannerChoice.Candidate>> domains = new TreeMap<>();
         domains.computeIfAbsent(self.failureDomain(), domain -> new ArrayList<>())
                 .add(self);
@@ -139,6 +156,6 @@
     private boolean isResponsive(String name, long nowMillis) {
         long lastHeartbeatAtMillis = lastHeartbeatMillis.getOrDefault(name, Long.MIN_VALUE / 2);
         long contactedAtMillis = contactedSinceMillis.getOrDefault(name, nowMillis);
-        return nowMillis - Math.max(lastHeartbeatAtMillis, contactedAtMillis) < SUSPECT_MILLIS;
+        return nowMillis - Math.max(lastHeartbeatAtMillis, contactedAtMillis) < suspectMillis;
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayDispatcher.java
@@ -46,20 +46,12 @@
  * the route and the shared {@link RetryBudget}. A request that may have run and must not run twice fails.
  */
 public final class RelayDispatcher implements StateMachine<RelayEvent, RelayAction> {
-    /** A replica sends events every few steps; without any for this long it has lost a member or its head. */
-    private static final long STALL_MILLIS = 550;
-
-    /**
-     * Time without progress after which a request whose answer has begun is sent to another target too. A sound target
-     * may be silent for a second and go on.
-     */
-    private static final long BEGUN_STALL_MILLIS = 2_000;
-
     /** Time between two ticks above which this node itself was held up; several tick periods. */
     private static final long MAX_TICK_GAP_MILLIS = 100;
 
     private final QueueRegistry registry;
     private final TargetChooser targetChooser;
+    private final Patience patience = new Patience();
     private final ProcessDelay ownDelay = new ProcessDelay(MAX_TICK_GAP_MILLIS);
     private final RetryBudget budget;
     private final PoisonGuard poison;
@@ -204,6 +196,7 @@
                 holdBackSuspects();
             }
             case RelayEvent.ProcessSuspended suspended -> poison.detector().forgetAnswers();
+            case RelayEvent.NodeDelayed(long extensionMillis) -> patience.extendBy(extensionMillis);
             case RelayEvent.Tick tick -> onTick();
         }
         return actions;
@@ -351,7 +344,7 @@
         switch (outcome) {
             case NOT_SENT -> {
                 // The target of an earlier attempt is suspected already, for its silence.
-                if (failed == request) {
+                if (failed == request && !patience.wasOpenedLate(failed, nowMillis)) {
                     suspect(target, "no connection");
                 }
                 request.attempts--;
@@ -488,7 +481,7 @@
         poison.detector().tick(nowMillis);
         holdBackSuspects();
         for (TargetState state : registry.targets()) {
-            if (!state.running.isEmpty() && nowMillis - state.lastProgressMillis > STALL_MILLIS) {
+            if (patience.isStalled(state, nowMillis)) {
                 handleStall(state);
             }
         }
@@ -526,9 +519,8 @@
     private void replaceIfSilent(RequestState request) {
         // An attempt that has been replaced already has a state of its own.
         boolean replaced = requests.get(request.arrival.id()) != request;
-        long patienceMillis = request.started ? BEGUN_STALL_MILLIS : STALL_MILLIS;
         if (replaced
-                || request.target.silentMillis(nowMillis) < patienceMillis
+                || !patience.isSilent(request, nowMillis)
                 || !request.arrival.route().retryable()
                 || request.attempts >= request.arrival.route().maxAttempts()) {
             return;
--- a/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/RelayEvent.java
@@ -149,6 +149,13 @@
     /** The process was suspended for a time that the monotonic clock did not count. */
     record ProcessSuspended() implements RelayEvent {}
 
+    /**
+     * The delay of this node has changed.
+     *
+     * @param extensionMillis time by which the silence of others has to last longer, since this node sees late what they do
+     */
+    record NodeDelayed(long extensionMillis) implements RelayEvent {}
+
     /** Periodic event for timeouts and stall detection. */
     record Tick() implements RelayEvent {}
 }
