Doubts cost a fixed number of reports and heartbeats a second

What callers saw: nodes with little processor time stayed late long after the cause; a quiet node asked VMs for 0 to 2 reports in 5 s, a late one for 242. Cause: a missed report was asked for again at once, a doubted replica cost a report for each member, an isolated node asked all VMs each second, and a node that heard nobody sent heartbeats to ever more nodes. Class of fault: work that grows when the node is late (metastable failure).

--- a/proofs/src/test/java/org/apricotdeal/relay/node/OverloadedNodeTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/OverloadedNodeTest.java
@@ -29,7 +29,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-/** Guards against a node that is late itself taking sound VMs for silent and itself for isolated. */
+/** Guards against a node that is late itself taking sound VMs for silent and itself for isolated, and asking them ever more. */
 public final class OverloadedNodeTest {
     private static final int VMS = 24;
     private static final int TURN_MILLIS = 200;
@@ -39,6 +39,9 @@
     /** Time of three turns in which the reading thread does something else. */
     private static final long BUSY_MILLIS = 590;
 
+    private static final int MAX_REPORTS_PER_SECOND = 20;
+    private static final int MAX_REPORTS_AT_ONCE = 40;
+
     private final Clock clock = new SystemClock();
 
     @Test
@@ -52,8 +55,11 @@
                 fixture.fleet.put(new FleetEvent.CatalogueChanged(UnregisteredPlannerTest.catalogue()));
                 fixture.fleet.put(new FleetEvent.AllVmsListed(vms(), Long.MAX_VALUE));
                 run(fixture, connector, LATE_TURNS, BUSY_MILLIS);
+                int askedLate = vmClient.asked.get();
+                int maxAsked = MAX_REPORTS_AT_ONCE + MAX_REPORTS_PER_SECOND * LATE_TURNS * TURN_MILLIS / 1_000;
                 assertFalse(fixture.logText().contains("vm_silent"), fixture.logText());
                 assertFalse(fixture.logText().contains("isolated_from_vms"), fixture.logText());
+                assertTrue(askedLate <= maxAsked, askedLate + " reports asked");
                 run(fixture, connector, TURNS_AFTER, 0);
                 assertTrue(vmClient.answered.get() >= VMS, vmClient.answered + " of " + vmClient.asked + " answered");
                 assertTrue(fixture.fleet.unresponsiveVms().isEmpty());
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -123,7 +123,7 @@
         this.metrics = metrics;
         this.evacuations = new FleetEvacuations(log, metrics);
         this.nodeLoadLog = new NodeLoadLog(log, metrics, health);
-        this.isolation = new IsolationWatch(settings.failureDomain(), log, metrics);
+        this.isolation = new IsolationWatch(settings.name(), settings.failureDomain(), log, metrics);
         this.coldVms = new ColdVmFeed(settings.coldBounds(), log, metrics);
         this.polls = new VmPolls(vmClient, TICK_MILLIS, this::putReport, health, clock, metrics);
         this.startedMillis = clock.monotonicMillis();
@@ -249,7 +249,7 @@
                 targetsOutdated = true;
             }
             case FleetEvent.EvacuationsChanged(Set<FailureDomainId> domains) ->
-                evacuations.change(domains).forEach(vm -> poll(vm, 0));
+                evacuations.change(domains).forEach(vm -> pollUnlimited(vm, 0));
             case FleetEvent.PeersListed(List<Peer> listed) -> applyPeerList(listed);
             case FleetEvent.PeersConfirmed confirmed -> publishNodes();
             case FleetEvent.HeartbeatReceived(
@@ -398,20 +398,33 @@
         }
     }
 
-    /** Polls VMs that do not answer, and VMs without entries, whose end no entry shows. */
+    /**
+     * Polls VMs that do not answer, and VMs without entries, whose end no entry shows; first those that were not polled for the
+     * longest time, as the budget may not suffice for all.
+     */
     private void pollDoubtfulVms(long nowMillis) {
+        List<UpstreamVm> doubtful = new ArrayList<>();
         for (UpstreamVm vm : table.all()) {
             if (table.isUnresponsive(vm.id()) || table.isUnlisted(vm.id(), nowMillis)) {
-                boolean planned = planners.containsKey(new PlannerKey(vm.failureDomain(), vm.upstream()));
-                poll(vm.id(), planned ? UNRESPONSIVE_REPORT_PERIOD_MILLIS : FOREIGN_REPORT_PERIOD_MILLIS);
+                doubtful.add(vm);
             }
         }
+        doubtful.sort(Comparator.comparing(vm -> polls.lastAskedMillis(vm.id())));
+        for (UpstreamVm vm : doubtful) {
+            boolean planned = planners.containsKey(new PlannerKey(vm.failureDomain(), vm.upstream()));
+            poll(vm.id(), planned ? UNRESPONSIVE_REPORT_PERIOD_MILLIS : FOREIGN_REPORT_PERIOD_MILLIS);
+        }
     }
 
+    /** Polls a VM for a doubt, as far as the budget allows. */
     private void poll(VmId id, long periodMillis) {
         mayPoll(id).ifPresent(vm -> polls.ask(vm, periodMillis));
     }
 
+    private void pollUnlimited(VmId id, long periodMillis) {
+        mayPoll(id).ifPresent(vm -> polls.askUnlimited(vm, periodMillis));
+    }
+
     private Optional<UpstreamVm> mayPoll(VmId id) {
         return table.find(id).filter(this::hasEngine).filter(evacuations::mayPoll);
     }
@@ -539,9 +552,9 @@
         planned.forEach(order -> send(key, order));
         statisticsLog.logVmCounts(nowMillis, key, planner);
         statisticsLog.logDemand(nowMillis, key, demandByQueue, demand.shares());
-        planner.vmsWithUnknownOrderCount().forEach(vm -> poll(vm, REPORT_PERIOD_MILLIS));
+        planner.vmsWithUnknownOrderCount().forEach(vm -> pollUnlimited(vm, REPORT_PERIOD_MILLIS));
         if (!startup) {
-            planner.vmsToPoll().forEach(vm -> poll(vm, REPORT_PERIOD_MILLIS));
+            planner.vmsToPoll().forEach(vm -> pollUnlimited(vm, REPORT_PERIOD_MILLIS));
         }
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -160,6 +160,7 @@
         healthProbe.tick();
         PeerSnapshot snapshot = fleet.peerSnapshot();
         Set<String> recipients;
+        Set<String> dueNow;
         synchronized (partners) {
             recipients = partners.choose(
                     snapshot.peers().stream()
@@ -168,6 +169,7 @@
                     snapshot.stopping(),
                     healthProbe.extend(HeartbeatPartners.SUSPECT_MILLIS),
                     clock.monotonicMillis());
+            dueNow = partners.dueRecipients(clock.monotonicMillis());
             setDelegate(partners.isDelegate());
             storeFollower = partners.isStoreFollower();
             vms.setSource(vmSource());
@@ -179,7 +181,7 @@
         lastRecipients = recipients;
         soon.set(false);
         for (Peer peer : snapshot.peers()) {
-            if (recipients.contains(peer.name()) && !isPending(peer)) {
+            if (dueNow.contains(peer.name()) && !isPending(peer)) {
                 send(peer);
             }
         }
--- a/relay/src/main/java/org/apricotdeal/relay/node/VmPolls.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/VmPolls.java
@@ -10,6 +10,7 @@
 import org.apricotdeal.kernel.result.Result;
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.health.LocalHealth;
+import org.apricotdeal.relay.health.ReportBudget;
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.model.VmReport;
 import org.apricotdeal.relay.policy.ProcessDelay;
@@ -30,6 +31,7 @@
     private final MetricRegistry metrics;
     private final long delayEffectMillis;
     private final ProcessDelay ownDelay = new ProcessDelay(MAX_GAP_MILLIS);
+    private final ReportBudget budget = new ReportBudget();
     private final Map<VmId, Long> lastMillis = new HashMap<>();
 
     /**
@@ -78,8 +80,21 @@
                 && (heldUp || waitedMillis < health.extend(REPORT_TIMEOUT_MILLIS, nowMillis));
     }
 
-    /** Asks a VM, unless it was asked within the given time. */
+    /** Asks a VM for a doubt, unless it was asked within the given time or the budget is used up. */
     void ask(UpstreamVm vm, long periodMillis) {
+        long nowMillis = clock.monotonicMillis();
+        if (wasAskedWithin(vm.id(), periodMillis, nowMillis)) {
+            return;
+        }
+        if (budget.tryTake(health.delayMillis(nowMillis), nowMillis)) {
+            send(vm, nowMillis);
+        } else {
+            metrics.counter("vm.reports.withheld").inc();
+        }
+    }
+
+    /** Asks a VM for the planner or the operator, who ask few and wait for the answer, whatever the budget. */
+    void askUnlimited(UpstreamVm vm, long periodMillis) {
         long nowMillis = clock.monotonicMillis();
         if (!wasAskedWithin(vm.id(), periodMillis, nowMillis)) {
             send(vm, nowMillis);
--- a/relay/src/main/java/org/apricotdeal/relay/peer/HeartbeatPartners.java
+++ b/relay/src/main/java/org/apricotdeal/relay/peer/HeartbeatPartners.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 import org.apricotdeal.kernel.id.FailureDomainId;
 
@@ -23,6 +24,9 @@
     /** Time without a heartbeat after which a node counts as unresponsive; a few heartbeat periods. */
     public static final long SUSPECT_MILLIS = 800;
 
+    /** Number of unresponsive nodes that get a heartbeat in a period. */
+    private static final int UNRESPONSIVE_PER_PERIOD = 2;
+
     /** Number of delegates that follow the store, so that one of them may fail unnoticed. */
     private static final int STORE_FOLLOWERS = 2;
 
@@ -30,6 +34,7 @@
     private final Map<String, Long> lastHeartbeatMillis = new HashMap<>();
     private final Map<String, Long> contactedSinceMillis = new HashMap<>();
     private long suspectMillis = SUSPECT_MILLIS;
+    private int turn;
     private boolean delegate = true;
     private int precedingDelegates;
 
@@ -133,6 +138,30 @@
         return chosen;
     }
 
+    /**
+     * Returns the recipients that get a heartbeat in this period: the responsive ones, and some of the others in turn. A node to
+     * which all others seem silent thus sends few more heartbeats than otherwise.
+     *
+     * @param nowMillis current time
+     * @return names of recipients that {@link #choose} returned last
+     */
+    public Set<String> dueRecipients(long nowMillis) {
+        Set<String> due = new HashSet<>();
+        List<String> unresponsive = new ArrayList<>();
+        for (String name : new TreeSet<>(contactedSinceMillis.keySet())) {
+            if (isResponsive(name, nowMillis)) {
+                due.add(name);
+            } else {
+                unresponsive.add(name);
+            }
+        }
+        for (int i = 0; i < Math.min(UNRESPONSIVE_PER_PERIOD, unresponsive.size()); i++) {
+            turn = (turn + 1) % unresponsive.size();
+            due.add(unresponsive.get(turn));
+        }
+        return due;
+    }
+
     /**
      * Adds the nodes of a failure domain to the recipients up to the first responsive one, or up to this node; returns
      * whether a responsive one was found.
--- a/relay/src/main/java/org/apricotdeal/relay/policy/IsolationDetector.java
+++ b/relay/src/main/java/org/apricotdeal/relay/policy/IsolationDetector.java
@@ -17,7 +17,7 @@
  */
 public final class IsolationDetector {
     /** Minimum number of VMs that are silent for this node only. */
-    private static final int MIN_SILENT_VMS = 3;
+    public static final int MIN_SILENT_VMS = 3;
 
     /** Share of the listed VMs that an isolated node does not reach. */
     private static final double MIN_SILENT_SHARE = 0.5;
