--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/SimFleet.java
@@ -41,15 +41,14 @@
     static final long STALL_MILLIS = 4_000;
     private static final long TICK_MILLIS = 100;
     private static final long ENTRY_TTL_MILLIS = 3_600;
-    private static final int FABRICS = 3;
 
     /** Factor by which loads are faster before the first request. */
     private static final int STARTUP_LOAD_SPEEDUP = 10;
 
     /** Size of the fleet and of the large model's replicas; replicas of the small model have two VMs. */
-    record Shape(int vmsPerFabric, int largeReplica, int slots) {
-        static final Shape SMALL = new Shape(10, 4, 12);
-        static final Shape GROWN = new Shape(18, 8, 14);
+    record Shape(int fabrics, int vmsPerFabric, int largeReplica, int slots) {
+        static final Shape SMALL = new Shape(3, 10, 4, 12);
+        static final Shape GROWN = new Shape(3, 18, 8, 14);
 
         EngineProfile engine() {
             return engine(1);
@@ -87,6 +86,9 @@
     /** Demand equals the configured shares, and each model refuses some requests. */
     ModelDemand demand = new ModelDemand(Map.of(), Set.of(new ModelId("m0"), new ModelId("m1")));
 
+    /** Replicas that serve in other failure domains. */
+    Map<ModelId, Integer> replicasElsewhere = Map.of();
+
     private long stageOrders;
     private long refusedStageOrders;
     private long closeOrders;
@@ -133,8 +135,8 @@
     SimFleet(long seed, Shape shape, int initialVmsPerFabric) {
         this.shape = shape;
         random = RandomSource.SPLIT_MIX_64.create(seed);
-        for (int i = 0; i < FABRICS * initialVmsPerFabric; i++) {
-            add(i % FABRICS);
+        for (int i = 0; i < shape.fabrics() * initialVmsPerFabric; i++) {
+            add(i % shape.fabrics());
         }
         addPlanner();
     }
@@ -358,7 +360,15 @@
         List<UpstreamVm> vmsToPlan =
                 ReplicaGroups.plannable(knownVms, shape.engine(), vm -> node.table.isUnlisted(vm.id(), nowMillis));
         List<PlannedOrder> orders = node.planner.plan(new ReplicaPlanner.Input(
-                nowMillis, nowMillis, shape.engine(), vmsToPlan, unresponsive, startup, loadShare, demand, Map.of()));
+                nowMillis,
+                nowMillis,
+                shape.engine(),
+                vmsToPlan,
+                unresponsive,
+                startup,
+                loadShare,
+                demand,
+                replicasElsewhere));
         VmCounts counts = node.planner.statistics().vmCounts();
         int served = counts.count(VmActivity.SERVING) + counts.count(VmActivity.AWAY);
         if (counts.notServing() + served != vmsToPlan.size()) {
