Requests are handed over to no node that has just refused one

Cause: PartnerChoice left a node out that could not be reached, not one that refused, and prefers those of its own failure domain. Change: a node that did not serve a request is left out for a second, whatever it answered; so a node without room gets no more either. Measured: HandOverTest.nodesThatAreCutOffTogetherHandedOverToEachOther fails before, passes now.

--- a/proofs/src/test/java/org/apricotdeal/relay/node/HandOverTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/HandOverTest.java
@@ -1,7 +1,9 @@
 package org.apricotdeal.relay.node;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -87,10 +89,7 @@
     /** A node that knows that it is isolated spends no attempt at a VM on a request. */
     @Test
     public void isolatedNodeHandsOverAtOnce() throws Exception {
-        try (ScriptedServer partner =
-                        new ScriptedServer(connection -> connection.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: "
-                                + connection.read().header("x-attempt-id")
-                                + "\r\nX-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok"));
+        try (ScriptedServer partner = new ScriptedServer(HandOverTest::serve);
                 FailingActionsTest.Node node = isolatedNode(partner.address(), true)) {
             String received = call(node, "/x", "");
             assertTrue(received.endsWith("ok"), received);
@@ -98,10 +97,45 @@
         }
     }
 
-    /** Returns a node whose only VM refuses connections, beside another node. */
+    /** Guards against the nodes of a failure domain that are cut off together handing all requests over to each other. */
+    @Test
+    public void nodesThatAreCutOffTogetherHandedOverToEachOther() throws Exception {
+        AtomicInteger refused = new AtomicInteger();
+        try (ScriptedServer neighbour = new ScriptedServer(connection -> {
+                    connection.read();
+                    refused.incrementAndGet();
+                    connection.write(
+                            "HTTP/1.1 503 Busy\r\n" + NodeAttempt.HOP_HEADER + ": 1\r\nContent-Length: 0\r\n\r\n");
+                });
+                ScriptedServer other = new ScriptedServer(HandOverTest::serve);
+                FailingActionsTest.Node node = isolatedNode(
+                        true,
+                        peer("n2", DOMAIN, neighbour.address()),
+                        peer("n3", new FailureDomainId("b"), other.address()))) {
+            assertTrue(call(node, "/x", "").startsWith("HTTP/1.1 503"));
+            assertTrue(call(node, "/x", "").endsWith("ok"));
+            assertTrue(call(node, "/x", "").endsWith("ok"));
+        }
+        assertEquals(refused.get(), 1);
+    }
+
+    private static void serve(ScriptedServer.Connection connection) throws IOException {
+        connection.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: "
+                + connection.read().header("x-attempt-id")
+                + "\r\nX-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok");
+    }
+
+    private static Peer peer(String name, FailureDomainId domain, String callerAddress) {
+        return new Peer(name, domain, "127.0.0.1:1", 1, Optional.of(callerAddress));
+    }
+
     private static FailingActionsTest.Node isolatedNode(String partnerAddress, boolean isolated) throws Exception {
+        return isolatedNode(isolated, peer("n2", DOMAIN, partnerAddress));
+    }
+
+    /** Returns a node whose only VM refuses connections, beside other nodes. */
+    private static FailingActionsTest.Node isolatedNode(boolean isolated, Peer... partners) throws Exception {
         SystemClock clock = new SystemClock();
-        Peer partner = new Peer("n2", DOMAIN, "127.0.0.1:1", 1, Optional.of(partnerAddress));
         VmReach reach = new VmReach() {
             @Override
             public boolean isListed(QueueId queue) {
@@ -115,7 +149,11 @@
 
             @Override
             public PeerSnapshot peerSnapshot() {
-                return new PeerSnapshot(List.of(partner), Set.of(), Map.of("n2", clock.monotonicMillis()));
+                Map<String, Long> heardMillis = new HashMap<>();
+                for (Peer partner : partners) {
+                    heardMillis.put(partner.name(), clock.monotonicMillis());
+                }
+                return new PeerSnapshot(List.of(partners), Set.of(), heardMillis);
             }
         };
         FailingActionsTest.Node node = new FailingActionsTest.Node(FailingActionsTest.Fault.NONE);
--- a/relay/src/main/java/org/apricotdeal/relay/node/HandOver.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/HandOver.java
@@ -207,11 +207,9 @@
                     .with("outcome", outcome)
                     .with("reason", reason)
                     .write();
-            boolean refused = outcome == AttemptOutcome.NOT_RUN;
-            if (!refused) {
-                partners.avoid(node, clock.monotonicMillis());
-            }
-            relay.endHandedOver(refusal, refused || outcome == AttemptOutcome.NOT_SENT);
+            // A node that refuses has no room either, or is cut off as well.
+            partners.avoid(node, clock.monotonicMillis());
+            relay.endHandedOver(refusal, outcome == AttemptOutcome.NOT_RUN || outcome == AttemptOutcome.NOT_SENT);
         }
     }
 }
--- a/relay/src/main/java/org/apricotdeal/relay/peer/PartnerChoice.java
+++ b/relay/src/main/java/org/apricotdeal/relay/peer/PartnerChoice.java
@@ -12,13 +12,14 @@
  *
  * <p>Load pattern: all requests of a node that has lost its links to the VMs, for seconds, while other nodes reach them. The
  * requests are spread over the nodes of its failure domain in turn, or over all others if none of these is usable. A node that
- * could not take a request is left out for a while, so that one that is cut off too costs few requests.
+ * could not take a request, or refused it, is left out for a while, so that one that is cut off too, or has no room, costs few
+ * requests.
  */
 public final class PartnerChoice {
     /** Time without a heartbeat after which a node is not chosen; several heartbeat periods. */
     private static final long MAX_SILENCE_MILLIS = 1_000;
 
-    /** Time for which a node is left out that could not take a request. */
+    /** Time for which a node is left out that did not serve a request. */
     private static final long AVOID_MILLIS = 1_000;
 
     private final Map<String, Long> avoidUntilMillis = new HashMap<>();
@@ -64,7 +65,7 @@
     /**
      * Leaves a node out for a while.
      *
-     * @param name node that could not take a request
+     * @param name node that did not serve a request
      * @param nowMillis monotonic time
      */
     public synchronized void avoid(String name, long nowMillis) {
