OverloadedNodeTest shares the rig of the fleet duty's tests

Cause: two passages of the test stood in its neighbours (duplicates). Change: it extends their client and uses their report. Measured: the three classes pass.

--- a/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/FleetDutyFixture.java
@@ -136,7 +136,7 @@
     }
 
     /** Client whose orders have an unknown outcome and whose reports fail. */
-    static final class UnreachableVmClient implements VmClient {
+    static class UnreachableVmClient implements VmClient {
         @Override
         public CompletableFuture<OrderReply> order(
                 UpstreamVm vm, long expected, ReplicaOrder order, long timeoutMillis) {
--- a/proofs/src/test/java/org/apricotdeal/relay/node/IsolatedPlannerTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/IsolatedPlannerTest.java
@@ -69,7 +69,8 @@
         vms().forEach(vm -> fixture.fleet.put(new FleetEvent.VmReported(vm.id(), report)));
     }
 
-    private static VmReport answer() {
+    /** Returns the report of a sound VM without a replica. */
+    static VmReport answer() {
         return new VmReport(
                 Optional.of(new FabricDomainId("f0")),
                 1,
--- a/proofs/src/test/java/org/apricotdeal/relay/node/OverloadedNodeTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/OverloadedNodeTest.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import com.codahale.metrics.Counter;
-import org.apricotdeal.kernel.id.FabricDomainId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.kernel.misc.HostPort;
 import org.apricotdeal.kernel.result.Result;
@@ -18,9 +17,6 @@
 import org.apricotdeal.proofs.http.ScriptedServer;
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.model.VmReport;
-import org.apricotdeal.relay.port.OrderReply;
-import org.apricotdeal.relay.port.ReplicaOrder;
-import org.apricotdeal.relay.port.VmClient;
 import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -115,7 +111,7 @@
     }
 
     /** Asks one server for the reports of all VMs over a real client. */
-    private static final class CountingVmClient implements VmClient {
+    private static final class CountingVmClient extends FleetDutyFixture.UnreachableVmClient {
         private final HttpClient client;
         private final HostPort address;
         private final AtomicInteger asked = new AtomicInteger();
@@ -126,12 +122,6 @@
             this.address = HostPort.parse(address);
         }
 
-        @Override
-        public CompletableFuture<OrderReply> order(
-                UpstreamVm vm, long expected, ReplicaOrder order, long timeoutMillis) {
-            return CompletableFuture.completedFuture(OrderReply.UNKNOWN);
-        }
-
         @Override
         public CompletableFuture<Result<VmReport, String>> report(UpstreamVm vm, long timeoutMillis) {
             asked.incrementAndGet();
@@ -143,22 +133,8 @@
                             return Result.err("timeout");
                         }
                         answered.incrementAndGet();
-                        return Result.ok(report());
+                        return Result.ok(IsolatedPlannerTest.answer());
                     });
         }
-
-        private static VmReport report() {
-            return new VmReport(
-                    Optional.of(new FabricDomainId("f0")),
-                    1,
-                    0,
-                    false,
-                    List.of(),
-                    Optional.empty(),
-                    Optional.empty(),
-                    0,
-                    0,
-                    1);
-        }
     }
 }
