A heartbeat that is relayed refreshes its node only once

Cause: a node counts as live while any node has heard it within 2 s, and that was passed on as an age. The age lacks the time for which the news was under way, and the newer news won, so between late nodes the news of a dead node came around and was younger each time. Planners, and nodes to which requests are handed over, are chosen by it. Class: an age is relayed without the time on the way.

Change: a heartbeat tells when its sender sent it, by the sender's clock (two optional fields; nodes of earlier builds are judged by age as before). HeardNodes takes a heartbeat as news only if it was sent later than the last one known. The age still tells how long ago.

The same kind of age: vmAgeMillis of heartbeats, by which a node judges how fresh the VMs' entries are that peers relay. Not shown, open.

--- a/proofs/src/test/java/org/apricotdeal/relay/node/HandOverTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/HandOverTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -14,6 +15,7 @@
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.time.SystemClock;
 import org.apricotdeal.proofs.http.ScriptedServer;
+import org.apricotdeal.relay.peer.HeardNodes;
 import org.apricotdeal.relay.policy.QueueId;
 import org.apricotdeal.relay.policy.RelayEvent;
 import org.testng.annotations.DataProvider;
@@ -149,11 +151,11 @@
 
             @Override
             public PeerSnapshot peerSnapshot() {
-                Map<String, Long> heardMillis = new HashMap<>();
+                Map<String, HeardNodes.Heard> heard = new HashMap<>();
                 for (Peer partner : partners) {
-                    heardMillis.put(partner.name(), clock.monotonicMillis());
+                    heard.put(partner.name(), new HeardNodes.Heard(clock.monotonicMillis(), OptionalLong.empty()));
                 }
-                return new PeerSnapshot(List.of(partners), Set.of(), heardMillis);
+                return new PeerSnapshot(List.of(partners), Set.of(), heard);
             }
         };
         FailingActionsTest.Node node = new FailingActionsTest.Node(FailingActionsTest.Fault.NONE);
--- a/proofs/src/test/java/org/apricotdeal/relay/node/RegistrationTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/RegistrationTest.java
@@ -1,9 +1,11 @@
 package org.apricotdeal.relay.node;
 
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
+import org.apricotdeal.relay.peer.HeardNodes;
 import org.apricotdeal.wire.gen.TRelayNode;
 import org.testng.annotations.Test;
 
@@ -42,12 +44,13 @@
                 clock.advance(400);
                 long nowMillis = clock.monotonicMillis();
                 List<FleetEvent.NodeSeen> seen = heard.stream()
-                        .map(name -> new FleetEvent.NodeSeen(name, nowMillis, false))
+                        .map(name -> new FleetEvent.NodeSeen(name, heard(nowMillis), false))
                         .toList();
                 duty.fleet.put(new FleetEvent.HeartbeatReceived(
                         new Peer("n2", FleetDutyFixture.OWN_DOMAIN, "h:1", 1), seen, false));
-                await(peers -> heard.stream().allMatch(name -> Long.valueOf(nowMillis)
-                        .equals(peers.lastHeardMillis().get(name))));
+                await(peers -> heard.stream()
+                        .allMatch(name -> peers.heard().containsKey(name)
+                                && peers.heard().get(name).atMillis() == nowMillis));
                 if (passed % 1_200 == 0) {
                     registration.runOnce();
                 }
@@ -55,6 +58,10 @@
             return store.ranges - before;
         }
 
+        private static HeardNodes.Heard heard(long atMillis) {
+            return new HeardNodes.Heard(atMillis, OptionalLong.empty());
+        }
+
         private void await(Predicate<PeerSnapshot> condition) {
             long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
             while (!condition.test(duty.fleet.peerSnapshot())) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import com.codahale.metrics.Gauge;
@@ -25,6 +26,7 @@
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.model.VmReport;
 import org.apricotdeal.relay.peer.FleetDemand;
+import org.apricotdeal.relay.peer.HeardNodes;
 import org.apricotdeal.relay.peer.PlannerChoice;
 import org.apricotdeal.relay.policy.ColdVm;
 import org.apricotdeal.relay.policy.FleetNode;
@@ -89,7 +91,7 @@
     private final FleetDemand peerDemand = new FleetDemand();
     private final IsolationWatch isolation;
     private final Map<String, Peer> peers = new HashMap<>();
-    private final Map<String, Long> lastHeardMillis = new HashMap<>();
+    private final HeardNodes heard = new HeardNodes();
     private final Set<String> stoppingPeers = new HashSet<>();
     private final long startedMillis;
     private final String plannerName;
@@ -254,6 +256,7 @@
             case FleetEvent.PeersConfirmed confirmed -> publishNodes();
             case FleetEvent.HeartbeatReceived(
                     Peer sender,
+                    OptionalLong sentMillis,
                     List<FleetEvent.NodeSeen> others,
                     boolean senderStopping) -> {
                 // A node that has restarted, perhaps on a different machine, replaces the one of its name.
@@ -261,8 +264,10 @@
                         sender.name(),
                         sender,
                         (known, now) -> now.startedMillis() > known.startedMillis() ? now : known);
-                recordHeard(sender.name(), clock.monotonicMillis(), senderStopping);
-                others.forEach(node -> recordHeard(node.name(), node.lastHeardMillis(), node.stopping()));
+                if (heard.recordDirect(sender.name(), new HeardNodes.Heard(clock.monotonicMillis(), sentMillis))) {
+                    recordStopping(sender.name(), senderStopping);
+                }
+                others.forEach(this::recordRelayed);
                 publishPeerSnapshot();
             }
             case FleetEvent.PeerReportedUnresponsive(Map<VmId, Long> missedMillis) -> suspectReportedVms(missedMillis);
@@ -270,12 +275,13 @@
         }
     }
 
-    /** Records when a heartbeat of a node was received by this node or a peer; ignored if older than the known time. */
-    private void recordHeard(String name, long atMillis, boolean peerStopping) {
-        if (name.equals(settings.name()) || atMillis <= lastHeardMillis.getOrDefault(name, Long.MIN_VALUE)) {
-            return;
+    private void recordRelayed(FleetEvent.NodeSeen node) {
+        if (!node.name().equals(settings.name()) && heard.recordRelayed(node.name(), node.heartbeat())) {
+            recordStopping(node.name(), node.stopping());
         }
-        lastHeardMillis.put(name, atMillis);
+    }
+
+    private void recordStopping(String name, boolean peerStopping) {
         boolean stateChanged = peerStopping ? stoppingPeers.add(name) : stoppingPeers.remove(name);
         if (stateChanged) {
             log.state(peerStopping ? "node_stops" : "node_plans_again")
@@ -285,8 +291,7 @@
     }
 
     private void publishPeerSnapshot() {
-        peerSnapshot =
-                new PeerSnapshot(List.copyOf(peers.values()), Set.copyOf(stoppingPeers), Map.copyOf(lastHeardMillis));
+        peerSnapshot = new PeerSnapshot(List.copyOf(peers.values()), Set.copyOf(stoppingPeers), heard.snapshot());
     }
 
     private void suspectReportedVms(Map<VmId, Long> missedMillis) {
@@ -356,7 +361,7 @@
                 peers.put(peer.name(), peer);
             }
         }
-        lastHeardMillis.keySet().removeIf(name -> !isLive(name, nowMillis) && !peers.containsKey(name));
+        heard.forgetSilent(peers::containsKey, nowMillis);
         publishPeerSnapshot();
         publishNodes();
     }
@@ -515,8 +520,7 @@
     }
 
     private boolean isLive(String name, long nowMillis) {
-        Long atMillis = lastHeardMillis.get(name);
-        return atMillis != null && nowMillis - atMillis < PEER_TIMEOUT_MILLIS;
+        return heard.isHeardWithin(name, PEER_TIMEOUT_MILLIS, nowMillis);
     }
 
     private void runPlanner(long nowMillis, PlannerKey key) {
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetEvent.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetEvent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.apricotdeal.kernel.id.FailureDomainId;
@@ -11,6 +12,7 @@
 import org.apricotdeal.relay.model.RelayCatalogue;
 import org.apricotdeal.relay.model.UpstreamVm;
 import org.apricotdeal.relay.model.VmReport;
+import org.apricotdeal.relay.peer.HeardNodes;
 import org.apricotdeal.relay.policy.PlannedOrder;
 import org.apricotdeal.relay.policy.TargetId;
 import org.apricotdeal.relay.port.OrderReply;
@@ -51,13 +53,19 @@
     record PeersConfirmed() implements FleetEvent {}
 
     /** A node sent a heartbeat with the other nodes that it knows; a stopping node no longer plans. */
-    record HeartbeatReceived(Peer sender, List<NodeSeen> seen, boolean stopping) implements FleetEvent {}
+    record HeartbeatReceived(Peer sender, OptionalLong sentMillis, List<NodeSeen> seen, boolean stopping)
+            implements FleetEvent {
+        /** A heartbeat of a node that does not tell when it sent it. */
+        HeartbeatReceived(Peer sender, List<NodeSeen> seen, boolean stopping) {
+            this(sender, OptionalLong.empty(), seen, stopping);
+        }
+    }
 
     /** A peer reported unresponsive VMs with the times of their last missed calls. */
     record PeerReportedUnresponsive(Map<VmId, Long> missedMillis) implements FleetEvent {}
 
-    /** A node as reported by a peer, with the time of its last heartbeat. */
-    record NodeSeen(String name, long lastHeardMillis, boolean stopping) {}
+    /** A node as reported by a peer, with its last heartbeat. */
+    record NodeSeen(String name, HeardNodes.Heard heartbeat, boolean stopping) {}
 
     /** This node is stopping and no longer plans. */
     record Stopping() implements FleetEvent {}
--- a/relay/src/main/java/org/apricotdeal/relay/node/HandOver.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/HandOver.java
@@ -9,6 +9,7 @@
 import org.apricotdeal.kernel.id.FailureDomainId;
 import org.apricotdeal.kernel.id.VmId;
 import org.apricotdeal.kernel.time.Clock;
+import org.apricotdeal.relay.peer.HeardNodes;
 import org.apricotdeal.relay.peer.PartnerChoice;
 import org.apricotdeal.relay.policy.AttemptId;
 import org.apricotdeal.relay.policy.AttemptOutcome;
@@ -138,15 +139,15 @@
         PeerSnapshot snapshot = reach.peerSnapshot();
         List<PartnerChoice.Candidate> candidates = new ArrayList<>();
         for (Peer peer : snapshot.peers()) {
-            Long heardMillis = snapshot.lastHeardMillis().get(peer.name());
+            HeardNodes.Heard heard = snapshot.heard().get(peer.name());
             if (peer.callerAddress().isPresent()
-                    && heardMillis != null
+                    && heard != null
                     && !snapshot.stopping().contains(peer.name())) {
                 candidates.add(new PartnerChoice.Candidate(
                         peer.name(),
                         peer.callerAddress().get(),
                         peer.failureDomain().equals(ownDomain),
-                        heardMillis));
+                        heard.atMillis()));
             }
         }
         return candidates;
--- a/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Heartbeats.java
@@ -25,6 +25,7 @@
 import org.apricotdeal.kernel.time.Clock;
 import org.apricotdeal.relay.peer.FleetDemand;
 import org.apricotdeal.relay.peer.FleetLoads;
+import org.apricotdeal.relay.peer.HeardNodes;
 import org.apricotdeal.relay.peer.HeartbeatPartners;
 import org.apricotdeal.relay.peer.PlannerChoice;
 import org.apricotdeal.relay.poison.CrashNews;
@@ -94,6 +95,7 @@
     private final DecisionLog log;
     private final MetricRegistry metrics;
     private final TRelayNode self;
+    private final long createdMillis;
     private final FailureDomainId ownDomain;
     private final HeartbeatPartners partners;
     private final FleetLoads loads = new FleetLoads();
@@ -147,6 +149,7 @@
         this.log = log;
         this.metrics = metrics;
         this.self = self;
+        this.createdMillis = clock.monotonicMillis();
         this.ownDomain = new FailureDomainId(self.getFailureDomain());
         this.partners = new HeartbeatPartners(new PlannerChoice.Candidate(self.getName(), ownDomain));
     }
@@ -295,9 +298,8 @@
         EvacuationCodec.encode(evacuations.current(), heartbeat);
         long nowMillis = clock.monotonicMillis();
         DemandCodec.encode(demandByQueue, heartbeat, nowMillis);
-        fleet.recentlySeenNodes()
-                .forEach(node -> heartbeat.addToSeen(
-                        new TRelayNodeSeen(node.name(), (int) (nowMillis - node.lastHeardMillis()), node.stopping())));
+        heartbeat.setSentMillis(self.getStartedMillis() + nowMillis - createdMillis);
+        fleet.recentlySeenNodes().forEach(node -> heartbeat.addToSeen(encode(node, nowMillis)));
         fleet.unresponsiveVms()
                 .forEach((vm, missedMillis) ->
                         heartbeat.addToSilentVms(new TRelaySilentVm(vm.value(), (int) (nowMillis - missedMillis))));
@@ -335,6 +337,20 @@
         }
     }
 
+    private static TRelayNodeSeen encode(FleetEvent.NodeSeen node, long nowMillis) {
+        HeardNodes.Heard heartbeat = node.heartbeat();
+        TRelayNodeSeen seen =
+                new TRelayNodeSeen(node.name(), (int) (nowMillis - heartbeat.atMillis()), node.stopping());
+        heartbeat.sentMillis().ifPresent(seen::setSentMillis);
+        return seen;
+    }
+
+    private static FleetEvent.NodeSeen decode(TRelayNodeSeen node, long nowMillis) {
+        OptionalLong sentMillis = node.isSetSentMillis() ? OptionalLong.of(node.getSentMillis()) : OptionalLong.empty();
+        return new FleetEvent.NodeSeen(
+                node.getName(), new HeardNodes.Heard(nowMillis - node.getAgeMillis(), sentMillis), node.isStopping());
+    }
+
     private static byte[] encode(TRelayHeartbeat heartbeat) {
         try {
             return new TSerializer(new TCompactProtocol.Factory()).serialize(heartbeat);
@@ -434,11 +450,11 @@
         }
         List<FleetEvent.NodeSeen> seen = new ArrayList<>();
         if (heartbeat.isSetSeen()) {
-            for (TRelayNodeSeen node : heartbeat.getSeen()) {
-                seen.add(new FleetEvent.NodeSeen(node.getName(), nowMillis - node.getAgeMillis(), node.isStopping()));
-            }
+            heartbeat.getSeen().forEach(node -> seen.add(decode(node, nowMillis)));
         }
-        fleet.put(new FleetEvent.HeartbeatReceived(sender, List.copyOf(seen), heartbeat.isStopping()));
+        OptionalLong sentMillis =
+                heartbeat.isSetSentMillis() ? OptionalLong.of(heartbeat.getSentMillis()) : OptionalLong.empty();
+        fleet.put(new FleetEvent.HeartbeatReceived(sender, sentMillis, List.copyOf(seen), heartbeat.isStopping()));
         return sender;
     }
 
--- a/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/Registration.java
@@ -69,7 +69,7 @@
         PeerSnapshot known = fleet.peerSnapshot();
         long nowMillis = clock().monotonicMillis();
         List<String> names = known.peers().stream().map(Peer::name).toList();
-        if (!reads.isDue(names, known.lastHeardMillis(), nowMillis)) {
+        if (!reads.isDue(names, known.heard(), nowMillis)) {
             fleet.put(new FleetEvent.PeersConfirmed());
         } else if (store.range(PREFIX, true)
                 instanceof Result.Ok<WatchStore.Range, StoreFault>(WatchStore.Range range)) {
--- a/relay/src/main/java/org/apricotdeal/relay/peer/RegistrationReads.java
+++ b/relay/src/main/java/org/apricotdeal/relay/peer/RegistrationReads.java
@@ -45,24 +45,24 @@
      * disagree, that is, if a known node is silent, a node is heard that is not known, or no other node is known.
      *
      * @param knownNodes names of the known other nodes
-     * @param lastHeardMillis time of the last heartbeat of each other node, received by any node
+     * @param heard last heartbeat of each other node, received by any node
      * @param nowMillis current time
      * @return true if the list may have changed
      */
-    public boolean isDue(Collection<String> knownNodes, Map<String, Long> lastHeardMillis, long nowMillis) {
+    public boolean isDue(Collection<String> knownNodes, Map<String, HeardNodes.Heard> heard, long nowMillis) {
         if (nowMillis - startedMillis < FIRST_READS_MILLIS || nowMillis - lastReadMillis >= MAX_AGE_MILLIS) {
             return true;
         }
         long heardKnown = knownNodes.stream()
-                .filter(name -> isHeard(lastHeardMillis.get(name), nowMillis))
+                .filter(name -> isHeard(heard.get(name), nowMillis))
                 .count();
-        long heard = lastHeardMillis.values().stream()
-                .filter(atMillis -> isHeard(atMillis, nowMillis))
+        long heardNodes = heard.values().stream()
+                .filter(heartbeat -> isHeard(heartbeat, nowMillis))
                 .count();
-        return knownNodes.isEmpty() || heardKnown < knownNodes.size() || heard > heardKnown;
+        return knownNodes.isEmpty() || heardKnown < knownNodes.size() || heardNodes > heardKnown;
     }
 
-    private static boolean isHeard(Long atMillis, long nowMillis) {
-        return atMillis != null && nowMillis - atMillis < SILENT_MILLIS;
+    private static boolean isHeard(HeardNodes.Heard heartbeat, long nowMillis) {
+        return heartbeat != null && nowMillis - heartbeat.atMillis() < SILENT_MILLIS;
     }
 }
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayHeartbeat.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayHeartbeat.java
@@ -29,6 +29,7 @@
   private static final org.apache.thrift.protocol.TField VM_INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("vmIncarnation", org.apache.thrift.protocol.TType.I64, (short)18);
   private static final org.apache.thrift.protocol.TField SERVICE_CRASHES_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceCrashes", org.apache.thrift.protocol.TType.LIST, (short)19);
   private static final org.apache.thrift.protocol.TField SERVICE_TRIALS_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceTrials", org.apache.thrift.protocol.TType.LIST, (short)20);
+  private static final org.apache.thrift.protocol.TField SENT_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("sentMillis", org.apache.thrift.protocol.TType.I64, (short)21);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TRelayHeartbeatStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TRelayHeartbeatTupleSchemeFactory();
@@ -56,6 +57,7 @@
   public long vmIncarnation; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<TRelayCrash> serviceCrashes; // optional
   public @org.apache.thrift.annotation.Nullable java.util.List<TRelayTrial> serviceTrials; // optional
+  public long sentMillis; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -81,7 +83,8 @@
     DEMAND((short)17, "demand"),
     VM_INCARNATION((short)18, "vmIncarnation"),
     SERVICE_CRASHES((short)19, "serviceCrashes"),
-    SERVICE_TRIALS((short)20, "serviceTrials");
+    SERVICE_TRIALS((short)20, "serviceTrials"),
+    SENT_MILLIS((short)21, "sentMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -135,6 +138,8 @@
           return SERVICE_CRASHES;
         case 20: // SERVICE_TRIALS
           return SERVICE_TRIALS;
+        case 21: // SENT_MILLIS
+          return SENT_MILLIS;
         default:
           return null;
       }
@@ -185,8 +190,9 @@
   private static final int __VMAGEMILLIS_ISSET_ID = 4;
   private static final int __CRASHDIGEST_ISSET_ID = 5;
   private static final int __VMINCARNATION_ISSET_ID = 6;
+  private static final int __SENTMILLIS_ISSET_ID = 7;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.VM_REVISION,_Fields.STORE_AWAY,_Fields.VM_NEWS,_Fields.STOPPING,_Fields.SCOPE,_Fields.SEEN,_Fields.VM_AGE_MILLIS,_Fields.SILENT_VMS,_Fields.CRASH_DIGEST,_Fields.CRASHES,_Fields.TRIALS,_Fields.EVACUATIONS,_Fields.DEMAND,_Fields.VM_INCARNATION,_Fields.SERVICE_CRASHES,_Fields.SERVICE_TRIALS};
+  private static final _Fields optionals[] = {_Fields.VM_REVISION,_Fields.STORE_AWAY,_Fields.VM_NEWS,_Fields.STOPPING,_Fields.SCOPE,_Fields.SEEN,_Fields.VM_AGE_MILLIS,_Fields.SILENT_VMS,_Fields.CRASH_DIGEST,_Fields.CRASHES,_Fields.TRIALS,_Fields.EVACUATIONS,_Fields.DEMAND,_Fields.VM_INCARNATION,_Fields.SERVICE_CRASHES,_Fields.SERVICE_TRIALS,_Fields.SENT_MILLIS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -236,6 +242,8 @@
     tmpMap.put(_Fields.SERVICE_TRIALS, new org.apache.thrift.meta_data.FieldMetaData("serviceTrials", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TRelayTrial.class))));
+    tmpMap.put(_Fields.SENT_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("sentMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TRelayHeartbeat.class, metaDataMap);
   }
@@ -335,6 +343,7 @@
       }
       this.serviceTrials = __this__serviceTrials;
     }
+    this.sentMillis = other.sentMillis;
   }
 
   @Override
@@ -370,6 +379,8 @@
     this.vmIncarnation = 0;
     this.serviceCrashes = null;
     this.serviceTrials = null;
+    setSentMillisIsSet(false);
+    this.sentMillis = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -969,6 +980,29 @@
     }
   }
 
+  public long getSentMillis() {
+    return this.sentMillis;
+  }
+
+  public TRelayHeartbeat setSentMillis(long sentMillis) {
+    this.sentMillis = sentMillis;
+    setSentMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetSentMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SENTMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field sentMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetSentMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SENTMILLIS_ISSET_ID);
+  }
+
+  public void setSentMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SENTMILLIS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -1124,6 +1158,14 @@
       }
       break;
 
+    case SENT_MILLIS:
+      if (value == null) {
+        unsetSentMillis();
+      } else {
+        setSentMillis((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -1188,6 +1230,9 @@
     case SERVICE_TRIALS:
       return getServiceTrials();
 
+    case SENT_MILLIS:
+      return getSentMillis();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1238,6 +1283,8 @@
       return isSetServiceCrashes();
     case SERVICE_TRIALS:
       return isSetServiceTrials();
+    case SENT_MILLIS:
+      return isSetSentMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1426,6 +1473,15 @@
         return false;
     }
 
+    boolean this_present_sentMillis = true && this.isSetSentMillis();
+    boolean that_present_sentMillis = true && that.isSetSentMillis();
+    if (this_present_sentMillis || that_present_sentMillis) {
+      if (!(this_present_sentMillis && that_present_sentMillis))
+        return false;
+      if (this.sentMillis != that.sentMillis)
+        return false;
+    }
+
     return true;
   }
 
@@ -1507,6 +1563,10 @@
     if (isSetServiceTrials())
       hashCode = hashCode * 8191 + serviceTrials.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetSentMillis()) ? 131071 : 524287);
+    if (isSetSentMillis())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sentMillis);
+
     return hashCode;
   }
 
@@ -1708,6 +1768,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSentMillis(), other.isSetSentMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSentMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sentMillis, other.sentMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1887,6 +1957,12 @@
       }
       first = false;
     }
+    if (isSetSentMillis()) {
+      if (!first) sb.append(", ");
+      sb.append("sentMillis:");
+      sb.append(this.sentMillis);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -2193,6 +2269,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 21: // SENT_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sentMillis = iprot.readI64();
+              struct.setSentMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -2381,6 +2465,11 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.isSetSentMillis()) {
+        oprot.writeFieldBegin(SENT_MILLIS_FIELD_DESC);
+        oprot.writeI64(struct.sentMillis);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -2457,7 +2546,10 @@
       if (struct.isSetServiceTrials()) {
         optionals.set(15);
       }
-      oprot.writeBitSet(optionals, 16);
+      if (struct.isSetSentMillis()) {
+        optionals.set(16);
+      }
+      oprot.writeBitSet(optionals, 17);
       if (struct.isSetVmRevision()) {
         oprot.writeI64(struct.vmRevision);
       }
@@ -2548,6 +2640,9 @@
           }
         }
       }
+      if (struct.isSetSentMillis()) {
+        oprot.writeI64(struct.sentMillis);
+      }
     }
 
     @Override
@@ -2570,7 +2665,7 @@
         }
       }
       struct.setLoadsIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(16);
+      java.util.BitSet incoming = iprot.readBitSet(17);
       if (incoming.get(0)) {
         struct.vmRevision = iprot.readI64();
         struct.setVmRevisionIsSet(true);
@@ -2707,6 +2802,10 @@
         }
         struct.setServiceTrialsIsSet(true);
       }
+      if (incoming.get(16)) {
+        struct.sentMillis = iprot.readI64();
+        struct.setSentMillisIsSet(true);
+      }
     }
   }
 
--- a/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayNodeSeen.java
+++ b/wire-gen/src/main/java/org/apricotdeal/wire/gen/TRelayNodeSeen.java
@@ -13,6 +13,7 @@
   private static final org.apache.thrift.protocol.TField NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("name", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField AGE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("ageMillis", org.apache.thrift.protocol.TType.I32, (short)2);
   private static final org.apache.thrift.protocol.TField STOPPING_FIELD_DESC = new org.apache.thrift.protocol.TField("stopping", org.apache.thrift.protocol.TType.BOOL, (short)3);
+  private static final org.apache.thrift.protocol.TField SENT_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("sentMillis", org.apache.thrift.protocol.TType.I64, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TRelayNodeSeenStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TRelayNodeSeenTupleSchemeFactory();
@@ -20,12 +21,14 @@
   public @org.apache.thrift.annotation.Nullable java.lang.String name; // required
   public int ageMillis; // required
   public boolean stopping; // required
+  public long sentMillis; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     NAME((short)1, "name"),
     AGE_MILLIS((short)2, "ageMillis"),
-    STOPPING((short)3, "stopping");
+    STOPPING((short)3, "stopping"),
+    SENT_MILLIS((short)4, "sentMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +50,8 @@
           return AGE_MILLIS;
         case 3: // STOPPING
           return STOPPING;
+        case 4: // SENT_MILLIS
+          return SENT_MILLIS;
         default:
           return null;
       }
@@ -92,7 +97,9 @@
   // isset id assignments
   private static final int __AGEMILLIS_ISSET_ID = 0;
   private static final int __STOPPING_ISSET_ID = 1;
+  private static final int __SENTMILLIS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.SENT_MILLIS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -102,6 +109,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.STOPPING, new org.apache.thrift.meta_data.FieldMetaData("stopping", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.SENT_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("sentMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TRelayNodeSeen.class, metaDataMap);
   }
@@ -132,6 +141,7 @@
     }
     this.ageMillis = other.ageMillis;
     this.stopping = other.stopping;
+    this.sentMillis = other.sentMillis;
   }
 
   @Override
@@ -146,6 +156,8 @@
     this.ageMillis = 0;
     setStoppingIsSet(false);
     this.stopping = false;
+    setSentMillisIsSet(false);
+    this.sentMillis = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -219,6 +231,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STOPPING_ISSET_ID, value);
   }
 
+  public long getSentMillis() {
+    return this.sentMillis;
+  }
+
+  public TRelayNodeSeen setSentMillis(long sentMillis) {
+    this.sentMillis = sentMillis;
+    setSentMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetSentMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SENTMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field sentMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetSentMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SENTMILLIS_ISSET_ID);
+  }
+
+  public void setSentMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SENTMILLIS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -246,6 +281,14 @@
       }
       break;
 
+    case SENT_MILLIS:
+      if (value == null) {
+        unsetSentMillis();
+      } else {
+        setSentMillis((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -262,6 +305,9 @@
     case STOPPING:
       return isStopping();
 
+    case SENT_MILLIS:
+      return getSentMillis();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -280,6 +326,8 @@
       return isSetAgeMillis();
     case STOPPING:
       return isSetStopping();
+    case SENT_MILLIS:
+      return isSetSentMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -324,6 +372,15 @@
         return false;
     }
 
+    boolean this_present_sentMillis = true && this.isSetSentMillis();
+    boolean that_present_sentMillis = true && that.isSetSentMillis();
+    if (this_present_sentMillis || that_present_sentMillis) {
+      if (!(this_present_sentMillis && that_present_sentMillis))
+        return false;
+      if (this.sentMillis != that.sentMillis)
+        return false;
+    }
+
     return true;
   }
 
@@ -339,6 +396,10 @@
 
     hashCode = hashCode * 8191 + ((stopping) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetSentMillis()) ? 131071 : 524287);
+    if (isSetSentMillis())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sentMillis);
+
     return hashCode;
   }
 
@@ -380,6 +441,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSentMillis(), other.isSetSentMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSentMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sentMillis, other.sentMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -419,6 +490,12 @@
     sb.append("stopping:");
     sb.append(this.stopping);
     first = false;
+    if (isSetSentMillis()) {
+      if (!first) sb.append(", ");
+      sb.append("sentMillis:");
+      sb.append(this.sentMillis);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -495,6 +572,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // SENT_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sentMillis = iprot.readI64();
+              struct.setSentMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -528,6 +613,11 @@
       oprot.writeFieldBegin(STOPPING_FIELD_DESC);
       oprot.writeBool(struct.stopping);
       oprot.writeFieldEnd();
+      if (struct.isSetSentMillis()) {
+        oprot.writeFieldBegin(SENT_MILLIS_FIELD_DESC);
+        oprot.writeI64(struct.sentMillis);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -549,6 +639,14 @@
       oprot.writeString(struct.name);
       oprot.writeI32(struct.ageMillis);
       oprot.writeBool(struct.stopping);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetSentMillis()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetSentMillis()) {
+        oprot.writeI64(struct.sentMillis);
+      }
     }
 
     @Override
@@ -560,6 +658,11 @@
       struct.setAgeMillisIsSet(true);
       struct.stopping = iprot.readBool();
       struct.setStoppingIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.sentMillis = iprot.readI64();
+        struct.setSentMillisIsSet(true);
+      }
     }
   }
 
--- a/wire-gen/src/main/thrift/relay.thrift
+++ b/wire-gen/src/main/thrift/relay.thrift
@@ -44,6 +44,7 @@
   1: required string name;
   2: required i32 ageMillis;          // time since the node was heard, by whomever
   3: required bool stopping;
+  4: optional i64 sentMillis;         // sentMillis of that heartbeat; absent: the node does not tell it
 }
 
 // A VM that answers no calls for its state.
@@ -118,4 +119,5 @@
   18: optional i64 vmIncarnation;              // incarnation of the store for vmRevision
   19: optional list<TRelayCrash> serviceCrashes;   // as crashes, of plain services; their model is empty
   20: optional list<TRelayTrial> serviceTrials;
+  21: optional i64 sentMillis;                // when it was sent, by the sender's own clock; grows with each one, also over restarts
 }
