OverloadedNodeTest measures the delay as a node does

Cause: the test told the node its delay only when the reading thread was free again, and held it for up to a second. If a slow machine stretched the pauses between the busy times, the node knew of no delay when its reports timed out. A node has HealthProbe for that, which counts a task that still waits. Change: the test runs the probe of the node instead of its own measurement. All it asks is as before.

--- a/proofs/src/test/java/org/apricotdeal/relay/node/OverloadedNodeTest.java
+++ b/proofs/src/test/java/org/apricotdeal/relay/node/OverloadedNodeTest.java
@@ -70,18 +70,15 @@
     private void run(FleetDutyFixture fixture, UpstreamConnector connector, int turns, long busyMillis)
             throws InterruptedException {
         Peer peer = new Peer("n2", FleetDutyFixture.OWN_DOMAIN, "127.0.0.1:1", 1);
+        HealthProbe probe = new HealthProbe(fixture.health, connector::runOnSelector, millis -> {}, clock, TURN_MILLIS);
         List<VmId> doubted = vms().stream().map(UpstreamVm::id).toList();
         for (int i = 0; i < turns; i++) {
             fixture.fleet.put(new FleetEvent.HeartbeatReceived(peer, List.of(), false));
+            probe.tick();
             fixture.fleet.suspect(doubted, Optional.empty(), "no connection");
             // For longer than two reports may take.
             if (busyMillis > 0 && i % 3 == 0) {
-                long submittedMillis = clock.monotonicMillis();
-                connector.runOnSelector(() -> {
-                    sleep(busyMillis);
-                    long ranMillis = clock.monotonicMillis();
-                    fixture.health.recordDelay(ranMillis - submittedMillis, ranMillis);
-                });
+                connector.runOnSelector(() -> sleep(busyMillis));
             }
             TimeUnit.MILLISECONDS.sleep(TURN_MILLIS);
         }
