HeardNodes leaves out heartbeats under the node's own name

HeardNodes knows the own name and leaves it out of both ways, instead of a check at each caller. The test's unused turn counter is gone.

--- a/proofs/src/test/java/org/apricotdeal/proofs/relay/HeardNodesTest.java
+++ b/proofs/src/test/java/org/apricotdeal/proofs/relay/HeardNodesTest.java
@@ -48,7 +48,7 @@
 
     @Test
     public void nodeThatStartsAnewWithAnEarlierClockIsHeardAgain() {
-        HeardNodes heard = new HeardNodes();
+        HeardNodes heard = new HeardNodes("n1");
         assertTrue(heard.recordRelayed(NODE, heard(1_000, 90_000)));
         assertFalse(heard.recordRelayed(NODE, heard(2_000, 50_000)));
         assertTrue(heard.recordDirect(NODE, heard(3_000, 51_000)));
@@ -59,12 +59,19 @@
     /** A relaying node of an earlier build drops the time of sending; what it tells is judged by age. */
     @Test
     public void heartbeatWithoutItsTimeIsJudgedByAge() {
-        HeardNodes heard = new HeardNodes();
+        HeardNodes heard = new HeardNodes("n1");
         assertTrue(heard.recordRelayed(NODE, heard(1_000, 90_000)));
         assertTrue(heard.recordRelayed(NODE, new HeardNodes.Heard(1_100, OptionalLong.empty())));
         assertFalse(heard.recordRelayed(NODE, heard(1_200, 90_000)));
     }
 
+    @Test
+    public void heartbeatsUnderTheOwnNameAreLeftOut() {
+        HeardNodes heard = new HeardNodes(NODE);
+        assertFalse(heard.recordDirect(NODE, heard(1_000, 90_000)));
+        assertFalse(heard.recordRelayed(NODE, heard(1_000, 90_000)));
+    }
+
     private static HeardNodes.Heard heard(long atMillis, long sentMillis) {
         return new HeardNodes.Heard(atMillis, OptionalLong.of(sentMillis));
     }
@@ -88,9 +95,9 @@
             random = RandomSource.SPLIT_MIX_64.create(seed);
             this.maxDelayMillis = maxDelayMillis;
             for (int i = 0; i < DOMAINS * NODES_PER_DOMAIN; i++) {
-                nodes.add(new HeardNodes());
+                nodes.add(new HeardNodes("n" + i));
                 int node = i;
-                events.add(new Event(random.nextLong(PERIOD_MILLIS), () -> sendAll(node, 0)));
+                events.add(new Event(random.nextLong(PERIOD_MILLIS), () -> sendAll(node)));
             }
         }
 
@@ -110,8 +117,8 @@
             return lastMillis;
         }
 
-        private void sendAll(int node, int turn) {
-            events.add(new Event(nowMillis + PERIOD_MILLIS, () -> sendAll(node, turn + 1)));
+        private void sendAll(int node) {
+            events.add(new Event(nowMillis + PERIOD_MILLIS, () -> sendAll(node)));
             if (node == 0 && nowMillis >= END_OF_NODE_MILLIS) {
                 return;
             }
@@ -129,7 +136,7 @@
 
         private void send(int from, int to, boolean answered) {
             long sentMillis = nowMillis;
-            var relayed = nodes.get(from).snapshot().get(NODE);
+            HeardNodes.Heard relayed = nodes.get(from).snapshot().get(NODE);
             events.add(new Event(nowMillis + random.nextLong(maxDelayMillis) + 1, () -> {
                 if (from == 0) {
                     nodes.get(to).recordDirect(NODE, heard(nowMillis, sentMillis));
--- a/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
+++ b/relay/src/main/java/org/apricotdeal/relay/node/FleetDuty.java
@@ -91,7 +91,7 @@
     private final FleetDemand peerDemand = new FleetDemand();
     private final IsolationWatch isolation;
     private final Map<String, Peer> peers = new HashMap<>();
-    private final HeardNodes heard = new HeardNodes();
+    private final HeardNodes heard;
     private final Set<String> stoppingPeers = new HashSet<>();
     private final long startedMillis;
     private final String plannerName;
@@ -128,6 +128,7 @@
         this.isolation = new IsolationWatch(settings.name(), settings.failureDomain(), log, metrics);
         this.coldVms = new ColdVmFeed(settings.coldBounds(), log, metrics);
         this.polls = new VmPolls(vmClient, TICK_MILLIS, this::putReport, health, clock, metrics);
+        this.heard = new HeardNodes(settings.name());
         this.startedMillis = clock.monotonicMillis();
         this.plannerName = plannerName(settings.name(), clock.wallMillis());
         metrics.register("targets", (Gauge<Integer>) () -> targets.size());
@@ -276,7 +277,7 @@
     }
 
     private void recordRelayed(FleetEvent.NodeSeen node) {
-        if (!node.name().equals(settings.name()) && heard.recordRelayed(node.name(), node.heartbeat())) {
+        if (heard.recordRelayed(node.name(), node.heartbeat())) {
             recordStopping(node.name(), node.stopping());
         }
     }
--- a/relay/src/main/java/org/apricotdeal/relay/peer/HeardNodes.java
+++ b/relay/src/main/java/org/apricotdeal/relay/peer/HeardNodes.java
@@ -21,8 +21,18 @@
      */
     private static final long MAX_KNOWN_MILLIS = 10_000;
 
+    private final String self;
     private final Map<String, Heard> heard = new HashMap<>();
 
+    /**
+     * Creates a record without any heartbeat.
+     *
+     * @param self name of this node, which others relay and an earlier start of it may still use; it is left out
+     */
+    public HeardNodes(String self) {
+        this.self = self;
+    }
+
     /**
      * Last heartbeat of a node that this node knows of.
      *
@@ -48,11 +58,11 @@
      *
      * @param name name of the node
      * @param heartbeat the heartbeat
-     * @return false if a later one is known
+     * @return false if a later one is known, or it is this node's own
      */
     public boolean recordDirect(String name, Heard heartbeat) {
         Heard known = heard.get(name);
-        if (known != null && heartbeat.atMillis() <= known.atMillis()) {
+        if (name.equals(self) || (known != null && heartbeat.atMillis() <= known.atMillis())) {
             return false;
         }
         heard.put(name, heartbeat);
@@ -64,11 +74,11 @@
      *
      * @param name name of the node that sent it
      * @param heartbeat the heartbeat
-     * @return false if it, or a later one, is known
+     * @return false if it, or a later one, is known, or it is this node's own
      */
     public boolean recordRelayed(String name, Heard heartbeat) {
         Heard known = heard.get(name);
-        if (known != null && !known.isRefreshedBy(heartbeat)) {
+        if (name.equals(self) || (known != null && !known.isRefreshedBy(heartbeat))) {
             return false;
         }
         heard.put(name, known == null ? heartbeat : known.refreshedBy(heartbeat));
